--- /dev/null
+++ b/src/config/config_keeper.cpp
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+// Taking in and changing the operators' configuration.
+#include "valveshelf/config_keeper.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+namespace valveshelf {
+namespace {
+constexpr int MaxRaces = 8;
+}
+
+ConfigKeeper::ConfigKeeper(StoreOps Store, Clock Time, PeerOps Peers, CellWatch &Watch)
+    : Store(std::move(Store)), Time(std::move(Time)), Peers(std::move(Peers)), Watch(Watch),
+      Current(std::make_shared<CellConfig>()) {}
+
+std::shared_ptr<const CellConfig> ConfigKeeper::inForce() const {
+  std::lock_guard Lock(Mutex);
+  return Current;
+}
+
+void ConfigKeeper::take(const std::string &Text, const std::string &Peer) {
+  if (Text.empty())
+    return;
+  Result<CellConfig> Read = decodeCellConfig(Text);
+  if (!ok(Read)) {
+    logEvent(events::ConfigRefused, {{"why", error(Read).Detail}});
+    return;
+  }
+  const uint64_t Version = value(Read).Version;
+  {
+    std::lock_guard Lock(Mutex);
+    if (Version <= Current->Version)
+      return;
+    Current = std::make_shared<const CellConfig>(std::move(value(Read)));
+  }
+  if (!Peer.empty())
+    logEvent(events::ConfigFromPeer, {{"version", std::to_string(Version)}, {"peer", Peer}});
+  logEvent(events::ConfigInForce, {{"version", std::to_string(Version)}});
+}
+
+Awaitable<void> ConfigKeeper::fetchFrom(Endpoint Peer) {
+  wire::ConfigRequest Request;
+  Request.set_have(inForce()->Version);
+  Result<wire::ConfigReply> Reply = co_await Peers.Config(Peer, Request);
+  if (ok(Reply) && value(Reply).version() > inForce()->Version)
+    take(value(Reply).text(), toString(Peer));
+}
+
+Awaitable<Result<uint64_t>> ConfigKeeper::applyOnce(const ConfigChange &Change,
+                                                    const PartnerConfig &Parsed) {
+  Result<StoreItem> Stored = co_await Store.Get(std::string(ConfigKey));
+  if (!ok(Stored))
+    co_return error(Stored);
+  CellConfig Next;
+  if (value(Stored).Version != 0) {
+    Result<CellConfig> Old = decodeCellConfig(value(Stored).Value);
+    if (!ok(Old))
+      co_return error(Old);
+    Next = std::move(value(Old));
+  }
+  ConfigPart &Part = Next.Parts[Change.Partner];
+  if (Part.Change == Change.Id && Part.Version != 0)
+    co_return Part.Version;
+  if (Part.Version != Change.Base)
+    co_return Error{ErrorKind::Conflict, "version " + std::to_string(Part.Version) + " of " +
+                                             Change.Partner + "'s part won (change " + Part.Change +
+                                             "); this change started from version " +
+                                             std::to_string(Change.Base)};
+  ++Next.Version;
+  Part = {Change.Text, Next.Version, Change.Id};
+  Next.Partners[Change.Partner] = Parsed;
+  const std::string Text = encodeCellConfig(Next);
+  Result<uint64_t> Put =
+      co_await Store.Put(std::string(ConfigKey), Text, value(Stored).Version, 0);
+  if (!ok(Put))
+    co_return error(Put);
+  Watch.note({std::string(ConfigKey), Text, value(Put)});
+  take(Text, "");
+  co_return Next.Version;
+}
+
+Awaitable<Result<uint64_t>> ConfigKeeper::apply(ConfigChange Change) {
+  auto Checked = parsePartnerConfig(Change.Text, Change.Partner + ".toml");
+  if (auto *Errors = std::get_if<SettingsErrors>(&Checked)) {
+    std::string All;
+    for (const SettingsError &Wrong : *Errors)
+      All += (All.empty() ? "" : "\n") + toString(Wrong);
+    co_return Error{ErrorKind::BadSettings, All};
+  }
+  const PartnerConfig &Parsed = std::get<PartnerConfig>(Checked);
+  bool MayHaveWritten = false;
+  Result<uint64_t> Last = Error{};
+  for (int Race = 0; Race < MaxRaces; ++Race) {
+    Last = co_await applyOnce(Change, Parsed);
+    if (ok(Last))
+      co_return Last;
+    const ErrorKind Kind = error(Last).Kind;
+    MayHaveWritten = MayHaveWritten || Kind == ErrorKind::OutcomeUnknown;
+    // The part itself is unchanged if only the other partner's change came between.
+    const bool RealConflict =
+        Kind == ErrorKind::Conflict && error(Last).Detail.find("won") != std::string::npos;
+    if (RealConflict && !MayHaveWritten)
+      co_return Last;
+    if (RealConflict || Kind == ErrorKind::BadSettings)
+      break;
+    if (Kind == ErrorKind::StoreUnavailable && !MayHaveWritten)
+      co_return Last;
+    co_await sleepFor(Milliseconds(50));
+  }
+  if (!MayHaveWritten)
+    co_return Last;
+  co_return Error{ErrorKind::OutcomeUnknown,
+                  "it is not certain that change " + Change.Id + " was accepted; ask for it by its id"};
+}
+
+Awaitable<Result<uint64_t>> ConfigKeeper::resolve(std::string Partner, std::string Id) {
+  Result<StoreItem> Stored = co_await Store.Get(std::string(ConfigKey));
+  if (!ok(Stored))
+    co_return error(Stored);
+  Result<CellConfig> Config = decodeCellConfig(value(Stored).Value);
+  if (ok(Config)) {
+    const auto Part = value(Config).Parts.find(Partner);
+    if (Part != value(Config).Parts.end() && Part->second.Change == Id)
+      co_return Part->second.Version;
+  }
+  co_return Error{ErrorKind::NotFound, "change " + Id + " is not the last of " + Partner + "'s part"};
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,318 @@
+// SPDX-License-Identifier: Apache-2.0
+// Life of the entry process: joining, gossip, boxes, peers' calls, and the planned stop.
+#include "valveshelf/entry_process.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+#include <random>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace {
+constexpr Milliseconds RetryPause{200};
+constexpr Milliseconds BoxPollEvery{1000};
+constexpr Milliseconds RefreshEvery{200};
+constexpr Milliseconds PeerTimeout{1500};
+constexpr size_t GossipFanOut = 8;
+
+HttpServerLimits limitsOf(const IntakeLimits &Limits) {
+  HttpServerLimits Out;
+  Out.MaxHeaderBytes = static_cast<size_t>(Limits.MaxHeaderBytes);
+  Out.MaxConnections = static_cast<size_t>(Limits.MaxConnections);
+  Out.HeaderTimeout = Limits.HeaderTimeout;
+  Out.BodyTimeout = Limits.BodyTimeout;
+  return Out;
+}
+
+// A name that no incarnation ever had: the member's, the time, and a random part.
+std::string newLogId(const std::string &Member, WallTime Now) {
+  std::random_device Random;
+  return Member + "." + std::to_string(Now.time_since_epoch().count()) + "." +
+         std::to_string(Random() % 100000);
+}
+} // namespace
+
+EntryProcess::EntryProcess(Executor Where, EntrySettings Settings, Clock Time, Platform From,
+                           HttpClient &Client)
+    : Where(Where), Settings(std::move(Settings)), Time(std::move(Time)), From(std::move(From)),
+      Client(Client), Peers(grpcPeers(Where, PeerTimeout)), Watch(this->From.Store, this->Time),
+      Directory(this->Settings.Shards), Config(this->From.Store, this->Time, Peers, Watch),
+      Requests({Where, this->Time, Client, Directory, [this] { return Config.inForce(); },
+                [this] { return Watch.view(); },
+                [this] {
+                  const auto Current = session();
+                  return Current && Current->mayAct();
+                },
+                this->Settings.Member}),
+      Callers(Where, this->Settings.Callers, limitsOf(this->Settings.Limits),
+              [this](HttpExchange &Exchange) { return serveCaller(Exchange); }),
+      Operators(Where, this->Settings.Operators, limitsOf(this->Settings.Limits),
+                [this](HttpExchange &Exchange) { return serveOperator(Exchange); }),
+      PeersIn(Where, this->Settings.Peers, peerHandlers()) {}
+
+Result<Done> EntryProcess::start() {
+  if (Result<Done> Bound = PeersIn.start(); !ok(Bound))
+    return Bound;
+  if (Result<Done> Bound = Callers.start(); !ok(Bound))
+    return Bound;
+  if (Result<Done> Bound = Operators.start(); !ok(Bound))
+    return Bound;
+  Watch.onChange([this] {
+    Config.take(Watch.view()->ConfigText, "");
+    if (const auto Current = session())
+      Current->ownership().wake();
+  });
+  spawnLater(Where, joinLoop());
+  spawnLater(Where, boxLoop());
+  spawnLater(Where, gossipLoop());
+  spawnLater(Where, refreshLoop());
+  return Done{};
+}
+
+std::shared_ptr<Session> EntryProcess::session() const {
+  std::lock_guard Lock(Mutex);
+  return Sessions.empty() ? nullptr : Sessions.back();
+}
+
+std::shared_ptr<ShardRunner> EntryProcess::runner(uint32_t Shard) const {
+  const auto Current = session();
+  return Current ? Current->ownership().find(Shard) : nullptr;
+}
+
+// All processes of a cell must agree on the number of shards, or two would own the same rack.
+Awaitable<Result<Done>> EntryProcess::checkShardCount() {
+  const std::string Mine = std::to_string(Settings.Shards);
+  while (Watch.view()->ShardsText.empty()) {
+    Result<uint64_t> Put = co_await From.Store.Put(std::string(ShardsKey), Mine, 0, 0);
+    if (!ok(Put))
+      co_await sleepFor(RetryPause);
+    co_await Watch.load();
+  }
+  if (Watch.view()->ShardsText != Mine)
+    co_return Error{ErrorKind::BadSettings, "cell.shards is " + Mine + " here and " +
+                                                Watch.view()->ShardsText + " in the cell"};
+  co_return Done{};
+}
+
+// Joins the cell, and joins it anew whenever another process sealed this one's journal.
+Awaitable<void> EntryProcess::joinLoop() {
+  while (!ok(co_await Watch.load()))
+    co_await sleepFor(RetryPause);
+  Result<Done> Agreed = co_await checkShardCount();
+  if (!ok(Agreed)) {
+    logEvent(events::SettingsRefused, {{"why", "\"" + error(Agreed).Detail + "\""}});
+    co_return OnFatal(answerFor(ErrorKind::BadSettings).ExitCode);
+  }
+  spawnLater(Where, Watch.run());
+  SessionTools Tools{Where, Time,  Settings,  From.Store, From.Workers,
+                     Peers, Watch, Directory, [this] { return Config.inForce(); }};
+  while (!Stopping) {
+    auto Next = std::make_shared<Session>(Tools, newLogId(Settings.Member, Time.Wall()));
+    {
+      std::lock_guard Lock(Mutex);
+      Sessions.push_back(Next);
+    }
+    Result<Done> In = co_await Next->join();
+    if (!ok(In) && error(In).Kind == ErrorKind::Conflict) {
+      logEvent(events::SettingsRefused, {{"why", "\"" + error(In).Detail + "\""}});
+      co_await sleepFor(RetryPause * 5);
+      Next->abandon();
+      continue;
+    }
+    Joined = ok(In);
+    while (!Next->over() && !Stopping && ok(In))
+      co_await sleepFor(RetryPause);
+    Joined = Joined && Stopping;
+  }
+}
+
+Awaitable<void> EntryProcess::boxLoop() {
+  while (true) {
+    Result<BoxList> List = co_await From.Boxes.Fetch();
+    if (ok(List))
+      Directory.setBoxes(std::move(value(List)));
+    co_await sleepFor(BoxPollEvery);
+  }
+}
+
+Awaitable<void> EntryProcess::refreshLoop() {
+  while (true) {
+    Requests.refresh();
+    co_await sleepFor(RefreshEvery);
+  }
+}
+
+wire::ExchangeRequest EntryProcess::ownNews() {
+  wire::ExchangeRequest News;
+  News.set_member(Settings.Member);
+  News.set_address(toString(Settings.Peers));
+  News.set_config_version(Config.inForce()->Version);
+  News.set_leaving(Stopping);
+  const auto Current = session();
+  if (!Current)
+    return News;
+  News.set_incarnation(Current->logId());
+  std::map<std::string, Resources> Use;
+  for (const auto &Runner : Current->ownership().all()) {
+    *News.add_summary() = Runner->summary();
+    Runner->addTeamUse(Use);
+  }
+  for (const auto &[Team, Booked] : Use) {
+    wire::TeamUse *Line = News.add_use();
+    Line->set_team(Team);
+    *Line->mutable_booked() = resourcesToWire(Booked);
+  }
+  return News;
+}
+
+void EntryProcess::hear(const wire::ExchangeRequest &News) {
+  const TimePoint Now = Time.Now();
+  for (const wire::ShardSummary &Summary : News.summary())
+    Directory.hear(Summary, Now);
+  {
+    std::lock_guard Lock(Mutex);
+    ConfigVersions[News.member()] = News.config_version();
+  }
+  const Result<Endpoint> From = parseEndpoint(News.address());
+  if (News.config_version() > Config.inForce()->Version && ok(From))
+    spawnLater(Where, Config.fetchFrom(value(From)));
+}
+
+Awaitable<void> EntryProcess::gossipWith(MemberInfo Peer) {
+  const wire::ExchangeRequest News = ownNews();
+  Result<wire::ExchangeReply> Reply = co_await Peers.Exchange(Peer.Peers, News);
+  if (!ok(Reply))
+    co_return;
+  wire::ExchangeRequest Heard;
+  Heard.set_member(Peer.Name);
+  Heard.set_address(toString(Peer.Peers));
+  Heard.set_config_version(value(Reply).config_version());
+  *Heard.mutable_summary() = value(Reply).summary();
+  hear(Heard);
+}
+
+// Exchanges news with a bounded number of peers a round, in turn.
+Awaitable<void> EntryProcess::gossipLoop() {
+  while (true) {
+    const wire::ExchangeRequest Own = ownNews();
+    for (const wire::ShardSummary &Summary : Own.summary())
+      Directory.hear(Summary, Time.Now());
+    std::vector<MemberInfo> Others;
+    for (const auto &[Log, Member] : Watch.view()->Members)
+      if (Member.Name != Settings.Member)
+        Others.push_back(Member);
+    const size_t Calls = std::min(GossipFanOut, Others.size());
+    for (size_t I = 0; I < Calls; ++I)
+      spawnLater(Where, gossipWith(Others[(GossipNext + I) % Others.size()]));
+    GossipNext += Calls;
+    co_await sleepFor(Settings.Timing.Gossip);
+  }
+}
+
+PeerHandlers EntryProcess::peerHandlers() {
+  PeerHandlers Handlers;
+  Handlers.Exchange = [this](wire::ExchangeRequest News) -> Awaitable<wire::ExchangeReply> {
+    hear(News);
+    const wire::ExchangeRequest Own = ownNews();
+    wire::ExchangeReply Reply;
+    Reply.set_incarnation(Own.incarnation());
+    Reply.set_config_version(Own.config_version());
+    *Reply.mutable_summary() = Own.summary();
+    Reply.set_leaving(Own.leaving());
+    co_return Reply;
+  };
+  Handlers.Promise = [this](wire::PromiseRequest Request) -> Awaitable<wire::PromiseReply> {
+    const auto Current = session();
+    co_return Current ? Current->promises().onPromiseAsked(Request) : wire::PromiseReply();
+  };
+  Handlers.Refuse = [this](wire::RefuseRequest Request) -> Awaitable<wire::RefuseReply> {
+    const auto Current = session();
+    co_return Current ? Current->promises().onRefuseAsked(Request) : wire::RefuseReply();
+  };
+  Handlers.StepDown = [this](wire::StepDownRequest Request) -> Awaitable<wire::StepDownReply> {
+    wire::StepDownReply Reply;
+    bool Known = false;
+    bool Quiet = true;
+    {
+      std::lock_guard Lock(Mutex);
+      for (const auto &Past : Sessions)
+        if (Past->logId() == Request.log()) {
+          Known = true;
+          Quiet = Past->quiet();
+        }
+    }
+    Reply.set_gone(!Known || Quiet);
+    // If it is the current one, its next write to the journal will find the seal.
+    if (const auto Current = session(); Known && Current)
+      Current->journal().append({}, {});
+    co_return Reply;
+  };
+  Handlers.Forward = [this](wire::ForwardRequest Request) -> Awaitable<wire::ForwardReply> {
+    wire::ForwardReply Reply;
+    Result<std::string> Answer = co_await operate(Request.shard(), Request.operation(),
+                                                  Request.target(), Request.body());
+    if (ok(Answer)) {
+      Reply.set_body(value(Answer));
+    } else {
+      Reply.set_error(static_cast<int>(error(Answer).Kind));
+      Reply.set_body(error(Answer).Detail);
+    }
+    co_return Reply;
+  };
+  Handlers.Lend = [this](wire::LendRequest Request) -> Awaitable<wire::LendReply> {
+    wire::LendReply Reply;
+    Reply.set_not_owner(true);
+    if (const auto Runner = runner(Request.shard()))
+      Reply = co_await Runner->onLend(std::move(Request));
+    co_return Reply;
+  };
+  Handlers.Report = [this](wire::ReportRequest Request) -> Awaitable<wire::ReportReply> {
+    wire::ReportReply Reply;
+    Reply.set_not_owner(true);
+    if (const auto Runner = runner(Request.home()))
+      Reply = co_await Runner->onReportReceived(std::move(Request));
+    co_return Reply;
+  };
+  Handlers.Cancel = [this](wire::CancelRequest Request) -> Awaitable<wire::CancelReply> {
+    wire::CancelReply Reply;
+    if (const auto Runner = runner(Request.shard()))
+      Reply = co_await Runner->onCancel(std::move(Request));
+    co_return Reply;
+  };
+  Handlers.Hold = [this](wire::HoldRequest Request) -> Awaitable<wire::HoldReply> {
+    const auto Runner = runner(Request.shard());
+    co_return Runner ? Runner->onHold(Request) : wire::HoldReply();
+  };
+  Handlers.Config = [this](wire::ConfigRequest) -> Awaitable<wire::ConfigReply> {
+    const auto Current = Config.inForce();
+    wire::ConfigReply Reply;
+    Reply.set_version(Current->Version);
+    Reply.set_text(encodeCellConfig(*Current));
+    co_return Reply;
+  };
+  return Handlers;
+}
+
+void EntryProcess::beginStop(std::function<void(int)> Finished) {
+  if (!Stopping.exchange(true))
+    spawnLater(Where, stopNow(std::move(Finished)));
+}
+
+// Withdraws readiness, hands the shards over, lets requests finish, gives the lease back.
+Awaitable<void> EntryProcess::stopNow(std::function<void(int)> Finished) {
+  logEvent(events::Stopping, {{"member", Settings.Member}});
+  const TimePoint Deadline = Time.Now() + Settings.Timing.StopGrace;
+  size_t Left = 0;
+  if (const auto Current = session(); Current && !Current->over())
+    Left = co_await Current->leave();
+  Callers.stopAccepting();
+  while (Callers.inProgress() > 0 && Time.Now() < Deadline)
+    co_await sleepFor(Milliseconds(20));
+  logEvent(events::Stopped, {{"shards_left", std::to_string(Left)},
+                             {"requests_cut", std::to_string(Callers.inProgress())}});
+  Finished(Callers.inProgress() == 0 ? 0 : 1);
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/entry/interfaces.cpp
@@ -0,0 +1,337 @@
+// SPDX-License-Identifier: Apache-2.0
+// The HTTP interfaces for callers and operators, and the way of an operation to the owner of
+// its shard.
+#include "valveshelf/entry_process.h"
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <csignal>
+#include <random>
+
+namespace valveshelf {
+namespace json = boost::json;
+namespace {
+constexpr Milliseconds OperationDeadline{8000};
+constexpr Milliseconds ForwardTimeout{5000};
+constexpr Milliseconds RetryPause{100};
+constexpr int HttpCreated = 201;
+constexpr int HttpNotReady = 503;
+constexpr std::string_view JobsPath = "/v1/jobs";
+
+std::string newJobId() {
+  static thread_local std::mt19937_64 Random{std::random_device{}()};
+  char Text[24];
+  std::snprintf(Text, sizeof Text, "j-%016llx", static_cast<unsigned long long>(Random()));
+  return Text;
+}
+
+// Gives a job without an id one of its own, so that sending it again is harmless.
+Result<std::pair<std::string, std::string>> withId(const std::string &Body) {
+  json::error_code Failure;
+  json::value Root = json::parse(Body, Failure);
+  if (Failure || !Root.is_object())
+    return Error{ErrorKind::BadRequest, "the job is not a JSON object"};
+  json::object &Object = Root.as_object();
+  if (!Object.if_contains("id"))
+    Object["id"] = newJobId();
+  if (!Object["id"].is_string() || Object["id"].as_string().empty())
+    return Error{ErrorKind::BadRequest, "field 'id' has the wrong type; accepted is a string"};
+  const std::string Id(Object["id"].as_string());
+  return std::pair(Id, json::serialize(Root));
+}
+
+Error notFound(std::string_view Target) {
+  return {ErrorKind::NotFound, "there is nothing at " + std::string(Target)};
+}
+} // namespace
+
+Awaitable<void> EntryProcess::serveCaller(HttpExchange &Exchange) {
+  const std::string_view Path = pathOf(Exchange.target());
+  if (Path == "/svc" || Path.starts_with("/svc/"))
+    co_return co_await Requests.serve(Exchange);
+  Result<std::string> Body =
+      co_await readWhole(Exchange, static_cast<size_t>(Settings.Limits.MaxJobBytes));
+  if (!ok(Body))
+    co_return co_await sendWhole(Exchange, errorResponse(error(Body)));
+  HttpResponse Answer = co_await answerCaller(Exchange.method(), Exchange.target(),
+                                              Exchange.headers(), std::move(value(Body)));
+  co_await sendWhole(Exchange, std::move(Answer));
+}
+
+Awaitable<HttpResponse> EntryProcess::answerCaller(std::string Method, std::string Target,
+                                                   HeaderList, std::string Body) {
+  if (std::string_view(Target).starts_with(JobsPath))
+    co_return co_await answerJobs(std::move(Method), std::move(Target), std::move(Body));
+  co_return errorResponse(notFound(Target));
+}
+
+Awaitable<HttpResponse> EntryProcess::submitJob(std::string Body) {
+  Result<std::pair<std::string, std::string>> Named = withId(Body);
+  if (!ok(Named))
+    co_return errorResponse(error(Named));
+  const auto &[Id, Text] = value(Named);
+  Result<std::string> Answer =
+      co_await atOwner(shardOfJob(Id, Settings.Shards), "submit", Id, Text, true);
+  if (ok(Answer))
+    co_return jsonResponse(HttpCreated, value(Answer) + "\n");
+  logEvent(events::JobRefused, {{"job", Id}, {"why", "\"" + error(Answer).Detail + "\""}});
+  HttpResponse Refused = errorResponse(error(Answer));
+  Refused.Headers.emplace_back("Valveshelf-Job", Id);
+  co_return Refused;
+}
+
+Awaitable<HttpResponse> EntryProcess::answerJobs(std::string Method, std::string Target,
+                                                 std::string Body) {
+  const std::string_view Path = pathOf(Target);
+  if (Path == JobsPath && Method == "POST")
+    co_return co_await submitJob(std::move(Body));
+  if (Path == JobsPath && Method == "GET")
+    co_return co_await listJobs(Target);
+  if (Path.size() <= JobsPath.size() + 1)
+    co_return errorResponse(notFound(Target));
+  std::string Id(Path.substr(JobsPath.size() + 1));
+  std::string Operation = Method == "GET" ? "status" : Method == "DELETE" ? "cancel" : "";
+  if (const auto Slash = Id.find('/'); Slash != std::string::npos) {
+    const std::string Rest = Id.substr(Slash + 1);
+    Id.resize(Slash);
+    Operation = Rest == "explain" && Method == "GET" ? "explain"
+                : Rest == "count" && Method == "PUT" ? "resize"
+                                                     : "";
+  }
+  if (Operation.empty())
+    co_return errorResponse(notFound(Target));
+  Result<std::string> Answer =
+      co_await atOwner(shardOfJob(Id, Settings.Shards), Operation, Id, Body, true);
+  co_return ok(Answer) ? jsonResponse(200, value(Answer) + "\n") : errorResponse(error(Answer));
+}
+
+Awaitable<HttpResponse> EntryProcess::listJobs(std::string Target) {
+  const std::string Partner = queryParameter(Target, "partner").value_or("");
+  json::array All;
+  for (uint32_t Shard = 0; Shard < Settings.Shards; ++Shard) {
+    Result<std::string> Part = co_await atOwner(Shard, "list", Partner, "", true);
+    if (!ok(Part))
+      co_return errorResponse(error(Part));
+    for (json::value &Job : json::parse(value(Part)).as_array())
+      All.push_back(std::move(Job));
+  }
+  co_return jsonResponse(200, json::serialize(All) + "\n");
+}
+
+Awaitable<Result<std::string>> EntryProcess::operate(uint32_t Shard, std::string Operation,
+                                                     std::string Target, std::string Body) {
+  const std::shared_ptr<ShardRunner> Runner = runner(Shard);
+  const auto Current = session();
+  if (!Runner || !Current || !Current->mayAct())
+    co_return Error{ErrorKind::NotOwner, "shard " + std::to_string(Shard) + " is not owned here"};
+  if (Operation == "submit")
+    co_return co_await Runner->submit(std::move(Body));
+  if (Operation == "status")
+    co_return Runner->status(Target);
+  if (Operation == "cancel")
+    co_return co_await Runner->cancel(Target);
+  if (Operation == "explain")
+    co_return Runner->explain(Target);
+  if (Operation == "list")
+    co_return Runner->list(Target);
+  if (Operation == "resize")
+    co_return co_await Runner->resize(Target,
+                                      static_cast<uint32_t>(std::strtoul(Body.c_str(), nullptr, 10)));
+  co_return Error{ErrorKind::BadRequest, "there is no operation " + Operation};
+}
+
+// Tries the owner, and its successor if it changes, until the deadline. All operations are
+// safe to repeat, since they name their job.
+Awaitable<Result<std::string>> EntryProcess::atOwner(uint32_t Shard, std::string Operation,
+                                                     std::string Target, std::string Body, bool) {
+  const TimePoint Deadline = Time.Now() + OperationDeadline;
+  bool MayHaveRun = false;
+  Error Last{ErrorKind::NotOwner, "shard " + std::to_string(Shard) + " has no owner now"};
+  while (Time.Now() < Deadline) {
+    Result<std::string> Answer = Error{Last};
+    const CellViewPtr View = Watch.view();
+    const auto Owner = View->Owners.find(Shard);
+    if (runner(Shard)) {
+      Answer = co_await operate(Shard, Operation, Target, Body);
+    } else if (Owner != View->Owners.end() && !Owner->second.Released) {
+      wire::ForwardRequest Request;
+      Request.set_shard(Shard);
+      Request.set_operation(Operation);
+      Request.set_target(Target);
+      Request.set_body(Body);
+      Request.set_deadline_ms(ForwardTimeout.count());
+      Result<wire::ForwardReply> Reply =
+          co_await Peers.Forward(Owner->second.Peers, std::move(Request));
+      if (!ok(Reply))
+        Answer = Error{error(Reply).Kind == ErrorKind::UpstreamUnavailable
+                           ? ErrorKind::NotOwner
+                           : ErrorKind::OutcomeUnknown,
+                       error(Reply).Detail};
+      else if (value(Reply).error() != 0)
+        Answer = Error{static_cast<ErrorKind>(value(Reply).error()), value(Reply).body()};
+      else
+        Answer = value(Reply).body();
+    }
+    if (ok(Answer))
+      co_return Answer;
+    Last = error(Answer);
+    const bool TryAgain = Last.Kind == ErrorKind::NotOwner || Last.Kind == ErrorKind::OutcomeUnknown;
+    if (!TryAgain && !MayHaveRun)
+      co_return Answer;
+    MayHaveRun = MayHaveRun || Last.Kind == ErrorKind::OutcomeUnknown;
+    if (!TryAgain)
+      break;
+    co_await sleepFor(RetryPause);
+  }
+  // Once it may have been recorded, no later refusal says that it was not.
+  if (MayHaveRun)
+    co_return Error{ErrorKind::OutcomeUnknown, "the outcome for " + Target + " is not known: " + Last.Detail};
+  co_return Last;
+}
+
+Awaitable<void> EntryProcess::serveOperator(HttpExchange &Exchange) {
+  constexpr size_t MaxConfigBytes = 512 * 1024;
+  Result<std::string> Body = co_await readWhole(Exchange, MaxConfigBytes);
+  if (!ok(Body))
+    co_return co_await sendWhole(Exchange, errorResponse(error(Body)));
+  HttpResponse Answer = co_await answerOperator(Exchange.method(), Exchange.target(),
+                                                Exchange.headers(), std::move(value(Body)));
+  co_await sendWhole(Exchange, std::move(Answer));
+}
+
+Awaitable<HttpResponse> EntryProcess::answerOperator(std::string Method, std::string Target,
+                                                     HeaderList Headers, std::string Body) {
+  const std::string_view Path = pathOf(Target);
+  if (Path == "/live")
+    co_return HttpResponse{200, {}, "live\n"};
+  if (Path == "/ready") {
+    const bool Ready = Joined && !Stopping;
+    co_return HttpResponse{Ready ? 200 : HttpNotReady, {}, Ready ? "ready\n" : "not ready\n"};
+  }
+  if (Path == "/metrics")
+    co_return metrics();
+  if (Path == "/v1/members")
+    co_return members();
+  if (Path == "/v1/config" || Path.starts_with("/v1/config/"))
+    co_return co_await answerConfig(std::move(Method), std::move(Target), std::move(Headers),
+                                    std::move(Body));
+  if (Path == "/v1/drain" && Method == "POST") {
+    if (!partnerOf(Headers))
+      co_return errorResponse({ErrorKind::Forbidden, "the operator's token is missing or unknown"});
+    std::raise(SIGTERM);
+    co_return jsonResponse(200, "{\"state\":\"draining\"}\n");
+  }
+  co_return errorResponse(notFound(Target));
+}
+
+std::optional<std::string> EntryProcess::partnerOf(const HeaderList &Headers) const {
+  constexpr std::string_view Scheme = "Bearer ";
+  const std::string_view Given = findHeader(Headers, "Authorization");
+  if (!Given.starts_with(Scheme))
+    return std::nullopt;
+  for (const auto &[Partner, Token] : Settings.OperatorTokens)
+    if (Given.substr(Scheme.size()) == Token)
+      return Partner;
+  return std::nullopt;
+}
+
+Awaitable<HttpResponse> EntryProcess::answerConfig(std::string Method, std::string Target,
+                                                   HeaderList Headers, std::string Body) {
+  const std::string_view Path = pathOf(Target);
+  if (Path == "/v1/config" && Method == "GET")
+    co_return jsonResponse(200, encodeCellConfig(*Config.inForce()) + "\n");
+  if (Method != "PUT" || Path.size() <= std::string_view("/v1/config/").size())
+    co_return errorResponse(notFound(Target));
+  ConfigChange Change;
+  Change.Partner = std::string(Path.substr(std::string_view("/v1/config/").size()));
+  if (partnerOf(Headers) != Change.Partner)
+    co_return errorResponse({ErrorKind::Forbidden, "the operator's token is not one of partner " + Change.Partner});
+  Change.Text = std::move(Body);
+  Change.Base = std::strtoull(queryParameter(Target, "base").value_or("0").c_str(), nullptr, 10);
+  Change.Id = queryParameter(Target, "id").value_or(newJobId());
+  const std::string Id = Change.Id;
+  Result<uint64_t> Version = co_await Config.apply(std::move(Change));
+  if (!ok(Version))
+    co_return errorResponse(error(Version));
+  co_return jsonResponse(
+      200, json::serialize(json::object{{"version", value(Version)}, {"change", Id}}) + "\n");
+}
+
+HttpResponse EntryProcess::members() {
+  const CellViewPtr View = Watch.view();
+  json::array Members;
+  for (const auto &[Log, Member] : View->Members) {
+    json::array Shards;
+    for (const auto &[Shard, Owner] : View->Owners)
+      if (Owner.Log == Log && !Owner.Released)
+        Shards.emplace_back(Shard);
+    uint64_t Version = Config.inForce()->Version;
+    if (Member.Name != Settings.Member) {
+      std::lock_guard Lock(Mutex);
+      Version = ConfigVersions[Member.Name];
+    }
+    Members.push_back(json::object{{"name", Member.Name},
+                                   {"incarnation", Log},
+                                   {"partner", Member.Partner},
+                                   {"zone", Member.Zone},
+                                   {"callers", toString(Member.Callers)},
+                                   {"operators", toString(Member.Operators)},
+                                   {"leaving", Member.Leaving},
+                                   {"config_version", Version},
+                                   {"shards", std::move(Shards)}});
+  }
+  return jsonResponse(200, json::serialize(json::object{{"members", std::move(Members)}}) + "\n");
+}
+
+// The figures are read when they are asked for, so a registry of their own serves each answer.
+HttpResponse EntryProcess::metrics() {
+  prometheus::Registry Registry;
+  const auto Set = [&](const std::string &Name, const std::string &Help, double Value) {
+    prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({}).Set(Value);
+  };
+  ShardFigures Sum;
+  size_t Shards = 0;
+  const auto Current = session();
+  if (Current) {
+    for (const auto &Runner : Current->ownership().all()) {
+      const ShardFigures One = Runner->figures();
+      ++Shards;
+      Sum.Starts += One.Starts;
+      Sum.Jobs += One.Jobs;
+      Sum.Queued += One.Queued;
+      Sum.Running += One.Running;
+      Sum.Workers += One.Workers;
+      Sum.WorkersReady += One.WorkersReady;
+    }
+    Set("valveshelf_journal_writes", "Entries this process wrote to its journal.",
+        static_cast<double>(Current->journal().writes()));
+    Set("valveshelf_store_up", "1 if the store answers.", Current->journal().storeUp());
+    Set("valveshelf_may_act", "1 if this process may send starts.", Current->mayAct());
+    Set("valveshelf_claims", "Shards claimed by this incarnation.",
+        static_cast<double>(Current->ownership().claims()));
+  }
+  Set("valveshelf_shards", "Shards owned.", static_cast<double>(Shards));
+  Set("valveshelf_starts", "Starts confirmed on owned shards.", static_cast<double>(Sum.Starts));
+  Set("valveshelf_jobs", "Jobs whose home is here.", static_cast<double>(Sum.Jobs));
+  Set("valveshelf_tasks_queued", "Tasks queued here.", static_cast<double>(Sum.Queued));
+  Set("valveshelf_tasks_running", "Tasks running here.", static_cast<double>(Sum.Running));
+  Set("valveshelf_workers", "Workers of owned shards.", static_cast<double>(Sum.Workers));
+  Set("valveshelf_workers_ready", "Workers that take tasks.", static_cast<double>(Sum.WorkersReady));
+  Set("valveshelf_config_version", "Configuration in force.",
+      static_cast<double>(Config.inForce()->Version));
+  const RouterFigures &Routed = Requests.figures();
+  Set("valveshelf_requests_served", "Requests with an answer.", static_cast<double>(Routed.Served));
+  Set("valveshelf_requests_refused", "Requests refused or failed.", static_cast<double>(Routed.Refused));
+  Set("valveshelf_requests_retried", "Tries beyond the first.", static_cast<double>(Routed.Retried));
+  Set("valveshelf_requests_cut", "Answers cut on the way.", static_cast<double>(Routed.Cut));
+  const std::string Text = prometheus::TextSerializer().Serialize(Registry.Collect());
+  return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, Text};
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/entry/shard_runner.cpp
@@ -0,0 +1,433 @@
+// SPDX-License-Identifier: Apache-2.0
+// The loops of an owned shard: ticks, worker calls, the box list, the predecessor's end, and
+// the effects of decisions once their records are durable.
+#include "valveshelf/shard_runner.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace {
+constexpr Milliseconds TickEvery{25};
+constexpr Milliseconds SlowTickEvery{250};
+constexpr Milliseconds BoxLookEvery{500};
+constexpr Milliseconds WorkerRetryPause{250};
+constexpr Milliseconds DoubtWait{200};
+constexpr Milliseconds PredecessorProbeEvery{300};
+} // namespace
+
+// The effects of one decision, carried out at most once each.
+struct ShardRunner::DecisionDone {
+  Self Owner;
+  Decision What;
+  DurableCallback Also;
+  std::mutex Mutex;
+  bool StartsSent = false;  ///< Those of repeatable tasks. Guarded by Mutex.
+  bool RestDone = false;    ///< Guarded by Mutex.
+};
+
+ShardRunner::ShardRunner(uint32_t Shard, uint64_t Epoch, ShardTools Tools)
+    : Shard(Shard), Epoch(Epoch), Tools(std::move(Tools)) {
+  State.Id = Shard;
+}
+
+void ShardRunner::load(const std::vector<wire::Record> &Records, std::string Log, Endpoint Address,
+                       bool PredecessorGone) {
+  std::lock_guard Lock(Mutex);
+  const TimePoint Now = Tools.Time.Now();
+  for (const wire::Record &Record : Records)
+    applyRecord(State, Record, Now);
+  Predecessor = std::move(Log);
+  PredecessorAddress = std::move(Address);
+  markTakenOver(State, PredecessorGone || Predecessor.empty(), Tools.Limits, Now);
+}
+
+void ShardRunner::start() {
+  spawnLater(Tools.Where, tickLoop(shared_from_this()));
+  spawnLater(Tools.Where, boxLoop(shared_from_this()));
+  if (!State.PredecessorGone)
+    spawnLater(Tools.Where, predecessorLoop(shared_from_this()));
+}
+
+void ShardRunner::stop() { Stopped = true; }
+
+void ShardRunner::resume() { Draining = false; }
+
+bool ShardRunner::mayAct() { return !Stopped && Tools.Shared.mayActAt(Tools.Time.Now()); }
+
+Awaitable<std::vector<wire::Record>> ShardRunner::drain() {
+  Draining = true;
+  while (StartsInFlight > 0)
+    co_await sleepFor(Milliseconds(5));
+  co_await Tools.Log.barrier();
+  std::lock_guard Lock(Mutex);
+  co_return snapshotOf(State);
+}
+
+void ShardRunner::appendSnapshot(DurableCallback WhenDurable) {
+  std::lock_guard Lock(Mutex);
+  Tools.Log.append(snapshotOf(State), std::move(WhenDurable));
+}
+
+void ShardRunner::notify(const std::vector<Notice> &Notices) {
+  const std::string Number = std::to_string(Shard);
+  for (const Notice &What : Notices)
+    logEvent(*What.Kind, {{"shard", Number}, {"subject", What.Subject}, {"detail", "\"" + What.Detail + "\""}});
+}
+
+// Called under Mutex, so that records reach the journal in the order they were applied.
+void ShardRunner::carryOut(Decision What, DurableCallback Also) {
+  if (Stopped) {
+    if (Also)
+      Also(Durability::Lost);
+    return;
+  }
+  const bool Nothing = What.Records.empty() && What.Starts.empty() && What.Stops.empty() &&
+                       What.Forgets.empty() && What.Lends.empty() && What.Cancels.empty();
+  if (Nothing && !Also)
+    return notify(What.Notices);
+  StartsInFlight += static_cast<int>(What.Starts.size());
+  auto Done = std::make_shared<DecisionDone>();
+  Done->Owner = shared_from_this();
+  std::vector<wire::Record> Records = std::move(What.Records);
+  Done->What = std::move(What);
+  Done->Also = std::move(Also);
+  if (Records.empty())
+    return onDurable(Done, Durability::Stored);
+  Tools.Log.append(std::move(Records), [this, Done](Durability Value) { onDurable(Done, Value); });
+}
+
+void ShardRunner::onDurable(std::shared_ptr<DecisionDone> Done, Durability Value) {
+  if (Value == Durability::Lost) {
+    StartsInFlight -= static_cast<int>(Done->What.Starts.size());
+    if (Done->Also)
+      Done->Also(Value);
+    return;
+  }
+  std::vector<StartEffect> Starts;
+  bool DoRest = false;
+  {
+    std::lock_guard Lock(Done->Mutex);
+    // Without the store, only what may be repeated is started.
+    for (const StartEffect &Start : Done->What.Starts) {
+      const bool Early = Start.Spec->Repeatable;
+      if (Early ? !Done->StartsSent : Value == Durability::Stored)
+        Starts.push_back(Start);
+    }
+    Done->StartsSent = true;
+    DoRest = !Done->RestDone;
+    Done->RestDone = true;
+  }
+  for (StartEffect &Start : Starts)
+    spawnLater(Tools.Where, sendStart(shared_from_this(), std::move(Start)));
+  if (Done->Also)
+    Done->Also(Value);
+  if (!DoRest)
+    return;
+  for (const StopEffect &Stop : Done->What.Stops)
+    spawnLater(Tools.Where, sendStop(shared_from_this(), Stop));
+  for (const LendEffect &Lend : Done->What.Lends)
+    spawnLater(Tools.Where, sendLend(shared_from_this(), Lend));
+  for (const CancelEffect &Cancel : Done->What.Cancels)
+    spawnLater(Tools.Where, sendCancel(shared_from_this(), Cancel));
+  notify(Done->What.Notices);
+  if (Done->What.Forgets.empty())
+    return;
+  // A decision without records comes here under Mutex, one with records does not.
+  asio::post(Tools.Where, [This = shared_from_this(), Done] {
+    std::lock_guard Lock(This->Mutex);
+    for (const ForgetEffect &Effect : Done->What.Forgets)
+      This->Forget[Effect.Worker].push_back(Effect.TaskId);
+  });
+}
+
+Awaitable<void> ShardRunner::sendStart(Self This, StartEffect Effect) {
+  const ShardTools &Tools = This->Tools;
+  StartAnswer Answer = StartAnswer::NotSent;
+  // The last look before the bytes leave. A pause right here cannot be excluded; the intent is
+  // journalled, so a successor keeps the room booked until there is proof.
+  if (This->mayAct())
+    Answer = co_await Tools.Workers.Start(Effect.Address, workerTaskId(Effect.Key, Effect.Attempt),
+                                          Effect.Spec, Tools.Times.TaskLease);
+  --This->StartsInFlight;
+  std::lock_guard Lock(This->Mutex);
+  This->carryOut(onStartAnswer(This->State, Effect.Key, Effect.Attempt, Answer, Tools.Limits,
+                               Tools.Time.Now()));
+}
+
+Awaitable<void> ShardRunner::sendStop(Self This, StopEffect Effect) {
+  if (This->mayAct())
+    co_await This->Tools.Workers.Stop(Effect.Address, Effect.TaskId);
+}
+
+Endpoint ShardRunner::ownerOf(uint32_t Other) {
+  const CellViewPtr View = Tools.Watch.view();
+  const auto Found = View->Owners.find(Other);
+  return Found == View->Owners.end() || Found->second.Released ? Endpoint{} : Found->second.Peers;
+}
+
+Awaitable<void> ShardRunner::sendLend(Self This, LendEffect Effect) {
+  wire::LendRequest Request;
+  Request.set_shard(Effect.Shard);
+  Request.set_home(This->Shard);
+  Request.set_home_epoch(This->Epoch);
+  *Request.mutable_spec() = specToWire(*Effect.Spec);
+  for (size_t I = 0; I < Effect.Indexes.size(); ++I) {
+    Request.add_index(Effect.Indexes[I]);
+    Request.add_next_attempt(Effect.NextAttempts[I]);
+  }
+  const Endpoint To = This->ownerOf(Effect.Shard);
+  if (To.Port == 0 || !This->mayAct())
+    co_return;
+  Result<wire::LendReply> Reply = co_await This->Tools.Peers.Lend(To, std::move(Request));
+  if (!ok(Reply) || !value(Reply).adopted())
+    co_return;
+  std::lock_guard Lock(This->Mutex);
+  onAdopted(This->State, Effect);
+}
+
+Awaitable<void> ShardRunner::sendCancel(Self This, CancelEffect Effect) {
+  wire::CancelRequest Request;
+  Request.set_shard(Effect.Shard);
+  for (const TaskKey &Key : Effect.Keys) {
+    wire::TaskKey *Wire = Request.add_key();
+    Wire->set_job(Key.Job);
+    Wire->set_index(Key.Index);
+  }
+  const Endpoint To = This->ownerOf(Effect.Shard);
+  if (To.Port != 0)
+    co_await This->Tools.Peers.Cancel(To, std::move(Request));
+}
+
+// Tells home shards what became of their tasks. Only what is durable is told.
+Awaitable<void> ShardRunner::sendReports(Self This) {
+  std::map<uint32_t, wire::ReportRequest> Due;
+  {
+    std::lock_guard Lock(This->Mutex);
+    Due = reportsDue(This->State);
+  }
+  Durability Told = Durability::Lost;
+  if (!Due.empty())
+    Told = co_await This->Tools.Log.softBarrier();
+  if (Told != Durability::Lost) {
+    for (auto &[Home, Request] : Due) {
+      const Endpoint To = This->ownerOf(Home);
+      if (To.Port == 0 || This->Stopped)
+        continue;
+      Result<wire::ReportReply> Reply = co_await This->Tools.Peers.Report(To, Request);
+      if (!ok(Reply) || !value(Reply).recorded())
+        continue;
+      std::vector<TaskKey> Settled;
+      for (const wire::PartStatus &Status : Request.status()) {
+        const auto Phase = static_cast<PartPhase>(Status.phase());
+        if (Phase == PartPhase::Ended || Phase == PartPhase::Returned)
+          Settled.push_back({Status.key().job(), Status.key().index()});
+      }
+      std::lock_guard Lock(This->Mutex);
+      This->carryOut(dropParts(This->State, Settled, This->Tools.Time.Now()));
+    }
+  }
+  std::lock_guard Lock(This->Mutex);
+  This->Reporting = false;
+}
+
+void ShardRunner::tick() {
+  const TimePoint Now = Tools.Time.Now();
+  const WallTime Wall = Tools.Time.Wall();
+  const auto Config = Tools.Config();
+  const bool MayAct = mayAct() && !Draining;
+  std::lock_guard Lock(Mutex);
+  if (MayAct)
+    carryOut(placeQueued(State, *Config, Tools.Log.storeUp(), Tools.Limits, Now, Wall));
+  if (MayAct && !Reporting) {
+    Reporting = true;
+    spawnLater(Tools.Where, sendReports(shared_from_this()));
+  }
+  if (!MayAct)
+    return;
+  const auto Choose = [&](const JobSpec &Spec, uint32_t Count) {
+    if (Spec.Kind == JobKind::Gang && Spec.Count == Count) {
+      if (GangsTrying.insert(Spec.Id).second)
+        spawnLater(Tools.Where, tryGang(shared_from_this(), Spec.Id));
+      return std::vector<std::pair<uint32_t, uint32_t>>{};
+    }
+    const PlacementConfig Weights = placementOf(*Config, Spec.Partner);
+    return Tools.Directory.choose(Spec, Count, Weights.Pack > Weights.Spread, Now);
+  };
+  carryOut(lendWaiting(State, Choose, Tools.Limits, Now));
+  if (Now - LastSlowTick < SlowTickEvery)
+    return;
+  LastSlowTick = Now;
+  const auto Elsewhere = [&](const JobSpec &Spec) {
+    return Tools.Directory.roomElsewhere(Spec, Shard, Now);
+  };
+  carryOut(onTick(State, Tools.Limits, Elsewhere, Now, Wall));
+  Decision Cancels;
+  Cancels.Cancels = cancelsDue(State);
+  carryOut(std::move(Cancels));
+}
+
+Awaitable<void> ShardRunner::tickLoop(Self This) {
+  while (!This->Stopped) {
+    This->tick();
+    co_await sleepFor(TickEvery);
+  }
+}
+
+void ShardRunner::takeBoxes() {
+  const BoxList Workers = Tools.Directory.workersOf(Shard);
+  std::lock_guard Lock(Mutex);
+  if (!mayAct())
+    return;
+  carryOut(onBoxList(State, Workers, Tools.Time.Now(), Tools.Time.Wall()));
+  for (const auto &[Name, Book] : State.Workers)
+    if (Book->Health != WorkerHealth::Gone && Looping.insert(Name).second)
+      spawnLater(Tools.Where, workerLoop(shared_from_this(), Name));
+}
+
+Awaitable<void> ShardRunner::boxLoop(Self This) {
+  while (!This->Stopped) {
+    // An empty list is taken for one that was not read yet.
+    if (!This->Tools.Directory.boxes()->empty())
+      This->takeBoxes();
+    co_await sleepFor(BoxLookEvery);
+  }
+}
+
+WorkerSync ShardRunner::nextSync(const std::string &Worker) {
+  WorkerSync Sync;
+  const bool MayAct = mayAct();
+  std::lock_guard Lock(Mutex);
+  const WorkerBook &Book = *State.Workers.at(Worker);
+  Sync.Wait = Tools.Times.WorkerPoll;
+  Sync.After = ListVersions[Worker];
+  Sync.Forget = std::exchange(Forget[Worker], {});
+  if (MayAct)
+    Sync.RenewFor = Tools.Times.TaskLease;
+  for (const TaskKey &Key : Book.Parts) {
+    const Part &Task = State.Parts.at(Key);
+    if (MayAct)
+      Sync.Renew.push_back(workerTaskId(Key, Task.Attempt));
+    if (Task.Doubt != StartDoubt::None)
+      Sync.Wait = std::min(Sync.Wait, DoubtWait);
+  }
+  if (Book.Health != WorkerHealth::Ready || Book.FailedCalls > 0)
+    Sync.Wait = Milliseconds(0);
+  return Sync;
+}
+
+void ShardRunner::onSynced(const std::string &Worker, const WorkerSync &Sent,
+                           const Result<WorkerReport> &Answer, TimePoint AskedAt) {
+  const TimePoint Now = Tools.Time.Now();
+  const bool MayAct = mayAct();
+  std::lock_guard Lock(Mutex);
+  if (!ok(Answer)) {
+    auto &Again = Forget[Worker];
+    Again.insert(Again.end(), Sent.Forget.begin(), Sent.Forget.end());
+    ListVersions[Worker] = 0;
+    return carryOut(onWorkerSilent(State, Worker, Tools.Limits));
+  }
+  // A process that lost its authority meanwhile, or slept, judges nothing by an old list.
+  if (!MayAct || Now - AskedAt > Tools.Times.Lease + Tools.Times.WorkerPoll)
+    return;
+  ListVersions[Worker] = value(Answer).Version;
+  carryOut(onWorkerReport(State, Worker, value(Answer), Sent.RenewFor.count() > 0, Tools.Limits,
+                          AskedAt, Now, Tools.Time.Wall()));
+}
+
+Awaitable<void> ShardRunner::workerLoop(Self This, std::string Worker) {
+  while (!This->Stopped) {
+    WorkerSync Sync = This->nextSync(Worker);
+    Endpoint Address;
+    {
+      std::lock_guard Lock(This->Mutex);
+      const WorkerBook &Book = *This->State.Workers.at(Worker);
+      if (Book.Health == WorkerHealth::Gone) {
+        This->Looping.erase(Worker);
+        co_return;
+      }
+      Address = Book.Box.Address;
+    }
+    const TimePoint AskedAt = This->Tools.Time.Now();
+    Result<WorkerReport> Answer = co_await This->Tools.Workers.Sync(Address, Sync);
+    if (This->Stopped)
+      co_return;
+    This->onSynced(Worker, Sync, Answer, AskedAt);
+    if (!ok(Answer))
+      co_await sleepFor(WorkerRetryPause);
+  }
+}
+
+// Asks the predecessor's address until it is sure that the predecessor sends nothing any more:
+// it says so itself, a newer process answers there, or nothing listens there.
+Awaitable<void> ShardRunner::predecessorLoop(Self This) {
+  while (!This->Stopped) {
+    bool Gone = co_await This->Tools.Peers.Probe(This->PredecessorAddress) ==
+                PeerOps::Listening::Refused;
+    if (!Gone) {
+      wire::StepDownRequest Request;
+      Request.set_log(This->Predecessor);
+      Result<wire::StepDownReply> Reply =
+          co_await This->Tools.Peers.StepDown(This->PredecessorAddress, Request);
+      Gone = ok(Reply) && value(Reply).gone();
+    }
+    if (Gone) {
+      logEvent(events::StepDownConfirmed,
+               {{"shard", std::to_string(This->Shard)}, {"log", This->Predecessor}});
+      std::lock_guard Lock(This->Mutex);
+      onPredecessorGone(This->State, This->Tools.Time.Now());
+      co_return;
+    }
+    co_await sleepFor(PredecessorProbeEvery);
+  }
+}
+
+wire::ShardSummary ShardRunner::summary() {
+  std::lock_guard Lock(Mutex);
+  wire::ShardSummary Summary;
+  Summary.set_shard(Shard);
+  Summary.set_epoch(Epoch);
+  Summary.set_queued(static_cast<uint32_t>(State.Queue.size()));
+  Resources Free;
+  Resources Largest;
+  uint32_t Usable = 0;
+  for (const WorkerRoom &Room : State.Rooms) {
+    if (!Room.Usable)
+      continue;
+    ++Usable;
+    Free += Room.Free;
+    if (Room.Free.MilliCores >= Largest.MilliCores && Room.Free.MemoryMb >= Largest.MemoryMb)
+      Largest = Room.Free;
+  }
+  Summary.set_workers(Usable);
+  *Summary.mutable_free() = resourcesToWire(Free);
+  *Summary.mutable_largest_free() = resourcesToWire(Largest);
+  return Summary;
+}
+
+ShardFigures ShardRunner::figures() {
+  std::lock_guard Lock(Mutex);
+  ShardFigures Figures;
+  Figures.Starts = State.Starts;
+  Figures.Jobs = State.Jobs.size();
+  Figures.Parts = State.Parts.size();
+  Figures.Queued = State.Queue.size();
+  Figures.Workers = State.Workers.size();
+  for (const auto &[Key, Task] : State.Parts)
+    Figures.Running += Task.Phase == PartPhase::Running ? 1 : 0;
+  for (const auto &[Name, Book] : State.Workers)
+    Figures.WorkersReady += Book->Health == WorkerHealth::Ready ? 1 : 0;
+  return Figures;
+}
+
+void ShardRunner::addTeamUse(std::map<std::string, Resources> &Use) {
+  std::lock_guard Lock(Mutex);
+  for (const auto &[Team, Booked] : State.TeamUse)
+    Use[Team] += Booked;
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,310 @@
+// SPDX-License-Identifier: Apache-2.0
+// The HTTP server: accepts, reads heads within limits, and gives each request to the handler.
+#include "valveshelf/http.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+using RequestParser = http::request_parser<http::buffer_body>;
+
+// One request as the handler sees it.
+class ServerExchange final : public HttpExchange {
+public:
+  ServerExchange(beast::tcp_stream &Stream, beast::flat_buffer &Buffer, RequestParser &Parser,
+                 Milliseconds BodyTimeout)
+      : Stream(Stream), Buffer(Buffer), Parser(Parser), BodyTimeout(BodyTimeout),
+        Method(Parser.get().method_string()), Target(Parser.get().target()) {
+    for (const auto &Field : Parser.get())
+      Fields.emplace_back(Field.name_string(), Field.value());
+    NeedsContinue = beast::iequals(Parser.get()[http::field::expect], "100-continue");
+  }
+
+  const std::string &method() const override { return Method; }
+  const std::string &target() const override { return Target; }
+  const HeaderList &headers() const override { return Fields; }
+  bool hasBody() const override {
+    return Parser.chunked() || (Parser.content_length() && *Parser.content_length() > 0);
+  }
+
+  Awaitable<Result<size_t>> readBody(std::span<char> Room) override {
+    if (Parser.is_done())
+      co_return size_t{0};
+    if (NeedsContinue && !(co_await sendContinue()))
+      co_return Error{ErrorKind::BadRequest, "the caller went away"};
+    while (!Parser.is_done()) {
+      auto &Body = Parser.get().body();
+      Body.data = Room.data();
+      Body.size = Room.size();
+      Body.more = true;
+      Stream.expires_after(BodyTimeout);
+      auto [Failure, Bytes] = co_await http::async_read(Stream, Buffer, Parser, AsTuple);
+      if (Failure && Failure != http::error::need_buffer)
+        co_return Error{ErrorKind::BadRequest, "the request body ended early: " + Failure.message()};
+      const size_t Read = Room.size() - Body.size;
+      if (Read > 0)
+        co_return Read;
+    }
+    co_return size_t{0};
+  }
+
+  Awaitable<bool> writeHead(int Status, const HeaderList &Headers,
+                            std::optional<uint64_t> Length) override {
+    http::response<http::empty_body> Head{static_cast<http::status>(Status), 11};
+    for (const auto &[Key, Value] : Headers)
+      Head.insert(Key, Value);
+    // A body that was not read would be taken for the next request.
+    KeepAlive = KeepAlive && Parser.keep_alive() && Parser.is_done();
+    Head.keep_alive(KeepAlive);
+    Bodyless = Method == "HEAD" || Status == 204 || Status == 304;
+    Chunked = !Length && !Bodyless;
+    if (Chunked)
+      Head.chunked(true);
+    else if (Length && Status != 204)
+      Head.set(http::field::content_length, std::to_string(*Length));
+    http::response_serializer<http::empty_body> Serializer{Head};
+    Stream.expires_after(BodyTimeout);
+    auto [Failure, Bytes] = co_await http::async_write_header(Stream, Serializer, AsTuple);
+    HeadSent = true;
+    co_return !Failure;
+  }
+
+  Awaitable<bool> writeBody(std::span<const char> Piece) override {
+    if (Bodyless || Piece.empty())
+      co_return true;
+    const asio::const_buffer Bytes(Piece.data(), Piece.size());
+    Stream.expires_after(BodyTimeout);
+    if (Chunked) {
+      auto [Failure, Sent] = co_await asio::async_write(Stream, http::make_chunk(Bytes), AsTuple);
+      co_return !Failure;
+    }
+    auto [Failure, Sent] = co_await asio::async_write(Stream, Bytes, AsTuple);
+    co_return !Failure;
+  }
+
+  Awaitable<bool> finish() override {
+    if (Chunked) {
+      auto [Failure, Sent] = co_await asio::async_write(Stream, http::make_chunk_last(), AsTuple);
+      if (Failure)
+        co_return false;
+    }
+    Finished = true;
+    co_return true;
+  }
+
+  bool finished() const { return Finished; }
+  bool headSent() const { return HeadSent; }
+  bool keepAlive() const { return KeepAlive; }
+  void closeAfter() { KeepAlive = false; }
+
+private:
+  Awaitable<bool> sendContinue() {
+    NeedsContinue = false;
+    static constexpr std::string_view Line = "HTTP/1.1 100 Continue\r\n\r\n";
+    auto [Failure, Sent] =
+        co_await asio::async_write(Stream, asio::const_buffer(Line.data(), Line.size()), AsTuple);
+    co_return !Failure;
+  }
+
+  beast::tcp_stream &Stream;
+  beast::flat_buffer &Buffer;
+  RequestParser &Parser;
+  Milliseconds BodyTimeout;
+  std::string Method;
+  std::string Target;
+  HeaderList Fields;
+  bool NeedsContinue = false;
+  bool Chunked = false;
+  bool Bodyless = false;
+  bool HeadSent = false;
+  bool Finished = false;
+  bool KeepAlive = true;
+};
+
+// Framing that two readers could understand in two ways is refused outright.
+bool isAmbiguous(const RequestParser &Parser) {
+  const auto &Head = Parser.get();
+  const bool HasLength = Head.count(http::field::content_length) > 0;
+  const bool HasEncoding = Head.count(http::field::transfer_encoding) > 0;
+  return (HasLength && HasEncoding) || Head.count(http::field::content_length) > 1 ||
+         Head.count(http::field::host) > 1;
+}
+} // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+public:
+  Impl(Executor Where, Endpoint Address, HttpServerLimits Limits, HttpHandler Handler)
+      : Where(Where), Address(std::move(Address)), Limits(Limits), Handler(std::move(Handler)),
+        Acceptor(asio::make_strand(Where)) {}
+
+  Result<Done> start() {
+    boost::system::error_code Failure;
+    const tcp::endpoint Bind(asio::ip::make_address(Address.Host, Failure), Address.Port);
+    if (!Failure)
+      Acceptor.open(Bind.protocol(), Failure);
+    if (!Failure)
+      Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+    if (!Failure)
+      Acceptor.bind(Bind, Failure);
+    if (!Failure)
+      Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+    if (Failure)
+      return Error{ErrorKind::BadSettings,
+                   "can't listen on " + toString(Address) + ": " + Failure.message()};
+    asio::co_spawn(Acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+    return Done{};
+  }
+
+  void stopAccepting() {
+    Draining = true;
+    asio::post(Acceptor.get_executor(), [Self = shared_from_this()] {
+      boost::system::error_code Ignored;
+      Self->Acceptor.close(Ignored);
+    });
+    std::lock_guard Lock(Mutex);
+    for (beast::tcp_stream *Stream : Idle)
+      asio::post(Stream->get_executor(), [Self = shared_from_this(), Stream] {
+        Self->closeIfIdle(Stream);
+      });
+  }
+
+  size_t inProgress() const { return Active; }
+
+private:
+  static Awaitable<void> acceptLoop(std::shared_ptr<Impl> Self) {
+    while (Self->Acceptor.is_open()) {
+      auto [Failure, Socket] =
+          co_await Self->Acceptor.async_accept(asio::make_strand(Self->Where), AsTuple);
+      if (Failure) {
+        if (Self->Draining || Failure == asio::error::operation_aborted)
+          co_return;
+        // Out of descriptors, usually: let connections end before trying again.
+        asio::steady_timer Pause(co_await asio::this_coro::executor, Milliseconds(20));
+        co_await Pause.async_wait(AsTuple);
+        continue;
+      }
+      if (Self->Connections >= Self->Limits.MaxConnections)
+        continue;
+      Socket.set_option(tcp::no_delay(true));
+      const auto On = Socket.get_executor();
+      asio::co_spawn(On, serveConnection(Self, std::move(Socket)), asio::detached);
+    }
+  }
+
+  void closeIfIdle(beast::tcp_stream *Stream) {
+    std::lock_guard Lock(Mutex);
+    if (Idle.count(Stream))
+      Stream->cancel();
+  }
+
+  void setIdle(beast::tcp_stream &Stream, bool IsIdle) {
+    std::lock_guard Lock(Mutex);
+    if (IsIdle)
+      Idle.insert(&Stream);
+    else
+      Idle.erase(&Stream);
+  }
+
+  static Awaitable<void> serveConnection(std::shared_ptr<Impl> Self, tcp::socket Socket) {
+    ++Self->Connections;
+    beast::tcp_stream Stream(std::move(Socket));
+    beast::flat_buffer Buffer;
+    bool Again = true;
+    while (Again)
+      Again = co_await Self->serveOne(Stream, Buffer);
+    boost::system::error_code Ignored;
+    Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+    --Self->Connections;
+  }
+
+  // Returns true if the connection can take another request.
+  Awaitable<bool> serveOne(beast::tcp_stream &Stream, beast::flat_buffer &Buffer) {
+    RequestParser Parser;
+    Parser.header_limit(static_cast<uint32_t>(Limits.MaxHeaderBytes));
+    Parser.body_limit(boost::none);
+    Stream.expires_after(Limits.HeaderTimeout);
+    setIdle(Stream, true);
+    if (Draining && Buffer.size() == 0) {
+      setIdle(Stream, false);
+      co_return false;
+    }
+    auto [Failure, Bytes] = co_await http::async_read_header(Stream, Buffer, Parser, AsTuple);
+    setIdle(Stream, false);
+    if (Failure)
+      co_return co_await refuse(Stream, Buffer, Parser, Failure);
+    ServerExchange Exchange(Stream, Buffer, Parser, Limits.BodyTimeout);
+    if (Draining)
+      Exchange.closeAfter();
+    if (isAmbiguous(Parser)) {
+      Exchange.closeAfter();
+      const Error Bad{ErrorKind::BadRequest, "the framing of the request is ambiguous"};
+      co_await sendWhole(Exchange, errorResponse(Bad));
+      co_return false;
+    }
+    ++Active;
+    co_await handled(Exchange);
+    --Active;
+    co_return Exchange.finished() && Exchange.keepAlive();
+  }
+
+  Awaitable<void> handled(ServerExchange &Exchange) {
+    std::string Fault;
+    try {
+      co_await Handler(Exchange);
+    } catch (const std::exception &E) {
+      Fault = E.what();
+    }
+    if (Fault.empty() || Exchange.headSent())
+      co_return;
+    HttpResponse Answer = errorResponse({ErrorKind::Internal, Fault});
+    co_await sendWhole(Exchange, std::move(Answer));
+  }
+
+  Awaitable<bool> refuse(beast::tcp_stream &Stream, beast::flat_buffer &Buffer,
+                         RequestParser &Parser, boost::system::error_code Failure) {
+    const bool Quiet = Failure == http::error::end_of_stream || Failure == beast::error::timeout ||
+                       Failure.category() != make_error_code(http::error::bad_target).category();
+    if (Quiet)
+      co_return false;
+    ServerExchange Exchange(Stream, Buffer, Parser, Limits.BodyTimeout);
+    Exchange.closeAfter();
+    HttpResponse Answer = errorResponse({ErrorKind::BadRequest, Failure.message()});
+    if (Failure == http::error::header_limit)
+      Answer.Status = 431;
+    co_await sendWhole(Exchange, std::move(Answer));
+    co_return false;
+  }
+
+  const Executor Where;
+  const Endpoint Address;
+  const HttpServerLimits Limits;
+  const HttpHandler Handler;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> Draining{false};
+  std::atomic<size_t> Connections{0};
+  std::atomic<size_t> Active{0};
+  std::mutex Mutex;
+  std::set<beast::tcp_stream *> Idle; ///< Connections that wait for a head. Guarded by Mutex.
+};
+
+HttpServer::HttpServer(Executor Where, Endpoint Address, HttpServerLimits Limits,
+                       HttpHandler Handler)
+    : Inner(std::make_shared<Impl>(Where, std::move(Address), Limits, std::move(Handler))) {}
+HttpServer::~HttpServer() { Inner->stopAccepting(); }
+Result<Done> HttpServer::start() { return Inner->start(); }
+void HttpServer::stopAccepting() { Inner->stopAccepting(); }
+size_t HttpServer::inProgress() const { return Inner->inProgress(); }
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/endpoint.h
@@ -0,0 +1,27 @@
+// SPDX-License-Identifier: Apache-2.0
+// An address by IP number and port, as the platform gives them.
+#pragma once
+
+#include "valveshelf/errors.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace valveshelf {
+
+/// Where a process listens. The host is an IP number, never a name.
+struct Endpoint {
+  std::string Host;
+  uint16_t Port = 0;
+
+  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+};
+
+/// Parses "192.0.2.1:80" or "[2001:db8::1]:80". Returns BadRequest for anything else.
+Result<Endpoint> parseEndpoint(std::string_view Text);
+
+/// The form that `parseEndpoint` reads.
+std::string toString(const Endpoint &Value);
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/entry_process.h
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+// The entry process as a whole: servers for callers, operators and peers around the session,
+// the router and the configuration.
+#pragma once
+
+#include "valveshelf/router.h"
+#include "valveshelf/session.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace valveshelf {
+
+/// Safe from any thread.
+class EntryProcess {
+public:
+  /// \p Client outlives the process object. Opens nothing yet.
+  EntryProcess(Executor Where, EntrySettings Settings, Clock Time, Platform From,
+               HttpClient &Client);
+
+  /// Binds all addresses and joins the cell. Returns once the listeners serve; joining goes on.
+  Result<Done> start();
+  /// Runs the planned stop and then calls \p Finished with the exit code.
+  void beginStop(std::function<void(int)> Finished);
+
+private:
+  using Operation = std::function<Awaitable<Result<std::string>>(std::shared_ptr<ShardRunner>)>;
+
+  Awaitable<void> joinLoop();
+  Awaitable<void> boxLoop();
+  Awaitable<void> gossipLoop();
+  Awaitable<void> refreshLoop();
+  Awaitable<void> gossipWith(MemberInfo Peer);
+  Awaitable<void> stopNow(std::function<void(int)> Finished);
+  std::shared_ptr<Session> session() const;
+  std::shared_ptr<ShardRunner> runner(uint32_t Shard) const;
+  PeerHandlers peerHandlers();
+  wire::ExchangeRequest ownNews();
+  void hear(const wire::ExchangeRequest &News);
+  Awaitable<Result<Done>> checkShardCount();
+
+  Awaitable<void> serveCaller(HttpExchange &Exchange);
+  Awaitable<void> serveOperator(HttpExchange &Exchange);
+  Awaitable<HttpResponse> answerCaller(std::string Method, std::string Target, HeaderList Headers,
+                                       std::string Body);
+  Awaitable<HttpResponse> answerJobs(std::string Method, std::string Target, std::string Body);
+  Awaitable<HttpResponse> submitJob(std::string Body);
+  Awaitable<HttpResponse> answerOperator(std::string Method, std::string Target,
+                                         HeaderList Headers, std::string Body);
+  Awaitable<HttpResponse> answerConfig(std::string Method, std::string Target, HeaderList Headers,
+                                       std::string Body);
+  HttpResponse metrics();
+  HttpResponse members();
+  Awaitable<HttpResponse> listJobs(std::string Target);
+  std::optional<std::string> partnerOf(const HeaderList &Headers) const;
+
+  /// Carries the operation out at the owner of \p Shard, here or at a peer.
+  Awaitable<Result<std::string>> atOwner(uint32_t Shard, std::string Operation, std::string Target,
+                                         std::string Body, bool Repeatable);
+  Awaitable<Result<std::string>> operate(uint32_t Shard, std::string Operation, std::string Target,
+                                         std::string Body);
+
+  const Executor Where;
+  const EntrySettings Settings;
+  const Clock Time;
+  const Platform From;
+  HttpClient &Client;
+  const PeerOps Peers;
+  CellWatch Watch;
+  ShardDirectory Directory;
+  ConfigKeeper Config;
+  Router Requests;
+  HttpServer Callers;
+  HttpServer Operators;
+  PeerServer PeersIn;
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> Joined{false};
+  std::function<void(int)> OnFatal;
+  mutable std::mutex Mutex;
+  std::vector<std::shared_ptr<Session>> Sessions; ///< The last is current. Guarded by Mutex.
+  std::map<std::string, uint64_t> ConfigVersions; ///< By member, as heard. Guarded by Mutex.
+  size_t GossipNext = 0;
+
+public:
+  /// Called with an exit code if the process can't go on.
+  void onFatal(std::function<void(int)> Function) { OnFatal = std::move(Function); }
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/events.h
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+// Numbered log events. docs/EVENTS.md is checked against this table by a test.
+#pragma once
+
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace valveshelf {
+
+/// One kind of log event. The number is stable and never used again.
+struct EventKind {
+  int Number;
+  std::string_view Level; ///< "info", "warn" or "error".
+  std::string_view Name;
+  std::string_view Meaning; ///< What happened and what an operator may do.
+};
+
+namespace events {
+extern const EventKind Started, Stopping, Stopped, SettingsRefused, InternalFault;
+extern const EventKind LeaseGranted, LeaseLost, AuthorityLost, AuthorityByPromise, Fenced;
+extern const EventKind ShardClaimed, ShardReleased, ClaimLost, JournalSealed, StepDownConfirmed;
+extern const EventKind StoreDown, StoreUp;
+extern const EventKind JobAccepted, JobRefused, JobEnded, JobCancelled;
+extern const EventKind TaskStarted, TaskEnded, TaskUnknown, TaskRequeued, TaskUncertain;
+extern const EventKind WorkerLost, WorkerBack, WorkerSuspected, WorkerCleared, TaskContained;
+extern const EventKind ConfigInForce, ConfigRefused, ConfigFromPeer;
+extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
+} // namespace events
+
+/// All events in order of number, for the catalogue.
+std::span<const EventKind *const> allEvents();
+
+/// A named value of a log line.
+using EventField = std::pair<std::string_view, std::string>;
+
+/// Sets up log4cplus to write to standard error. \p Level is "debug", "info", "warn" or
+/// "error"; \p Member is printed in each line. Call once, before any thread starts.
+void openLog(const std::string &Level, const std::string &Member);
+
+/// Writes one line `VS-<number> <name> key=value ...`. Safe from any thread.
+void logEvent(const EventKind &Kind, std::initializer_list<EventField> Fields = {});
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/resources.h
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+// Amounts of processors, memory and accelerators.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace valveshelf {
+
+/// What a task asks for, or what a box holds.
+struct Resources {
+  int64_t MilliCores = 0; ///< Thousandths of a processor core.
+  int64_t MemoryMb = 0;   ///< Mebibytes.
+  int64_t Accelerators = 0;
+
+  friend bool operator==(const Resources &, const Resources &) = default;
+
+  Resources &operator+=(const Resources &Other) {
+    MilliCores += Other.MilliCores;
+    MemoryMb += Other.MemoryMb;
+    Accelerators += Other.Accelerators;
+    return *this;
+  }
+  Resources &operator-=(const Resources &Other) {
+    MilliCores -= Other.MilliCores;
+    MemoryMb -= Other.MemoryMb;
+    Accelerators -= Other.Accelerators;
+    return *this;
+  }
+  friend Resources operator+(Resources A, const Resources &B) { return A += B; }
+  friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
+};
+
+/// True if \p Need fits into \p Room in every dimension.
+inline bool fits(const Resources &Need, const Resources &Room) {
+  return Need.MilliCores <= Room.MilliCores && Need.MemoryMb <= Room.MemoryMb &&
+         Need.Accelerators <= Room.Accelerators;
+}
+
+/// The larger amount in each dimension.
+inline Resources largest(const Resources &A, const Resources &B) {
+  return {std::max(A.MilliCores, B.MilliCores), std::max(A.MemoryMb, B.MemoryMb),
+          std::max(A.Accelerators, B.Accelerators)};
+}
+
+/// How many times \p Need fits into \p Room, at most \p Most.
+inline int64_t timesFits(const Resources &Need, const Resources &Room, int64_t Most) {
+  int64_t Times = Most;
+  if (Need.MilliCores > 0)
+    Times = std::min(Times, Room.MilliCores / Need.MilliCores);
+  if (Need.MemoryMb > 0)
+    Times = std::min(Times, Room.MemoryMb / Need.MemoryMb);
+  if (Need.Accelerators > 0)
+    Times = std::min(Times, Room.Accelerators / Need.Accelerators);
+  return std::max<int64_t>(Times, 0);
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/router.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+// The way of a request from caller to upstream and back: route, slot, retries, whole answers.
+#pragma once
+
+#include "valveshelf/config_keeper.h"
+#include "valveshelf/http.h"
+#include "valveshelf/membership.h"
+#include "valveshelf/shard_directory.h"
+#include "valveshelf/slot_book.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace valveshelf {
+
+/// Counters for metrics.
+struct RouterFigures {
+  std::atomic<uint64_t> Served{0}, Refused{0}, Retried{0}, Cut{0};
+};
+
+/// What the router works with. Everything outlives it.
+struct RouterTools {
+  Executor Where;
+  Clock Time;
+  HttpClient &Client;
+  ShardDirectory &Directory;
+  ConfigSource Config;
+  std::function<CellViewPtr()> View;
+  std::function<bool()> MayAct; ///< Whether this process may use its share of the slots.
+  std::string Member;
+};
+
+/// Safe from any thread.
+class Router {
+public:
+  explicit Router(RouterTools Tools);
+  /// Serves one request under `/svc/`.
+  Awaitable<void> serve(HttpExchange &Exchange);
+  const RouterFigures &figures() const { return Figures; }
+  /// Takes in changes of boxes, members and configuration. Called every fraction of a second.
+  void refresh();
+
+private:
+  struct Target {
+    RouteConfig Route;
+    ServiceConfig Service;
+  };
+  struct Attempt;
+  Result<Target> match(const HttpExchange &Exchange) const;
+  Awaitable<Result<SlotGrant>> acquire(const Target &To, TimePoint Deadline,
+                                       const std::string &Avoid);
+  Awaitable<bool> attempt(HttpExchange &Exchange, const Target &To, const SlotGrant &Slot,
+                          TimePoint Deadline, Attempt &State);
+
+  const RouterTools Tools;
+  RouterFigures Figures;
+  std::mutex Mutex;
+  SlotBook Slots; ///< Guarded by Mutex.
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/shard_state.h
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+// The state of one shard: the jobs whose home it is, the tasks it runs, and the capacity books
+// of its workers. Only `applyRecord` changes what is durable, at run time and at replay alike;
+// the decisions in shard_decisions.h return records and effects and touch nothing else.
+#pragma once
+
+#include "valveshelf/box.h"
+#include "valveshelf/clock.h"
+#include "valveshelf/job.h"
+
+#include "journal.pb.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace valveshelf {
+
+using SpecPtr = std::shared_ptr<const JobSpec>;
+
+/// A task as its home shard sees it.
+enum class HomePhase { Waiting, Lent, Ended };
+
+struct HomeTask {
+  HomePhase Phase = HomePhase::Waiting;
+  uint32_t Shard = 0;       ///< Where it was lent to; valid when Lent.
+  uint32_t NextAttempt = 1; ///< No attempt below it may still be started. Grows only.
+  TaskOutcome Outcome = TaskOutcome::None;
+  std::string Detail;
+  WallTime Ended{};
+  // Not durable from here on.
+  bool Adopted = false; ///< The running shard has it durably.
+  std::string Worker;   ///< Last worker reported, for `status`.
+  std::string Seen;     ///< Last phase reported, for `status`.
+  WallTime Started{};
+  TimePoint NotBefore{}; ///< A service task that keeps ending is restarted with a pause.
+  TimePoint LentAt{};
+};
+
+/// A job at its home shard.
+struct HomeJob {
+  SpecPtr Spec;
+  bool Cancelled = false;
+  std::vector<HomeTask> Tasks;
+  uint32_t Waiting = 0; ///< Invariant: the three counts add up to Tasks.size().
+  uint32_t Lent = 0;
+  uint32_t Ended = 0;
+  TimePoint GangNotBefore{}; ///< Not durable: when to try for the gang's room again.
+};
+
+/// A task as the shard that runs it sees it.
+enum class PartPhase {
+  Queued,   ///< Holds no room.
+  Starting, ///< The start is journalled; room is booked. It may run.
+  Running,  ///< The worker confirmed it; room is booked.
+  Ended,    ///< Waits for the home shard to record the end.
+  Returned, ///< Waits for the home shard to take it back. Never started again here.
+};
+std::string_view phaseName(PartPhase Value);
+
+/// How sure the owner is about a start that is journalled.
+enum class StartDoubt {
+  None,        ///< Own start, in flight or answered.
+  Unanswered,  ///< Own start whose answer was lost.
+  Predecessor, ///< A predecessor's start, which may still be on its way.
+};
+
+struct Part {
+  TaskKey Key;
+  SpecPtr Spec;
+  uint32_t Home = 0;
+  PartPhase Phase = PartPhase::Queued;
+  uint32_t Attempt = 1; ///< Next attempt when Queued, else the one intended. Grows only.
+  uint32_t Tries = 0;   ///< Attempts that ran and failed.
+  std::string Worker;   ///< Set exactly when room is booked.
+  Resources Booked;     ///< Invariant: counted in the worker's book exactly when Worker is set.
+  TaskOutcome Outcome = TaskOutcome::None;
+  std::string Detail;
+  WallTime Ended{};
+  // Not durable from here on.
+  StartDoubt Doubt = StartDoubt::None;
+  bool CallInFlight = false;    ///< The start call has not returned yet.
+  bool CancelWanted = false;
+  bool IntentDurable = false;   ///< The store holds the intent.
+  TimePoint DoubtSince{};       ///< When the doubt could first be settled by a list.
+  int ListsWithout = 0;         ///< Lists since then that did not show it.
+  TimePoint QueuedSince{};
+  TimePoint LeaseEnds{};        ///< Latest time at which the worker's lease on it may end.
+  WallTime Started{};
+  Resources Usage;              ///< As last reported.
+  double Order = 0;             ///< Its key in the queue.
+  PartPhase ReportedPhase = PartPhase::Returned; ///< What the home shard was last told.
+  uint32_t ReportedAttempt = 0;
+};
+
+/// What the owner believes about a worker.
+enum class WorkerHealth {
+  Unseen,  ///< Never answered this owner; nothing is placed there.
+  Ready,
+  Lost,    ///< Does not answer.
+  Suspect, ///< Fails what others run; only probes are placed there.
+  Leaving, ///< In the box list as leaving.
+  Gone,    ///< Not in the box list any more.
+};
+std::string_view healthName(WorkerHealth Value);
+
+/// The capacity book of one worker.
+struct WorkerBook {
+  BoxInfo Box;
+  WorkerHealth Health = WorkerHealth::Unseen;
+  Resources Booked; ///< Sum of Part::Booked over Parts. Never above Box.Capacity by our doing.
+  std::set<TaskKey> Parts;
+  std::string Incarnation;   ///< As the worker last told.
+  int FailedCalls = 0;
+  int RecentFailures = 0;    ///< Tasks that failed on it since one ran well.
+  Resources Held;            ///< Room held for gangs.
+  Resources Orphans;         ///< Room taken by tasks the worker lists that are not ours.
+  TimePoint LastAnswer{};
+  TimePoint ProbeNotBefore{};
+  uint32_t Slot = 0;         ///< Its place in ShardState::Free.
+};
+
+/// One worker's room, laid out for the scan of a placement decision.
+struct WorkerRoom {
+  Resources Free;
+  Resources Capacity;
+  WorkerBook *Book = nullptr;
+  bool Usable = false; ///< Ready, so that tasks may be placed.
+};
+
+/// Room held for a gang until it is confirmed or lapses. Not durable on purpose.
+struct GangHold {
+  Resources Size;
+  std::map<std::string, uint32_t> Workers; ///< Worker to tasks held there.
+  TimePoint Lapses{};
+};
+
+/// What is left of a dropped part for a while: lends up to this attempt are late duplicates.
+struct Tombstone {
+  uint32_t Attempt = 0;
+  TimePoint Dropped{};
+};
+
+struct ShardState {
+  uint32_t Id = 0;
+  std::unordered_map<std::string, HomeJob> Jobs;
+  std::map<TaskKey, Part> Parts;
+  std::map<std::string, std::unique_ptr<WorkerBook>> Workers;
+  std::vector<WorkerRoom> Rooms; ///< Same workers as Workers, one each.
+  std::set<std::pair<double, TaskKey>> Queue; ///< The Queued parts, by Part::Order.
+  std::map<std::string, GangHold> Holds;      ///< By job.
+  std::map<std::string, Resources> TeamUse;   ///< "partner/team" to what its parts have booked.
+  std::unordered_map<std::string, std::vector<char>> SelectorCache; ///< Selector to match per room.
+  std::map<TaskKey, Tombstone> Tombstones; ///< Parts dropped lately; a late lend is not taken.
+  bool PredecessorGone = true; ///< No earlier owner can send anything any more.
+  uint64_t Starts = 0;         ///< Starts confirmed by workers, for reports.
+};
+
+/// Changes \p State as \p What says. Deterministic but for \p Now, which only sets waiting
+/// times. Records of an unknown job or task are ignored, so that replay never fails.
+void applyRecord(ShardState &State, const wire::Record &What, TimePoint Now);
+
+/// Records that rebuild the durable part of \p State from nothing, beginning with ShardReset.
+std::vector<wire::Record> snapshotOf(const ShardState &State);
+
+/// Adds the worker or takes over its changed description.
+void setWorker(ShardState &State, const BoxInfo &Box);
+/// Sets the health and what follows from it for placement.
+void setHealth(ShardState &State, WorkerBook &Book, WorkerHealth Health);
+/// Writes the free room of \p Book into the scan table.
+void refreshRoom(ShardState &State, WorkerBook &Book);
+/// Books \p Size more for \p Key's part, when it uses more than it declared.
+void growBooking(ShardState &State, Part &Task, const Resources &Size);
+
+JobSpec specFromWire(const wire::JobSpec &Wire);
+wire::JobSpec specToWire(const JobSpec &Spec);
+wire::Resources resourcesToWire(const Resources &Value);
+Resources resourcesFromWire(const wire::Resources &Value);
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/jobs/shard_state.cpp
@@ -0,0 +1,473 @@
+// SPDX-License-Identifier: Apache-2.0
+// How records change a shard, and the snapshot that rebuilds it.
+#include "valveshelf/shard_state.h"
+
+#include <array>
+
+namespace valveshelf {
+namespace {
+
+// Where in the queue a part stands: the time of its acceptance plus what its class may wait.
+// Everything moves to the front with age, so nothing starves.
+double orderOf(const JobSpec &Spec) {
+  constexpr std::array<double, 4> ClassDelaySeconds{-3600.0, 0.0, 10.0, 600.0};
+  const double Accepted = std::chrono::duration<double>(Spec.Accepted.time_since_epoch()).count();
+  const double Usual = Accepted + ClassDelaySeconds.at(static_cast<size_t>(Spec.Class));
+  if (Spec.FinishBy == WallTime{})
+    return Usual;
+  // Declared run times are often far off; twice the declared leaves room for that.
+  const auto LatestStart = Spec.FinishBy - 2 * Spec.RunTime;
+  const double Latest = std::chrono::duration<double>(LatestStart.time_since_epoch()).count();
+  return std::min(Usual, Latest);
+}
+
+std::string teamKey(const JobSpec &Spec) { return Spec.Partner + "/" + Spec.Team; }
+
+void unbook(ShardState &State, Part &Task) {
+  if (Task.Worker.empty())
+    return;
+  State.TeamUse[teamKey(*Task.Spec)] -= Task.Booked;
+  const auto Found = State.Workers.find(Task.Worker);
+  if (Found != State.Workers.end()) {
+    Found->second->Booked -= Task.Booked;
+    Found->second->Parts.erase(Task.Key);
+    refreshRoom(State, *Found->second);
+  }
+  Task.Worker.clear();
+  Task.Booked = {};
+}
+
+WorkerBook &bookOf(ShardState &State, const std::string &Worker) {
+  auto &Book = State.Workers[Worker];
+  if (!Book) {
+    Book = std::make_unique<WorkerBook>();
+    Book->Box.Name = Worker;
+    Book->Slot = static_cast<uint32_t>(State.Rooms.size());
+    State.Rooms.push_back({{}, {}, Book.get(), false});
+    State.SelectorCache.clear();
+  }
+  return *Book;
+}
+
+void book(ShardState &State, Part &Task, const std::string &Worker) {
+  unbook(State, Task);
+  Task.Worker = Worker;
+  Task.Booked = Task.Spec->Size;
+  WorkerBook &Book = bookOf(State, Worker);
+  Book.Booked += Task.Booked;
+  Book.Parts.insert(Task.Key);
+  State.TeamUse[teamKey(*Task.Spec)] += Task.Booked;
+  refreshRoom(State, Book);
+}
+
+void enqueue(ShardState &State, Part &Task, TimePoint Now) {
+  Task.Phase = PartPhase::Queued;
+  Task.Doubt = StartDoubt::None;
+  Task.CallInFlight = false;
+  Task.QueuedSince = Now;
+  Task.Order = orderOf(*Task.Spec);
+  State.Queue.insert({Task.Order, Task.Key});
+}
+
+Part *findPart(ShardState &State, const wire::TaskKey &Key) {
+  const auto Found = State.Parts.find({Key.job(), Key.index()});
+  return Found == State.Parts.end() ? nullptr : &Found->second;
+}
+
+HomeTask *findTask(ShardState &State, const std::string &Job, uint32_t Index) {
+  const auto Found = State.Jobs.find(Job);
+  if (Found == State.Jobs.end() || Index >= Found->second.Tasks.size())
+    return nullptr;
+  return &Found->second.Tasks[Index];
+}
+
+void setPhase(HomeJob &Job, HomeTask &Task, HomePhase Phase) {
+  const auto Count = [&](HomePhase P) -> uint32_t & {
+    return P == HomePhase::Waiting ? Job.Waiting : P == HomePhase::Lent ? Job.Lent : Job.Ended;
+  };
+  --Count(Task.Phase);
+  ++Count(Phase);
+  Task.Phase = Phase;
+}
+
+void endTask(HomeJob &Job, HomeTask &Task, TaskOutcome Outcome, std::string Detail, WallTime When) {
+  if (Task.Phase == HomePhase::Ended)
+    return;
+  setPhase(Job, Task, HomePhase::Ended);
+  Task.Outcome = Outcome;
+  Task.Detail = std::move(Detail);
+  Task.Ended = When;
+}
+
+void apply(ShardState &State, const wire::JobAccepted &What, TimePoint) {
+  const auto Spec = std::make_shared<const JobSpec>(specFromWire(What.spec()));
+  if (State.Jobs.count(Spec->Id))
+    return;
+  HomeJob &Job = State.Jobs[Spec->Id];
+  Job.Spec = Spec;
+  Job.Tasks.resize(Spec->Count);
+  Job.Waiting = Spec->Count;
+}
+
+void apply(ShardState &State, const wire::TasksLent &What, TimePoint Now) {
+  for (const uint32_t Index : What.index()) {
+    HomeTask *Task = findTask(State, What.job(), Index);
+    if (!Task || Task->Phase != HomePhase::Waiting)
+      continue;
+    setPhase(State.Jobs[What.job()], *Task, HomePhase::Lent);
+    Task->Shard = What.shard();
+    Task->Adopted = false;
+    Task->LentAt = Now;
+    Task->Seen = "lent";
+  }
+}
+
+void apply(ShardState &State, const wire::TasksReclaimed &What, TimePoint) {
+  for (int I = 0; I < What.index_size(); ++I) {
+    HomeTask *Task = findTask(State, What.job(), What.index(I));
+    if (!Task || Task->Phase != HomePhase::Lent)
+      continue;
+    setPhase(State.Jobs[What.job()], *Task, HomePhase::Waiting);
+    Task->NextAttempt = std::max(Task->NextAttempt, What.next_attempt(I));
+    Task->Adopted = false;
+    Task->Worker.clear();
+    Task->Seen = "waiting";
+  }
+}
+
+void apply(ShardState &State, const wire::TaskEnded &What, TimePoint) {
+  HomeTask *Task = findTask(State, What.key().job(), What.key().index());
+  if (Task)
+    endTask(State.Jobs[What.key().job()], *Task, static_cast<TaskOutcome>(What.outcome()),
+            What.detail(), WallTime(Milliseconds(What.ended_ms())));
+}
+
+void apply(ShardState &State, const wire::JobCancelled &What, TimePoint) {
+  const auto Found = State.Jobs.find(What.job());
+  if (Found == State.Jobs.end() || Found->second.Cancelled)
+    return;
+  HomeJob &Job = Found->second;
+  Job.Cancelled = true;
+  for (HomeTask &Task : Job.Tasks)
+    if (Task.Phase == HomePhase::Waiting)
+      endTask(Job, Task, TaskOutcome::Cancelled, "cancelled before it was placed", {});
+}
+
+void apply(ShardState &State, const wire::JobResized &What, TimePoint) {
+  const auto Found = State.Jobs.find(What.job());
+  if (Found == State.Jobs.end() || What.count() <= Found->second.Tasks.size())
+    return;
+  HomeJob &Job = Found->second;
+  auto Spec = std::make_shared<JobSpec>(*Job.Spec);
+  Spec->Count = What.count();
+  Job.Spec = Spec;
+  Job.Waiting += What.count() - static_cast<uint32_t>(Job.Tasks.size());
+  Job.Tasks.resize(What.count());
+}
+
+void apply(ShardState &State, const wire::JobForgotten &What, TimePoint) {
+  State.Jobs.erase(What.job());
+}
+
+void apply(ShardState &State, const wire::PartsAdopted &What, TimePoint Now) {
+  const auto Spec = std::make_shared<const JobSpec>(specFromWire(What.spec()));
+  for (int I = 0; I < What.index_size(); ++I) {
+    const TaskKey Key{Spec->Id, What.index(I)};
+    if (State.Parts.count(Key))
+      continue;
+    Part &Task = State.Parts[Key];
+    Task.Key = Key;
+    Task.Spec = Spec;
+    Task.Home = What.home();
+    Task.Attempt = What.next_attempt(I);
+    Task.Tries = I < What.tries_size() ? What.tries(I) : 0;
+    enqueue(State, Task, Now);
+  }
+}
+
+void apply(ShardState &State, const wire::StartIntent &What, TimePoint) {
+  Part *Task = findPart(State, What.key());
+  if (!Task || Task->Phase != PartPhase::Queued)
+    return;
+  State.Queue.erase({Task->Order, Task->Key});
+  Task->Phase = PartPhase::Starting;
+  Task->Attempt = What.attempt();
+  Task->Started = WallTime(Milliseconds(What.intent_ms()));
+  book(State, *Task, What.worker());
+}
+
+void apply(ShardState &State, const wire::StartVoid &What, TimePoint Now) {
+  Part *Task = findPart(State, What.key());
+  const bool Open = Task && (Task->Phase == PartPhase::Starting || Task->Phase == PartPhase::Running);
+  if (!Open || Task->Attempt != What.attempt())
+    return;
+  unbook(State, *Task);
+  Task->Attempt = What.attempt() + 1;
+  Task->Tries += What.counts_as_try() ? 1 : 0;
+  Task->Detail = What.why();
+  enqueue(State, *Task, Now);
+}
+
+void apply(ShardState &State, const wire::PartEnded &What, TimePoint) {
+  Part *Task = findPart(State, What.key());
+  if (!Task || Task->Phase == PartPhase::Ended || Task->Phase == PartPhase::Returned)
+    return;
+  State.Queue.erase({Task->Order, Task->Key});
+  // A later attempt must not reuse the number of one that may have been started.
+  if (Task->Phase != PartPhase::Queued)
+    ++Task->Attempt;
+  unbook(State, *Task);
+  Task->Outcome = static_cast<TaskOutcome>(What.outcome());
+  Task->Phase = Task->Outcome == TaskOutcome::None ? PartPhase::Returned : PartPhase::Ended;
+  Task->Detail = What.detail();
+  Task->Ended = WallTime(Milliseconds(What.ended_ms()));
+}
+
+void apply(ShardState &, const wire::PartCancelled &, TimePoint) {}
+
+void apply(ShardState &State, const wire::PartDropped &What, TimePoint Now) {
+  Part *Task = findPart(State, What.key());
+  if (!Task)
+    return;
+  State.Queue.erase({Task->Order, Task->Key});
+  unbook(State, *Task);
+  State.Tombstones[Task->Key] = {Task->Attempt, Now};
+  State.Parts.erase(TaskKey(Task->Key));
+}
+
+void apply(ShardState &State, const wire::ShardReset &, TimePoint) {
+  State.Jobs.clear();
+  State.Queue.clear();
+  for (auto &[Key, Task] : State.Parts)
+    unbook(State, Task);
+  State.Parts.clear();
+  State.TeamUse.clear();
+}
+
+void apply(ShardState &, const wire::ShardReleased &, TimePoint) {}
+
+wire::TaskKey keyToWire(const TaskKey &Key) {
+  wire::TaskKey Wire;
+  Wire.set_job(Key.Job);
+  Wire.set_index(Key.Index);
+  return Wire;
+}
+
+// The records of one home job.
+void snapshotJob(uint32_t Shard, const HomeJob &Job, std::vector<wire::Record> &Out) {
+  const auto Add = [&]() -> wire::Record & {
+    Out.emplace_back().set_shard(Shard);
+    return Out.back();
+  };
+  *Add().mutable_job_accepted()->mutable_spec() = specToWire(*Job.Spec);
+  std::map<uint32_t, wire::TasksLent> ByShard;
+  wire::TasksReclaimed Attempts;
+  for (uint32_t I = 0; I < Job.Tasks.size(); ++I) {
+    const HomeTask &Task = Job.Tasks[I];
+    if (Task.NextAttempt > 1) {
+      Attempts.add_index(I);
+      Attempts.add_next_attempt(Task.NextAttempt);
+    }
+    if (Task.Phase == HomePhase::Lent)
+      ByShard[Task.Shard].add_index(I);
+    if (Task.Phase == HomePhase::Ended) {
+      wire::TaskEnded &Ended = *Add().mutable_task_ended();
+      *Ended.mutable_key() = keyToWire({Job.Spec->Id, I});
+      Ended.set_outcome(static_cast<int>(Task.Outcome));
+      Ended.set_detail(Task.Detail);
+      Ended.set_ended_ms(Task.Ended.time_since_epoch().count());
+    }
+  }
+  if (Attempts.index_size() > 0) {
+    // Reclaiming only concerns lent tasks, so lend them first.
+    wire::TasksLent &Lent = *Add().mutable_tasks_lent();
+    Lent.set_job(Job.Spec->Id);
+    *Lent.mutable_index() = Attempts.index();
+    Attempts.set_job(Job.Spec->Id);
+    *Add().mutable_tasks_reclaimed() = Attempts;
+  }
+  for (auto &[To, Lent] : ByShard) {
+    Lent.set_job(Job.Spec->Id);
+    Lent.set_shard(To);
+    *Add().mutable_tasks_lent() = Lent;
+  }
+  if (Job.Cancelled)
+    Add().mutable_job_cancelled()->set_job(Job.Spec->Id);
+}
+
+void snapshotPart(uint32_t Shard, const Part &Task, std::vector<wire::Record> &Out) {
+  const auto Add = [&]() -> wire::Record & {
+    Out.emplace_back().set_shard(Shard);
+    return Out.back();
+  };
+  wire::PartsAdopted &Adopted = *Add().mutable_parts_adopted();
+  *Adopted.mutable_spec() = specToWire(*Task.Spec);
+  Adopted.set_home(Task.Home);
+  Adopted.add_index(Task.Key.Index);
+  Adopted.add_next_attempt(Task.Attempt);
+  Adopted.add_tries(Task.Tries);
+  if (!Task.Worker.empty()) {
+    wire::StartIntent &Intent = *Add().mutable_start_intent();
+    *Intent.mutable_key() = keyToWire(Task.Key);
+    Intent.set_worker(Task.Worker);
+    Intent.set_attempt(Task.Attempt);
+    Intent.set_intent_ms(Task.Started.time_since_epoch().count());
+  }
+  if (Task.Phase == PartPhase::Ended || Task.Phase == PartPhase::Returned) {
+    wire::PartEnded &Ended = *Add().mutable_part_ended();
+    *Ended.mutable_key() = keyToWire(Task.Key);
+    Ended.set_outcome(static_cast<int>(Task.Outcome));
+    Ended.set_detail(Task.Detail);
+    Ended.set_ended_ms(Task.Ended.time_since_epoch().count());
+  }
+}
+
+} // namespace
+
+std::string_view phaseName(PartPhase Value) {
+  constexpr std::array<std::string_view, 5> Names{"queued", "starting", "running", "ended",
+                                                  "returned"};
+  return Names.at(static_cast<size_t>(Value));
+}
+
+std::string_view healthName(WorkerHealth Value) {
+  constexpr std::array<std::string_view, 6> Names{"unseen",  "ready",   "lost",
+                                                  "suspect", "leaving", "gone"};
+  return Names.at(static_cast<size_t>(Value));
+}
+
+void applyRecord(ShardState &State, const wire::Record &What, TimePoint Now) {
+  switch (What.what_case()) {
+  case wire::Record::kJobAccepted:
+    return apply(State, What.job_accepted(), Now);
+  case wire::Record::kTasksLent:
+    return apply(State, What.tasks_lent(), Now);
+  case wire::Record::kTasksReclaimed:
+    return apply(State, What.tasks_reclaimed(), Now);
+  case wire::Record::kTaskEnded:
+    return apply(State, What.task_ended(), Now);
+  case wire::Record::kJobCancelled:
+    return apply(State, What.job_cancelled(), Now);
+  case wire::Record::kJobResized:
+    return apply(State, What.job_resized(), Now);
+  case wire::Record::kJobForgotten:
+    return apply(State, What.job_forgotten(), Now);
+  case wire::Record::kPartsAdopted:
+    return apply(State, What.parts_adopted(), Now);
+  case wire::Record::kStartIntent:
+    return apply(State, What.start_intent(), Now);
+  case wire::Record::kStartVoid:
+    return apply(State, What.start_void(), Now);
+  case wire::Record::kPartEnded:
+    return apply(State, What.part_ended(), Now);
+  case wire::Record::kPartCancelled:
+    return apply(State, What.part_cancelled(), Now);
+  case wire::Record::kPartDropped:
+    return apply(State, What.part_dropped(), Now);
+  case wire::Record::kShardReset:
+    return apply(State, What.shard_reset(), Now);
+  case wire::Record::kShardReleased:
+    return apply(State, What.shard_released(), Now);
+  case wire::Record::WHAT_NOT_SET:
+    return;
+  }
+}
+
+std::vector<wire::Record> snapshotOf(const ShardState &State) {
+  std::vector<wire::Record> Out;
+  Out.emplace_back().set_shard(State.Id);
+  Out.back().mutable_shard_reset();
+  for (const auto &[Id, Job] : State.Jobs)
+    snapshotJob(State.Id, Job, Out);
+  for (const auto &[Key, Task] : State.Parts)
+    snapshotPart(State.Id, Task, Out);
+  return Out;
+}
+
+void setWorker(ShardState &State, const BoxInfo &Box) {
+  WorkerBook &Book = bookOf(State, Box.Name);
+  if (Book.Box == Box)
+    return;
+  Book.Box = Box;
+  State.SelectorCache.clear();
+  refreshRoom(State, Book);
+}
+
+void setHealth(ShardState &State, WorkerBook &Book, WorkerHealth Health) {
+  Book.Health = Health;
+  refreshRoom(State, Book);
+}
+
+void refreshRoom(ShardState &State, WorkerBook &Book) {
+  WorkerRoom &Room = State.Rooms[Book.Slot];
+  Room.Capacity = Book.Box.Capacity;
+  Room.Free = Book.Box.Capacity - Book.Booked - Book.Held - Book.Orphans;
+  Room.Usable = Book.Health == WorkerHealth::Ready && !Book.Box.Leaving;
+}
+
+void growBooking(ShardState &State, Part &Task, const Resources &Size) {
+  const auto Found = State.Workers.find(Task.Worker);
+  if (Found == State.Workers.end())
+    return;
+  const Resources Grown = largest(Task.Booked, Size);
+  const Resources More = Grown - Task.Booked;
+  Task.Booked = Grown;
+  Found->second->Booked += More;
+  State.TeamUse[teamKey(*Task.Spec)] += More;
+  refreshRoom(State, *Found->second);
+}
+
+wire::Resources resourcesToWire(const Resources &Value) {
+  wire::Resources Wire;
+  Wire.set_milli_cores(Value.MilliCores);
+  Wire.set_memory_mb(Value.MemoryMb);
+  Wire.set_accelerators(Value.Accelerators);
+  return Wire;
+}
+
+Resources resourcesFromWire(const wire::Resources &Value) {
+  return {Value.milli_cores(), Value.memory_mb(), Value.accelerators()};
+}
+
+JobSpec specFromWire(const wire::JobSpec &Wire) {
+  JobSpec Spec;
+  Spec.Id = Wire.id();
+  Spec.Partner = Wire.partner();
+  Spec.Team = Wire.team();
+  Spec.Kind = static_cast<JobKind>(Wire.kind());
+  Spec.Class = static_cast<JobClass>(Wire.priority());
+  Spec.Count = Wire.count();
+  Spec.Size = resourcesFromWire(Wire.size());
+  Spec.BoxSelector = Wire.selector();
+  Spec.Labels = {Wire.labels().begin(), Wire.labels().end()};
+  Spec.Repeatable = Wire.repeatable();
+  Spec.RunTime = Milliseconds(Wire.run_time_ms());
+  Spec.FinishBy = WallTime(Milliseconds(Wire.finish_by_ms()));
+  Spec.MaxTries = Wire.max_tries();
+  Spec.Checkpointable = Wire.checkpointable();
+  Spec.Accepted = WallTime(Milliseconds(Wire.accepted_ms()));
+  return Spec;
+}
+
+wire::JobSpec specToWire(const JobSpec &Spec) {
+  wire::JobSpec Wire;
+  Wire.set_id(Spec.Id);
+  Wire.set_partner(Spec.Partner);
+  Wire.set_team(Spec.Team);
+  Wire.set_kind(static_cast<int>(Spec.Kind));
+  Wire.set_priority(static_cast<int>(Spec.Class));
+  Wire.set_count(Spec.Count);
+  *Wire.mutable_size() = resourcesToWire(Spec.Size);
+  Wire.set_selector(Spec.BoxSelector);
+  for (const auto &[Key, Value] : Spec.Labels)
+    (*Wire.mutable_labels())[Key] = Value;
+  Wire.set_repeatable(Spec.Repeatable);
+  Wire.set_run_time_ms(Spec.RunTime.count());
+  Wire.set_finish_by_ms(Spec.FinishBy.time_since_epoch().count());
+  Wire.set_max_tries(Spec.MaxTries);
+  Wire.set_checkpointable(Spec.Checkpointable);
+  Wire.set_accepted_ms(Spec.Accepted.time_since_epoch().count());
+  return Wire;
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/membership/cell_watch.cpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+// The view of the cell, kept current by one waiting watch.
+#include "valveshelf/membership.h"
+
+#include <boost/asio.hpp>
+
+namespace valveshelf {
+namespace {
+constexpr Milliseconds WatchWait{10000};
+constexpr Milliseconds RetryPause{200};
+
+uint32_t shardOfKey(const std::string &Key) {
+  return static_cast<uint32_t>(std::strtoul(Key.c_str() + Key.rfind('/') + 1, nullptr, 10));
+}
+
+void applyMember(CellView &View, const StoreItem &Item) {
+  const std::string Name = Item.Key.substr(Item.Key.rfind('/') + 1);
+  std::erase_if(View.Members, [&](const auto &Entry) { return Entry.second.Name == Name; });
+  View.MemberVersions[Name] = Item.Version;
+  if (Item.Version == 0)
+    return;
+  Result<MemberInfo> Member = decodeMember(Item.Value);
+  if (ok(Member))
+    View.Members[value(Member).Log] = value(Member);
+}
+
+void applyOwner(CellView &View, const StoreItem &Item) {
+  if (Item.Version == 0) {
+    View.Owners.erase(shardOfKey(Item.Key));
+    return;
+  }
+  Result<OwnerRecord> Owner = decodeOwner(Item.Value);
+  if (!ok(Owner))
+    return;
+  OwnerRecord &Known = View.Owners[value(Owner).Shard];
+  // What this process noted of its own writes may be newer than an answer on its way.
+  if (Item.Version < Known.Version)
+    return;
+  Known = value(Owner);
+  Known.Version = Item.Version;
+}
+
+void applyItem(CellView &View, const StoreItem &Item) {
+  if (Item.Key.starts_with("cell/member/"))
+    return applyMember(View, Item);
+  if (Item.Key.starts_with("cell/own/"))
+    return applyOwner(View, Item);
+  if (Item.Key == ConfigKey && Item.Version > View.ConfigStoreVersion) {
+    View.ConfigText = Item.Value;
+    View.ConfigStoreVersion = Item.Version;
+  }
+  if (Item.Key == ShardsKey)
+    View.ShardsText = Item.Value;
+}
+} // namespace
+
+CellWatch::CellWatch(StoreOps Store, Clock Time)
+    : Store(std::move(Store)), Time(std::move(Time)), Current(std::make_shared<CellView>()) {}
+
+CellViewPtr CellWatch::view() const {
+  std::lock_guard Lock(Mutex);
+  return Current;
+}
+
+void CellWatch::onChange(std::function<void()> Function) { Changed = std::move(Function); }
+
+void CellWatch::apply(const StoreItems &Items, bool Whole) {
+  {
+    std::lock_guard Lock(Mutex);
+    auto Next = std::make_shared<CellView>(*Current);
+    if (Whole) {
+      Next->Members.clear();
+      Next->Owners.clear();
+    }
+    for (const StoreItem &Item : Items.Items)
+      applyItem(*Next, Item);
+    Next->Revision = std::max(Next->Revision, Items.Revision);
+    Current = std::move(Next);
+  }
+  if (Changed && (Whole || !Items.Items.empty()))
+    Changed();
+}
+
+void CellWatch::note(const StoreItem &Item) { apply({0, {Item}}, false); }
+
+Awaitable<Result<Done>> CellWatch::load() {
+  Result<StoreItems> Listed = co_await Store.List("cell/");
+  if (!ok(Listed))
+    co_return error(Listed);
+  apply(value(Listed), true);
+  co_return Done{};
+}
+
+Awaitable<void> CellWatch::run() {
+  while (true) {
+    const uint64_t After = view()->Revision;
+    Result<StoreItems> News = co_await Store.Watch("cell/", After, WatchWait);
+    if (ok(News)) {
+      // A store that restarted counts anew, or has forgotten what came between.
+      if (value(News).Revision < After)
+        co_await load();
+      else
+        apply(value(News), false);
+      continue;
+    }
+    co_await sleepFor(RetryPause);
+    co_await load();
+  }
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/membership/lease_keeper.cpp
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+// This process's lease in the store, and its record under it.
+#include "valveshelf/events.h"
+#include "valveshelf/membership.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace {
+constexpr Milliseconds RetryPause{200};
+// Part of the store's writes that all renewals together may take.
+constexpr double RenewalShare = 0.25;
+constexpr int RenewalsPerLife = 3;
+} // namespace
+
+LeaseKeeper::LeaseKeeper(StoreOps Store, Clock Time, valveshelf::Timing Times,
+                         double WritesPerSecond, MemberInfo Self, SharedAuthority &Shared,
+                         Journal &Log, CellWatch &Watch)
+    : Store(std::move(Store)), Time(std::move(Time)), Times(Times),
+      WritesPerSecond(WritesPerSecond), Self(std::move(Self)), Shared(Shared), Log(Log),
+      Watch(Watch) {}
+
+Milliseconds LeaseKeeper::leaseLife(size_t Members) const {
+  const double Seconds =
+      static_cast<double>(Members * RenewalsPerLife) / (RenewalShare * WritesPerSecond);
+  const Milliseconds Needed(static_cast<int64_t>(Seconds * 1000));
+  return std::max(Times.Lease, Needed);
+}
+
+Awaitable<Result<uint64_t>> LeaseKeeper::writeRecord() {
+  const std::string Text = encodeMember(Self);
+  Result<uint64_t> Put =
+      co_await Store.Put(memberKey(Self.Name), Text, RecordVersion, Lease);
+  if (!ok(Put) && error(Put).Kind == ErrorKind::OutcomeUnknown) {
+    Result<StoreItem> Got = co_await Store.Get(memberKey(Self.Name));
+    if (ok(Got) && value(Got).Value == Text)
+      co_return value(Got).Version;
+  }
+  co_return Put;
+}
+
+Awaitable<Result<Done>> LeaseKeeper::acquire() {
+  const Milliseconds Life = leaseLife(Watch.view()->Members.size() + 1);
+  const TimePoint Asked = Time.Now();
+  Result<uint64_t> Granted = co_await Store.GrantLease(Life);
+  if (!ok(Granted))
+    co_return error(Granted);
+  Lease = value(Granted);
+  Result<StoreItem> Existing = co_await Store.Get(memberKey(Self.Name));
+  if (!ok(Existing))
+    co_return error(Existing);
+  RecordVersion = value(Existing).Version;
+  if (RecordVersion != 0) {
+    const Result<MemberInfo> Other = decodeMember(value(Existing).Value);
+    if (ok(Other) && value(Other).Peers != Self.Peers)
+      co_return Error{ErrorKind::Conflict, "the name " + Self.Name + " is in use at " +
+                                               toString(value(Other).Peers)};
+  }
+  Result<uint64_t> Put = co_await writeRecord();
+  if (!ok(Put))
+    co_return error(Put);
+  RecordVersion = value(Put);
+  Watch.note({memberKey(Self.Name), encodeMember(Self), RecordVersion});
+  // A claimant may have read the journal while the lease was away. Its seal fails once this
+  // entry is there; only then does the new lease carry authority.
+  const Durability Resumed = co_await Log.barrier();
+  if (Resumed != Durability::Stored)
+    co_return Error{ErrorKind::NotOwner, "the journal is sealed"};
+  std::lock_guard Lock(Shared.Mutex);
+  onLeaseRenewed(Shared.Own, Asked, Life, Times.Margin);
+  co_return Done{};
+}
+
+Awaitable<Result<Done>> LeaseKeeper::join() {
+  while (!Stopped) {
+    Result<Done> Acquired = co_await acquire();
+    if (ok(Acquired)) {
+      logEvent(events::LeaseGranted, {{"log", Self.Log}});
+      co_return Done{};
+    }
+    const ErrorKind Kind = error(Acquired).Kind;
+    if (Kind == ErrorKind::Conflict || Kind == ErrorKind::NotOwner)
+      co_return error(Acquired);
+    co_await sleepFor(RetryPause);
+  }
+  co_return Error{ErrorKind::Stopping, "stopped before it joined"};
+}
+
+Awaitable<void> LeaseKeeper::run() {
+  while (!Stopped && !Log.fenced()) {
+    const Milliseconds Life = leaseLife(Watch.view()->Members.size());
+    const TimePoint Asked = Time.Now();
+    Result<Done> Renewed = co_await Store.RenewLease(Lease);
+    if (Stopped)
+      co_return;
+    Log.noteStore(ok(Renewed) || error(Renewed).Kind == ErrorKind::NotFound);
+    if (ok(Renewed)) {
+      std::lock_guard Lock(Shared.Mutex);
+      onLeaseRenewed(Shared.Own, Asked, Life, Times.Margin);
+    } else if (error(Renewed).Kind == ErrorKind::NotFound) {
+      logEvent(events::LeaseLost, {{"log", Self.Log}});
+      {
+        std::lock_guard Lock(Shared.Mutex);
+        onLeaseLost(Shared.Own);
+      }
+      if (ok(co_await acquire()))
+        logEvent(events::LeaseGranted, {{"log", Self.Log}});
+    }
+    const bool Failed = !ok(Renewed) && error(Renewed).Kind != ErrorKind::NotFound;
+    co_await sleepFor(Failed ? RetryPause : Life / RenewalsPerLife);
+  }
+}
+
+Awaitable<void> LeaseKeeper::announceLeaving() {
+  Self.Leaving = true;
+  Result<uint64_t> Put = co_await writeRecord();
+  if (!ok(Put))
+    co_return;
+  RecordVersion = value(Put);
+  Watch.note({memberKey(Self.Name), encodeMember(Self), RecordVersion});
+}
+
+Awaitable<void> LeaseKeeper::leave() {
+  Stopped = true;
+  co_await Store.RevokeLease(Lease);
+}
+
+void LeaseKeeper::stop() { Stopped = true; }
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/ownership/ownership.cpp
@@ -0,0 +1,404 @@
+// SPDX-License-Identifier: Apache-2.0
+// Claims, hand-overs and garbage. The order of the steps in `fence` is what makes taking and
+// extending exclude each other; see valveshelf/authority.h.
+#include "valveshelf/ownership.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace {
+constexpr uint32_t RingSlots = JournalLimits{}.RingSlots;
+constexpr Milliseconds LookEvery{500};
+// How long each further candidate waits for the one before it to claim.
+constexpr Milliseconds RankPause{1500};
+// A shard moves to its preferred owner only after the view was stable for so long.
+constexpr Milliseconds MoveAfter{2000};
+constexpr Milliseconds GarbageAfter{60000};
+constexpr size_t MostHandoverBytes = 900 * 1024;
+
+std::string encodeRecords(const std::vector<wire::Record> &Records) {
+  wire::JournalEntry Entry;
+  for (const wire::Record &Record : Records)
+    *Entry.add_record() = Record;
+  std::string Json;
+  (void)google::protobuf::util::MessageToJsonString(Entry, &Json);
+  return Json;
+}
+
+Result<std::vector<wire::Record>> decodeRecords(const std::string &Json) {
+  wire::JournalEntry Entry;
+  if (!google::protobuf::util::JsonStringToMessage(Json, &Entry).ok())
+    return Error{ErrorKind::Internal, "a handed-over shard can't be read"};
+  return std::vector<wire::Record>(Entry.record().begin(), Entry.record().end());
+}
+} // namespace
+
+Ownership::Ownership(ShardTools Tools, MemberInfo Self, PromiseKeeper &Promises)
+    : Tools(std::move(Tools)), Self(std::move(Self)), Promises(Promises),
+      Wake(asio::make_strand(this->Tools.Where)) {}
+
+std::shared_ptr<ShardRunner> Ownership::find(uint32_t Shard) const {
+  std::lock_guard Lock(Mutex);
+  const auto Found = Runners.find(Shard);
+  return Found == Runners.end() ? nullptr : Found->second;
+}
+
+std::vector<std::shared_ptr<ShardRunner>> Ownership::all() const {
+  std::lock_guard Lock(Mutex);
+  std::vector<std::shared_ptr<ShardRunner>> Found;
+  for (const auto &[Shard, Runner] : Runners)
+    Found.push_back(Runner);
+  return Found;
+}
+
+void Ownership::wake() {
+  asio::post(Wake.get_executor(), [this] { Wake.cancel(); });
+}
+
+void Ownership::stop() {
+  Stopped = true;
+  for (const auto &Runner : all())
+    Runner->stop();
+  wake();
+}
+
+bool Ownership::isMine(const OwnerRecord &Record) const {
+  return Record.Log == Self.Log && !Record.Released;
+}
+
+Awaitable<void> Ownership::run() {
+  while (!Stopped) {
+    if (!Leaving)
+      co_await reconcile();
+    if (Tools.Log.snapshotDue())
+      co_await snapshot();
+    Wake.expires_after(LookEvery);
+    co_await Wake.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+// One look at the view: claims what this process should own, gives up what another should.
+Awaitable<void> Ownership::reconcile() {
+  const CellViewPtr View = Tools.Watch.view();
+  const TimePoint Now = Tools.Time.Now();
+  for (uint32_t Shard = 0; Shard < Tools.Shards && !Stopped && !Leaving; ++Shard) {
+    const auto Found = View->Owners.find(Shard);
+    const bool Known = Found != View->Owners.end();
+    if (Known && isMine(Found->second)) {
+      const MemberInfo *Better = preferredOwner(*View, Shard);
+      const std::shared_ptr<ShardRunner> Runner = find(Shard);
+      const bool Misplaced = Runner && Better && Better->Log != Self.Log;
+      TimePoint Since = Now;
+      {
+        std::lock_guard Lock(Mutex);
+        if (Misplaced)
+          Since = MisplacedSince.emplace(Shard, Now).first->second;
+        else
+          MisplacedSince.erase(Shard);
+      }
+      if (Misplaced && Now - Since >= MoveAfter)
+        co_await release(Runner, Better->Log);
+      continue;
+    }
+    const bool Owned = Known && !Found->second.Released && View->Members.count(Found->second.Log);
+    if (Owned) {
+      std::lock_guard Lock(Mutex);
+      OwnerlessSince.erase(Shard);
+      continue;
+    }
+    TimePoint Since = Now;
+    {
+      std::lock_guard Lock(Mutex);
+      Since = OwnerlessSince.emplace(Shard, Now).first->second;
+    }
+    // Later candidates step in one by one if those before them do not.
+    const auto Rank = static_cast<size_t>((Now - Since) / RankPause);
+    bool Candidate = Known && Found->second.Released && Found->second.Heir == Self.Log;
+    for (size_t R = 0; R <= Rank && !Candidate; ++R) {
+      const MemberInfo *Choice = preferredOwner(*View, Shard, R);
+      Candidate = Choice && Choice->Log == Self.Log;
+      if (!Choice)
+        break;
+    }
+    if (!Candidate)
+      continue;
+    OwnerRecord Old;
+    if (Known)
+      Old = Found->second;
+    Old.Shard = Shard;
+    co_await claim(Shard, Old);
+  }
+  co_await collectGarbage();
+}
+
+Awaitable<void> Ownership::claim(uint32_t Shard, OwnerRecord Old) {
+  if (!Tools.Shared.mayActAt(Tools.Time.Now()) || !Tools.Log.storeUp())
+    co_return;
+  if (Old.Log.empty())
+    co_return co_await claimFresh(Shard);
+  if (Old.Released)
+    co_return co_await claimReleased(Shard, Old);
+  if (!co_await fence(Old.Log))
+    co_return;
+  Result<JournalView> View = co_await readJournal(Tools.Store, Old.Log, RingSlots);
+  if (!ok(View) || !value(View).Sealed)
+    co_return;
+  // The record may have changed while the journal was sealed.
+  Result<StoreItem> Current = co_await Tools.Store.Get(ownerKey(Shard));
+  if (!ok(Current) || value(Current).Version != Old.Version)
+    co_return;
+  co_await takeOver(Old, recordsOf(value(View), Shard), false);
+}
+
+Awaitable<void> Ownership::claimFresh(uint32_t Shard) {
+  OwnerRecord None;
+  None.Shard = Shard;
+  std::vector<wire::Record> NoRecords;
+  co_await takeOver(None, std::move(NoRecords), true);
+}
+
+Awaitable<void> Ownership::claimReleased(uint32_t Shard, OwnerRecord Old) {
+  Result<StoreItem> State = co_await Tools.Store.Get(handoverKey(Shard));
+  if (!ok(State) || value(State).Version == 0)
+    co_return;
+  Result<std::vector<wire::Record>> Records = decodeRecords(value(State).Value);
+  if (!ok(Records))
+    co_return;
+  // The old owner had no start in flight when it let go.
+  co_await takeOver(Old, std::move(value(Records)), true);
+}
+
+// Makes sure that the process of journal \p LogId can act no more. True once it is sealed.
+Awaitable<bool> Ownership::fence(std::string LogId) {
+  // First the slot, then the lease, then the refusal, then the seal on that very slot.
+  Result<JournalView> View = co_await readJournal(Tools.Store, LogId, RingSlots);
+  if (!ok(View))
+    co_return false;
+  if (value(View).Sealed)
+    co_return true;
+  Result<StoreItems> Members = co_await Tools.Store.List("cell/member/");
+  if (!ok(Members))
+    co_return false;
+  for (const StoreItem &Item : value(Members).Items) {
+    const Result<MemberInfo> Member = decodeMember(Item.Value);
+    if (ok(Member) && value(Member).Log == LogId)
+      co_return false;
+  }
+  std::vector<wire::JournalEntry> Witnessed;
+  Result<Done> Refused = co_await askRefusal(value(View), LogId, Witnessed);
+  if (!ok(Refused))
+    co_return false;
+  Result<Done> Sealed = co_await sealJournal(Tools.Store, LogId, Self.Log, value(View),
+                                             std::move(Witnessed), RingSlots);
+  if (!ok(Sealed))
+    co_return false;
+  logEvent(events::JournalSealed, {{"log", LogId}, {"by", Self.Log}});
+  {
+    std::lock_guard Lock(Mutex);
+    SealedSince.emplace(LogId, Tools.Time.Now());
+  }
+  co_return true;
+}
+
+// Gets one recorded guardian to refuse the owner further promises, and waits its last one out.
+Awaitable<Result<Done>> Ownership::askRefusal(JournalView View, std::string LogId,
+                                              std::vector<wire::JournalEntry> &Witnessed) {
+  // An owner without guardians never had more than its lease.
+  if (View.Guardians.empty())
+    co_return Done{};
+  for (const wire::Guardian &Guardian : View.Guardians) {
+    wire::RefuseRequest Request;
+    Request.set_log(LogId);
+    Request.set_guardian(Guardian.incarnation());
+    Request.set_claimant(Self.Log);
+    const Result<Endpoint> Address = parseEndpoint(Guardian.address());
+    if (!ok(Address))
+      continue;
+    Result<wire::RefuseReply> Reply = Error{};
+    if (value(Address) == Self.Peers) {
+      Reply = Promises.onRefuseAsked(Request);
+    } else {
+      Reply = co_await Tools.Peers.Refuse(value(Address), Request);
+    }
+    if (ok(Reply) && value(Reply).refused()) {
+      Witnessed.assign(value(Reply).unstored().begin(), value(Reply).unstored().end());
+      co_await sleepFor(Milliseconds(value(Reply).wait_ms()) + Tools.Times.Margin);
+      co_return Done{};
+    }
+    // A guardian whose process is proven gone gives no more promises; its last one runs out.
+    if (ok(Reply))
+      continue;
+    const PeerOps::Listening Heard = co_await Tools.Peers.Probe(value(Address));
+    if (Heard == PeerOps::Listening::Refused) {
+      co_await sleepFor(Tools.Times.Promise + Tools.Times.Margin);
+      co_return Done{};
+    }
+  }
+  co_return Error{ErrorKind::Conflict, "no guardian refused " + LogId};
+}
+
+Awaitable<Result<uint64_t>> Ownership::writeOwner(OwnerRecord Record, uint64_t Expect) {
+  const std::string Text = encodeOwner(Record);
+  const std::string Key = ownerKey(Record.Shard);
+  Result<uint64_t> Put = co_await Tools.Store.Put(Key, Text, Expect, 0);
+  while (!ok(Put) && error(Put).Kind == ErrorKind::OutcomeUnknown && !Stopped) {
+    Result<StoreItem> Got = co_await Tools.Store.Get(Key);
+    if (ok(Got) && value(Got).Value == Text)
+      Put = value(Got).Version;
+    else if (ok(Got) && value(Got).Version == Expect)
+      Put = co_await Tools.Store.Put(Key, Text, Expect, 0);
+    else if (ok(Got))
+      Put = Error{ErrorKind::Conflict, "another process changed " + Key};
+    else
+      co_await sleepFor(LookEvery);
+  }
+  if (ok(Put))
+    Tools.Watch.note({Key, Text, value(Put)});
+  co_return Put;
+}
+
+// Writes the state into this process's own journal, then the record that makes it the owner.
+Awaitable<void> Ownership::takeOver(OwnerRecord Old, std::vector<wire::Record> Records,
+                                    bool PredecessorGone) {
+  auto Runner = std::make_shared<ShardRunner>(Old.Shard, Old.Epoch + 1, Tools);
+  Runner->load(Records, Old.Log, Old.Peers, PredecessorGone);
+  Runner->appendSnapshot({});
+  if (co_await Tools.Log.barrier() != Durability::Stored)
+    co_return;
+  OwnerRecord Mine;
+  Mine.Shard = Old.Shard;
+  Mine.Log = Self.Log;
+  Mine.Member = Self.Name;
+  Mine.Peers = Self.Peers;
+  Mine.Epoch = Old.Epoch + 1;
+  {
+    // Before the record, so that a snapshot meanwhile does not leave the shard out.
+    std::lock_guard Lock(Mutex);
+    Runners[Old.Shard] = Runner;
+  }
+  Result<uint64_t> Put = co_await writeOwner(Mine, Old.Version);
+  if (!ok(Put)) {
+    logEvent(events::ClaimLost, {{"shard", std::to_string(Old.Shard)}});
+    std::lock_guard Lock(Mutex);
+    Runners.erase(Old.Shard);
+    co_return;
+  }
+  ++Claims;
+  Runner->start();
+  {
+    std::lock_guard Lock(Mutex);
+    OwnerlessSince.erase(Old.Shard);
+  }
+  logEvent(events::ShardClaimed, {{"shard", std::to_string(Old.Shard)},
+                                  {"epoch", std::to_string(Mine.Epoch)},
+                                  {"from", Old.Log.empty() ? "nobody" : Old.Log}});
+}
+
+// Hands one shard over: stop placing, settle what is in flight, leave the state in the store.
+Awaitable<bool> Ownership::release(std::shared_ptr<ShardRunner> Runner, std::string Heir) {
+  if (!Tools.Log.storeUp())
+    co_return false;
+  const uint32_t Shard = Runner->shard();
+  const std::string State = encodeRecords(co_await Runner->drain());
+  if (State.size() > MostHandoverBytes) {
+    Runner->resume();
+    co_return false;
+  }
+  Result<StoreItem> Old = co_await Tools.Store.Get(handoverKey(Shard));
+  Result<uint64_t> Kept = Error{ErrorKind::StoreUnavailable, ""};
+  if (ok(Old))
+    Kept = co_await Tools.Store.Put(handoverKey(Shard), State, value(Old).Version, 0);
+  const CellViewPtr View = Tools.Watch.view();
+  const auto Found = View->Owners.find(Shard);
+  if (!ok(Kept) || Found == View->Owners.end() || !isMine(Found->second)) {
+    Runner->resume();
+    co_return false;
+  }
+  OwnerRecord Record = Found->second;
+  Record.Released = true;
+  Record.Heir = std::move(Heir);
+  // Nothing may be sent once the record can be read.
+  Runner->stop();
+  Result<uint64_t> Put = co_await writeOwner(Record, Found->second.Version);
+  {
+    std::lock_guard Lock(Mutex);
+    Runners.erase(Shard);
+    MisplacedSince.erase(Shard);
+  }
+  logEvent(events::ShardReleased, {{"shard", std::to_string(Shard)}, {"to", Record.Heir}});
+  co_return ok(Put);
+}
+
+Awaitable<size_t> Ownership::releaseAll() {
+  Leaving = true;
+  size_t Left = 0;
+  for (const auto &Runner : all()) {
+    const CellViewPtr View = Tools.Watch.view();
+    const MemberInfo *Next = preferredOwner(*View, Runner->shard());
+    bool Released = false;
+    if (Next && Next->Log != Self.Log)
+      Released = co_await release(Runner, Next->Log);
+    Left += Released ? 0 : 1;
+  }
+  co_return Left;
+}
+
+int Ownership::startsInFlight() const {
+  int Sum = 0;
+  for (const auto &Runner : all())
+    Sum += Runner->startsInFlight();
+  return Sum;
+}
+
+Awaitable<void> Ownership::eraseJournal() {
+  Tools.Log.appendSeal({});
+  co_await Tools.Log.barrier();
+  Result<StoreItems> Slots = co_await Tools.Store.List("log/" + Self.Log + "/");
+  if (!ok(Slots))
+    co_return;
+  for (const StoreItem &Slot : value(Slots).Items)
+    co_await Tools.Store.Erase(Slot.Key, Slot.Version);
+}
+
+Awaitable<void> Ownership::snapshot() {
+  Tools.Log.beginSnapshot();
+  for (const auto &Runner : all())
+    Runner->appendSnapshot({});
+  Tools.Log.endSnapshot();
+  co_await Tools.Log.barrier();
+}
+
+// Erases journals that were sealed here once no owner record names them any more.
+Awaitable<void> Ownership::collectGarbage() {
+  const CellViewPtr View = Tools.Watch.view();
+  const TimePoint Now = Tools.Time.Now();
+  std::vector<std::string> Unused;
+  {
+    std::lock_guard Lock(Mutex);
+    for (auto &[Log, Since] : SealedSince) {
+      const bool Named = std::any_of(View->Owners.begin(), View->Owners.end(),
+                                     [&](const auto &Entry) { return Entry.second.Log == Log; });
+      if (Named)
+        Since = Now;
+      else if (Now - Since >= GarbageAfter)
+        Unused.push_back(Log);
+    }
+  }
+  for (const std::string &Log : Unused) {
+    Result<StoreItems> Slots = co_await Tools.Store.List("log/" + Log + "/");
+    if (!ok(Slots))
+      co_return;
+    for (const StoreItem &Slot : value(Slots).Items)
+      co_await Tools.Store.Erase(Slot.Key, Slot.Version);
+    std::lock_guard Lock(Mutex);
+    SealedSince.erase(Log);
+  }
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/placement/fit.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+// Filter and score of a placement decision: one pass over the shard's rooms.
+#include "placement/fit.h"
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace {
+
+// The operators' steering that concerns a workload.
+std::vector<const SteerConfig *> steeringOf(const JobSpec &Spec, const CellConfig &Config) {
+  std::vector<const SteerConfig *> Found;
+  const auto Partner = Config.Partners.find(Spec.Partner);
+  if (Partner == Config.Partners.end())
+    return Found;
+  for (const SteerConfig &Steer : Partner->second.Steering)
+    if (matches(Steer.Workloads, Spec.Labels))
+      Found.push_back(&Steer);
+  return Found;
+}
+
+std::string cacheKey(const JobSpec &Spec, const CellConfig &Config,
+                     const std::vector<const SteerConfig *> &Steering) {
+  std::string Key = Spec.BoxSelector;
+  if (Steering.empty())
+    return Key;
+  Key += '\n' + Spec.Partner + '\n' + std::to_string(Config.Version);
+  for (const SteerConfig *Steer : Steering)
+    Key += '\n' + std::to_string(Steer - Config.Partners.at(Spec.Partner).Steering.data());
+  return Key;
+}
+
+// The share of the room's scarcest dimension that would be taken after the placement, 0 to 1.
+double fullness(const WorkerRoom &Room, const Resources &Size) {
+  const auto Share = [](int64_t Free, int64_t Take, int64_t Whole) {
+    return Whole > 0 ? 1.0 - static_cast<double>(Free - Take) / static_cast<double>(Whole) : 0.0;
+  };
+  return std::max(Share(Room.Free.MilliCores, Size.MilliCores, Room.Capacity.MilliCores),
+                  Share(Room.Free.MemoryMb, Size.MemoryMb, Room.Capacity.MemoryMb));
+}
+
+// Accelerators are kept for tasks that ask for them.
+constexpr double AcceleratorPenalty = 10.0;
+
+double scoreOf(const WorkerRoom &Room, const JobSpec &Spec, const PlacementConfig &Weights) {
+  const double Full = fullness(Room, Spec.Size);
+  double Score = Weights.Pack * Full + Weights.Spread * (1.0 - Full);
+  if (Spec.Size.Accelerators == 0 && Room.Capacity.Accelerators > 0)
+    Score -= AcceleratorPenalty;
+  return Score;
+}
+
+// A selector cache that outgrows this is dropped; a cell uses far fewer distinct selectors.
+constexpr size_t MaxCachedSelectors = 512;
+
+} // namespace
+
+bool isHeldBack(const JobSpec &Spec, const CellConfig &Config) {
+  const auto Steering = steeringOf(Spec, Config);
+  return std::any_of(Steering.begin(), Steering.end(),
+                     [](const SteerConfig *Steer) { return Steer->Hold; });
+}
+
+const std::vector<char> &selectedRooms(ShardState &State, const JobSpec &Spec,
+                                       const CellConfig &Config) {
+  const auto Steering = steeringOf(Spec, Config);
+  const std::string Key = cacheKey(Spec, Config, Steering);
+  const auto Found = State.SelectorCache.find(Key);
+  if (Found != State.SelectorCache.end())
+    return Found->second;
+  if (State.SelectorCache.size() >= MaxCachedSelectors)
+    State.SelectorCache.clear();
+  const Result<Selector> Parsed = parseSelector(Spec.BoxSelector);
+  std::vector<char> Allowed;
+  Allowed.reserve(State.Rooms.size());
+  for (const WorkerRoom &Room : State.Rooms) {
+    const Labels &BoxLabels = Room.Book->Box.Labels;
+    bool Allow = ok(Parsed) && matches(value(Parsed), BoxLabels);
+    for (const SteerConfig *Steer : Steering)
+      Allow = Allow && matches(Steer->Boxes, BoxLabels);
+    Allowed.push_back(Allow ? 1 : 0);
+  }
+  return State.SelectorCache[Key] = std::move(Allowed);
+}
+
+WorkerBook *bestRoom(ShardState &State, const JobSpec &Spec, const CellConfig &Config,
+                     const std::string &Avoid) {
+  const std::vector<char> &Allowed = selectedRooms(State, Spec, Config);
+  const PlacementConfig Weights = placementOf(Config, Spec.Partner);
+  WorkerBook *Best = nullptr;
+  WorkerBook *Avoided = nullptr;
+  double BestScore = 0;
+  for (size_t I = 0; I < State.Rooms.size(); ++I) {
+    const WorkerRoom &Room = State.Rooms[I];
+    if (!Room.Usable || !Allowed[I] || !fits(Spec.Size, Room.Free))
+      continue;
+    if (!Avoid.empty() && Room.Book->Box.Name == Avoid) {
+      Avoided = Room.Book;
+      continue;
+    }
+    const double Score = scoreOf(Room, Spec, Weights);
+    if (Best && Score <= BestScore)
+      continue;
+    Best = Room.Book;
+    BestScore = Score;
+  }
+  return Best ? Best : Avoided;
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/platform/store_client.cpp
@@ -0,0 +1,207 @@
+// SPDX-License-Identifier: Apache-2.0
+// The platform's key-value service over HTTP.
+#include "valveshelf/platform.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace valveshelf {
+namespace {
+namespace json = boost::json;
+
+constexpr int HttpOk = 200;
+constexpr int HttpNotFound = 404;
+constexpr int HttpConflict = 409;
+
+struct StoreCalls {
+  HttpClient &Client;
+  Endpoint Address;
+  Milliseconds Timeout;
+};
+using Calls = std::shared_ptr<const StoreCalls>;
+
+uint64_t parseNumber(std::string_view Text) {
+  uint64_t Value = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+// A read that failed has surely changed nothing; a write may have been made.
+Error failureOf(const Error &Cause, bool IsWrite) {
+  if (!IsWrite || Cause.Kind == ErrorKind::UpstreamUnavailable)
+    return {ErrorKind::StoreUnavailable, "store: " + Cause.Detail};
+  return {ErrorKind::OutcomeUnknown, "store: " + Cause.Detail};
+}
+
+Error statusFailure(int Status) {
+  if (Status == HttpConflict)
+    return {ErrorKind::Conflict, "the key has another version"};
+  if (Status == HttpNotFound)
+    return {ErrorKind::NotFound, "there is no such lease"};
+  // Anything else is an explicit refusal: rate limit, outage, value too large.
+  return {ErrorKind::StoreUnavailable, "store answered " + std::to_string(Status)};
+}
+
+Awaitable<Result<HttpResponse>> call(Calls To, std::string Method, std::string Target,
+                                     std::string Body, Milliseconds Extra) {
+  const bool IsWrite = Method != "GET";
+  CallOptions Options;
+  Options.Timeout = To->Timeout + Extra;
+  HttpRequest Request{std::move(Method), std::move(Target), {}, std::move(Body)};
+  Result<HttpResponse> Answer = co_await To->Client.send(To->Address, std::move(Request), Options);
+  if (!ok(Answer))
+    co_return failureOf(error(Answer), IsWrite);
+  co_return Answer;
+}
+
+Awaitable<Result<StoreItem>> get(Calls To, std::string Key) {
+  Result<HttpResponse> Answer = co_await call(To, "GET", "/v1/kv/" + Key, "", Milliseconds(0));
+  if (!ok(Answer))
+    co_return error(Answer);
+  HttpResponse &Got = value(Answer);
+  if (Got.Status == HttpNotFound)
+    co_return StoreItem{Key, "", 0};
+  if (Got.Status != HttpOk)
+    co_return statusFailure(Got.Status);
+  const uint64_t Version = parseNumber(findHeader(Got.Headers, "X-Version"));
+  co_return StoreItem{Key, std::move(Got.Body), Version};
+}
+
+Awaitable<Result<uint64_t>> put(Calls To, std::string Key, std::string Value, uint64_t Expect,
+                                uint64_t Lease) {
+  const std::string Target = "/v1/kv/" + Key + "?expect=" + std::to_string(Expect) +
+                             "&lease=" + std::to_string(Lease);
+  Result<HttpResponse> Answer =
+      co_await call(To, "PUT", Target, std::move(Value), Milliseconds(0));
+  if (!ok(Answer))
+    co_return error(Answer);
+  if (value(Answer).Status != HttpOk)
+    co_return statusFailure(value(Answer).Status);
+  co_return parseNumber(findHeader(value(Answer).Headers, "X-Version"));
+}
+
+Awaitable<Result<Done>> plain(Calls To, std::string Method, std::string Target) {
+  Result<HttpResponse> Answer =
+      co_await call(To, std::move(Method), std::move(Target), "", Milliseconds(0));
+  if (!ok(Answer))
+    co_return error(Answer);
+  if (value(Answer).Status != HttpOk)
+    co_return statusFailure(value(Answer).Status);
+  co_return Done{};
+}
+
+Result<StoreItems> parseItems(const std::string &Body) {
+  json::error_code Failure;
+  const json::value Root = json::parse(Body, Failure);
+  const Error Wrong{ErrorKind::StoreUnavailable, "the store's answer can't be read"};
+  if (Failure || !Root.is_object())
+    return Wrong;
+  const json::value *Items = Root.as_object().if_contains("items");
+  const json::value *Revision = Root.as_object().if_contains("revision");
+  if (!Items || !Items->is_array() || !Revision || !Revision->is_number())
+    return Wrong;
+  StoreItems Read;
+  Read.Revision = Revision->to_number<uint64_t>();
+  for (const json::value &Item : Items->as_array()) {
+    const json::object &Object = Item.as_object();
+    Read.Items.push_back({std::string(Object.at("key").as_string()),
+                          std::string(Object.at("value").as_string()),
+                          Object.at("version").to_number<uint64_t>()});
+  }
+  return Read;
+}
+
+Awaitable<Result<StoreItems>> items(Calls To, std::string Target, Milliseconds Wait) {
+  Result<HttpResponse> Answer = co_await call(To, "GET", std::move(Target), "", Wait);
+  if (!ok(Answer))
+    co_return error(Answer);
+  if (value(Answer).Status != HttpOk)
+    co_return statusFailure(value(Answer).Status);
+  co_return parseItems(value(Answer).Body);
+}
+
+Awaitable<Result<uint64_t>> grant(Calls To, Milliseconds Life) {
+  const std::string Target = "/v1/lease?ttl_ms=" + std::to_string(Life.count());
+  Result<HttpResponse> Answer = co_await call(To, "POST", Target, "", Milliseconds(0));
+  if (!ok(Answer))
+    co_return error(Answer);
+  if (value(Answer).Status != HttpOk)
+    co_return statusFailure(value(Answer).Status);
+  co_return parseNumber(findHeader(value(Answer).Headers, "X-Lease"));
+}
+
+} // namespace
+
+StoreOps httpStore(HttpClient &Client, Endpoint Address, Milliseconds Timeout) {
+  const Calls To = std::make_shared<StoreCalls>(StoreCalls{Client, std::move(Address), Timeout});
+  StoreOps Ops;
+  Ops.Get = [To](std::string Key) { return get(To, std::move(Key)); };
+  Ops.Put = [To](std::string Key, std::string Value, uint64_t Expect, uint64_t Lease) {
+    return put(To, std::move(Key), std::move(Value), Expect, Lease);
+  };
+  Ops.Erase = [To](std::string Key, uint64_t Expect) {
+    return plain(To, "DELETE", "/v1/kv/" + Key + "?expect=" + std::to_string(Expect));
+  };
+  Ops.List = [To](std::string Prefix) {
+    return items(To, "/v1/list?prefix=" + Prefix, Milliseconds(0));
+  };
+  Ops.Watch = [To](std::string Prefix, uint64_t After, Milliseconds Wait) {
+    return items(To,
+                 "/v1/watch?prefix=" + Prefix + "&after=" + std::to_string(After) +
+                     "&wait_ms=" + std::to_string(Wait.count()),
+                 Wait);
+  };
+  Ops.GrantLease = [To](Milliseconds Life) { return grant(To, Life); };
+  Ops.RenewLease = [To](uint64_t Lease) {
+    return plain(To, "POST", "/v1/lease/" + std::to_string(Lease) + "/renew");
+  };
+  Ops.RevokeLease = [To](uint64_t Lease) {
+    return plain(To, "DELETE", "/v1/lease/" + std::to_string(Lease));
+  };
+  return Ops;
+}
+
+BoxListOps httpBoxList(HttpClient &Client, Endpoint Address, Milliseconds Timeout) {
+  const Calls To = std::make_shared<StoreCalls>(StoreCalls{Client, std::move(Address), Timeout});
+  return {[To]() -> Awaitable<Result<BoxList>> {
+    Result<HttpResponse> Answer = co_await call(To, "GET", "/v1/boxes", "", Milliseconds(0));
+    if (!ok(Answer))
+      co_return error(Answer);
+    if (value(Answer).Status != HttpOk)
+      co_return statusFailure(value(Answer).Status);
+    co_return parseBoxList(value(Answer).Body);
+  }};
+}
+
+// A loop that ended by an exception would leave a process that looks alive and does half its
+// work. Its peers take over from one that is dead.
+[[noreturn]] static void failFast(std::exception_ptr Fault) {
+  try {
+    std::rethrow_exception(Fault);
+  } catch (const std::exception &E) {
+    logEvent(events::InternalFault, {{"what", E.what()}});
+  } catch (...) {
+    logEvent(events::InternalFault, {{"what", "unknown"}});
+  }
+  std::abort();
+}
+
+void spawnLater(Executor Where, Awaitable<void> Task) {
+  boost::asio::post(Where, [Where, Task = std::move(Task)]() mutable {
+    boost::asio::co_spawn(Where, std::move(Task), [](std::exception_ptr Fault) {
+      if (Fault)
+        failFast(Fault);
+    });
+  });
+}
+
+Awaitable<void> sleepFor(Milliseconds Time) {
+  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor, Time);
+  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/routing/router.cpp
@@ -0,0 +1,315 @@
+// SPDX-License-Identifier: Apache-2.0
+// Requests: matching, waiting for a slot, passing through, and what may be tried again.
+#include "valveshelf/router.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace {
+constexpr int MaxTries = 3;
+constexpr int HttpRefused = 503;
+constexpr size_t PieceSize = 16 * 1024;
+// A body up to this size is kept, so that the request can be tried at another instance.
+constexpr size_t MaxReplayBytes = 256 * 1024;
+constexpr std::string_view ServicePrefix = "/svc";
+
+Labels callerLabels(const HeaderList &Headers) {
+  Labels Read;
+  std::string_view Rest = findHeader(Headers, "Valveshelf-Labels");
+  while (!Rest.empty()) {
+    const std::string_view Pair = Rest.substr(0, Rest.find(','));
+    Rest = Pair.size() < Rest.size() ? Rest.substr(Pair.size() + 1) : std::string_view();
+    const auto Equals = Pair.find('=');
+    if (Equals != std::string_view::npos)
+      Read[std::string(Pair.substr(0, Equals))] = std::string(Pair.substr(Equals + 1));
+  }
+  return Read;
+}
+
+bool underPrefix(std::string_view Path, std::string_view Prefix) {
+  if (!Path.starts_with(Prefix))
+    return false;
+  return Path.size() == Prefix.size() || Prefix.back() == '/' || Path[Prefix.size()] == '/';
+}
+
+// Fields that this process writes itself.
+bool isReplaced(std::string_view Name) {
+  return boost::iequals(Name, "Content-Length") || boost::iequals(Name, "Host") ||
+         boost::iequals(Name, "Expect");
+}
+
+HeaderList passedOn(const HeaderList &Headers) {
+  HeaderList Kept;
+  for (const auto &[Name, Value] : Headers)
+    if (!isHopByHop(Name) && !isReplaced(Name))
+      Kept.emplace_back(Name, Value);
+  return Kept;
+}
+
+std::optional<uint64_t> declaredLength(const HeaderList &Headers) {
+  const std::string_view Text = findHeader(Headers, "Content-Length");
+  uint64_t Length = 0;
+  const auto [End, Code] = std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Text.empty() || Code != std::errc() ? std::nullopt : std::optional(Length);
+}
+
+// A deadline that the caller set itself, as `Valveshelf-Deadline-Ms`.
+Milliseconds callerDeadline(const HeaderList &Headers, Milliseconds Route) {
+  const std::string_view Text = findHeader(Headers, "Valveshelf-Deadline-Ms");
+  int64_t Wanted = 0;
+  const auto [End, Code] = std::from_chars(Text.data(), Text.data() + Text.size(), Wanted);
+  if (Text.empty() || Code != std::errc() || Wanted <= 0)
+    return Route;
+  return std::min(Route, Milliseconds(Wanted));
+}
+} // namespace
+
+// What the tries of one request share.
+struct Router::Attempt {
+  std::string Body;         ///< What was read from the caller so far, if it is kept.
+  bool BodyWhole = false;   ///< All of the caller's body is in Body.
+  bool Streaming = false;   ///< The body is too large to be kept: one try only.
+  bool Answered = false;    ///< A byte of the answer went to the caller.
+  bool Repeatable = false;
+  Error Last;
+
+  // What was once sent and lost stays unknown, whatever later tries say.
+  void fail(const Error &Why) {
+    if (Last.Kind != ErrorKind::UpstreamCut)
+      Last = Why;
+  }
+};
+
+Router::Router(RouterTools Tools) : Tools(std::move(Tools)) {}
+
+void Router::refresh() {
+  const auto Config = Tools.Config();
+  const CellViewPtr View = Tools.View();
+  const auto Boxes = Tools.Directory.boxes();
+  std::vector<std::string> Members;
+  for (const auto &[Log, Member] : View->Members)
+    if (!Member.Leaving)
+      Members.push_back(Member.Name);
+  std::sort(Members.begin(), Members.end());
+  const TimePoint Now = Tools.Time.Now();
+  std::lock_guard Lock(Mutex);
+  for (const auto &[Partner, Part] : Config->Partners)
+    for (const ServiceConfig &Service : Part.Services) {
+      BoxList Instances;
+      for (const BoxInfo &Box : *Boxes)
+        if (Box.Kind == BoxKind::Upstream && Box.Service == Service.Name &&
+            matches(Service.Instances, Box.Labels))
+          Instances.push_back(Box);
+      shareSlots(Slots, Service.Name, Instances, Service.Slots, Members, Tools.Member, Now);
+    }
+}
+
+Result<Router::Target> Router::match(const HttpExchange &Exchange) const {
+  std::string_view Path = pathOf(Exchange.target());
+  Path.remove_prefix(ServicePrefix.size());
+  const Labels Caller = callerLabels(Exchange.headers());
+  const auto Config = Tools.Config();
+  const RouteConfig *Best = nullptr;
+  const PartnerConfig *Owner = nullptr;
+  for (const auto &[Partner, Part] : Config->Partners)
+    for (const RouteConfig &Route : Part.Routes) {
+      const bool Longer = !Best || Route.Prefix.size() > Best->Prefix.size();
+      if (!Longer || !underPrefix(Path, Route.Prefix) || !matches(Route.Callers, Caller))
+        continue;
+      Best = &Route;
+      Owner = &Part;
+    }
+  if (!Best)
+    return Error{ErrorKind::NotFound, "no route of the configuration matches " + std::string(Path)};
+  for (const ServiceConfig &Service : Owner->Services)
+    if (Service.Name == Best->Service)
+      return Target{*Best, Service};
+  return Error{ErrorKind::NotFound, "there is no service " + Best->Service};
+}
+
+Awaitable<Result<SlotGrant>> Router::acquire(const Target &To, TimePoint Deadline,
+                                             const std::string &Avoid) {
+  struct Wait {
+    asio::steady_timer Timer;
+    std::optional<SlotGrant> Granted;
+    explicit Wait(Executor Where) : Timer(asio::make_strand(Where)) {}
+  };
+  auto Waiting = std::make_shared<Wait>(Tools.Where);
+  auto Waiter = std::make_shared<SlotWaiter>();
+  const std::string &Service = To.Service.Name;
+  {
+    std::lock_guard Lock(Mutex);
+    const TimePoint Now = Tools.Time.Now();
+    if (!Tools.MayAct())
+      co_return Error{ErrorKind::Overloaded, "this process may not use its share of the slots now"};
+    if (auto Grant = takeSlot(Slots, Service, To.Route.Class, Avoid, Now))
+      co_return *Grant;
+    auto &Queue = Slots.Services[Service].Waiting;
+    const size_t SameClass = Queue.count(static_cast<int>(To.Route.Class));
+    const Milliseconds Expected = expectedWait(Slots, Service, To.Route.Class);
+    if (SameClass >= Slots.Limits.MaxWaiting || Now + Expected > Deadline)
+      co_return Error{ErrorKind::Overloaded, "no slot of " + Service + " comes free in time"};
+    Waiter->Class = To.Route.Class;
+    Waiter->Deadline = Deadline;
+    Waiter->Avoid = Avoid;
+    Waiter->Grant = [Waiting](SlotGrant Grant) {
+      Waiting->Granted = std::move(Grant);
+      asio::post(Waiting->Timer.get_executor(), [Waiting] { Waiting->Timer.cancel(); });
+    };
+    Queue.emplace(static_cast<int>(To.Route.Class), Waiter);
+  }
+  Waiting->Timer.expires_at(Deadline);
+  co_await Waiting->Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  std::lock_guard Lock(Mutex);
+  if (Waiting->Granted)
+    co_return *Waiting->Granted;
+  std::erase_if(Slots.Services[Service].Waiting,
+                [&](const auto &Entry) { return Entry.second == Waiter; });
+  co_return Error{ErrorKind::Overloaded, "no slot of " + Service + " came free in time"};
+}
+
+namespace {
+// Sends the rest of the caller's body as it comes.
+Awaitable<Result<Done>> streamBody(HttpExchange &Exchange, HttpCall &Call) {
+  std::array<char, PieceSize> Room;
+  while (true) {
+    Result<size_t> Read = co_await Exchange.readBody(Room);
+    if (!ok(Read))
+      co_return error(Read);
+    if (value(Read) == 0)
+      co_return co_await Call.finishBody();
+    const std::span<const char> Piece(Room.data(), value(Read));
+    Result<Done> Sent = co_await Call.writeBody(Piece);
+    if (!ok(Sent))
+      co_return Sent;
+  }
+}
+
+// Passes the answer's body on. False: it was cut on either side.
+Awaitable<bool> streamAnswer(HttpExchange &Exchange, HttpCall &Call) {
+  std::array<char, PieceSize> Room;
+  while (true) {
+    Result<size_t> Read = co_await Call.readBody(Room);
+    if (!ok(Read))
+      co_return false;
+    if (value(Read) == 0)
+      co_return co_await Exchange.finish();
+    const std::span<const char> Piece(Room.data(), value(Read));
+    if (!co_await Exchange.writeBody(Piece))
+      co_return false;
+  }
+}
+} // namespace
+
+// One try at one instance. True: the request has its answer, whole or cut. False: State.Last
+// says why not, and nothing of an answer went to the caller.
+Awaitable<bool> Router::attempt(HttpExchange &Exchange, const Target &To, const SlotGrant &Slot,
+                                TimePoint Deadline, Attempt &State) {
+  CallOptions Options;
+  Options.Timeout = std::max(std::chrono::duration_cast<Milliseconds>(Deadline - Tools.Time.Now()),
+                             Milliseconds(1));
+  Options.FreshConnection = !State.Repeatable;
+  Result<std::shared_ptr<HttpCall>> Opened = co_await Tools.Client.open(Slot.Address, Options);
+  if (!ok(Opened)) {
+    State.fail(error(Opened));
+    co_return false;
+  }
+  const std::shared_ptr<HttpCall> Call = value(Opened);
+  HttpRequest Head{Exchange.method(), Exchange.target().substr(ServicePrefix.size()),
+                   passedOn(Exchange.headers()), ""};
+  std::optional<uint64_t> Length = State.Body.size();
+  if (State.Streaming)
+    Length = declaredLength(Exchange.headers());
+  Result<Done> Sent = co_await Call->writeHead(Head, Length);
+  if (ok(Sent))
+    Sent = co_await Call->writeBody(State.Body);
+  if (ok(Sent) && State.Streaming)
+    Sent = co_await streamBody(Exchange, *Call);
+  if (!ok(Sent)) {
+    State.fail(error(Sent));
+    co_return false;
+  }
+  Result<HttpResponse> Answer = co_await Call->readHead();
+  if (!ok(Answer)) {
+    State.fail(error(Answer));
+    co_return false;
+  }
+  HttpResponse &Got = value(Answer);
+  // An upstream that says so itself has surely not run the request.
+  if (Got.Status == HttpRefused && findHeader(Got.Headers, "Valveshelf-Outcome") == "not-run") {
+    State.fail({ErrorKind::UpstreamUnavailable, Slot.Instance + " refused the request"});
+    co_return false;
+  }
+  State.Answered = true;
+  HeaderList Headers = passedOn(Got.Headers);
+  Headers.emplace_back("Valveshelf-Outcome", "ran");
+  Headers.emplace_back("Valveshelf-Upstream", Slot.Instance);
+  if (!co_await Exchange.writeHead(Got.Status, Headers, declaredLength(Got.Headers)))
+    co_return true;
+  // A cut answer is left unfinished, so the caller can't take it for whole.
+  if (!co_await streamAnswer(Exchange, *Call))
+    ++Figures.Cut;
+  (void)To;
+  co_return true;
+}
+
+Awaitable<void> Router::serve(HttpExchange &Exchange) {
+  Result<Target> Matched = match(Exchange);
+  if (!ok(Matched)) {
+    ++Figures.Refused;
+    co_return co_await sendWhole(Exchange, errorResponse(error(Matched)));
+  }
+  const Target &To = value(Matched);
+  const TimePoint Deadline =
+      Tools.Time.Now() + callerDeadline(Exchange.headers(), To.Route.Deadline);
+  Attempt State;
+  State.Repeatable = To.Route.Repeatable && findHeader(Exchange.headers(), "Valveshelf-Repeatable") != "no";
+  // A small body is read first, so that a request that surely did not run can be tried again.
+  std::array<char, PieceSize> Room;
+  while (Exchange.hasBody() && !State.BodyWhole && State.Body.size() < MaxReplayBytes) {
+    Result<size_t> Read = co_await Exchange.readBody(Room);
+    if (!ok(Read))
+      co_return co_await sendWhole(Exchange, errorResponse(error(Read)));
+    State.BodyWhole = value(Read) == 0;
+    State.Body.append(Room.data(), value(Read));
+  }
+  State.Streaming = Exchange.hasBody() && !State.BodyWhole;
+  std::string Avoid;
+  for (int Try = 1; Try <= MaxTries; ++Try) {
+    Result<SlotGrant> Slot = co_await acquire(To, Deadline, Avoid);
+    if (!ok(Slot)) {
+      State.Last = Try == 1 ? error(Slot) : State.Last;
+      break;
+    }
+    const bool Answered = co_await attempt(Exchange, To, value(Slot), Deadline, State);
+    {
+      std::lock_guard Lock(Mutex);
+      giveBack(Slots, value(Slot), !Answered, Tools.Time.Now());
+    }
+    if (Answered) {
+      ++Figures.Served;
+      co_return;
+    }
+    logEvent(events::UpstreamFailed, {{"upstream", value(Slot).Instance}, {"why", "\"" + State.Last.Detail + "\""}});
+    Avoid = value(Slot).Instance;
+    const bool SurelyNotRun = State.Last.Kind == ErrorKind::UpstreamUnavailable;
+    const bool MayRetry = (SurelyNotRun || State.Repeatable) && !State.Streaming;
+    if (!MayRetry || State.Last.Kind == ErrorKind::BadRequest || Tools.Time.Now() >= Deadline)
+      break;
+    ++Figures.Retried;
+  }
+  ++Figures.Refused;
+  logEvent(events::RequestRefused, {{"kind", std::string(answerFor(State.Last.Kind).Name)},
+                                    {"target", Exchange.target()}});
+  co_await sendWhole(Exchange, errorResponse(State.Last));
+}
+
+} // namespace valveshelf
