--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -193,16 +193,33 @@
   hear(Heard);
 }
 
+// Whom to exchange news with: members, and entry boxes of the platform's list, so that a process
+// that starts in a store outage finds its peers too.
+std::vector<MemberInfo> EntryProcess::gossipPartners() const {
+  std::map<Endpoint, MemberInfo> Found;
+  for (const BoxInfo &Box : *Directory.boxes()) {
+    MemberInfo Listed;
+    Listed.Name = Box.Name;
+    Listed.Peers = Box.Address;
+    if (Box.Kind == BoxKind::Entry)
+      Found[Box.Address] = Listed;
+  }
+  for (const auto &[Log, Member] : Watch.view()->Members)
+    Found[Member.Peers] = Member;
+  Found.erase(Settings.Peers);
+  std::vector<MemberInfo> Partners;
+  for (const auto &[Address, Member] : Found)
+    Partners.push_back(Member);
+  return Partners;
+}
+
 // Exchanges news with a bounded number of peers a round, in turn.
 Awaitable<void> EntryProcess::gossipLoop() {
   while (true) {
     const wire::ExchangeRequest Own = ownNews();
     for (const wire::ShardSummary &Summary : Own.summary())
       Directory.hear(Summary, Time.Now());
-    std::vector<MemberInfo> Others;
-    for (const auto &[Log, Member] : Watch.view()->Members)
-      if (Member.Name != Settings.Member)
-        Others.push_back(Member);
+    const std::vector<MemberInfo> Others = gossipPartners();
     const size_t Calls = std::min(GossipFanOut, Others.size());
     for (size_t I = 0; I < Calls; ++I)
       spawnLater(Where, gossipWith(Others[(GossipNext + I) % Others.size()]));
--- a/src/entry/interfaces.cpp
+++ b/src/entry/interfaces.cpp
@@ -49,6 +49,10 @@
 Error notFound(std::string_view Target) {
   return {ErrorKind::NotFound, "there is nothing at " + std::string(Target)};
 }
+
+Error notReady() {
+  return {ErrorKind::StoreUnavailable, "this process has not got the configuration yet"};
+}
 } // namespace
 
 Awaitable<void> EntryProcess::serveCaller(HttpExchange &Exchange) {
@@ -59,25 +63,19 @@
       co_await readWhole(Exchange, static_cast<size_t>(Settings.Limits.MaxJobBytes));
   if (!ok(Body))
     co_return co_await sendWhole(Exchange, errorResponse(error(Body)));
-  HttpResponse Answer = co_await answerCaller(Exchange.method(), Exchange.target(),
-                                              Exchange.headers(), std::move(value(Body)));
+  HttpResponse Answer = errorResponse(notFound(Exchange.target()));
+  if (std::string_view(Exchange.target()).starts_with(JobsPath))
+    Answer = co_await answerJobs(Exchange.method(), Exchange.target(), std::move(value(Body)));
   co_await sendWhole(Exchange, std::move(Answer));
 }
 
-Awaitable<HttpResponse> EntryProcess::answerCaller(std::string Method, std::string Target,
-                                                   HeaderList, std::string Body) {
-  if (std::string_view(Target).starts_with(JobsPath))
-    co_return co_await answerJobs(std::move(Method), std::move(Target), std::move(Body));
-  co_return errorResponse(notFound(Target));
-}
-
 Awaitable<HttpResponse> EntryProcess::submitJob(std::string Body) {
   Result<std::pair<std::string, std::string>> Named = withId(Body);
   if (!ok(Named))
     co_return errorResponse(error(Named));
   const auto &[Id, Text] = value(Named);
   Result<std::string> Answer =
-      co_await atOwner(shardOfJob(Id, Settings.Shards), "submit", Id, Text, true);
+      co_await atOwner(shardOfJob(Id, Settings.Shards), "submit", Id, Text);
   if (ok(Answer))
     co_return jsonResponse(HttpCreated, value(Answer) + "\n");
   logEvent(events::JobRefused, {{"job", Id}, {"why", "\"" + error(Answer).Detail + "\""}});
@@ -107,7 +105,7 @@
   if (Operation.empty())
     co_return errorResponse(notFound(Target));
   Result<std::string> Answer =
-      co_await atOwner(shardOfJob(Id, Settings.Shards), Operation, Id, Body, true);
+      co_await atOwner(shardOfJob(Id, Settings.Shards), Operation, Id, Body);
   co_return ok(Answer) ? jsonResponse(200, value(Answer) + "\n") : errorResponse(error(Answer));
 }
 
@@ -115,7 +113,7 @@
   const std::string Partner = queryParameter(Target, "partner").value_or("");
   json::array All;
   for (uint32_t Shard = 0; Shard < Settings.Shards; ++Shard) {
-    Result<std::string> Part = co_await atOwner(Shard, "list", Partner, "", true);
+    Result<std::string> Part = co_await atOwner(Shard, "list", Partner, "");
     if (!ok(Part))
       co_return errorResponse(error(Part));
     for (json::value &Job : json::parse(value(Part)).as_array())
@@ -149,7 +147,7 @@
 // Tries the owner, and its successor if it changes, until the deadline. All operations are
 // safe to repeat, since they name their job.
 Awaitable<Result<std::string>> EntryProcess::atOwner(uint32_t Shard, std::string Operation,
-                                                     std::string Target, std::string Body, bool) {
+                                                     std::string Target, std::string Body) {
   const TimePoint Deadline = Time.Now() + OperationDeadline;
   bool MayHaveRun = false;
   Error Last{ErrorKind::NotOwner, "shard " + std::to_string(Shard) + " has no owner now"};
@@ -244,6 +242,8 @@
 Awaitable<HttpResponse> EntryProcess::answerConfig(std::string Method, std::string Target,
                                                    HeaderList Headers, std::string Body) {
   const std::string_view Path = pathOf(Target);
+  if (Path == "/v1/config" && Method == "GET" && Config.inForce()->Version == 0 && !Joined)
+    co_return errorResponse(notReady());
   if (Path == "/v1/config" && Method == "GET")
     co_return jsonResponse(200, encodeCellConfig(*Config.inForce()) + "\n");
   if (Method != "PUT" || Path.size() <= std::string_view("/v1/config/").size())
--- a/src/entry/shard_operations.cpp
+++ b/src/entry/shard_operations.cpp
@@ -158,6 +158,7 @@
   }
   if (co_await waitFor(Waiter) != Durability::Stored)
     co_return notRecorded(Spec.Id);
+  logEvent(events::JobAccepted, {{"shard", std::to_string(Shard)}, {"job", Spec.Id}});
   co_return json::serialize(json::object{{"id", Spec.Id}, {"state", "accepted"}});
 }
 
@@ -297,10 +298,10 @@
   auto Waiter = std::make_shared<DurableWaiter>(Tools.Where);
   {
     std::lock_guard Lock(Mutex);
-    carryOut(onReport(State, Request, Tools.Time.Now(), Tools.Time.Wall()), softCallbackOf(Waiter));
+    // The running shard forgets what is acknowledged, so only what the store holds is.
+    carryOut(onReport(State, Request, Tools.Time.Now(), Tools.Time.Wall()), callbackOf(Waiter));
   }
-  const auto Value = co_await waitFor(Waiter);
-  Reply.set_recorded(Value == Durability::Stored || Value == Durability::Witnessed);
+  Reply.set_recorded(co_await waitFor(Waiter) == Durability::Stored);
   co_return Reply;
 }
 
--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -86,7 +86,7 @@
       Also(Durability::Lost);
     return;
   }
-  const bool Nothing = What.Records.empty() && What.Starts.empty() && What.Stops.empty() &&
+  const bool Nothing = What.Records.empty() && What.Starts.empty() && What.Controls.empty() &&
                        What.Forgets.empty() && What.Lends.empty() && What.Cancels.empty();
   if (Nothing && !Also)
     return notify(What.Notices);
@@ -126,21 +126,27 @@
     spawnLater(Tools.Where, sendStart(shared_from_this(), std::move(Start)));
   if (Done->Also)
     Done->Also(Value);
+  if (Value == Durability::Stored)
+    releaseEnded(Done->What.Forgets);
   if (!DoRest)
     return;
-  for (const StopEffect &Stop : Done->What.Stops)
-    spawnLater(Tools.Where, sendStop(shared_from_this(), Stop));
+  for (const ControlEffect &Control : Done->What.Controls)
+    spawnLater(Tools.Where, sendControl(shared_from_this(), Control));
   for (const LendEffect &Lend : Done->What.Lends)
     spawnLater(Tools.Where, sendLend(shared_from_this(), Lend));
   for (const CancelEffect &Cancel : Done->What.Cancels)
     spawnLater(Tools.Where, sendCancel(shared_from_this(), Cancel));
   notify(Done->What.Notices);
-  if (Done->What.Forgets.empty())
+}
+
+// Lets workers forget ended tasks, once the store has their ends.
+void ShardRunner::releaseEnded(const std::vector<ForgetEffect> &Ended) {
+  if (Ended.empty())
     return;
   // A decision without records comes here under Mutex, one with records does not.
-  asio::post(Tools.Where, [This = shared_from_this(), Done] {
+  asio::post(Tools.Where, [This = shared_from_this(), Ended] {
     std::lock_guard Lock(This->Mutex);
-    for (const ForgetEffect &Effect : Done->What.Forgets)
+    for (const ForgetEffect &Effect : Ended)
       This->Forget[Effect.Worker].push_back(Effect.TaskId);
   });
 }
@@ -159,9 +165,14 @@
                                Tools.Time.Now()));
 }
 
-Awaitable<void> ShardRunner::sendStop(Self This, StopEffect Effect) {
-  if (This->mayAct())
-    co_await This->Tools.Workers.Stop(Effect.Address, Effect.TaskId);
+Awaitable<void> ShardRunner::sendControl(Self This, ControlEffect Effect) {
+  if (!This->mayAct())
+    co_return;
+  const WorkerOps &Workers = This->Tools.Workers;
+  if (Effect.What == ControlEffect::Action::Throttle)
+    co_await Workers.Throttle(Effect.Address, Effect.TaskId);
+  else
+    co_await Workers.Stop(Effect.Address, Effect.TaskId);
 }
 
 Endpoint ShardRunner::ownerOf(uint32_t Other) {
--- a/src/include/valveshelf/entry_process.h
+++ b/src/include/valveshelf/entry_process.h
@@ -39,14 +39,13 @@
   std::shared_ptr<Session> session() const;
   std::shared_ptr<ShardRunner> runner(uint32_t Shard) const;
   PeerHandlers peerHandlers();
+  std::vector<MemberInfo> gossipPartners() const;
   wire::ExchangeRequest ownNews();
   void hear(const wire::ExchangeRequest &News);
   Awaitable<Result<Done>> checkShardCount();
 
   Awaitable<void> serveCaller(HttpExchange &Exchange);
   Awaitable<void> serveOperator(HttpExchange &Exchange);
-  Awaitable<HttpResponse> answerCaller(std::string Method, std::string Target, HeaderList Headers,
-                                       std::string Body);
   Awaitable<HttpResponse> answerJobs(std::string Method, std::string Target, std::string Body);
   Awaitable<HttpResponse> submitJob(std::string Body);
   Awaitable<HttpResponse> answerOperator(std::string Method, std::string Target,
@@ -60,7 +59,7 @@
 
   /// Carries the operation out at the owner of \p Shard, here or at a peer.
   Awaitable<Result<std::string>> atOwner(uint32_t Shard, std::string Operation, std::string Target,
-                                         std::string Body, bool Repeatable);
+                                         std::string Body);
   Awaitable<Result<std::string>> operate(uint32_t Shard, std::string Operation, std::string Target,
                                          std::string Body);
 
--- a/src/include/valveshelf/ownership.h
+++ b/src/include/valveshelf/ownership.h
@@ -46,8 +46,6 @@
   Awaitable<void> claimFresh(uint32_t Shard);
   Awaitable<void> claimReleased(uint32_t Shard, OwnerRecord Old);
   Awaitable<bool> fence(std::string LogId);
-  Awaitable<Result<Done>> askRefusal(JournalView View, std::string LogId,
-                                     std::vector<wire::JournalEntry> &Witnessed);
   Awaitable<void> takeOver(OwnerRecord Old, std::vector<wire::Record> Records,
                            bool PredecessorGone);
   Awaitable<Result<uint64_t>> writeOwner(OwnerRecord Record, uint64_t Expect);
--- a/src/include/valveshelf/shard_decisions.h
+++ b/src/include/valveshelf/shard_decisions.h
@@ -24,11 +24,13 @@
   SpecPtr Spec;
 };
 
-/// Asks a worker to stop a task. Safe to repeat.
-struct StopEffect {
+/// Asks a worker to stop a task or to hold it to its declared size. Safe to repeat.
+struct ControlEffect {
+  enum class Action { Stop, Throttle };
   std::string Worker;
   Endpoint Address;
   std::string TaskId;
+  Action What = Action::Stop;
 };
 
 /// Tells a worker that it may forget an ended task, once the records are durable.
@@ -62,7 +64,7 @@
 struct Decision {
   std::vector<wire::Record> Records;
   std::vector<StartEffect> Starts;
-  std::vector<StopEffect> Stops;
+  std::vector<ControlEffect> Controls;
   std::vector<ForgetEffect> Forgets;
   std::vector<LendEffect> Lends;
   std::vector<CancelEffect> Cancels;
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -87,6 +87,7 @@
 
   void carryOut(Decision What, DurableCallback Also = {});
   void onDurable(std::shared_ptr<DecisionDone> Done, Durability Value);
+  void releaseEnded(const std::vector<ForgetEffect> &Ended);
   void notify(const std::vector<Notice> &Notices);
   bool mayAct();
 
@@ -95,7 +96,7 @@
   static Awaitable<void> boxLoop(Self This);
   static Awaitable<void> predecessorLoop(Self This);
   static Awaitable<void> sendStart(Self This, StartEffect Effect);
-  static Awaitable<void> sendStop(Self This, StopEffect Effect);
+  static Awaitable<void> sendControl(Self This, ControlEffect Effect);
   static Awaitable<void> sendLend(Self This, LendEffect Effect);
   static Awaitable<void> sendCancel(Self This, CancelEffect Effect);
   static Awaitable<void> sendReports(Self This);
--- a/src/jobs/home_shard.cpp
+++ b/src/jobs/home_shard.cpp
@@ -117,7 +117,6 @@
   wire::Record What;
   *What.mutable_job_accepted()->mutable_spec() = specToWire(Spec);
   Recorder(State, Out, Now).add(std::move(What));
-  Out.Notices.push_back({&events::JobAccepted, Spec.Id, std::to_string(Spec.Count) + " tasks"});
   return Out;
 }
 
--- a/src/jobs/running_shard.cpp
+++ b/src/jobs/running_shard.cpp
@@ -82,6 +82,22 @@
   Recorder(State, Out, Now).partEnded(Task, TaskOutcome::Succeeded, Detail, When);
 }
 
+// A task that outgrew its booking gets more room if the box has it; if not, it is the one that
+// is held to its size, and not its neighbours.
+void contain(ShardState &State, Decision &Out, Part &Task, WorkerBook &Book,
+             const TaskReport &Listed) {
+  if (fits(Listed.Usage, Task.Booked))
+    return;
+  const Resources More = largest(Task.Booked, Listed.Usage) - Task.Booked;
+  if (fits(More, State.Rooms[Book.Slot].Free))
+    return growBooking(State, Task, Listed.Usage);
+  Out.Controls.push_back(
+      {Book.Box.Name, Book.Box.Address, Listed.Id, ControlEffect::Action::Throttle});
+  Out.Notices.push_back({&events::TaskContained, toString(Task.Key),
+                         "uses " + std::to_string(Listed.Usage.MilliCores) + " milli-cores and " +
+                             std::to_string(Listed.Usage.MemoryMb) + " MB"});
+}
+
 void onListedRunning(ShardState &State, Decision &Out, Part &Task, WorkerBook &Book,
                      const TaskReport &Listed) {
   if (Task.Phase == PartPhase::Starting) {
@@ -91,9 +107,9 @@
   }
   Task.Doubt = StartDoubt::None;
   Task.Usage = Listed.Usage;
-  growBooking(State, Task, Listed.Usage);
+  contain(State, Out, Task, Book, Listed);
   if (Task.CancelWanted)
-    Out.Stops.push_back({Book.Box.Name, Book.Box.Address, Listed.Id});
+    Out.Controls.push_back({Book.Box.Name, Book.Box.Address, Listed.Id});
 }
 
 void onListedEnded(ShardState &State, Decision &Out, Part &Task, WorkerBook &Book,
@@ -131,7 +147,7 @@
     return;
   }
   Book.Orphans += largest(Listed.Size, Listed.Usage);
-  Out.Stops.push_back({Book.Box.Name, Book.Box.Address, Listed.Id});
+  Out.Controls.push_back({Book.Box.Name, Book.Box.Address, Listed.Id});
 }
 
 // Judges a part that holds room on the worker but is not in its list.
@@ -439,7 +455,7 @@
     Task->CancelWanted = true;
     const WorkerBook *Book = findBook(State, Task->Worker);
     if (Book && Task->Phase == PartPhase::Running)
-      Out.Stops.push_back({Task->Worker, Book->Box.Address, workerTaskId(Key, Task->Attempt)});
+      Out.Controls.push_back({Task->Worker, Book->Box.Address, workerTaskId(Key, Task->Attempt)});
   }
   return Out;
 }
--- a/src/membership/promise_keeper.cpp
+++ b/src/membership/promise_keeper.cpp
@@ -180,6 +180,7 @@
     // run for as long as this process has lived less than one promise.
     const auto Lived = std::chrono::duration_cast<Milliseconds>(Now - Born);
     Reply.set_refused(true);
+    Reply.set_gone(true);
     Reply.set_wait_ms(std::max<int64_t>(0, (Times.Promise - Lived).count()));
     return Reply;
   }
@@ -188,8 +189,10 @@
       refuse(Shared.Given, Request.log(), Log->storeUp(), Times.Promise, Now);
   Reply.set_refused(Answer.Agreed);
   Reply.set_wait_ms(Answer.Wait.count());
-  if (Answer.Agreed)
-    for (const wire::JournalEntry &Entry : Shared.Witnessed[Request.log()])
+  // Also without agreement: another guardian may be gone, and then this one is asked what it has.
+  const auto Held = Shared.Witnessed.find(Request.log());
+  if (Held != Shared.Witnessed.end())
+    for (const wire::JournalEntry &Entry : Held->second)
       *Reply.add_unstored() = Entry;
   return Reply;
 }
--- /dev/null
+++ b/src/ownership/fence.cpp
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+// The claimant's side of ownership. The order of the steps is what makes taking and extending
+// exclude each other; see valveshelf/authority.h.
+#include "valveshelf/fence.h"
+
+#include "valveshelf/membership.h"
+
+#include <boost/asio.hpp>
+
+namespace valveshelf {
+namespace {
+
+// What a guardian says to the claimant.
+struct GuardianAnswer {
+  bool Gone = false;    ///< The incarnation that promised is proven gone.
+  bool Heard = false;   ///< The incarnation that promised answered itself.
+  bool Refused = false; ///< It gives no more promises.
+  Milliseconds Wait{0};
+  std::vector<wire::JournalEntry> Held;
+};
+
+Awaitable<Result<Done>> leaseIsGone(const StoreOps &Store, std::string LogId) {
+  Result<StoreItems> Members = co_await Store.List("cell/member/");
+  if (!ok(Members))
+    co_return error(Members);
+  for (const StoreItem &Item : value(Members).Items) {
+    const Result<MemberInfo> Member = decodeMember(Item.Value);
+    if (ok(Member) && value(Member).Log == LogId)
+      co_return Error{ErrorKind::Conflict, LogId + " has its lease"};
+  }
+  co_return Done{};
+}
+
+Awaitable<GuardianAnswer> ask(const FenceTools &Tools, std::string LogId,
+                              wire::Guardian Guardian) {
+  GuardianAnswer Answer;
+  const Result<Endpoint> Address = parseEndpoint(Guardian.address());
+  if (!ok(Address))
+    co_return Answer;
+  wire::RefuseRequest Request;
+  Request.set_log(LogId);
+  Request.set_guardian(Guardian.incarnation());
+  Request.set_claimant(Tools.Claimant);
+  Result<wire::RefuseReply> Reply = Error{};
+  if (value(Address) == Tools.Address)
+    Reply = Tools.RefuseHere(Request);
+  else
+    Reply = co_await Tools.Peers.Refuse(value(Address), Request);
+  if (ok(Reply)) {
+    Answer.Refused = value(Reply).refused();
+    Answer.Gone = value(Reply).gone();
+    Answer.Heard = !Answer.Gone;
+    Answer.Wait = Milliseconds(value(Reply).wait_ms());
+    Answer.Held.assign(value(Reply).unstored().begin(), value(Reply).unstored().end());
+    co_return Answer;
+  }
+  const PeerOps::Listening Listening = co_await Tools.Peers.Probe(value(Address));
+  Answer.Gone = Listening == PeerOps::Listening::Refused;
+  Answer.Refused = Answer.Gone;
+  Answer.Wait = Tools.Promise;
+  co_return Answer;
+}
+
+// Gets one guardian to refuse, and waits its last promise out.
+Awaitable<Result<Done>> waitForRefusal(const FenceTools &Tools, std::string LogId,
+                                       const std::vector<wire::Guardian> &Guardians) {
+  for (const wire::Guardian &Guardian : Guardians) {
+    GuardianAnswer Answer = co_await ask(Tools, LogId, Guardian);
+    if (!Answer.Refused)
+      continue;
+    co_await sleepFor(Answer.Wait + Tools.Margin);
+    co_return Done{};
+  }
+  co_return Error{ErrorKind::Conflict, "no guardian refused " + LogId};
+}
+
+// Gathers what the owner could not store, after it can add nothing more. Every guardian holds
+// all of it, so one that answers is enough; as long as one may be alive, it has to be heard.
+Awaitable<Result<std::vector<wire::JournalEntry>>>
+gatherHeld(const FenceTools &Tools, std::string LogId,
+           const std::vector<wire::Guardian> &Guardians) {
+  bool AllGone = true;
+  for (const wire::Guardian &Guardian : Guardians) {
+    GuardianAnswer Answer = co_await ask(Tools, LogId, Guardian);
+    if (Answer.Heard)
+      co_return std::move(Answer.Held);
+    AllGone = AllGone && Answer.Gone;
+  }
+  if (!AllGone)
+    co_return Error{ErrorKind::Conflict, "a guardian of " + LogId + " can't be heard"};
+  co_return std::vector<wire::JournalEntry>{};
+}
+
+} // namespace
+
+Awaitable<Result<Done>> fenceJournal(FenceTools Tools, std::string LogId) {
+  Result<JournalView> View = co_await readJournal(Tools.Store, LogId, Tools.RingSlots);
+  if (!ok(View))
+    co_return error(View);
+  if (value(View).Sealed)
+    co_return Done{};
+  Result<Done> Lapsed = co_await leaseIsGone(Tools.Store, LogId);
+  if (!ok(Lapsed))
+    co_return Lapsed;
+  // An owner without guardians never had more than its lease.
+  std::vector<wire::JournalEntry> Held;
+  const std::vector<wire::Guardian> Guardians = value(View).Guardians;
+  if (!Guardians.empty()) {
+    Result<Done> Refused = co_await waitForRefusal(Tools, LogId, Guardians);
+    if (!ok(Refused))
+      co_return Refused;
+    Result<std::vector<wire::JournalEntry>> Gathered =
+        co_await gatherHeld(Tools, LogId, Guardians);
+    if (!ok(Gathered))
+      co_return error(Gathered);
+    Held = std::move(value(Gathered));
+  }
+  co_return co_await sealJournal(Tools.Store, LogId, Tools.Claimant, std::move(value(View)),
+                                 std::move(Held), Tools.RingSlots);
+}
+
+} // namespace valveshelf
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-// Claims, hand-overs and garbage. The order of the steps in `fence` is what makes taking and
-// extending exclude each other; see valveshelf/authority.h.
+// Claims, hand-overs and garbage.
 #include "valveshelf/ownership.h"
 
 #include "valveshelf/events.h"
+#include "valveshelf/fence.h"
 
 #include <boost/asio.hpp>
 #include <google/protobuf/util/json_util.h>
@@ -176,73 +176,29 @@
 
 // Makes sure that the process of journal \p LogId can act no more. True once it is sealed.
 Awaitable<bool> Ownership::fence(std::string LogId) {
-  // First the slot, then the lease, then the refusal, then the seal on that very slot.
-  Result<JournalView> View = co_await readJournal(Tools.Store, LogId, RingSlots);
-  if (!ok(View))
-    co_return false;
-  if (value(View).Sealed)
-    co_return true;
-  Result<StoreItems> Members = co_await Tools.Store.List("cell/member/");
-  if (!ok(Members))
-    co_return false;
-  for (const StoreItem &Item : value(Members).Items) {
-    const Result<MemberInfo> Member = decodeMember(Item.Value);
-    if (ok(Member) && value(Member).Log == LogId)
-      co_return false;
-  }
-  std::vector<wire::JournalEntry> Witnessed;
-  Result<Done> Refused = co_await askRefusal(value(View), LogId, Witnessed);
-  if (!ok(Refused))
-    co_return false;
-  Result<Done> Sealed = co_await sealJournal(Tools.Store, LogId, Self.Log, value(View),
-                                             std::move(Witnessed), RingSlots);
+  FenceTools Fence;
+  Fence.Store = Tools.Store;
+  Fence.Peers = Tools.Peers;
+  Fence.Claimant = Self.Log;
+  Fence.Address = Self.Peers;
+  Fence.RefuseHere = [this](const wire::RefuseRequest &Request) {
+    return Promises.onRefuseAsked(Request);
+  };
+  Fence.Promise = Tools.Times.Promise;
+  Fence.Margin = Tools.Times.Margin;
+  Result<Done> Sealed = co_await fenceJournal(std::move(Fence), LogId);
   if (!ok(Sealed))
     co_return false;
-  logEvent(events::JournalSealed, {{"log", LogId}, {"by", Self.Log}});
+  bool First = false;
   {
     std::lock_guard Lock(Mutex);
-    SealedSince.emplace(LogId, Tools.Time.Now());
+    First = SealedSince.emplace(LogId, Tools.Time.Now()).second;
   }
+  if (First)
+    logEvent(events::JournalSealed, {{"log", LogId}, {"by", Self.Log}});
   co_return true;
 }
 
-// Gets one recorded guardian to refuse the owner further promises, and waits its last one out.
-Awaitable<Result<Done>> Ownership::askRefusal(JournalView View, std::string LogId,
-                                              std::vector<wire::JournalEntry> &Witnessed) {
-  // An owner without guardians never had more than its lease.
-  if (View.Guardians.empty())
-    co_return Done{};
-  for (const wire::Guardian &Guardian : View.Guardians) {
-    wire::RefuseRequest Request;
-    Request.set_log(LogId);
-    Request.set_guardian(Guardian.incarnation());
-    Request.set_claimant(Self.Log);
-    const Result<Endpoint> Address = parseEndpoint(Guardian.address());
-    if (!ok(Address))
-      continue;
-    Result<wire::RefuseReply> Reply = Error{};
-    if (value(Address) == Self.Peers) {
-      Reply = Promises.onRefuseAsked(Request);
-    } else {
-      Reply = co_await Tools.Peers.Refuse(value(Address), Request);
-    }
-    if (ok(Reply) && value(Reply).refused()) {
-      Witnessed.assign(value(Reply).unstored().begin(), value(Reply).unstored().end());
-      co_await sleepFor(Milliseconds(value(Reply).wait_ms()) + Tools.Times.Margin);
-      co_return Done{};
-    }
-    // A guardian whose process is proven gone gives no more promises; its last one runs out.
-    if (ok(Reply))
-      continue;
-    const PeerOps::Listening Heard = co_await Tools.Peers.Probe(value(Address));
-    if (Heard == PeerOps::Listening::Refused) {
-      co_await sleepFor(Tools.Times.Promise + Tools.Times.Margin);
-      co_return Done{};
-    }
-  }
-  co_return Error{ErrorKind::Conflict, "no guardian refused " + LogId};
-}
-
 Awaitable<Result<uint64_t>> Ownership::writeOwner(OwnerRecord Record, uint64_t Expect) {
   const std::string Text = encodeOwner(Record);
   const std::string Key = ownerKey(Record.Shard);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -127,6 +127,8 @@
       Best = &Route;
       Owner = &Part;
     }
+  if (Config->Version == 0)
+    return Error{ErrorKind::UpstreamUnavailable, "this process has not got the configuration yet"};
   if (!Best)
     return Error{ErrorKind::NotFound, "no route of the configuration matches " + std::string(Path)};
   for (const ServiceConfig &Service : Owner->Services)
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -93,10 +93,14 @@
         self.processes = {}
         self.timing = timing or {}
         self.shards, self.milli_cores, self.memory_mb = shards, milli_cores, memory_mb
-        ports = iter(free_ports(3 + entries * 3 + racks * workers_per_rack + upstreams))
+        ports = iter(free_ports(3 + entries * 4 + racks * workers_per_rack + upstreams))
         address = lambda: "127.0.0.1:%d" % next(ports)
         self.store, self.boxes = address(), address()
-        self._standin("store", "store", self.store, writes=writes)
+        # One address of the store an entry process, so that each can be cut off by itself.
+        self.store_of = {"e%d" % (n + 1): address() for n in range(entries)}
+        self._standin("store", "store", ",".join([self.store] + list(self.store_of.values())),
+                      writes=writes)
+        self.processes["store"].address = self.store
         boxes = []
         self.workers, self.upstreams, self.entries = [], [], []
         for rack in range(racks):
@@ -117,12 +121,16 @@
                           "zone": "cantabria-1" if number % 2 == 0 else "dohoku-1", "rack": "",
                           "labels": {}})
             self.upstreams.append(name)
+        addresses = [[address(), address(), address()] for _ in range(entries)]
+        for number in range(entries):
+            boxes.append({"name": "e%d" % (number + 1), "kind": "entry", "state": "live",
+                          "address": addresses[number][2], "zone": "", "rack": "", "labels": {}})
         self.box_file = os.path.join(folder, "boxes.json")
         with open(self.box_file, "w") as out:
             json.dump({"boxes": boxes}, out)
         self._standin("boxes", "boxes", self.boxes, file=self.box_file, **{"lag-ms": box_lag_ms})
         for number in range(entries):
-            self._entry("e%d" % (number + 1), number, [address(), address(), address()])
+            self._entry("e%d" % (number + 1), number, addresses[number])
 
     def _standin(self, part, name, at, **options):
         args = [os.path.join(BIN, "standins"), part, "--listen", at, "--name", name, "--trace",
@@ -140,7 +148,7 @@
         with open(path, "w") as out:
             out.write('[member]\nname = "%s"\npartner = "%s"\nzone = "%s"\n\n' % (name, partner, zone))
             out.write('[listen]\ncallers = "%s"\noperators = "%s"\npeers = "%s"\n\n' % tuple(addresses))
-            out.write('[platform]\nstore = "%s"\nboxes = "%s"\n\n' % (self.store, self.boxes))
+            out.write('[platform]\nstore = "%s"\nboxes = "%s"\n\n' % (self.store_of[name], self.boxes))
             out.write("[cell]\nshards = %d\n\n[timing]\n%s\n[operators]\n%s" % (self.shards, timing, tokens))
         process = Process(name, "entry", [os.path.join(BIN, "valveshelf"), "entry", "--config", path],
                           addresses[0], os.path.join(self.folder, name + ".log"))
@@ -229,6 +237,10 @@
         call(self.processes[name].address, "POST", "/faults", json.dumps(faults))
         self.note(type="fault", name=name, faults=faults)
 
+    def cut_from_store(self, name, cut):
+        call(self.store_of[name], "POST", "/faults", json.dumps({"outage": cut}))
+        self.note(type="fault", name=name, faults={"cut_from_store": cut})
+
     def box_state(self, name, state):
         call(self.boxes, "POST", "/box", json.dumps({"name": name, "state": state}))
         if state == "leaving":
--- a/testsuite/standins/standin.cpp
+++ b/testsuite/standins/standin.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <iostream>
+#include <memory>
+#include <sstream>
 
 namespace standins {
 namespace asio = boost::asio;
@@ -123,20 +125,29 @@
 } // namespace
 
 int serve(asio::io_context &Io, const std::string &Listen, Faults &Active, Handler Handle) {
-  const Result<Endpoint> At = parseEndpoint(Listen);
-  if (!ok(At)) {
-    std::cerr << "standins: " << error(At).Detail << "\n";
-    return 2;
-  }
-  HttpServerLimits Limits;
-  Limits.HeaderTimeout = Milliseconds(60000);
-  HttpServer Server(Io.get_executor(), value(At), Limits, [&](HttpExchange &Exchange) {
-    return serveOne(Exchange, Active, Handle);
-  });
-  const Result<Done> Started = Server.start();
-  if (!ok(Started)) {
-    std::cerr << "standins: " << error(Started).Detail << "\n";
-    return 1;
+  // Further addresses, after commas, serve the same state under faults of their own.
+  std::vector<std::unique_ptr<HttpServer>> Servers;
+  std::vector<std::unique_ptr<Faults>> Own;
+  std::istringstream Addresses(Listen);
+  std::string Address;
+  while (std::getline(Addresses, Address, ',')) {
+    const Result<Endpoint> At = parseEndpoint(Address);
+    if (!ok(At)) {
+      std::cerr << "standins: " << error(At).Detail << "\n";
+      return 2;
+    }
+    Own.push_back(std::make_unique<Faults>());
+    Faults &Here = Servers.empty() ? Active : *Own.back();
+    HttpServerLimits Limits;
+    Limits.HeaderTimeout = Milliseconds(60000);
+    Servers.push_back(std::make_unique<HttpServer>(
+        Io.get_executor(), value(At), Limits,
+        [&Here, &Handle](HttpExchange &Exchange) { return serveOne(Exchange, Here, Handle); }));
+    const Result<Done> Started = Servers.back()->start();
+    if (!ok(Started)) {
+      std::cerr << "standins: " << error(Started).Detail << "\n";
+      return 1;
+    }
   }
   Io.run();
   return 0;
