--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -11,56 +11,92 @@
 
 namespace valveshelf {
 namespace events {
-const EventKind Started{1001, "info", "started", "The process serves; address and incarnation follow."};
+const EventKind Started{1001, "info", "started",
+                        "The process serves; address and incarnation follow."};
 const EventKind Stopping{1002, "info", "stopping", "A planned stop began; readiness is withdrawn."};
-const EventKind Stopped{1003, "info", "stopped", "The planned stop is complete; nothing was cut off."};
-const EventKind SettingsRefused{1004, "error", "settings-refused", "Settings are wrong; nothing was started."};
-const EventKind InternalFault{1005, "error", "internal-fault", "A fault of valveshelf itself; the process aborts and its peers take over. Please report it."};
-const EventKind LeaseGranted{1101, "info", "lease-granted", "The store granted this process its lease."};
-const EventKind LeaseLost{1102, "warn", "lease-lost", "The store lease lapsed; the process asks for a new one."};
-const EventKind AuthorityLost{1103, "warn", "authority-lost", "Neither lease nor promises hold; no start is sent until one does."};
-const EventKind AuthorityByPromise{1104, "warn", "authority-by-promise", "The store lease can't be renewed; peers' promises carry ownership."};
-const EventKind Fenced{1105, "error", "fenced", "Another process sealed this one's journal; it gives up all shards and joins anew."};
-const EventKind ShardClaimed{1201, "info", "shard-claimed", "This process owns the shard from now on."};
-const EventKind ShardReleased{1202, "info", "shard-released", "This process gave the shard to another."};
+const EventKind Stopped{1003, "info", "stopped",
+                        "The planned stop is complete; nothing was cut off."};
+const EventKind SettingsRefused{1004, "error", "settings-refused",
+                                "Settings are wrong; nothing was started."};
+const EventKind InternalFault{
+    1005, "error", "internal-fault",
+    "A fault of valveshelf itself; the process aborts and its peers take over. Please report it."};
+const EventKind LeaseGranted{1101, "info", "lease-granted",
+                             "The store granted this process its lease."};
+const EventKind LeaseLost{1102, "warn", "lease-lost",
+                          "The store lease lapsed; the process asks for a new one."};
+const EventKind AuthorityLost{1103, "warn", "authority-lost",
+                              "Neither lease nor promises hold; no start is sent until one does."};
+const EventKind AuthorityByPromise{
+    1104, "warn", "authority-by-promise",
+    "The store lease can't be renewed; peers' promises carry ownership."};
+const EventKind Fenced{
+    1105, "error", "fenced",
+    "Another process sealed this one's journal; it gives up all shards and joins anew."};
+const EventKind ShardClaimed{1201, "info", "shard-claimed",
+                             "This process owns the shard from now on."};
+const EventKind ShardReleased{1202, "info", "shard-released",
+                              "This process gave the shard to another."};
 const EventKind ClaimLost{1203, "info", "claim-lost", "Another process claimed the shard first."};
-const EventKind JournalSealed{1204, "warn", "journal-sealed", "The journal of a lost process was sealed; its shards can be claimed."};
-const EventKind StepDownConfirmed{1205, "info", "step-down-confirmed", "A predecessor surely sends nothing any more."};
-const EventKind StoreDown{1301, "warn", "store-down", "The store does not answer; see docs/operators/store-outage.md."};
+const EventKind JournalSealed{
+    1204, "warn", "journal-sealed",
+    "The journal of a lost process was sealed; its shards can be claimed."};
+const EventKind StepDownConfirmed{1205, "info", "step-down-confirmed",
+                                  "A predecessor surely sends nothing any more."};
+const EventKind StoreDown{1301, "warn", "store-down",
+                          "The store does not answer; see docs/operators/store-outage.md."};
 const EventKind StoreUp{1302, "info", "store-up", "The store answers again."};
 const EventKind JobAccepted{1401, "info", "job-accepted", "The job is durable."};
-const EventKind JobRefused{1402, "info", "job-refused", "The job was refused and will not run; the reason follows."};
+const EventKind JobRefused{1402, "info", "job-refused",
+                           "The job was refused and will not run; the reason follows."};
 const EventKind JobEnded{1403, "info", "job-ended", "All tasks of the job have ended."};
 const EventKind JobCancelled{1404, "info", "job-cancelled", "The job was cancelled by its caller."};
 const EventKind TaskStarted{1501, "info", "task-started", "A worker confirmed the start."};
 const EventKind TaskEnded{1502, "info", "task-ended", "The task ended; its outcome follows."};
-const EventKind TaskUnknown{1503, "warn", "task-unknown", "A task not to be repeated has no certain outcome; it is not started again."};
-const EventKind TaskRequeued{1504, "info", "task-requeued", "The task surely does not run and waits for a place again."};
-const EventKind TaskUncertain{1505, "warn", "task-uncertain", "A start has no certain answer; its room stays booked until there is proof."};
-const EventKind WorkerLost{1601, "warn", "worker-lost", "The worker does not answer; its tasks wait for proof or for their leases to lapse."};
+const EventKind TaskUnknown{
+    1503, "warn", "task-unknown",
+    "A task not to be repeated has no certain outcome; it is not started again."};
+const EventKind TaskRequeued{1504, "info", "task-requeued",
+                             "The task surely does not run and waits for a place again."};
+const EventKind TaskUncertain{
+    1505, "warn", "task-uncertain",
+    "A start has no certain answer; its room stays booked until there is proof."};
+const EventKind WorkerLost{
+    1601, "warn", "worker-lost",
+    "The worker does not answer; its tasks wait for proof or for their leases to lapse."};
 const EventKind WorkerBack{1602, "info", "worker-back", "The worker answers again."};
-const EventKind WorkerSuspected{1603, "warn", "worker-suspected", "The worker fails what others run well; it is set aside and probed."};
-const EventKind WorkerCleared{1604, "info", "worker-cleared", "A probe ran well; the worker is used again."};
-const EventKind TaskContained{1605, "warn", "task-contained", "A task uses more than it declared and was throttled or stopped."};
-const EventKind ConfigInForce{1701, "info", "config-in-force", "A configuration version is in force here."};
-const EventKind ConfigRefused{1702, "warn", "config-refused", "A change of configuration was refused; the reason follows."};
-const EventKind ConfigFromPeer{1703, "info", "config-from-peer", "A peer, not the store, brought the newer configuration."};
-const EventKind UpstreamFailed{1801, "warn", "upstream-failed", "An upstream did not answer a request as it should."};
-const EventKind RequestRefused{1802, "info", "request-refused", "A request was refused; the kind follows."};
-const EventKind RequestRetried{1803, "info", "request-retried", "A request that surely did not run was tried elsewhere."};
+const EventKind WorkerSuspected{
+    1603, "warn", "worker-suspected",
+    "The worker fails what others run well; it is set aside and probed."};
+const EventKind WorkerCleared{1604, "info", "worker-cleared",
+                              "A probe ran well; the worker is used again."};
+const EventKind TaskContained{1605, "warn", "task-contained",
+                              "A task uses more than it declared and was throttled or stopped."};
+const EventKind ConfigInForce{1701, "info", "config-in-force",
+                              "A configuration version is in force here."};
+const EventKind ConfigRefused{1702, "warn", "config-refused",
+                              "A change of configuration was refused; the reason follows."};
+const EventKind ConfigFromPeer{1703, "info", "config-from-peer",
+                               "A peer, not the store, brought the newer configuration."};
+const EventKind UpstreamFailed{1801, "warn", "upstream-failed",
+                               "An upstream did not answer a request as it should."};
+const EventKind RequestRefused{1802, "info", "request-refused",
+                               "A request was refused; the kind follows."};
+const EventKind RequestRetried{1803, "info", "request-retried",
+                               "A request that surely did not run was tried elsewhere."};
 } // namespace events
 
 std::span<const EventKind *const> allEvents() {
   using namespace events;
-  static const std::array All{&Started,       &Stopping,        &Stopped,       &SettingsRefused, &InternalFault,
-                              &LeaseGranted,  &LeaseLost,       &AuthorityLost, &AuthorityByPromise,
-                              &Fenced,        &ShardClaimed,    &ShardReleased, &ClaimLost,
-                              &JournalSealed, &StepDownConfirmed, &StoreDown,   &StoreUp,
-                              &JobAccepted,   &JobRefused,      &JobEnded,      &JobCancelled,
-                              &TaskStarted,   &TaskEnded,       &TaskUnknown,   &TaskRequeued,
-                              &TaskUncertain, &WorkerLost,      &WorkerBack,    &WorkerSuspected,
-                              &WorkerCleared, &TaskContained,   &ConfigInForce, &ConfigRefused,
-                              &ConfigFromPeer, &UpstreamFailed, &RequestRefused, &RequestRetried};
+  static const std::array All{
+      &Started,        &Stopping,      &Stopped,       &SettingsRefused,    &InternalFault,
+      &LeaseGranted,   &LeaseLost,     &AuthorityLost, &AuthorityByPromise, &Fenced,
+      &ShardClaimed,   &ShardReleased, &ClaimLost,     &JournalSealed,      &StepDownConfirmed,
+      &StoreDown,      &StoreUp,       &JobAccepted,   &JobRefused,         &JobEnded,
+      &JobCancelled,   &TaskStarted,   &TaskEnded,     &TaskUnknown,        &TaskRequeued,
+      &TaskUncertain,  &WorkerLost,    &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
+      &TaskContained,  &ConfigInForce, &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
+      &RequestRefused, &RequestRetried};
   return All;
 }
 
@@ -84,7 +120,8 @@
 void openLog(const std::string &Level, const std::string &Member) {
   static log4cplus::Initializer Initializer;
   log4cplus::SharedAppenderPtr Appender(new log4cplus::ConsoleAppender(true, true));
-  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %p " + Member + " %m%n"));
+  Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %p " +
+                                                                 Member + " %m%n"));
   logger().addAppender(Appender);
   logger().setLogLevel(levelOf(Level));
 }
--- a/src/base/selector.cpp
+++ b/src/base/selector.cpp
@@ -82,8 +82,8 @@
   using Operator = SelectorTerm::Operator;
   const auto Found = Value.find(Term.Key);
   const bool Has = Found != Value.end();
-  const bool Listed = Has && std::find(Term.Values.begin(), Term.Values.end(), Found->second) !=
-                                 Term.Values.end();
+  const bool Listed =
+      Has && std::find(Term.Values.begin(), Term.Values.end(), Found->second) != Term.Values.end();
   switch (Term.Op) {
   case Operator::In:
     return Listed;
--- a/src/config/cell_config.cpp
+++ b/src/config/cell_config.cpp
@@ -14,7 +14,8 @@
 const std::vector<std::string> ClassNames{"urgent", "quick", "service", "batch"};
 
 JobClass readClass(TomlReader &Table, std::string_view Default) {
-  return parseClass(Table.oneOf("class", std::string(Default), ClassNames)).value_or(JobClass::Batch);
+  return parseClass(Table.oneOf("class", std::string(Default), ClassNames))
+      .value_or(JobClass::Batch);
 }
 
 ServiceConfig readService(TomlReader &Table) {
@@ -30,7 +31,8 @@
   RouteConfig Read;
   Read.Prefix = Table.text("prefix", std::nullopt);
   if (!Read.Prefix.empty() && Read.Prefix.front() != '/')
-    Table.complain("prefix", "'" + Read.Prefix + "' is not a path; accepted is one that begins with /");
+    Table.complain("prefix",
+                   "'" + Read.Prefix + "' is not a path; accepted is one that begins with /");
   Read.Service = Table.text("service", std::nullopt);
   Read.Callers = Table.selector("callers");
   Read.Class = readClass(Table, "quick");
@@ -148,7 +150,8 @@
   return Read;
 }
 
-QuotaConfig teamQuota(const CellConfig &Config, const std::string &Partner, const std::string &Team) {
+QuotaConfig teamQuota(const CellConfig &Config, const std::string &Partner,
+                      const std::string &Team) {
   const auto Found = Config.Partners.find(Partner);
   if (Found == Config.Partners.end())
     return {};
--- a/src/config/config_keeper.cpp
+++ b/src/config/config_keeper.cpp
@@ -72,8 +72,7 @@
   Part = {Change.Text, Next.Version, Change.Id};
   Next.Partners[Change.Partner] = Parsed;
   const std::string Text = encodeCellConfig(Next);
-  Result<uint64_t> Put =
-      co_await Store.Put(std::string(ConfigKey), Text, value(Stored).Version, 0);
+  Result<uint64_t> Put = co_await Store.Put(std::string(ConfigKey), Text, value(Stored).Version, 0);
   if (!ok(Put))
     co_return error(Put);
   Watch.note({std::string(ConfigKey), Text, value(Put)});
@@ -111,8 +110,8 @@
   }
   if (!MayHaveWritten)
     co_return Last;
-  co_return Error{ErrorKind::OutcomeUnknown,
-                  "it is not certain that change " + Change.Id + " was accepted; ask for it by its id"};
+  co_return Error{ErrorKind::OutcomeUnknown, "it is not certain that change " + Change.Id +
+                                                 " was accepted; ask for it by its id"};
 }
 
 Awaitable<Result<uint64_t>> ConfigKeeper::resolve(std::string Partner, std::string Id) {
@@ -125,7 +124,8 @@
     if (Part != value(Config).Parts.end() && Part->second.Change == Id)
       co_return Part->second.Version;
   }
-  co_return Error{ErrorKind::NotFound, "change " + Id + " is not the last of " + Partner + "'s part"};
+  co_return Error{ErrorKind::NotFound,
+                  "change " + Id + " is not the last of " + Partner + "'s part"};
 }
 
 } // namespace valveshelf
--- a/src/config/entry_settings.cpp
+++ b/src/config/entry_settings.cpp
@@ -17,7 +17,8 @@
     return std::isalnum(C) || C == '-' || C == '_';
   });
   if (!Plain)
-    Table.complain("name", "has characters that are not accepted; accepted are letters, digits, - and _");
+    Table.complain("name",
+                   "has characters that are not accepted; accepted are letters, digits, - and _");
 }
 
 void readListen(TomlReader &Table, EntrySettings &Read) {
@@ -26,7 +27,8 @@
   Read.Peers = Table.endpoint("peers", true);
   const auto Clash = [&](std::string_view Key, const Endpoint &A, const Endpoint &B) {
     if (A.Port != 0 && A == B)
-      Table.complain(Key, "clashes with another address of this process; accepted is one of its own");
+      Table.complain(Key,
+                     "clashes with another address of this process; accepted is one of its own");
   };
   Clash("operators", Read.Operators, Read.Callers);
   Clash("peers", Read.Peers, Read.Callers);
--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -67,7 +67,7 @@
 
 std::string TomlReader::oneOf(std::string_view Key, std::optional<std::string> Default,
                               const std::vector<std::string> &Accepted) {
-  const std::string Value = text(Key, Default);
+  std::string Value = text(Key, Default);
   if (!Table.get(Key))
     return Value;
   std::string Listed;
@@ -137,8 +137,9 @@
   if (!Node)
     return Default.value_or(Least);
   const auto Value = Node->value_exact<std::string>();
-  const auto Count =
-      Value ? withUnit(*Value, {{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}}) : std::nullopt;
+  const auto Count = Value
+                         ? withUnit(*Value, {{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}})
+                         : std::nullopt;
   if (!Count)
     complain(Key, "is not a duration or has a bad unit; " + Accepted);
   else if (*Count < Least.count() || *Count > Most.count())
@@ -156,8 +157,8 @@
   const auto Count =
       Value ? withUnit(*Value, {{"B", 1}, {"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}})
             : std::nullopt;
-  const std::string Accepted = "accepted is a size such as \"16KiB\" or \"8MiB\", from " +
-                               rangeText(Least, Most) + " bytes";
+  const std::string Accepted =
+      "accepted is a size such as \"16KiB\" or \"8MiB\", from " + rangeText(Least, Most) + " bytes";
   if (!Count)
     complain(Key, "is not a size or has a bad unit; " + Accepted);
   else if (*Count < Least || *Count > Most)
@@ -272,7 +273,8 @@
   for (const auto &[Name, Value] : *Node->as_table()) {
     const std::string Text(Name.str());
     if (!Value.is_table()) {
-      Errors.add(Value.source(), fieldName(Key) + "." + Text, "has the wrong type; accepted is a table");
+      Errors.add(Value.source(), fieldName(Key) + "." + Text,
+                 "has the wrong type; accepted is a table");
       continue;
     }
     TomlReader Inner(*Value.as_table(), fieldName(Key) + "." + Text, Errors);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -9,7 +9,6 @@
 #include <random>
 
 namespace valveshelf {
-namespace asio = boost::asio;
 namespace {
 constexpr Milliseconds RetryPause{200};
 constexpr Milliseconds BoxPollEvery{1000};
@@ -106,8 +105,9 @@
     co_return OnFatal(answerFor(ErrorKind::BadSettings).ExitCode);
   }
   spawnLater(Where, Watch.run());
-  SessionTools Tools{Where, Time,  Settings,  From.Store, From.Workers,
-                     Peers, Watch, Directory, [this] { return Config.inForce(); }};
+  SessionTools Tools{Where,      Time,         Settings,
+                     From.Store, From.Workers, Peers,
+                     Watch,      Directory,    [this] { return Config.inForce(); }};
   while (!Stopping) {
     auto Next = std::make_shared<Session>(Tools, newLogId(Settings.Member, Time.Wall()));
     {
@@ -122,6 +122,8 @@
       continue;
     }
     Joined = ok(In);
+    if (Joined)
+      Requests.joined();
     while (!Next->over() && !Stopping && ok(In))
       co_await sleepFor(RetryPause);
     Joined = Joined && Stopping;
@@ -208,6 +210,7 @@
     Found[Member.Peers] = Member;
   Found.erase(Settings.Peers);
   std::vector<MemberInfo> Partners;
+  Partners.reserve(Found.size());
   for (const auto &[Address, Member] : Found)
     Partners.push_back(Member);
   return Partners;
@@ -268,8 +271,8 @@
   };
   Handlers.Forward = [this](wire::ForwardRequest Request) -> Awaitable<wire::ForwardReply> {
     wire::ForwardReply Reply;
-    Result<std::string> Answer = co_await operate(Request.shard(), Request.operation(),
-                                                  Request.target(), Request.body());
+    Result<std::string> Answer =
+        co_await operate(Request.shard(), Request.operation(), Request.target(), Request.body());
     if (ok(Answer)) {
       Reply.set_body(value(Answer));
     } else {
--- a/src/entry/interfaces.cpp
+++ b/src/entry/interfaces.cpp
@@ -139,8 +139,8 @@
   if (Operation == "list")
     co_return Runner->list(Target);
   if (Operation == "resize")
-    co_return co_await Runner->resize(Target,
-                                      static_cast<uint32_t>(std::strtoul(Body.c_str(), nullptr, 10)));
+    co_return co_await Runner->resize(
+        Target, static_cast<uint32_t>(std::strtoul(Body.c_str(), nullptr, 10)));
   co_return Error{ErrorKind::BadRequest, "there is no operation " + Operation};
 }
 
@@ -167,10 +167,10 @@
       Result<wire::ForwardReply> Reply =
           co_await Peers.Forward(Owner->second.Peers, std::move(Request));
       if (!ok(Reply))
-        Answer = Error{error(Reply).Kind == ErrorKind::UpstreamUnavailable
-                           ? ErrorKind::NotOwner
-                           : ErrorKind::OutcomeUnknown,
-                       error(Reply).Detail};
+        Answer =
+            Error{error(Reply).Kind == ErrorKind::UpstreamUnavailable ? ErrorKind::NotOwner
+                                                                      : ErrorKind::OutcomeUnknown,
+                  error(Reply).Detail};
       else if (value(Reply).error() != 0)
         Answer = Error{static_cast<ErrorKind>(value(Reply).error()), value(Reply).body()};
       else
@@ -179,7 +179,8 @@
     if (ok(Answer))
       co_return Answer;
     Last = error(Answer);
-    const bool TryAgain = Last.Kind == ErrorKind::NotOwner || Last.Kind == ErrorKind::OutcomeUnknown;
+    const bool TryAgain =
+        Last.Kind == ErrorKind::NotOwner || Last.Kind == ErrorKind::OutcomeUnknown;
     if (!TryAgain && !MayHaveRun)
       co_return Answer;
     MayHaveRun = MayHaveRun || Last.Kind == ErrorKind::OutcomeUnknown;
@@ -189,7 +190,8 @@
   }
   // Once it may have been recorded, no later refusal says that it was not.
   if (MayHaveRun)
-    co_return Error{ErrorKind::OutcomeUnknown, "the outcome for " + Target + " is not known: " + Last.Detail};
+    co_return Error{ErrorKind::OutcomeUnknown,
+                    "the outcome for " + Target + " is not known: " + Last.Detail};
   co_return Last;
 }
 
@@ -209,7 +211,7 @@
   if (Path == "/live")
     co_return HttpResponse{200, {}, "live\n"};
   if (Path == "/ready") {
-    const bool Ready = Joined && !Stopping;
+    const bool Ready = Joined && !Stopping && Requests.ready();
     co_return HttpResponse{Ready ? 200 : HttpNotReady, {}, Ready ? "ready\n" : "not ready\n"};
   }
   if (Path == "/metrics")
@@ -251,7 +253,8 @@
   ConfigChange Change;
   Change.Partner = std::string(Path.substr(std::string_view("/v1/config/").size()));
   if (partnerOf(Headers) != Change.Partner)
-    co_return errorResponse({ErrorKind::Forbidden, "the operator's token is not one of partner " + Change.Partner});
+    co_return errorResponse(
+        {ErrorKind::Forbidden, "the operator's token is not one of partner " + Change.Partner});
   Change.Text = std::move(Body);
   Change.Base = std::strtoull(queryParameter(Target, "base").value_or("0").c_str(), nullptr, 10);
   Change.Id = queryParameter(Target, "id").value_or(newJobId());
@@ -322,13 +325,16 @@
   Set("valveshelf_tasks_queued", "Tasks queued here.", static_cast<double>(Sum.Queued));
   Set("valveshelf_tasks_running", "Tasks running here.", static_cast<double>(Sum.Running));
   Set("valveshelf_workers", "Workers of owned shards.", static_cast<double>(Sum.Workers));
-  Set("valveshelf_workers_ready", "Workers that take tasks.", static_cast<double>(Sum.WorkersReady));
+  Set("valveshelf_workers_ready", "Workers that take tasks.",
+      static_cast<double>(Sum.WorkersReady));
   Set("valveshelf_config_version", "Configuration in force.",
       static_cast<double>(Config.inForce()->Version));
   const RouterFigures &Routed = Requests.figures();
   Set("valveshelf_requests_served", "Requests with an answer.", static_cast<double>(Routed.Served));
-  Set("valveshelf_requests_refused", "Requests refused or failed.", static_cast<double>(Routed.Refused));
-  Set("valveshelf_requests_retried", "Tries beyond the first.", static_cast<double>(Routed.Retried));
+  Set("valveshelf_requests_refused", "Requests refused or failed.",
+      static_cast<double>(Routed.Refused));
+  Set("valveshelf_requests_retried", "Tries beyond the first.",
+      static_cast<double>(Routed.Retried));
   Set("valveshelf_requests_cut", "Answers cut on the way.", static_cast<double>(Routed.Cut));
   const std::string Text = prometheus::TextSerializer().Serialize(Registry.Collect());
   return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, Text};
--- a/src/entry/shard_operations.cpp
+++ b/src/entry/shard_operations.cpp
@@ -59,9 +59,7 @@
           "it is not certain that the store has the change to job " + Job + "; ask for its status"};
 }
 
-Error noSuchJob(const std::string &Job) {
-  return {ErrorKind::NotFound, "there is no job " + Job};
-}
+Error noSuchJob(const std::string &Job) { return {ErrorKind::NotFound, "there is no job " + Job}; }
 
 std::string_view homePhaseName(const HomeTask &Task) {
   switch (Task.Phase) {
@@ -206,7 +204,8 @@
     if (Found == State.Jobs.end())
       co_return noSuchJob(Job);
     if (Found->second.Spec->Kind != JobKind::Service || Count < Found->second.Tasks.size())
-      co_return Error{ErrorKind::BadRequest, "only a service can be resized, and only to a larger count"};
+      co_return Error{ErrorKind::BadRequest,
+                      "only a service can be resized, and only to a larger count"};
     wire::Record What;
     What.set_shard(Shard);
     What.mutable_job_resized()->set_job(Job);
@@ -250,8 +249,9 @@
   Root["capable_shards"] = std::move(Shards);
   Root["why"] = Home.Ended == Home.Tasks.size() ? "all tasks have ended"
                 : Able.empty()                  ? Tools.Directory.whyImpossible(*Home.Spec)
-                : Home.Waiting > 0 ? "tasks wait at the home shard for room on a capable shard"
-                                   : "all tasks are placed or queued on the shards named in 'tasks'";
+                : Home.Waiting > 0
+                    ? "tasks wait at the home shard for room on a capable shard"
+                    : "all tasks are placed or queued on the shards named in 'tasks'";
   Root["tasks"] = taskList(Home);
   return json::serialize(Root);
 }
--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -26,8 +26,8 @@
   Decision What;
   DurableCallback Also;
   std::mutex Mutex;
-  bool StartsSent = false;  ///< Those of repeatable tasks. Guarded by Mutex.
-  bool RestDone = false;    ///< Guarded by Mutex.
+  bool StartsSent = false; ///< Those of repeatable tasks. Guarded by Mutex.
+  bool RestDone = false;   ///< Guarded by Mutex.
 };
 
 ShardRunner::ShardRunner(uint32_t Shard, uint64_t Epoch, ShardTools Tools)
@@ -76,7 +76,8 @@
 void ShardRunner::notify(const std::vector<Notice> &Notices) {
   const std::string Number = std::to_string(Shard);
   for (const Notice &What : Notices)
-    logEvent(*What.Kind, {{"shard", Number}, {"subject", What.Subject}, {"detail", "\"" + What.Detail + "\""}});
+    logEvent(*What.Kind,
+             {{"shard", Number}, {"subject", What.Subject}, {"detail", "\"" + What.Detail + "\""}});
 }
 
 // Called under Mutex, so that records reach the journal in the order they were applied.
@@ -314,14 +315,16 @@
   const bool MayAct = mayAct();
   std::lock_guard Lock(Mutex);
   const WorkerBook &Book = *State.Workers.at(Worker);
+  // After a call that was not answered, the next renews nothing; see onWorkerSilent.
+  const bool Renew = MayAct && Book.FailedCalls == 0;
   Sync.Wait = Tools.Times.WorkerPoll;
   Sync.After = ListVersions[Worker];
   Sync.Forget = std::exchange(Forget[Worker], {});
-  if (MayAct)
+  if (Renew)
     Sync.RenewFor = Tools.Times.TaskLease;
   for (const TaskKey &Key : Book.Parts) {
     const Part &Task = State.Parts.at(Key);
-    if (MayAct)
+    if (Renew)
       Sync.Renew.push_back(workerTaskId(Key, Task.Attempt));
     if (Task.Doubt != StartDoubt::None)
       Sync.Wait = std::min(Sync.Wait, DoubtWait);
@@ -340,7 +343,7 @@
     auto &Again = Forget[Worker];
     Again.insert(Again.end(), Sent.Forget.begin(), Sent.Forget.end());
     ListVersions[Worker] = 0;
-    return carryOut(onWorkerSilent(State, Worker, Tools.Limits));
+    return carryOut(onWorkerSilent(State, Worker, Sent.RenewFor.count() > 0, Tools.Limits));
   }
   // A process that lost its authority meanwhile, or slept, judges nothing by an old list.
   if (!MayAct || Now - AskedAt > Tools.Times.Lease + Tools.Times.WorkerPoll)
@@ -377,8 +380,8 @@
 // it says so itself, a newer process answers there, or nothing listens there.
 Awaitable<void> ShardRunner::predecessorLoop(Self This) {
   while (!This->Stopped) {
-    bool Gone = co_await This->Tools.Peers.Probe(This->PredecessorAddress) ==
-                PeerOps::Listening::Refused;
+    bool Gone =
+        co_await This->Tools.Peers.Probe(This->PredecessorAddress) == PeerOps::Listening::Refused;
     if (!Gone) {
       wire::StepDownRequest Request;
       Request.set_log(This->Predecessor);
@@ -390,7 +393,7 @@
       logEvent(events::StepDownConfirmed,
                {{"shard", std::to_string(This->Shard)}, {"log", This->Predecessor}});
       std::lock_guard Lock(This->Mutex);
-      onPredecessorGone(This->State, This->Tools.Time.Now());
+      onPredecessorGone(This->State, This->Tools.Limits, This->Tools.Time.Now());
       co_return;
     }
     co_await sleepFor(PredecessorProbeEvery);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -87,8 +87,8 @@
 namespace {
 class ClientCall final : public HttpCall {
 public:
-  ClientCall(std::function<void(ConnectionPtr)> Keep,
-             ConnectionPtr Used, Endpoint To, CallOptions Options)
+  ClientCall(std::function<void(ConnectionPtr)> Keep, ConnectionPtr Used, Endpoint To,
+             CallOptions Options)
       : Keep(std::move(Keep)), Used(std::move(Used)), To(std::move(To)), Options(Options) {}
 
   ~ClientCall() override {
@@ -130,7 +130,8 @@
     Used->Stream.expires_after(Options.Timeout);
     boost::system::error_code Failure;
     if (Chunked) {
-      auto [Code, Count] = co_await asio::async_write(Used->Stream, http::make_chunk(Bytes), AsTuple);
+      auto [Code, Count] =
+          co_await asio::async_write(Used->Stream, http::make_chunk(Bytes), AsTuple);
       Failure = Code;
     } else {
       auto [Code, Count] = co_await asio::async_write(Used->Stream, Bytes, AsTuple);
@@ -193,7 +194,8 @@
 
 private:
   Error cut(boost::system::error_code Failure) const {
-    return {ErrorKind::UpstreamCut, "the answer of " + toString(To) + " is lost: " + Failure.message()};
+    return {ErrorKind::UpstreamCut,
+            "the answer of " + toString(To) + " is lost: " + Failure.message()};
   }
 
   std::function<void(ConnectionPtr)> Keep;
@@ -252,7 +254,8 @@
       co_return Answer;
     Answer.Body.append(Room.data(), value(Read));
     if (Answer.Body.size() > Options.MaxResponseBytes || Steady::now() > Deadline)
-      co_return Error{ErrorKind::UpstreamCut, "the answer of " + toString(To) + " is too large or too slow"};
+      co_return Error{ErrorKind::UpstreamCut,
+                      "the answer of " + toString(To) + " is too large or too slow"};
   }
 }
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -98,8 +98,8 @@
       co_return Body;
     Body.append(Room.data(), value(Read));
     if (Body.size() > Most)
-      co_return Error{ErrorKind::BadRequest,
-                      "the body is larger than the " + std::to_string(Most) + " bytes accepted here"};
+      co_return Error{ErrorKind::BadRequest, "the body is larger than the " + std::to_string(Most) +
+                                                 " bytes accepted here"};
   }
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -52,7 +52,8 @@
       Stream.expires_after(BodyTimeout);
       auto [Failure, Bytes] = co_await http::async_read(Stream, Buffer, Parser, AsTuple);
       if (Failure && Failure != http::error::need_buffer)
-        co_return Error{ErrorKind::BadRequest, "the request body ended early: " + Failure.message()};
+        co_return Error{ErrorKind::BadRequest,
+                        "the request body ended early: " + Failure.message()};
       const size_t Read = Room.size() - Body.size;
       if (Read > 0)
         co_return Read;
@@ -175,9 +176,8 @@
     });
     std::lock_guard Lock(Mutex);
     for (beast::tcp_stream *Stream : Idle)
-      asio::post(Stream->get_executor(), [Self = shared_from_this(), Stream] {
-        Self->closeIfIdle(Stream);
-      });
+      asio::post(Stream->get_executor(),
+                 [Self = shared_from_this(), Stream] { Self->closeIfIdle(Stream); });
   }
 
   size_t inProgress() const { return Active; }
--- a/src/include/valveshelf/authority.h
+++ b/src/include/valveshelf/authority.h
@@ -47,8 +47,8 @@
   struct Ward {
     TimePoint PromisedUntil{};
     TimePoint LastRenewal{};
-    bool Refused = false;      ///< Never unset: refusing is final for that incarnation.
-    bool WardCutOff = false;   ///< The ward says it has not reached the store for a while.
+    bool Refused = false;    ///< Never unset: refusing is final for that incarnation.
+    bool WardCutOff = false; ///< The ward says it has not reached the store for a while.
   };
   std::map<std::string, Ward> Wards; ///< By the ward's incarnation.
 };
@@ -60,8 +60,8 @@
 
 /// What a guardian answers a claimant.
 struct Refusal {
-  bool Agreed = false;   ///< It will give \p Ward no further promise.
-  Milliseconds Wait{0};  ///< How long the last promise may still run.
+  bool Agreed = false;  ///< It will give \p Ward no further promise.
+  Milliseconds Wait{0}; ///< How long the last promise may still run.
 };
 
 /// Asks the guardian to refuse \p Ward from now on. It agrees only if the ward fell silent for
--- a/src/include/valveshelf/cell_config.h
+++ b/src/include/valveshelf/cell_config.h
@@ -29,7 +29,7 @@
 struct RouteConfig {
   std::string Prefix;
   std::string Service;
-  Selector Callers;     ///< Labels the caller must have sent.
+  Selector Callers; ///< Labels the caller must have sent.
   JobClass Class = JobClass::Quick;
   bool Repeatable = false; ///< True if a request may be sent again after a byte was sent.
   Milliseconds Deadline{2000};
@@ -99,7 +99,8 @@
 Result<CellConfig> decodeCellConfig(std::string_view Text);
 
 /// The quota of \p Team at \p Partner; unlimited if none is configured.
-QuotaConfig teamQuota(const CellConfig &Config, const std::string &Partner, const std::string &Team);
+QuotaConfig teamQuota(const CellConfig &Config, const std::string &Partner,
+                      const std::string &Team);
 /// The placement weights of \p Partner.
 PlacementConfig placementOf(const CellConfig &Config, const std::string &Partner);
 
--- a/src/include/valveshelf/config_keeper.h
+++ b/src/include/valveshelf/config_keeper.h
@@ -15,9 +15,9 @@
 /// A change that an operator asks for.
 struct ConfigChange {
   std::string Partner;
-  std::string Text;   ///< TOML of the partner's part.
-  uint64_t Base = 0;  ///< Version of the part that the operator started from.
-  std::string Id;     ///< Names the change, so that a lost answer can be resolved.
+  std::string Text;  ///< TOML of the partner's part.
+  uint64_t Base = 0; ///< Version of the part that the operator started from.
+  std::string Id;    ///< Names the change, so that a lost answer can be resolved.
 };
 
 /// Safe from any thread.
--- a/src/include/valveshelf/endpoint.h
+++ b/src/include/valveshelf/endpoint.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace valveshelf {
 
@@ -15,7 +16,10 @@
   std::string Host;
   uint16_t Port = 0;
 
-  friend auto operator<=>(const Endpoint &, const Endpoint &) = default;
+  friend bool operator==(const Endpoint &, const Endpoint &) = default;
+  friend bool operator<(const Endpoint &A, const Endpoint &B) {
+    return std::tie(A.Host, A.Port) < std::tie(B.Host, B.Port);
+  }
 };
 
 /// Parses "192.0.2.1:80" or "[2001:db8::1]:80". Returns BadRequest for anything else.
--- a/src/include/valveshelf/entry_process.h
+++ b/src/include/valveshelf/entry_process.h
@@ -48,8 +48,8 @@
   Awaitable<void> serveOperator(HttpExchange &Exchange);
   Awaitable<HttpResponse> answerJobs(std::string Method, std::string Target, std::string Body);
   Awaitable<HttpResponse> submitJob(std::string Body);
-  Awaitable<HttpResponse> answerOperator(std::string Method, std::string Target,
-                                         HeaderList Headers, std::string Body);
+  Awaitable<HttpResponse> answerOperator(std::string Method, std::string Target, HeaderList Headers,
+                                         std::string Body);
   Awaitable<HttpResponse> answerConfig(std::string Method, std::string Target, HeaderList Headers,
                                        std::string Body);
   HttpResponse metrics();
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -142,7 +142,7 @@
 
 /// What a client call may use.
 struct CallOptions {
-  Milliseconds Timeout{2000};  ///< For the whole call, or each step of a streamed one.
+  Milliseconds Timeout{2000};   ///< For the whole call, or each step of a streamed one.
   bool FreshConnection = false; ///< Never on a connection that was idle; for calls that must
                                 ///< not be sent twice.
   size_t MaxResponseBytes = 16 * 1024 * 1024;
--- a/src/include/valveshelf/job.h
+++ b/src/include/valveshelf/job.h
@@ -36,11 +36,11 @@
 
 /// How a task ended.
 enum class TaskOutcome {
-  None = 0,      ///< Not ended.
+  None = 0, ///< Not ended.
   Succeeded = 1,
-  Failed = 2,    ///< Ran and failed, as often as allowed.
+  Failed = 2, ///< Ran and failed, as often as allowed.
   Cancelled = 3,
-  Unknown = 4,   ///< Not to be repeated, and nobody can say whether it ran.
+  Unknown = 4, ///< Not to be repeated, and nobody can say whether it ran.
 };
 std::string_view outcomeName(TaskOutcome Value);
 
@@ -55,9 +55,9 @@
   Resources Size{1000, 512, 0}; ///< Of each task.
   std::string BoxSelector;      ///< As written by the caller; checked to parse.
   valveshelf::Labels Labels;
-  bool Repeatable = true;       ///< False: each task runs at most once.
-  Milliseconds RunTime{1000};   ///< Declared; often far off. No safety rests on it.
-  WallTime FinishBy{};          ///< Zero for none.
+  bool Repeatable = true;     ///< False: each task runs at most once.
+  Milliseconds RunTime{1000}; ///< Declared; often far off. No safety rests on it.
+  WallTime FinishBy{};        ///< Zero for none.
   uint32_t MaxTries = 3;
   bool Checkpointable = false;
   WallTime Accepted{};
@@ -67,7 +67,10 @@
 struct TaskKey {
   std::string Job;
   uint32_t Index = 0;
-  friend auto operator<=>(const TaskKey &, const TaskKey &) = default;
+  friend bool operator==(const TaskKey &, const TaskKey &) = default;
+  friend bool operator<(const TaskKey &A, const TaskKey &B) {
+    return std::tie(A.Job, A.Index) < std::tie(B.Job, B.Index);
+  }
 };
 
 /// `job/index`.
--- a/src/include/valveshelf/journal.h
+++ b/src/include/valveshelf/journal.h
@@ -38,11 +38,11 @@
 
 struct JournalLimits {
   uint32_t RingSlots = 64;
-  uint32_t SnapshotEvery = 24;         ///< Entries after which a snapshot is due.
-  size_t MaxEntryBytes = 300 * 1024;   ///< Of records; the JSON form is about twice that.
+  uint32_t SnapshotEvery = 24;       ///< Entries after which a snapshot is due.
+  size_t MaxEntryBytes = 300 * 1024; ///< Of records; the JSON form is about twice that.
   size_t MaxUnstoredBytes = 8 * 1024 * 1024;
   Milliseconds RetryPause{100};
-  Milliseconds DownAfter{500};         ///< Failures for so long mean that the store is down.
+  Milliseconds DownAfter{500}; ///< Failures for so long mean that the store is down.
 };
 
 /// A rate of writes, shared by everything in the process that writes. Safe from any thread.
@@ -140,15 +140,15 @@
   mutable std::mutex Mutex;
   // All below is guarded by Mutex.
   std::deque<Pending> Queue;
-  std::deque<Unstored> Written;          ///< Built entries, oldest first. Only the first is ever
-                                         ///< sent to the store; it gets its sequence then.
-  std::vector<uint64_t> SlotVersions;    ///< Version last written, by slot; 0: never.
-  uint64_t NextRecord = 0;               ///< Number of the next record to be put in an entry.
-  uint64_t StoredBelow = 0;              ///< Sequence of the next entry to be stored.
+  std::deque<Unstored> Written;       ///< Built entries, oldest first. Only the first is ever
+                                      ///< sent to the store; it gets its sequence then.
+  std::vector<uint64_t> SlotVersions; ///< Version last written, by slot; 0: never.
+  uint64_t NextRecord = 0;            ///< Number of the next record to be put in an entry.
+  uint64_t StoredBelow = 0;           ///< Sequence of the next entry to be stored.
   uint64_t StoredRecordsBelow = 0;
-  uint64_t SnapshotStart = 0;            ///< First entry of the newest complete snapshot.
+  uint64_t SnapshotStart = 0; ///< First entry of the newest complete snapshot.
   uint64_t OpenSnapshotStart = 0;
-  bool SnapshotOpen = false;             ///< Begun and its end not yet in an entry.
+  bool SnapshotOpen = false; ///< Begun and its end not yet in an entry.
   std::vector<wire::Guardian> CurrentGuardians;
   size_t UnstoredBytes = 0;
   std::optional<TimePoint> DownSince;
@@ -163,7 +163,7 @@
   bool Sealed = false;
   uint64_t NextSequence = 0;
   uint64_t NextRecord = 0;
-  uint64_t NextSlotVersion = 0;            ///< Of the slot that the next entry goes to.
+  uint64_t NextSlotVersion = 0; ///< Of the slot that the next entry goes to.
   std::vector<wire::Guardian> Guardians;
 };
 
--- a/src/include/valveshelf/membership.h
+++ b/src/include/valveshelf/membership.h
@@ -95,8 +95,8 @@
 /// The authority and the promises given, under one lock.
 struct SharedAuthority {
   std::mutex Mutex;
-  Authority Own;       ///< Guarded by Mutex.
-  GuardianBook Given;  ///< Guarded by Mutex.
+  Authority Own;                                                    ///< Guarded by Mutex.
+  GuardianBook Given;                                               ///< Guarded by Mutex.
   std::map<std::string, std::vector<wire::JournalEntry>> Witnessed; ///< By ward. Guarded by Mutex.
 
   bool mayActAt(TimePoint Now) {
--- a/src/include/valveshelf/platform.h
+++ b/src/include/valveshelf/platform.h
@@ -49,7 +49,8 @@
   std::function<Awaitable<Result<StoreItems>>(std::string Prefix)> List;
   /// Waits until something under \p Prefix changed after revision \p After, or for \p Wait.
   /// Erased keys come with version 0.
-  std::function<Awaitable<Result<StoreItems>>(std::string Prefix, uint64_t After, Milliseconds Wait)>
+  std::function<Awaitable<Result<StoreItems>>(std::string Prefix, uint64_t After,
+                                              Milliseconds Wait)>
       Watch;
   std::function<Awaitable<Result<uint64_t>>(Milliseconds Life)> GrantLease;
   /// NotFound: the lease has lapsed.
--- a/src/include/valveshelf/router.h
+++ b/src/include/valveshelf/router.h
@@ -40,6 +40,10 @@
   const RouterFigures &figures() const { return Figures; }
   /// Takes in changes of boxes, members and configuration. Called every fraction of a second.
   void refresh();
+  /// This process has joined the cell and takes its share of the slots from now on.
+  void joined();
+  /// True once that share can be used, so that requests are welcome.
+  bool ready();
 
 private:
   struct Target {
@@ -47,6 +51,12 @@
     ServiceConfig Service;
   };
   struct Attempt;
+  /// A member whose lease is gone. It may go on by its peers' promises for a while.
+  struct Vanished {
+    std::string Log;
+    TimePoint Since{};
+  };
+  std::vector<std::string> slotHolders(const CellView &View, TimePoint Now);
   Result<Target> match(const HttpExchange &Exchange) const;
   Awaitable<Result<SlotGrant>> acquire(const Target &To, TimePoint Deadline,
                                        const std::string &Avoid);
@@ -56,7 +66,10 @@
   const RouterTools Tools;
   RouterFigures Figures;
   std::mutex Mutex;
-  SlotBook Slots; ///< Guarded by Mutex.
+  SlotBook Slots;                       ///< Guarded by Mutex.
+  std::map<std::string, Vanished> Away; ///< Members that left the view, by name. Guarded by Mutex.
+  std::map<std::string, std::string>
+      LastSeen; ///< Members by name, with their journals. Guarded by Mutex.
 };
 
 } // namespace valveshelf
--- a/src/include/valveshelf/settings.h
+++ b/src/include/valveshelf/settings.h
@@ -60,9 +60,9 @@
   Endpoint Callers, Operators, Peers;
   Endpoint Store, Boxes;
   std::string LogLevel;
-  uint32_t Shards = 16;          ///< Same in the whole cell; checked against the store.
-  double WritesPerSecond = 100;  ///< What the store takes from the whole fleet.
-  double WriteShare = 0.8;       ///< Part of that which the fleet may plan to use.
+  uint32_t Shards = 16;         ///< Same in the whole cell; checked against the store.
+  double WritesPerSecond = 100; ///< What the store takes from the whole fleet.
+  double WriteShare = 0.8;      ///< Part of that which the fleet may plan to use.
   unsigned Threads = 2;
   valveshelf::Timing Timing;
   IntakeLimits Limits;
--- a/src/include/valveshelf/shard_decisions.h
+++ b/src/include/valveshelf/shard_decisions.h
@@ -74,9 +74,9 @@
 /// Times and limits of the decisions.
 struct DecisionLimits {
   Milliseconds TaskLease{60000};
-  Milliseconds Settle{2000};       ///< How long after the last possible send a list counts as proof.
+  Milliseconds Settle{2000}; ///< How long after the last possible send a list counts as proof.
   Milliseconds LeaseMargin{1000};
-  Milliseconds ReturnAfter{1500};  ///< A task that finds no room for so long goes back to its home.
+  Milliseconds ReturnAfter{1500}; ///< A task that finds no room for so long goes back to its home.
   Milliseconds ResendAfter{1000};
   Milliseconds ProbeEvery{5000};
   Milliseconds TombstoneLife{600000};
@@ -129,8 +129,9 @@
                         bool Renewed, const DecisionLimits &Limits, TimePoint AskedAt,
                         TimePoint Now, WallTime Wall);
 
-/// A call to the worker failed.
-Decision onWorkerSilent(ShardState &State, const std::string &Worker, const DecisionLimits &Limits);
+/// A call to the worker failed. With \p Renewed it may have renewed leases, now or later.
+Decision onWorkerSilent(ShardState &State, const std::string &Worker, bool Renewed,
+                        const DecisionLimits &Limits);
 
 /// Takes in the box list: new, changed, leaving and vanished workers of this shard.
 Decision onBoxList(ShardState &State, const BoxList &Workers, TimePoint Now, WallTime Wall);
@@ -154,7 +155,7 @@
 void releaseHold(ShardState &State, const std::string &Job);
 
 /// The predecessor surely sends nothing any more.
-void onPredecessorGone(ShardState &State, TimePoint Now);
+void onPredecessorGone(ShardState &State, const DecisionLimits &Limits, TimePoint Now);
 
 /// After a takeover: every journalled start may still be on its way, and every lease may have
 /// been renewed until now.
--- a/src/include/valveshelf/shard_state.h
+++ b/src/include/valveshelf/shard_state.h
@@ -82,23 +82,24 @@
   WallTime Ended{};
   // Not durable from here on.
   StartDoubt Doubt = StartDoubt::None;
-  bool CallInFlight = false;    ///< The start call has not returned yet.
+  bool CallInFlight = false; ///< The start call has not returned yet.
   bool CancelWanted = false;
-  bool IntentDurable = false;   ///< The store holds the intent.
-  TimePoint DoubtSince{};       ///< When the doubt could first be settled by a list.
-  int ListsWithout = 0;         ///< Lists since then that did not show it.
+  bool IntentDurable = false; ///< The store holds the intent.
+  TimePoint DoubtSince{};     ///< When the doubt could first be settled by a list.
+  int ListsWithout = 0;       ///< Lists since then that did not show it.
   TimePoint QueuedSince{};
-  TimePoint LeaseEnds{};        ///< Latest time at which the worker's lease on it may end.
+  TimePoint LeaseEnds{}; ///< Latest time at which the worker's lease on it may end.
   WallTime Started{};
-  Resources Usage;              ///< As last reported.
-  double Order = 0;             ///< Its key in the queue.
+  Resources Usage;      ///< As last reported.
+  double Order = 0;     ///< Its key in the queue.
+  std::string FailedOn; ///< Where it failed last; avoided if there is another place.
   PartPhase ReportedPhase = PartPhase::Returned; ///< What the home shard was last told.
   uint32_t ReportedAttempt = 0;
 };
 
 /// What the owner believes about a worker.
 enum class WorkerHealth {
-  Unseen,  ///< Never answered this owner; nothing is placed there.
+  Unseen, ///< Never answered this owner; nothing is placed there.
   Ready,
   Lost,    ///< Does not answer.
   Suspect, ///< Fails what others run; only probes are placed there.
@@ -113,14 +114,14 @@
   WorkerHealth Health = WorkerHealth::Unseen;
   Resources Booked; ///< Sum of Part::Booked over Parts. Never above Box.Capacity by our doing.
   std::set<TaskKey> Parts;
-  std::string Incarnation;   ///< As the worker last told.
+  std::string Incarnation; ///< As the worker last told.
   int FailedCalls = 0;
-  int RecentFailures = 0;    ///< Tasks that failed on it since one ran well.
-  Resources Held;            ///< Room held for gangs.
-  Resources Orphans;         ///< Room taken by tasks the worker lists that are not ours.
+  int RecentFailures = 0; ///< Tasks that failed on it since one ran well.
+  Resources Held;         ///< Room held for gangs.
+  Resources Orphans;      ///< Room taken by tasks the worker lists that are not ours.
   TimePoint LastAnswer{};
   TimePoint ProbeNotBefore{};
-  uint32_t Slot = 0;         ///< Its place in ShardState::Free.
+  uint32_t Slot = 0; ///< Its place in ShardState::Free.
 };
 
 /// One worker's room, laid out for the scan of a placement decision.
@@ -149,14 +150,14 @@
   std::unordered_map<std::string, HomeJob> Jobs;
   std::map<TaskKey, Part> Parts;
   std::map<std::string, std::unique_ptr<WorkerBook>> Workers;
-  std::vector<WorkerRoom> Rooms; ///< Same workers as Workers, one each.
+  std::vector<WorkerRoom> Rooms;              ///< Same workers as Workers, one each.
   std::set<std::pair<double, TaskKey>> Queue; ///< The Queued parts, by Part::Order.
   std::map<std::string, GangHold> Holds;      ///< By job.
   std::map<std::string, Resources> TeamUse;   ///< "partner/team" to what its parts have booked.
   std::unordered_map<std::string, std::vector<char>> SelectorCache; ///< Selector to match per room.
   std::map<TaskKey, Tombstone> Tombstones; ///< Parts dropped lately; a late lend is not taken.
-  bool PredecessorGone = true; ///< No earlier owner can send anything any more.
-  uint64_t Starts = 0;         ///< Starts confirmed by workers, for reports.
+  bool PredecessorGone = true;             ///< No earlier owner can send anything any more.
+  uint64_t Starts = 0;                     ///< Starts confirmed by workers, for reports.
 };
 
 /// Changes \p State as \p What says. Deterministic but for \p Now, which only sets waiting
--- a/src/include/valveshelf/slot_book.h
+++ b/src/include/valveshelf/slot_book.h
@@ -19,8 +19,8 @@
 /// An upstream instance as this process uses it.
 struct InstanceSlots {
   BoxInfo Box;
-  int Mine = 0;           ///< Slots that are this process's and usable now.
-  int InUse = 0;          ///< May exceed Mine for a while after slots moved away.
+  int Mine = 0;  ///< Slots that are this process's and usable now.
+  int InUse = 0; ///< May exceed Mine for a while after slots moved away.
   bool Leaving = false;
   TimePoint EjectedUntil{};
   int FailuresInRow = 0;
@@ -45,22 +45,24 @@
 struct ServiceSlots {
   std::map<std::string, InstanceSlots> Instances;
   std::multimap<int, std::shared_ptr<SlotWaiter>> Waiting; ///< By class, in order of arrival.
-  double DrainPerSecond = 0; ///< Slots given back, smoothed.
+  double DrainPerSecond = 0;                               ///< Slots given back, smoothed.
   TimePoint LastGivenBack{};
 };
 
 struct SlotLimits {
-  size_t MaxWaiting = 256;          ///< For each service and class.
-  double QuickReserve = 0.25;       ///< Share of the slots that only quick work may take.
+  size_t MaxWaiting = 256;           ///< For each service and class.
+  double QuickReserve = 0.25;        ///< Share of the slots that only quick work may take.
   Milliseconds SlotQuarantine{3000}; ///< A slot that moved here is used only after so long.
   Milliseconds EjectFor{3000};
   int FailuresToEject = 3;
-  double MostEjected = 0.34;        ///< Share of the instances that may be ejected at once.
+  double MostEjected = 0.34; ///< Share of the instances that may be ejected at once.
 };
 
 struct SlotBook {
   std::map<std::string, ServiceSlots> Services;
   std::map<std::string, TimePoint> SlotSince; ///< "instance#slot" to when it became ours.
+  TimePoint JoinedAt{}; ///< Since when this process has had a share. A slot of an instance that
+                        ///< is new here was nobody else's after that.
   SlotLimits Limits;
 };
 
@@ -69,6 +71,9 @@
 void shareSlots(SlotBook &Book, const std::string &Service, const BoxList &Instances, int Slots,
                 const std::vector<std::string> &Members, const std::string &Member, TimePoint Now);
 
+/// True once no slot of this process is in quarantine.
+bool slotsSettled(const SlotBook &Book, TimePoint Now);
+
 /// Takes the least used instance's free slot, passing \p Avoid over if there is another.
 std::optional<SlotGrant> takeSlot(SlotBook &Book, const std::string &Service, JobClass Class,
                                   const std::string &Avoid, TimePoint Now);
--- a/src/jobs/home_shard.cpp
+++ b/src/jobs/home_shard.cpp
@@ -3,6 +3,7 @@
 #include "jobs/decision_tools.h"
 
 #include <algorithm>
+#include <span>
 
 namespace valveshelf {
 namespace {
@@ -37,7 +38,8 @@
   size_t Next = 0;
   for (const auto &[Shard, Count] : Choose(*Job.Spec, static_cast<uint32_t>(Waiting.size()))) {
     const size_t End = std::min<size_t>(Next + Count, Waiting.size());
-    const std::vector<uint32_t> Chosen(Waiting.begin() + Next, Waiting.begin() + End);
+    const std::span<const uint32_t> Share(Waiting.data() + Next, End - Next);
+    const std::vector<uint32_t> Chosen(Share.begin(), Share.end());
     Next = End;
     if (Chosen.empty())
       continue;
@@ -84,7 +86,8 @@
   Ended.set_detail(Detail);
   Ended.set_ended_ms(When.time_since_epoch().count());
   Recorder(State, Out, Now).add(std::move(What));
-  Out.Notices.push_back({&events::TaskEnded, toString(Key), std::string(outcomeName(Outcome)) + " " + Detail});
+  Out.Notices.push_back(
+      {&events::TaskEnded, toString(Key), std::string(outcomeName(Outcome)) + " " + Detail});
 }
 
 void onStatus(ShardState &State, Decision &Out, HomeJob &Job, HomeTask &Task,
@@ -187,7 +190,8 @@
   Recorder(State, Out, TimePoint{}).add(std::move(What));
   Out.Notices.push_back({&events::JobCancelled, Job, ""});
   Out.Cancels = cancelsDue(State);
-  std::erase_if(Out.Cancels, [&](const CancelEffect &Effect) { return Effect.Keys.front().Job != Job; });
+  std::erase_if(Out.Cancels,
+                [&](const CancelEffect &Effect) { return Effect.Keys.front().Job != Job; });
   return Out;
 }
 
--- a/src/jobs/running_shard.cpp
+++ b/src/jobs/running_shard.cpp
@@ -59,6 +59,7 @@
               const std::string &Detail, const DecisionLimits &Limits, TimePoint Now,
               WallTime Wall) {
   ++Book.RecentFailures;
+  Task.FailedOn = Book.Box.Name;
   const bool BlameWorker =
       Book.RecentFailures >= Limits.FailuresToSuspect && othersRunWell(State, Limits);
   if (BlameWorker)
@@ -134,8 +135,8 @@
   const bool Runs = Listed.What == TaskReport::State::Running;
   const auto Id = parseWorkerTaskId(Listed.Id);
   Part *Task = Id ? findPart(State, Id->first) : nullptr;
-  const bool Ours = Task && isOpen(*Task) && Task->Attempt == Id->second &&
-                    Task->Worker == Book.Box.Name;
+  const bool Ours =
+      Task && isOpen(*Task) && Task->Attempt == Id->second && Task->Worker == Book.Box.Name;
   if (Ours) {
     Seen.insert(Task->Key);
     if (Runs)
@@ -150,6 +151,16 @@
   Out.Controls.push_back({Book.Box.Name, Book.Box.Address, Listed.Id});
 }
 
+// A worker that was away may still have a start in its socket. What its lists do not show
+// counts from now on only.
+void restartDoubts(ShardState &State, const WorkerBook &Book, TimePoint Now) {
+  for (const TaskKey &Key : Book.Parts) {
+    Part &Task = State.Parts.at(Key);
+    Task.DoubtSince = std::max(Task.DoubtSince, Now);
+    Task.ListsWithout = 0;
+  }
+}
+
 // Judges a part that holds room on the worker but is not in its list.
 void onNotListed(ShardState &State, Decision &Out, Part &Task, bool Restarted,
                  const DecisionLimits &Limits, TimePoint AskedAt, TimePoint Now, WallTime Wall) {
@@ -164,7 +175,7 @@
   // Two lists after the last byte could have arrived, from a worker that answers.
   if (++Task.ListsWithout < 2)
     return;
-  settleLost(State, Out, Task, "the start never reached the worker", Now, Wall);
+  settleLost(State, Out, Task, "no list of its worker shows the start", Now, Wall);
 }
 
 bool mayPlace(const Part &Task, const CellConfig &Config, bool StoreUp) {
@@ -180,8 +191,8 @@
   const std::vector<char> &Allowed = selectedRooms(State, *Task.Spec, Config);
   for (size_t I = 0; I < State.Rooms.size(); ++I) {
     WorkerBook &Book = *State.Rooms[I].Book;
-    const bool Due = Book.Health == WorkerHealth::Suspect && Book.Parts.empty() &&
-                     Now >= Book.ProbeNotBefore;
+    const bool Due =
+        Book.Health == WorkerHealth::Suspect && Book.Parts.empty() && Now >= Book.ProbeNotBefore;
     if (Due && Allowed[I] && fits(Task.Spec->Size, State.Rooms[I].Free))
       return &Book;
   }
@@ -284,7 +295,7 @@
       continue;
     WorkerBook *Best = probeFor(State, Task, Config, Now);
     if (!Best)
-      Best = bestRoom(State, *Task.Spec, Config, "");
+      Best = bestRoom(State, *Task.Spec, Config, Task.FailedOn);
     if (Best)
       start(State, Out, Task, *Best, Limits, Now, Wall);
     else
@@ -334,6 +345,8 @@
   const bool Restarted = !Book->Incarnation.empty() && Book->Incarnation != Report.Incarnation;
   const bool WasAway = Book->Health == WorkerHealth::Unseen || Book->Health == WorkerHealth::Lost ||
                        Book->Health == WorkerHealth::Gone;
+  if (WasAway || Book->FailedCalls > 0)
+    restartDoubts(State, *Book, Now);
   Book->Incarnation = Report.Incarnation;
   Book->FailedCalls = 0;
   Book->LastAnswer = Now;
@@ -356,21 +369,30 @@
   }
   if (WasAway) {
     setHealth(State, *Book, WorkerHealth::Ready);
-    Out.Notices.push_back({&events::WorkerBack, Worker, std::to_string(Report.Tasks.size()) + " tasks listed"});
+    Out.Notices.push_back(
+        {&events::WorkerBack, Worker, std::to_string(Report.Tasks.size()) + " tasks listed"});
   }
   refreshRoom(State, *Book);
   return Out;
 }
 
-Decision onWorkerSilent(ShardState &State, const std::string &Worker, const DecisionLimits &Limits) {
+Decision onWorkerSilent(ShardState &State, const std::string &Worker, bool Renewed,
+                        const DecisionLimits &Limits) {
   Decision Out;
   WorkerBook *Book = findBook(State, Worker);
-  if (!Book || ++Book->FailedCalls < Limits.FailedCallsToLose)
+  if (!Book)
+    return Out;
+  // The lost renewal may be read as late as the lease still runs, and then extends it once more.
+  // No other is sent until a call without one was answered, so once is all.
+  if (Renewed)
+    for (const TaskKey &Key : Book->Parts)
+      State.Parts.at(Key).LeaseEnds += Limits.TaskLease;
+  if (++Book->FailedCalls < Limits.FailedCallsToLose)
     return Out;
   if (Book->Health == WorkerHealth::Ready || Book->Health == WorkerHealth::Suspect) {
     setHealth(State, *Book, WorkerHealth::Lost);
-    Out.Notices.push_back({&events::WorkerLost, Worker,
-                           std::to_string(Book->Parts.size()) + " tasks were there"});
+    Out.Notices.push_back(
+        {&events::WorkerLost, Worker, std::to_string(Book->Parts.size()) + " tasks were there"});
   }
   return Out;
 }
@@ -417,7 +439,8 @@
     }
   }
   for (const TaskKey &Key : Lapsed)
-    settleLost(State, Out, State.Parts.at(Key), "its worker is lost and its lease lapsed", Now, Wall);
+    settleLost(State, Out, State.Parts.at(Key), "its worker is lost and its lease lapsed", Now,
+               Wall);
   std::vector<TaskKey> Back;
   for (const auto &[Order, Key] : State.Queue) {
     const Part &Task = State.Parts.at(Key);
@@ -507,18 +530,21 @@
   State.Holds.erase(Found);
 }
 
-void onPredecessorGone(ShardState &State, TimePoint Now) {
+void onPredecessorGone(ShardState &State, const DecisionLimits &Limits, TimePoint Now) {
   State.PredecessorGone = true;
-  for (auto &[Key, Task] : State.Parts)
+  for (auto &[Key, Task] : State.Parts) {
     if (Task.Doubt == StartDoubt::Predecessor)
       Task.DoubtSince = Now;
+    // Its last renewal may be read as late as the lease still runs.
+    Task.LeaseEnds = std::max(Task.LeaseEnds, Now + 2 * Limits.TaskLease);
+  }
 }
 
 void markTakenOver(ShardState &State, bool PredecessorGone, const DecisionLimits &Limits,
                    TimePoint Now) {
   State.PredecessorGone = PredecessorGone;
   for (auto &[Key, Task] : State.Parts) {
-    Task.LeaseEnds = Now + Limits.TaskLease;
+    Task.LeaseEnds = Now + 2 * Limits.TaskLease;
     Task.QueuedSince = Now;
     Task.CallInFlight = false;
     if (Task.Phase != PartPhase::Starting)
--- a/src/jobs/shard_state.cpp
+++ b/src/jobs/shard_state.cpp
@@ -198,7 +198,8 @@
 
 void apply(ShardState &State, const wire::StartVoid &What, TimePoint Now) {
   Part *Task = findPart(State, What.key());
-  const bool Open = Task && (Task->Phase == PartPhase::Starting || Task->Phase == PartPhase::Running);
+  const bool Open =
+      Task && (Task->Phase == PartPhase::Starting || Task->Phase == PartPhase::Running);
   if (!Open || Task->Attempt != What.attempt())
     return;
   unbook(State, *Task);
--- a/src/membership/lease_keeper.cpp
+++ b/src/membership/lease_keeper.cpp
@@ -31,8 +31,7 @@
 
 Awaitable<Result<uint64_t>> LeaseKeeper::writeRecord() {
   const std::string Text = encodeMember(Self);
-  Result<uint64_t> Put =
-      co_await Store.Put(memberKey(Self.Name), Text, RecordVersion, Lease);
+  Result<uint64_t> Put = co_await Store.Put(memberKey(Self.Name), Text, RecordVersion, Lease);
   if (!ok(Put) && error(Put).Kind == ErrorKind::OutcomeUnknown) {
     Result<StoreItem> Got = co_await Store.Get(memberKey(Self.Name));
     if (ok(Got) && value(Got).Value == Text)
@@ -55,8 +54,8 @@
   if (RecordVersion != 0) {
     const Result<MemberInfo> Other = decodeMember(value(Existing).Value);
     if (ok(Other) && value(Other).Peers != Self.Peers)
-      co_return Error{ErrorKind::Conflict, "the name " + Self.Name + " is in use at " +
-                                               toString(value(Other).Peers)};
+      co_return Error{ErrorKind::Conflict,
+                      "the name " + Self.Name + " is in use at " + toString(value(Other).Peers)};
   }
   Result<uint64_t> Put = co_await writeRecord();
   if (!ok(Put))
--- a/src/membership/peer_link.cpp
+++ b/src/membership/peer_link.cpp
@@ -90,8 +90,7 @@
       Socket.close(Ignored);
   });
   const tcp::endpoint Target(asio::ip::make_address(To.Host), To.Port);
-  auto [Failure] =
-      co_await Socket.async_connect(Target, asio::as_tuple(asio::use_awaitable));
+  auto [Failure] = co_await Socket.async_connect(Target, asio::as_tuple(asio::use_awaitable));
   Timer.cancel();
   if (!Failure)
     co_return PeerOps::Listening::Yes;
--- a/src/membership/promise_keeper.cpp
+++ b/src/membership/promise_keeper.cpp
@@ -159,8 +159,7 @@
   });
   for (const wire::JournalEntry &Entry : Request.unstored()) {
     const bool Known = std::any_of(Held.begin(), Held.end(), [&](const wire::JournalEntry &Old) {
-      return Old.first_record() == Entry.first_record() &&
-             Old.record_size() == Entry.record_size();
+      return Old.first_record() == Entry.first_record() && Old.record_size() == Entry.record_size();
     });
     if (!Known)
       Held.push_back(Entry);
@@ -185,8 +184,7 @@
     return Reply;
   }
   std::lock_guard Lock(Shared.Mutex);
-  const Refusal Answer =
-      refuse(Shared.Given, Request.log(), Log->storeUp(), Times.Promise, Now);
+  const Refusal Answer = refuse(Shared.Given, Request.log(), Log->storeUp(), Times.Promise, Now);
   Reply.set_refused(Answer.Agreed);
   Reply.set_wait_ms(Answer.Wait.count());
   // Also without agreement: another guardian may be gone, and then this one is asked what it has.
--- a/src/membership/records.cpp
+++ b/src/membership/records.cpp
@@ -25,7 +25,8 @@
     const json::value Root = json::parse(Text);
     return Read(Root.as_object());
   } catch (const std::exception &E) {
-    return Error{ErrorKind::Internal, std::string("a record of the cell can't be read: ") + E.what()};
+    return Error{ErrorKind::Internal,
+                 std::string("a record of the cell can't be read: ") + E.what()};
   }
 }
 
@@ -95,7 +96,7 @@
   }
   if (Rank >= Ranked.size())
     return nullptr;
-  std::nth_element(Ranked.begin(), Ranked.begin() + Rank, Ranked.end(),
+  std::nth_element(Ranked.begin(), Ranked.begin() + static_cast<ptrdiff_t>(Rank), Ranked.end(),
                    [](const auto &A, const auto &B) { return A.first > B.first; });
   return Ranked[Rank].second;
 }
--- a/src/ownership/authority.cpp
+++ b/src/ownership/authority.cpp
@@ -73,7 +73,8 @@
   for (const auto &[Name, PeerZone] : Peers) {
     if (Name == Self)
       continue;
-    const std::string Pair = Self + "\n" + Name;
+    std::string Pair = Self;
+    Pair.append("\n").append(Name);
     Candidates.push_back({PeerZone == Zone, XXH3_64bits(Pair.data(), Pair.size()), Name, PeerZone});
   }
   std::sort(Candidates.begin(), Candidates.end(), [](const Candidate &A, const Candidate &B) {
--- a/src/ownership/fence.cpp
+++ b/src/ownership/fence.cpp
@@ -31,8 +31,7 @@
   co_return Done{};
 }
 
-Awaitable<GuardianAnswer> ask(const FenceTools &Tools, std::string LogId,
-                              wire::Guardian Guardian) {
+Awaitable<GuardianAnswer> ask(const FenceTools &Tools, std::string LogId, wire::Guardian Guardian) {
   GuardianAnswer Answer;
   const Result<Endpoint> Address = parseEndpoint(Guardian.address());
   if (!ok(Address))
@@ -109,8 +108,7 @@
     Result<Done> Refused = co_await waitForRefusal(Tools, LogId, Guardians);
     if (!ok(Refused))
       co_return Refused;
-    Result<std::vector<wire::JournalEntry>> Gathered =
-        co_await gatherHeld(Tools, LogId, Guardians);
+    Result<std::vector<wire::JournalEntry>> Gathered = co_await gatherHeld(Tools, LogId, Guardians);
     if (!ok(Gathered))
       co_return error(Gathered);
     Held = std::move(value(Gathered));
--- a/src/ownership/fence_test.cpp
+++ b/src/ownership/fence_test.cpp
@@ -61,7 +61,8 @@
     Tools.Address = {"127.0.0.1", 9};
     Tools.Promise = 1ms;
     Tools.Margin = 0ms;
-    Tools.Peers.Refuse = [this](Endpoint To, wire::RefuseRequest) -> Awaitable<Result<wire::RefuseReply>> {
+    Tools.Peers.Refuse = [this](Endpoint To,
+                                wire::RefuseRequest) -> Awaitable<Result<wire::RefuseReply>> {
       if (OnAsk)
         OnAsk();
       const auto Found = Replies.find(To);
--- a/src/ownership/journal.cpp
+++ b/src/ownership/journal.cpp
@@ -468,9 +468,8 @@
   Seal.set_seal(true);
   if (!View.Entries.empty())
     Seal.set_snapshot_start(View.Entries.back().snapshot_start());
-  std::sort(Witnessed.begin(), Witnessed.end(), [](const auto &A, const auto &B) {
-    return A.first_record() < B.first_record();
-  });
+  std::sort(Witnessed.begin(), Witnessed.end(),
+            [](const auto &A, const auto &B) { return A.first_record() < B.first_record(); });
   Seal.set_first_record(View.NextRecord);
   uint64_t Next = View.NextRecord;
   for (const wire::JournalEntry &Entry : Witnessed) {
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -337,13 +337,14 @@
   std::vector<std::string> Unused;
   {
     std::lock_guard Lock(Mutex);
-    for (auto &[Log, Since] : SealedSince) {
-      const bool Named = std::any_of(View->Owners.begin(), View->Owners.end(),
-                                     [&](const auto &Entry) { return Entry.second.Log == Log; });
+    for (auto &Sealed : SealedSince) {
+      const bool Named =
+          std::any_of(View->Owners.begin(), View->Owners.end(),
+                      [&](const auto &Entry) { return Entry.second.Log == Sealed.first; });
       if (Named)
-        Since = Now;
-      else if (Now - Since >= GarbageAfter)
-        Unused.push_back(Log);
+        Sealed.second = Now;
+      else if (Now - Sealed.second >= GarbageAfter)
+        Unused.push_back(Sealed.first);
     }
   }
   for (const std::string &Log : Unused) {
--- a/src/placement/shard_directory.cpp
+++ b/src/placement/shard_directory.cpp
@@ -50,7 +50,8 @@
   const auto Read = [](const wire::Resources &Wire) {
     return Resources{Wire.milli_cores(), Wire.memory_mb(), Wire.accelerators()};
   };
-  Room = {Read(Summary.free()), Read(Summary.largest_free()), Summary.workers(), Summary.queued(),
+  Room = {Read(Summary.free()), Read(Summary.largest_free()),
+          Summary.workers(),    Summary.queued(),
           Summary.epoch(),      Now};
 }
 
@@ -59,7 +60,8 @@
   return Rooms;
 }
 
-bool ShardDirectory::capable(const BoxInfo &Box, const JobSpec &Spec, const Selector &Wanted) const {
+bool ShardDirectory::capable(const BoxInfo &Box, const JobSpec &Spec,
+                             const Selector &Wanted) const {
   return fits(Spec.Size, Box.Capacity) && matches(Wanted, Box.Labels);
 }
 
@@ -98,9 +100,10 @@
   return "no box could ever hold a task of " + std::to_string(Spec.Size.MilliCores) +
          " milli-cores, " + std::to_string(Spec.Size.MemoryMb) + " MB and " +
          std::to_string(Spec.Size.Accelerators) + " accelerators: of " + std::to_string(Known) +
-         " boxes " + std::to_string(Selected) + " match the selector, and the most that these have is " +
-         std::to_string(Most.MilliCores) + " milli-cores, " + std::to_string(Most.MemoryMb) +
-         " MB and " + std::to_string(Most.Accelerators) + " accelerators";
+         " boxes " + std::to_string(Selected) +
+         " match the selector, and the most that these have is " + std::to_string(Most.MilliCores) +
+         " milli-cores, " + std::to_string(Most.MemoryMb) + " MB and " +
+         std::to_string(Most.Accelerators) + " accelerators";
 }
 
 bool ShardDirectory::roomElsewhere(const JobSpec &Spec, uint32_t But, TimePoint Now) const {
@@ -110,17 +113,15 @@
     std::lock_guard Lock(Mutex);
     const auto Found = Rooms.find(Shard);
     const bool HasRoom = Found != Rooms.end() && Now - Found->second.Heard < StaleAfter &&
-                         Found->second.Queued == 0 &&
-                         fits(Spec.Size, Found->second.LargestFree);
+                         Found->second.Queued == 0 && fits(Spec.Size, Found->second.LargestFree);
     if (HasRoom)
       return true;
   }
   return false;
 }
 
-std::vector<std::pair<uint32_t, uint32_t>> ShardDirectory::choose(const JobSpec &Spec,
-                                                                  uint32_t Count, bool Pack,
-                                                                  TimePoint Now) {
+std::vector<std::pair<uint32_t, uint32_t>>
+ShardDirectory::choose(const JobSpec &Spec, uint32_t Count, bool Pack, TimePoint Now) {
   const std::vector<uint32_t> Able = capableShards(Spec);
   if (Able.empty() || Count == 0)
     return {};
--- a/src/platform/box_list.cpp
+++ b/src/platform/box_list.cpp
@@ -23,7 +23,9 @@
   BoxInfo Box;
   Box.Name = textOf(Object, "name");
   const std::string Kind = textOf(Object, "kind");
-  Box.Kind = Kind == "worker" ? BoxKind::Worker : Kind == "upstream" ? BoxKind::Upstream : BoxKind::Entry;
+  Box.Kind = Kind == "worker"     ? BoxKind::Worker
+             : Kind == "upstream" ? BoxKind::Upstream
+                                  : BoxKind::Entry;
   const Result<Endpoint> Address = parseEndpoint(textOf(Object, "address"));
   if (!ok(Address) || Box.Name.empty())
     return Error{ErrorKind::BadRequest, "box '" + Box.Name + "' has no name or no address"};
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -73,10 +73,9 @@
 
 Awaitable<Result<uint64_t>> put(Calls To, std::string Key, std::string Value, uint64_t Expect,
                                 uint64_t Lease) {
-  const std::string Target = "/v1/kv/" + Key + "?expect=" + std::to_string(Expect) +
-                             "&lease=" + std::to_string(Lease);
-  Result<HttpResponse> Answer =
-      co_await call(To, "PUT", Target, std::move(Value), Milliseconds(0));
+  const std::string Target =
+      "/v1/kv/" + Key + "?expect=" + std::to_string(Expect) + "&lease=" + std::to_string(Lease);
+  Result<HttpResponse> Answer = co_await call(To, "PUT", Target, std::move(Value), Milliseconds(0));
   if (!ok(Answer))
     co_return error(Answer);
   if (value(Answer).Status != HttpOk)
--- a/src/platform/worker_client.cpp
+++ b/src/platform/worker_client.cpp
@@ -77,7 +77,8 @@
       Report.Tasks.push_back(taskIn(Item.as_object()));
     return Report;
   } catch (const std::exception &E) {
-    return Error{ErrorKind::UpstreamCut, std::string("the worker's list can't be read: ") + E.what()};
+    return Error{ErrorKind::UpstreamCut,
+                 std::string("the worker's list can't be read: ") + E.what()};
   }
 }
 
@@ -108,7 +109,8 @@
   if (!ok(Answer))
     co_return error(Answer);
   if (value(Answer).Status != HttpOk)
-    co_return Error{ErrorKind::UpstreamCut, "the worker answered " + std::to_string(value(Answer).Status)};
+    co_return Error{ErrorKind::UpstreamCut,
+                    "the worker answered " + std::to_string(value(Answer).Status)};
   co_return parseReport(value(Answer).Body);
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -19,6 +19,8 @@
 constexpr size_t PieceSize = 16 * 1024;
 // A body up to this size is kept, so that the request can be tried at another instance.
 constexpr size_t MaxReplayBytes = 256 * 1024;
+// A member cut off from the store that owns no shard has lost its promises after so long.
+constexpr std::chrono::seconds PromisesOver{4};
 constexpr std::string_view ServicePrefix = "/svc";
 
 Labels callerLabels(const HeaderList &Headers) {
@@ -74,10 +76,10 @@
 
 // What the tries of one request share.
 struct Router::Attempt {
-  std::string Body;         ///< What was read from the caller so far, if it is kept.
-  bool BodyWhole = false;   ///< All of the caller's body is in Body.
-  bool Streaming = false;   ///< The body is too large to be kept: one try only.
-  bool Answered = false;    ///< A byte of the answer went to the caller.
+  std::string Body;       ///< What was read from the caller so far, if it is kept.
+  bool BodyWhole = false; ///< All of the caller's body is in Body.
+  bool Streaming = false; ///< The body is too large to be kept: one try only.
+  bool Answered = false;  ///< A byte of the answer went to the caller.
   bool Repeatable = false;
   Error Last;
 
@@ -90,17 +92,51 @@
 
 Router::Router(RouterTools Tools) : Tools(std::move(Tools)) {}
 
+void Router::joined() {
+  std::lock_guard Lock(Mutex);
+  Slots.JoinedAt = Tools.Time.Now();
+  Slots.SlotSince.clear();
+}
+
+bool Router::ready() {
+  std::lock_guard Lock(Mutex);
+  return slotsSettled(Slots, Tools.Time.Now());
+}
+
+// Who has a share of the slots: the members, and those whose lease is gone but who may still go
+// on by promises. These are over once their shards are claimed, since that fences them.
+std::vector<std::string> Router::slotHolders(const CellView &View, TimePoint Now) {
+  std::map<std::string, std::string> Present;
+  for (const auto &[Log, Member] : View.Members)
+    if (!Member.Leaving)
+      Present[Member.Name] = Log;
+  for (const auto &[Name, Log] : LastSeen)
+    if (!Present.count(Name))
+      Away.emplace(Name, Vanished{Log, Now});
+  std::erase_if(Away, [&](const auto &Entry) {
+    const bool Owns = std::any_of(View.Owners.begin(), View.Owners.end(), [&](const auto &Owner) {
+      return Owner.second.Log == Entry.second.Log && !Owner.second.Released;
+    });
+    const bool Owned = Owns || Now - Entry.second.Since < PromisesOver;
+    return Present.count(Entry.first) > 0 || !Owned;
+  });
+  LastSeen = Present;
+  std::vector<std::string> Holders;
+  for (const auto &[Name, Log] : Present)
+    Holders.push_back(Name);
+  for (const auto &[Name, Gone] : Away)
+    Holders.push_back(Name);
+  std::sort(Holders.begin(), Holders.end());
+  return Holders;
+}
+
 void Router::refresh() {
   const auto Config = Tools.Config();
   const CellViewPtr View = Tools.View();
   const auto Boxes = Tools.Directory.boxes();
-  std::vector<std::string> Members;
-  for (const auto &[Log, Member] : View->Members)
-    if (!Member.Leaving)
-      Members.push_back(Member.Name);
-  std::sort(Members.begin(), Members.end());
   const TimePoint Now = Tools.Time.Now();
   std::lock_guard Lock(Mutex);
+  const std::vector<std::string> Members = slotHolders(*View, Now);
   for (const auto &[Partner, Part] : Config->Partners)
     for (const ServiceConfig &Service : Part.Services) {
       BoxList Instances;
@@ -273,7 +309,8 @@
   const TimePoint Deadline =
       Tools.Time.Now() + callerDeadline(Exchange.headers(), To.Route.Deadline);
   Attempt State;
-  State.Repeatable = To.Route.Repeatable && findHeader(Exchange.headers(), "Valveshelf-Repeatable") != "no";
+  State.Repeatable =
+      To.Route.Repeatable && findHeader(Exchange.headers(), "Valveshelf-Repeatable") != "no";
   // A small body is read first, so that a request that surely did not run can be tried again.
   std::array<char, PieceSize> Room;
   while (Exchange.hasBody() && !State.BodyWhole && State.Body.size() < MaxReplayBytes) {
@@ -300,7 +337,8 @@
       ++Figures.Served;
       co_return;
     }
-    logEvent(events::UpstreamFailed, {{"upstream", value(Slot).Instance}, {"why", "\"" + State.Last.Detail + "\""}});
+    logEvent(events::UpstreamFailed,
+             {{"upstream", value(Slot).Instance}, {"why", "\"" + State.Last.Detail + "\""}});
     Avoid = value(Slot).Instance;
     const bool SurelyNotRun = State.Last.Kind == ErrorKind::UpstreamUnavailable;
     const bool MayRetry = (SurelyNotRun || State.Repeatable) && !State.Streaming;
@@ -309,8 +347,8 @@
     ++Figures.Retried;
   }
   ++Figures.Refused;
-  logEvent(events::RequestRefused, {{"kind", std::string(answerFor(State.Last.Kind).Name)},
-                                    {"target", Exchange.target()}});
+  logEvent(events::RequestRefused,
+           {{"kind", std::string(answerFor(State.Last.Kind).Name)}, {"target", Exchange.target()}});
   co_await sendWhole(Exchange, errorResponse(State.Last));
 }
 
--- a/src/routing/slot_book.cpp
+++ b/src/routing/slot_book.cpp
@@ -16,7 +16,8 @@
   const std::string *Best = nullptr;
   uint64_t BestHash = 0;
   for (const std::string &Member : Members) {
-    const std::string Pair = Member + "/" + Slot;
+    std::string Pair = Member;
+    Pair.append("/").append(Slot);
     const uint64_t Hash = XXH3_64bits(Pair.data(), Pair.size());
     if (!Best || Hash > BestHash) {
       Best = &Member;
@@ -67,10 +68,8 @@
 } // namespace
 
 void shareSlots(SlotBook &Book, const std::string &Service, const BoxList &Instances, int Slots,
-                const std::vector<std::string> &Members, const std::string &Member,
-                TimePoint Now) {
+                const std::vector<std::string> &Members, const std::string &Member, TimePoint Now) {
   ServiceSlots &Shared = Book.Services[Service];
-  const bool First = Book.SlotSince.empty();
   std::map<std::string, const BoxInfo *> Listed;
   for (const BoxInfo &Box : Instances)
     Listed[Box.Name] = &Box;
@@ -81,6 +80,7 @@
     return !Listed.count(Entry.first) && Entry.second.InUse == 0;
   });
   for (const auto &[Name, Box] : Listed) {
+    const bool NewHere = !Shared.Instances.count(Name);
     InstanceSlots &Instance = Shared.Instances[Name];
     Instance.Box = *Box;
     Instance.Leaving = Box->Leaving;
@@ -92,9 +92,8 @@
         Book.SlotSince.erase(Key);
         continue;
       }
-      // The slot's last owner may still use it. At the very first look nobody else had it.
-      const TimePoint Since = First ? Now - Book.Limits.SlotQuarantine : Now;
-      const auto Held = Book.SlotSince.emplace(Key, Since).first;
+      // The slot's last owner may still use it.
+      const auto Held = Book.SlotSince.emplace(Key, NewHere ? Book.JoinedAt : Now).first;
       if (Now - Held->second >= Book.Limits.SlotQuarantine)
         ++Instance.Mine;
     }
@@ -102,6 +101,10 @@
   serveWaiting(Book, Service, Now);
 }
 
+bool slotsSettled(const SlotBook &Book, TimePoint Now) {
+  return Now - Book.JoinedAt >= Book.Limits.SlotQuarantine;
+}
+
 std::optional<SlotGrant> takeSlot(SlotBook &Book, const std::string &Service, JobClass Class,
                                   const std::string &Avoid, TimePoint Now) {
   const auto Found = Book.Services.find(Service);
@@ -165,7 +168,8 @@
   size_t Ahead = 0;
   for (const auto &[Order, Waiter] : Found->second.Waiting)
     Ahead += Order <= static_cast<int>(Class) ? 1 : 0;
-  return Milliseconds(static_cast<int64_t>(1000.0 * Ahead / Found->second.DrainPerSecond));
+  return Milliseconds(
+      static_cast<int64_t>(1000.0 * static_cast<double>(Ahead) / Found->second.DrainPerSecond));
 }
 
 } // namespace valveshelf
--- a/src/valveshelf/client_commands.cpp
+++ b/src/valveshelf/client_commands.cpp
@@ -91,8 +91,7 @@
   std::string Target = Job.empty() ? "/v1/jobs" : "/v1/jobs/" + Job + Suffix;
   if (Job.empty() && !Partner.empty())
     Target += "?partner=" + Partner;
-  const auto Answer =
-      callEntry(textOf(*Parsed, "entry"), {Method, Target, {}, ""}, CallTimeout);
+  const auto Answer = callEntry(textOf(*Parsed, "entry"), {Method, Target, {}, ""}, CallTimeout);
   const std::string Output = textOf(*Parsed, "output");
   return Method == "GET" ? printJobs(Answer, Output) : printAnswer(Answer, Output);
 }
@@ -142,8 +141,8 @@
   std::string Target = "/v1/config/" + Partner + "?base=" + Base;
   if (const std::string Id = textOf(Parsed, "id"); !Id.empty())
     Target += "&id=" + Id;
-  HttpRequest Request{"PUT", Target, {{"Authorization", "Bearer " + textOf(Parsed, "token")}},
-                      value(Text)};
+  HttpRequest Request{
+      "PUT", Target, {{"Authorization", "Bearer " + textOf(Parsed, "token")}}, value(Text)};
   return printAnswer(callEntry(Entry, std::move(Request), CallTimeout), textOf(Parsed, "output"));
 }
 
@@ -176,7 +175,8 @@
 }
 int runCancel(const Arguments &Args) { return jobCall(Args, "Cancels a job.", "DELETE", "", true); }
 int runExplain(const Arguments &Args) {
-  return jobCall(Args, "Says why a job runs where it runs or why it waits.", "GET", "/explain", true);
+  return jobCall(Args, "Says why a job runs where it runs or why it waits.", "GET", "/explain",
+                 true);
 }
 
 int runConfig(const Arguments &Args) {
@@ -206,23 +206,24 @@
 }
 
 int runDrain(const Arguments &Args) {
-  cxxopts::Options Options =
-      optionsFor(Args, "Begins the planned stop of the entry process at --entry.", DefaultOperators);
+  cxxopts::Options Options = optionsFor(
+      Args, "Begins the planned stop of the entry process at --entry.", DefaultOperators);
   Options.add_options()("token", "the operator's token",
                         cxxopts::value<std::string>()->default_value(""));
   int Exit = 0;
   const auto Parsed = parseOptions(Options, Args, Exit);
   if (!Parsed)
     return Exit;
-  HttpRequest Request{"POST", "/v1/drain",
-                      {{"Authorization", "Bearer " + textOf(*Parsed, "token")}}, ""};
+  HttpRequest Request{
+      "POST", "/v1/drain", {{"Authorization", "Bearer " + textOf(*Parsed, "token")}}, ""};
   return printAnswer(callEntry(textOf(*Parsed, "entry"), std::move(Request), CallTimeout),
                      textOf(*Parsed, "output"));
 }
 
 int runMembers(const Arguments &Args) {
-  cxxopts::Options Options = optionsFor(
-      Args, "Shows the entry processes, their shards and configuration versions.", DefaultOperators);
+  cxxopts::Options Options =
+      optionsFor(Args, "Shows the entry processes, their shards and configuration versions.",
+                 DefaultOperators);
   int Exit = 0;
   const auto Parsed = parseOptions(Options, Args, Exit);
   if (!Parsed)
@@ -235,8 +236,9 @@
   for (const json::value &Item : Root.at("members").as_array()) {
     const json::object &Member = Item.as_object();
     const auto Text = [&](const char *Key) { return std::string(Member.at(Key).as_string()); };
-    std::cout << Text("name") << "  " << Text("partner") << "  " << Text("zone") << "  callers="
-              << Text("callers") << "  config=" << Member.at("config_version").to_number<uint64_t>()
+    std::cout << Text("name") << "  " << Text("partner") << "  " << Text("zone")
+              << "  callers=" << Text("callers")
+              << "  config=" << Member.at("config_version").to_number<uint64_t>()
               << "  shards=" << json::serialize(Member.at("shards"))
               << (Member.at("leaving").as_bool() ? "  leaving" : "") << "\n";
   }
--- a/src/valveshelf/entry_command.cpp
+++ b/src/valveshelf/entry_command.cpp
@@ -92,8 +92,10 @@
 } // namespace
 
 int runEntry(const Arguments &Args) {
-  cxxopts::Options Options(Args[0], "Runs an entry process until SIGTERM, which begins the planned stop.");
-  Options.add_options()("config", "TOML file with this process's settings", cxxopts::value<std::string>());
+  cxxopts::Options Options(Args[0],
+                           "Runs an entry process until SIGTERM, which begins the planned stop.");
+  Options.add_options()("config", "TOML file with this process's settings",
+                        cxxopts::value<std::string>());
   int Exit = 0;
   const auto Parsed = parseOptions(Options, Args, Exit);
   if (!Parsed)
@@ -118,7 +120,8 @@
 }
 
 int runCheckConfig(const Arguments &Args) {
-  cxxopts::Options Options(Args[0], "Checks entry settings and cell configuration files; prints every error.");
+  cxxopts::Options Options(
+      Args[0], "Checks entry settings and cell configuration files; prints every error.");
   Options.positional_help("FILE...");
   Options.add_options()("files", "files to check", cxxopts::value<std::vector<std::string>>());
   Options.parse_positional({"files"});
--- a/src/valveshelf/main.cpp
+++ b/src/valveshelf/main.cpp
@@ -23,7 +23,8 @@
     Command{"cancel", "cancel a job", runCancel},
     Command{"explain", "say why a job runs where it runs or why it waits", runExplain},
     Command{"config", "show or apply the operators' configuration", runConfig},
-    Command{"members", "show the entry processes, their shards and their configuration", runMembers},
+    Command{"members", "show the entry processes, their shards and their configuration",
+            runMembers},
     Command{"drain", "begin the planned stop of an entry process", runDrain},
 };
 
--- a/src/valveshelf/options.cpp
+++ b/src/valveshelf/options.cpp
@@ -20,8 +20,7 @@
     Pointers.push_back(Arg.c_str());
   Options.add_options()("h,help", "print this help");
   try {
-    cxxopts::ParseResult Parsed =
-        Options.parse(static_cast<int>(Pointers.size()), Pointers.data());
+    cxxopts::ParseResult Parsed = Options.parse(static_cast<int>(Pointers.size()), Pointers.data());
     if (Parsed.count("help")) {
       std::cout << Options.help();
       Exit = ExitDone;
@@ -45,8 +44,9 @@
   Result<HttpResponse> Answer = Error{};
   CallOptions Options;
   Options.Timeout = Timeout;
-  asio::co_spawn(Io, Client.send(value(To), std::move(Request), Options),
-                 [&](std::exception_ptr, Result<HttpResponse> Value) { Answer = std::move(Value); });
+  asio::co_spawn(
+      Io, Client.send(value(To), std::move(Request), Options),
+      [&](std::exception_ptr, Result<HttpResponse> Value) { Answer = std::move(Value); });
   Io.run();
   return Answer;
 }
@@ -64,7 +64,7 @@
   json::error_code Failure;
   const json::value Root = json::parse(Got.Body, Failure);
   const std::string_view Outcome = findHeader(Got.Headers, "Valveshelf-Outcome");
-  const int Exit = Outcome == "unknown" ? ExitUnknown
+  const int Exit = Outcome == "unknown"                     ? ExitUnknown
                    : Got.Status == 400 || Got.Status == 422 ? ExitUsage
                                                             : ExitFailed;
   if (Failure || !Root.is_object() || Output == "json") {
--- a/testsuite/cell.py
+++ b/testsuite/cell.py
@@ -91,6 +91,7 @@
         self.lock = threading.Lock()
         self.driver = open(os.path.join(self.records, "driver.jsonl"), "a", buffering=1)
         self.processes = {}
+        self.out = set()
         self.timing = timing or {}
         self.shards, self.milli_cores, self.memory_mb = shards, milli_cores, memory_mb
         ports = iter(free_ports(3 + entries * 4 + racks * workers_per_rack + upstreams))
@@ -218,11 +219,13 @@
         self.note(type="started", name=name)
 
     def freeze(self, name):
+        self.out.add(name)
         self.processes[name].signal(signal.SIGSTOP)
         self.note(type="frozen", name=name)
 
     def thaw(self, name):
         self.processes[name].signal(signal.SIGCONT)
+        self.out.discard(name)
         self.note(type="thawed", name=name)
 
     def planned_stop(self, name, seconds=40):
@@ -234,7 +237,9 @@
         return code
 
     def fault(self, name, **faults):
-        call(self.processes[name].address, "POST", "/faults", json.dumps(faults))
+        for address in [self.processes[name].address] + (
+                list(self.store_of.values()) if name == "store" else []):
+            call(address, "POST", "/faults", json.dumps(faults))
         self.note(type="fault", name=name, faults=faults)
 
     def cut_from_store(self, name, cut):
@@ -249,7 +254,8 @@
     # ---- Callers and operators.
 
     def any_entry(self):
-        alive = [n for n in self.entries if self.processes[n].alive()]
+        # As the platform's balancer would: not one that is dead, frozen or stopping.
+        alive = [n for n in self.entries if self.processes[n].alive() and n not in self.out]
         return random.choice(alive)
 
     def request(self, path, request_id, entry=None, repeatable=False, body=None, bytes_wanted=200,
--- a/testsuite/fakes/fake_store.h
+++ b/testsuite/fakes/fake_store.h
@@ -53,7 +53,8 @@
 
   void endLease(uint64_t Lease) {
     Leases.erase(Lease);
-    std::erase_if(Items, [&](const auto &Entry) { return Lease != 0 && Entry.second.Lease == Lease; });
+    std::erase_if(Items,
+                  [&](const auto &Entry) { return Lease != 0 && Entry.second.Lease == Lease; });
   }
 
   StoreOps ops() {
--- a/testsuite/standins/audit.cpp
+++ b/testsuite/standins/audit.cpp
@@ -164,7 +164,8 @@
     ByTask[R.Task].push_back(&R);
   for (auto &[Task, Runs] : ByTask) {
     ++Row.Cases;
-    std::sort(Runs.begin(), Runs.end(), [](const Run *A, const Run *B) { return A->From < B->From; });
+    std::sort(Runs.begin(), Runs.end(),
+              [](const Run *A, const Run *B) { return A->From < B->From; });
     int64_t Until = 0;
     const Run *Before = nullptr;
     for (const Run *R : Runs) {
@@ -185,7 +186,8 @@
       continue;
     ++Row.Cases;
     if (flag(Record, "whole") && text(Record, "body_id") != text(Record, "id"))
-      breaks(Row, "request " + text(Record, "id") + " got the answer to " + text(Record, "body_id"));
+      breaks(Row,
+             "request " + text(Record, "id") + " got the answer to " + text(Record, "body_id"));
     else if (flag(Record, "whole") && number(Record, "got") != number(Record, "expected"))
       breaks(Row, "request " + text(Record, "id") + " took a part for the whole answer");
   }
@@ -335,9 +337,10 @@
 
 std::vector<AuditRow> audit(const std::vector<json::object> &Unordered) {
   std::vector<json::object> Records = Unordered;
-  std::stable_sort(Records.begin(), Records.end(), [](const json::object &A, const json::object &B) {
-    return number(A, "ts") < number(B, "ts");
-  });
+  std::stable_sort(Records.begin(), Records.end(),
+                   [](const json::object &A, const json::object &B) {
+                     return number(A, "ts") < number(B, "ts");
+                   });
   const History Past = historyOf(Records);
   return {judgeCapacity(Past),
           judgeOnePlace(Past),
@@ -350,7 +353,8 @@
           judgeAccounts(Records)};
 }
 
-std::vector<json::object> readRecords(const std::string &Folder, std::vector<std::string> &Problems) {
+std::vector<json::object> readRecords(const std::string &Folder,
+                                      std::vector<std::string> &Problems) {
   std::vector<json::object> Records;
   for (const auto &Entry : std::filesystem::directory_iterator(Folder)) {
     if (Entry.path().extension() != ".jsonl")
@@ -383,7 +387,8 @@
       std::printf("                 - %s\n", Example.c_str());
     Broken += Row.Broken;
   }
-  std::printf("%s: %zu records, %zu breaks\n", Broken == 0 ? "clean" : "BROKEN", Records.size(), Broken);
+  std::printf("%s: %zu records, %zu breaks\n", Broken == 0 ? "clean" : "BROKEN", Records.size(),
+              Broken);
   return Broken == 0 && !Records.empty() ? 0 : 1;
 }
 
--- a/testsuite/standins/standin.h
+++ b/testsuite/standins/standin.h
@@ -20,13 +20,13 @@
 
 /// The faults that are switched on now. Set by `POST /faults` with any of the fields as JSON.
 struct Faults {
-  int64_t DelayMs = 0;       ///< Before each answer.
-  bool Outage = false;       ///< Connections are cut before anything happens.
-  int64_t LoseAnswers = 0;   ///< So many calls take effect and are cut before their answer.
-  bool Freeze = false;       ///< Calls wait until it is switched off.
-  bool FailStarts = false;   ///< Worker: every task fails at once.
-  int64_t Truncate = 0;      ///< Upstream: so many answers are cut in the middle.
-  bool Refuse = false;       ///< Upstream: answers 503 and `Valveshelf-Outcome: not-run`.
+  int64_t DelayMs = 0;     ///< Before each answer.
+  bool Outage = false;     ///< Connections are cut before anything happens.
+  int64_t LoseAnswers = 0; ///< So many calls take effect and are cut before their answer.
+  bool Freeze = false;     ///< Calls wait until it is switched off.
+  bool FailStarts = false; ///< Worker: every task fails at once.
+  int64_t Truncate = 0;    ///< Upstream: so many answers are cut in the middle.
+  bool Refuse = false;     ///< Upstream: answers 503 and `Valveshelf-Outcome: not-run`.
 };
 
 /// Appends JSON lines to a file, each with the wall time in milliseconds and the writer's name.
--- a/testsuite/standins/store.cpp
+++ b/testsuite/standins/store.cpp
@@ -24,8 +24,8 @@
 
   bool take() {
     const TimePoint Now = Steady::now();
-    Tokens = std::min(PerSecond,
-                      Tokens + PerSecond * std::chrono::duration<double>(Now - Last).count());
+    Tokens =
+        std::min(PerSecond, Tokens + PerSecond * std::chrono::duration<double>(Now - Last).count());
     Last = Now;
     if (Tokens < 1)
       return false;
@@ -37,15 +37,19 @@
 class Store {
 public:
   Store(asio::io_context &Io, const Options &Given)
-      : Changed(Io, TimePoint::max()), Record(Given.text("trace", ""), Given.text("name", "store")) {
+      : Changed(Io, TimePoint::max()),
+        Record(Given.text("trace", ""), Given.text("name", "store")) {
     Reads.PerSecond = Reads.Tokens = static_cast<double>(Given.number("reads", 2000));
     Writes.PerSecond = Writes.Tokens = static_cast<double>(Given.number("writes", 100));
   }
 
   Awaitable<HttpResponse> handle(Call Made) {
     if (Made.Path == "/stats")
-      co_return answer(200, {{"reads", ReadCount}, {"writes", WriteCount}, {"refused", RefusedCount},
-                             {"watching", Watching}, {"keys", Entries.size()}});
+      co_return answer(200, {{"reads", ReadCount},
+                             {"writes", WriteCount},
+                             {"refused", RefusedCount},
+                             {"watching", Watching},
+                             {"keys", Entries.size()}});
     const bool IsWrite = Made.Method != "GET";
     ++(IsWrite ? WriteCount : ReadCount);
     if (!(IsWrite ? Writes : Reads).take()) {
@@ -132,7 +136,8 @@
       if (!It->first.starts_with(Prefix))
         break;
       if (It->second.Version > After)
-        Items.push_back({{"key", It->first}, {"value", It->second.Value}, {"version", It->second.Version}});
+        Items.push_back(
+            {{"key", It->first}, {"value", It->second.Value}, {"version", It->second.Version}});
     }
     if (After > 0)
       for (const auto &[Key, Version] : Erased)
@@ -175,7 +180,8 @@
       Leases[Id] = {Steady::now() + Life, Life};
       return {200, {{"X-Lease", std::to_string(Id)}}, ""};
     }
-    const uint64_t Id = std::strtoull(Made.Path.c_str() + std::string("/v1/lease/").size(), nullptr, 10);
+    const uint64_t Id =
+        std::strtoull(Made.Path.c_str() + std::string("/v1/lease/").size(), nullptr, 10);
     const auto Found = Leases.find(Id);
     if (Found == Leases.end())
       return answer(404, {{"error", "there is no such lease"}});
--- a/testsuite/standins/upstream.cpp
+++ b/testsuite/standins/upstream.cpp
@@ -23,7 +23,10 @@
       co_return Refused;
     }
     ++InUse;
-    Record.write({{"type", "begin"}, {"id", Id}, {"in_use", InUse}, {"slots", Slots},
+    Record.write({{"type", "begin"},
+                  {"id", Id},
+                  {"in_use", InUse},
+                  {"slots", Slots},
                   {"body", Made.Body.size()}});
     const auto Number = [&](const char *Key) {
       return std::atoll(queryParameter(Made.Target, Key).value_or("0").c_str());
@@ -32,8 +35,11 @@
     --InUse;
     Record.write({{"type", "done"}, {"id", Id}});
     const std::string Filler(static_cast<size_t>(Number("bytes")), 'x');
-    co_return answer(200, {{"id", Id}, {"instance", Name}, {"path", Made.Path},
-                           {"received", Made.Body.size()}, {"filler", Filler}});
+    co_return answer(200, {{"id", Id},
+                           {"instance", Name},
+                           {"path", Made.Path},
+                           {"received", Made.Body.size()},
+                           {"filler", Filler}});
   }
 
 private:
--- a/testsuite/standins/worker.cpp
+++ b/testsuite/standins/worker.cpp
@@ -38,7 +38,8 @@
       : Changed(Io, TimePoint::max()), Active(Active),
         Record(Given.text("trace", ""), Given.text("name", "worker")),
         UsageLag(Given.number("usage-lag-ms", 500)),
-        Incarnation(std::to_string(nowMs()) + "-" + std::to_string(std::random_device{}() % 10000)) {
+        Incarnation(std::to_string(nowMs()) + "-" +
+                    std::to_string(std::random_device{}() % 10000)) {
     Record.write({{"type", "boot"},
                   {"milli_cores", Given.number("milli-cores", 64000)},
                   {"memory_mb", Given.number("memory-mb", 131072)},
@@ -49,7 +50,8 @@
     settle();
     if (Made.Path == "/v1/tasks" && Made.Method == "GET")
       co_return answer(200, list());
-    const json::value Root = Made.Body.empty() ? json::value(json::object()) : json::parse(Made.Body);
+    const json::value Root =
+        Made.Body.empty() ? json::value(json::object()) : json::parse(Made.Body);
     const json::object &Body = Root.as_object();
     if (Made.Path == "/v1/tasks")
       co_return start(Body);
@@ -86,8 +88,8 @@
                  integerIn(Labels, "actual_memory_mb", New.Size.MemoryMb), New.Size.Accelerators};
     const bool Service = Body.contains("service") && Body.at("service").as_bool();
     const int64_t Declared = integerIn(Body, "run_time_ms", 1000);
-    const int64_t RunMs = Service ? int64_t{365} * 24 * 3600 * 1000
-                                  : integerIn(Labels, "actual_run_ms", Declared);
+    const int64_t RunMs =
+        Service ? int64_t{365} * 24 * 3600 * 1000 : integerIn(Labels, "actual_run_ms", Declared);
     New.Started = Steady::now();
     New.WillFail = Active.FailStarts || Labels.contains("fails");
     New.Finishes = New.Started + Milliseconds(Active.FailStarts ? 1 : RunMs);
@@ -113,7 +115,10 @@
     Ended.Detail = Detail;
     Ended.EndedMs =
         Ended.StartedMs + std::chrono::duration_cast<Milliseconds>(When - Ended.Started).count();
-    Record.write({{"type", "end"}, {"id", Ended.Id}, {"run", Ended.Number}, {"state", State},
+    Record.write({{"type", "end"},
+                  {"id", Ended.Id},
+                  {"run", Ended.Number},
+                  {"state", State},
                   {"detail", Detail}},
                  Ended.EndedMs);
     changed();
@@ -155,7 +160,8 @@
 
   Awaitable<HttpResponse> sync(json::object Body) {
     for (const json::value &Id : Body.at("forget").as_array())
-      Runs.remove_if([&](const Run &Each) { return Each.Id == Id.as_string() && Each.State != "running"; });
+      Runs.remove_if(
+          [&](const Run &Each) { return Each.Id == Id.as_string() && Each.State != "running"; });
     const TimePoint LeaseEnds = Steady::now() + Milliseconds(integerIn(Body, "renew_ms", 0));
     for (const json::value &Id : Body.at("renew").as_array())
       for (Run &Each : Runs)
@@ -184,7 +190,8 @@
         Record.write({{"type", "throttle"}, {"id", Id}, {"run", Each.Number}});
         changed();
       } else {
-        end(Each, "stopped", What == "/v1/stop" ? "stopped by command" : "checkpointed", Steady::now());
+        end(Each, "stopped", What == "/v1/stop" ? "stopped by command" : "checkpointed",
+            Steady::now());
       }
     }
     return answer(200, {{"id", Id}});
