--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -14,7 +14,8 @@
 constexpr Milliseconds BoxPollEvery{1000};
 constexpr Milliseconds RefreshEvery{200};
 constexpr Milliseconds PeerTimeout{1500};
-constexpr size_t GossipFanOut = 8;
+constexpr size_t GossipFanOut = 4;
+constexpr int QuietRounds = 4;
 
 HttpServerLimits limitsOf(const IntakeLimits &Limits) {
   HttpServerLimits Out;
@@ -208,14 +209,21 @@
   return Partners;
 }
 
-// Exchanges news with a bounded number of peers a round, in turn.
+// Exchanges news with a bounded number of peers a round, in turn. Without news of its own a
+// process speaks more seldom.
 Awaitable<void> EntryProcess::gossipLoop() {
+  std::string Told;
+  int Quiet = 0;
   while (true) {
     const wire::ExchangeRequest Own = ownNews();
     for (const wire::ShardSummary &Summary : Own.summary())
       Directory.hear(Summary, Time.Now());
+    const std::string Now = Own.SerializeAsString();
+    Quiet = Now == Told ? Quiet + 1 : 0;
+    Told = Now;
+    const bool Speak = Quiet % QuietRounds == 0;
     const std::vector<MemberInfo> Others = gossipPartners();
-    const size_t Calls = std::min(GossipFanOut, Others.size());
+    const size_t Calls = Speak ? std::min(GossipFanOut, Others.size()) : 0;
     for (size_t I = 0; I < Calls; ++I)
       spawnLater(Where, gossipWith(Others[(GossipNext + I) % Others.size()]));
     GossipNext += Calls;
--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -12,7 +12,10 @@
 namespace valveshelf {
 namespace asio = boost::asio;
 namespace {
-constexpr Milliseconds TickEvery{25};
+// Ticks come with events; without any, often enough for what only time brings.
+constexpr Milliseconds TickAtLeastEvery{200};
+// Events that come close together share a tick.
+constexpr Milliseconds TickAtMostEvery{5};
 constexpr Milliseconds SlowTickEvery{250};
 constexpr Milliseconds BoxLookEvery{500};
 constexpr Milliseconds WorkerRetryPause{250};
@@ -31,7 +34,8 @@
 };
 
 ShardRunner::ShardRunner(uint32_t Shard, uint64_t Epoch, ShardTools Tools)
-    : Shard(Shard), Epoch(Epoch), Tools(std::move(Tools)) {
+    : Shard(Shard), Epoch(Epoch), Tools(std::move(Tools)),
+      Wake(asio::make_strand(this->Tools.Where)) {
   State.Id = Shard;
 }
 
@@ -91,6 +95,9 @@
                        What.Forgets.empty() && What.Lends.empty() && What.Cancels.empty();
   if (Nothing && !Also)
     return notify(What.Notices);
+  // Nearly everything that changes the state gives the next tick something to do.
+  if (!What.Records.empty() || !What.Notices.empty())
+    poke();
   StartsInFlight += static_cast<int>(What.Starts.size());
   auto Done = std::make_shared<DecisionDone>();
   Done->Owner = shared_from_this();
@@ -286,10 +293,23 @@
   carryOut(std::move(Cancels));
 }
 
+// Asks for a tick soon.
+void ShardRunner::poke() {
+  if (Poked.exchange(true))
+    return;
+  asio::post(Wake.get_executor(), [This = shared_from_this()] { This->Wake.cancel(); });
+}
+
 Awaitable<void> ShardRunner::tickLoop(Self This) {
   while (!This->Stopped) {
+    This->Poked = false;
     This->tick();
-    co_await sleepFor(TickEvery);
+    co_await sleepFor(TickAtMostEvery);
+    if (This->Poked)
+      continue;
+    co_await asio::post(This->Wake.get_executor(), asio::use_awaitable);
+    This->Wake.expires_after(This->Poked ? Milliseconds(0) : TickAtLeastEvery);
+    co_await This->Wake.async_wait(asio::as_tuple(asio::use_awaitable));
   }
 }
 
--- a/src/include/valveshelf/settings.h
+++ b/src/include/valveshelf/settings.h
@@ -33,12 +33,12 @@
 struct Timing {
   Milliseconds Lease{3000};         ///< Shortest life of a process's lease in the store. It grows
                                     ///< with the fleet so that renewals stay within the budget.
-  Milliseconds Promise{1500};       ///< How long a peer's promise holds.
+  Milliseconds Promise{3000};       ///< How long a peer's promise holds.
   Milliseconds Margin{300};         ///< Taken off every lease for clock rates and delays.
-  Milliseconds Gossip{500};         ///< Between two exchanges with peers.
+  Milliseconds Gossip{500};         ///< Between two exchanges with peers while there is news.
   Milliseconds StoreTimeout{1000};  ///< For one call to the store.
   Milliseconds TaskLease{60000};    ///< How long a worker runs a task without word from us.
-  Milliseconds WorkerPoll{2000};    ///< Longest wait of one call to a worker for news.
+  Milliseconds WorkerPoll{5000};    ///< Longest wait of one call to a worker for news.
   Milliseconds WorkerTimeout{1500}; ///< For one call to a worker beyond the wait it asked for.
   Milliseconds StopGrace{30000};    ///< How long a planned stop waits for work in progress.
 };
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -102,6 +102,7 @@
   static Awaitable<void> tryGang(Self This, std::string Job);
 
   void tick();
+  void poke();
   void takeBoxes();
   WorkerSync nextSync(const std::string &Worker);
   void onSynced(const std::string &Worker, const WorkerSync &Sent,
@@ -111,6 +112,8 @@
   const uint32_t Shard;
   const uint64_t Epoch;
   const ShardTools Tools;
+  boost::asio::steady_timer Wake; ///< Of the tick loop; used on its strand only.
+  std::atomic<bool> Poked{false};
   std::atomic<bool> Stopped{false};
   std::atomic<bool> Draining{false};
   std::atomic<int> StartsInFlight{0};
--- a/src/membership/promise_keeper.cpp
+++ b/src/membership/promise_keeper.cpp
@@ -137,7 +137,7 @@
       logEvent(events::AuthorityLost, {{"log", Self.Log}});
     ByPromise = !Lease && Promises;
     Had = Lease || Promises;
-    co_await sleepFor(std::min(Times.Gossip, Times.Promise / 3));
+    co_await sleepFor(Times.Promise / 3);
   }
 }
 
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -14,6 +14,7 @@
 namespace json = boost::json;
 
 constexpr int HttpOk = 200;
+constexpr int HttpNotModified = 304;
 constexpr int HttpNotFound = 404;
 constexpr int HttpConflict = 409;
 
@@ -164,15 +165,34 @@
   return Ops;
 }
 
+// The list last read and its tag. An unchanged list, by far the usual answer, costs no transfer.
+struct KnownBoxes {
+  std::string Tag;
+  BoxList List;
+};
+
 BoxListOps httpBoxList(HttpClient &Client, Endpoint Address, Milliseconds Timeout) {
   const Calls To = std::make_shared<StoreCalls>(StoreCalls{Client, std::move(Address), Timeout});
-  return {[To]() -> Awaitable<Result<BoxList>> {
-    Result<HttpResponse> Answer = co_await call(To, "GET", "/v1/boxes", "", Milliseconds(0));
+  auto Known = std::make_shared<KnownBoxes>();
+  return {[To, Known]() -> Awaitable<Result<BoxList>> {
+    HttpRequest Request{"GET", "/v1/boxes", {}, ""};
+    if (!Known->Tag.empty())
+      Request.Headers.emplace_back("If-None-Match", Known->Tag);
+    CallOptions Options;
+    Options.Timeout = To->Timeout;
+    Result<HttpResponse> Answer =
+        co_await To->Client.send(To->Address, std::move(Request), Options);
     if (!ok(Answer))
-      co_return error(Answer);
-    if (value(Answer).Status != HttpOk)
-      co_return statusFailure(value(Answer).Status);
-    co_return parseBoxList(value(Answer).Body);
+      co_return failureOf(error(Answer), false);
+    const HttpResponse &Got = value(Answer);
+    if (Got.Status == HttpNotModified)
+      co_return Known->List;
+    if (Got.Status != HttpOk)
+      co_return statusFailure(Got.Status);
+    Result<BoxList> Parsed = parseBoxList(Got.Body);
+    if (ok(Parsed))
+      *Known = {std::string(findHeader(Got.Headers, "ETag")), value(Parsed)};
+    co_return Parsed;
   }};
 }
 
--- a/testsuite/standins/boxes.cpp
+++ b/testsuite/standins/boxes.cpp
@@ -28,7 +28,7 @@
 
   Awaitable<HttpResponse> handle(Call Made) {
     if (Made.Path == "/v1/boxes")
-      co_return answer(200, {{"boxes", Shown}});
+      co_return shown(Made);
     if (Made.Path != "/box" || Made.Method != "POST")
       co_return answer(404, {{"error", "there is nothing here"}});
     const json::value Change = json::parse(Made.Body);
@@ -39,10 +39,20 @@
   }
 
 private:
+  HttpResponse shown(const Call &Made) const {
+    const std::string Tag = "\"" + std::to_string(Version) + "\"";
+    if (findHeader(Made.Headers, "If-None-Match") == Tag)
+      return {304, {{"ETag", Tag}}, ""};
+    HttpResponse Answer = answer(200, {{"boxes", Shown}});
+    Answer.Headers.emplace_back("ETag", Tag);
+    return Answer;
+  }
+
   Awaitable<void> applyLater(json::object Change) {
     co_await sleepFor(Milliseconds(Lag));
     const json::string &Name = Change.at("name").as_string();
     const json::string State = Change.at("state").as_string();
+    ++Version;
     for (auto It = Shown.begin(); It != Shown.end(); ++It) {
       if (It->at("name").as_string() != Name)
         continue;
@@ -59,6 +69,7 @@
   const int64_t Lag;
   Trace Record;
   json::array Shown;
+  uint64_t Version = 1;
 };
 } // namespace
 
