--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds TickAtMostEvery{5};
 constexpr Milliseconds SlowTickEvery{250};
 constexpr Milliseconds BoxLookEvery{500};
+constexpr std::chrono::minutes ForgetEvery{1};
 constexpr Milliseconds WorkerRetryPause{250};
 constexpr Milliseconds DoubtWait{200};
 constexpr Milliseconds PredecessorProbeEvery{300};
@@ -227,7 +228,7 @@
   std::map<uint32_t, wire::ReportRequest> Due;
   {
     std::lock_guard Lock(This->Mutex);
-    Due = reportsDue(This->State);
+    Due = reportsDue(This->State, std::exchange(This->ReportAgain, false));
   }
   Durability Told = Durability::Lost;
   if (!Due.empty())
@@ -265,12 +266,14 @@
   };
   if (MayAct)
     carryOut(placeQueued(State, *Config, Tools.Log.storeUp(), Elsewhere, Tools.Limits, Now, Wall));
-  if (MayAct && !Reporting) {
+  if (!MayAct)
+    return;
+  const bool Slow = Now - LastSlowTick >= SlowTickEvery;
+  ReportAgain = ReportAgain || Slow;
+  if (!Reporting && (Slow || !State.Dirty.empty())) {
     Reporting = true;
     spawnLater(Tools.Where, sendReports(shared_from_this()));
   }
-  if (!MayAct)
-    return;
   const auto Choose = [&](const JobSpec &Spec, uint32_t Count) {
     if (Spec.Kind == JobKind::Gang && Spec.Count == Count) {
       if (GangsTrying.insert(Spec.Id).second)
@@ -280,10 +283,14 @@
     const PlacementConfig Weights = placementOf(*Config, Spec.Partner);
     return Tools.Directory.choose(Spec, Count, Weights.Pack > Weights.Spread, Now);
   };
-  carryOut(lendWaiting(State, Choose, Tools.Limits, Now));
-  if (Now - LastSlowTick < SlowTickEvery)
+  carryOut(lendWaiting(State, Choose, Slow, Tools.Limits, Now));
+  if (!Slow)
     return;
   LastSlowTick = Now;
+  if (Now - LastForget >= ForgetEvery) {
+    LastForget = Now;
+    carryOut(forgetEnded(State, Tools.Limits, Now, Wall));
+  }
   const auto RoomElsewhere = [&](const JobSpec &Spec) {
     return Tools.Directory.roomElsewhere(Spec, Shard, Now);
   };
--- a/src/include/valveshelf/shard_decisions.h
+++ b/src/include/valveshelf/shard_decisions.h
@@ -83,6 +83,8 @@
   int FailedCallsToLose = 2;
   int FailuresToSuspect = 3;
   size_t StartsPerRound = 512;
+  size_t ScannedPerRound = 4096;    ///< Queued tasks looked at in one round.
+  std::chrono::hours KeepEnded{24}; ///< How long `status` knows a job after its end.
 };
 
 /// The worker's name for one attempt: `job/index#attempt`.
@@ -172,9 +174,9 @@
 void markTakenOver(ShardState &State, bool PredecessorGone, const DecisionLimits &Limits,
                    TimePoint Now);
 
-/// The parts whose home should hear of them, by home shard. Runs and ends are told once they
-/// change, and again until `dropParts`.
-std::map<uint32_t, wire::ReportRequest> reportsDue(ShardState &State);
+/// The parts whose home should hear of a change, by home shard. With \p Again also those whose
+/// end or return was told and not yet acknowledged.
+std::map<uint32_t, wire::ReportRequest> reportsDue(ShardState &State, bool Again);
 
 // ---- The home shard.
 
@@ -186,9 +188,12 @@
 using ShardChooser =
     std::function<std::vector<std::pair<uint32_t, uint32_t>>(const JobSpec &, uint32_t Count)>;
 
-/// Lends out waiting tasks, and sends again what was not answered.
-Decision lendWaiting(ShardState &State, const ShardChooser &Choose, const DecisionLimits &Limits,
-                     TimePoint Now);
+/// Lends out waiting tasks; with \p Again also sends again what was not answered.
+Decision lendWaiting(ShardState &State, const ShardChooser &Choose, bool Again,
+                     const DecisionLimits &Limits, TimePoint Now);
+
+/// Forgets jobs that ended long ago.
+Decision forgetEnded(ShardState &State, const DecisionLimits &Limits, TimePoint Now, WallTime Wall);
 
 /// As `lendWaiting`, for one job whose room is known.
 Decision lendOne(ShardState &State, const std::string &Job, const ShardChooser &Choose,
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -128,6 +128,8 @@
   std::set<std::string> Looping;                          ///< Workers with a loop.
   std::set<std::string> GangsTrying;
   bool Reporting = false;
+  bool ReportAgain = true; ///< Ends and returns are told again in the next report.
+  TimePoint LastForget{};
   TimePoint LastSlowTick{};
 };
 
--- a/src/include/valveshelf/shard_state.h
+++ b/src/include/valveshelf/shard_state.h
@@ -93,8 +93,6 @@
   Resources Usage;      ///< As last reported.
   double Order = 0;     ///< Its key in the queue.
   std::string FailedOn; ///< Where it failed last; avoided if there is another place.
-  PartPhase ReportedPhase = PartPhase::Returned; ///< What the home shard was last told.
-  uint32_t ReportedAttempt = 0;
 };
 
 /// What the owner believes about a worker.
@@ -148,7 +146,10 @@
 struct ShardState {
   uint32_t Id = 0;
   std::unordered_map<std::string, HomeJob> Jobs;
+  std::set<std::string> OpenJobs; ///< The jobs with a task that has not ended. Finished jobs stay
+                                  ///< in Jobs for a while and are never scanned.
   std::map<TaskKey, Part> Parts;
+  std::set<TaskKey> Dirty; ///< Parts whose home has not been told of their last change.
   std::map<std::string, std::unique_ptr<WorkerBook>> Workers;
   std::vector<WorkerRoom> Rooms;              ///< Same workers as Workers, one each.
   std::set<std::pair<double, TaskKey>> Queue; ///< The Queued parts, by Part::Order.
--- a/src/jobs/home_shard.cpp
+++ b/src/jobs/home_shard.cpp
@@ -123,21 +123,42 @@
   return Out;
 }
 
-Decision lendWaiting(ShardState &State, const ShardChooser &Choose, const DecisionLimits &Limits,
-                     TimePoint Now) {
+Decision lendWaiting(ShardState &State, const ShardChooser &Choose, bool Again,
+                     const DecisionLimits &Limits, TimePoint Now) {
   Decision Out;
-  for (auto &[Id, Job] : State.Jobs) {
+  for (const std::string &Id : State.OpenJobs) {
+    HomeJob &Job = State.Jobs.at(Id);
     const bool Gang = Job.Spec->Kind == JobKind::Gang;
     if (Job.Waiting > 0 && !Job.Cancelled && (!Gang || Now >= Job.GangNotBefore)) {
       Job.GangNotBefore = Now + GangPause;
       lendJob(State, Out, Job, Choose, Now);
     }
-    if (Job.Lent > 0)
+    if (Again && Job.Lent > 0)
       lendAgain(Out, Job, Limits, Now);
   }
   return Out;
 }
 
+Decision forgetEnded(ShardState &State, const DecisionLimits &Limits, TimePoint Now,
+                     WallTime Wall) {
+  Decision Out;
+  Recorder Record(State, Out, Now);
+  std::vector<std::string> Old;
+  for (const auto &[Id, Job] : State.Jobs) {
+    WallTime Last = Job.Spec->Accepted;
+    for (const HomeTask &Task : Job.Tasks)
+      Last = std::max(Last, Task.Ended);
+    if (Job.Ended == Job.Tasks.size() && Wall - Last >= Limits.KeepEnded)
+      Old.push_back(Id);
+  }
+  for (const std::string &Id : Old) {
+    wire::Record What;
+    What.mutable_job_forgotten()->set_job(Id);
+    Record.add(std::move(What));
+  }
+  return Out;
+}
+
 Decision lendOne(ShardState &State, const std::string &Job, const ShardChooser &Choose,
                  TimePoint Now) {
   Decision Out;
@@ -197,7 +218,8 @@
 
 std::vector<CancelEffect> cancelsDue(const ShardState &State) {
   std::vector<CancelEffect> Due;
-  for (const auto &[Id, Job] : State.Jobs) {
+  for (const std::string &Id : State.OpenJobs) {
+    const HomeJob &Job = State.Jobs.at(Id);
     if (!Job.Cancelled || Job.Lent == 0)
       continue;
     std::map<uint32_t, CancelEffect> ByShard;
--- a/src/jobs/running_shard.cpp
+++ b/src/jobs/running_shard.cpp
@@ -103,6 +103,7 @@
                      const TaskReport &Listed, const DecisionLimits &Limits, TimePoint Now) {
   if (Task.Phase == PartPhase::Starting) {
     Task.Phase = PartPhase::Running;
+    State.Dirty.insert(Task.Key);
     // It may have arrived only now, long after it was sent.
     Task.LeaseEnds = std::max(Task.LeaseEnds, Now + Limits.TaskLease);
     ++State.Starts;
@@ -304,12 +305,13 @@
                      WallTime Wall) {
   Decision Out;
   RoundMisses Misses;
-  std::vector<TaskKey> InOrder;
-  for (const auto &[Order, Key] : State.Queue)
-    InOrder.push_back(Key);
-  for (const TaskKey &Key : InOrder) {
-    if (Out.Starts.size() >= Limits.StartsPerRound)
+  size_t Scanned = 0;
+  for (auto Next = State.Queue.begin(); Next != State.Queue.end();) {
+    if (Out.Starts.size() >= Limits.StartsPerRound || ++Scanned > Limits.ScannedPerRound)
       break;
+    // A start takes its own entry out of the queue and no other.
+    const TaskKey Key = Next->second;
+    ++Next;
     Part &Task = State.Parts.at(Key);
     const auto Shape = RoundMisses::shapeOf(*Task.Spec);
     if (Misses.Shapes.count(Shape) || !mayPlace(State, Task, Config, StoreUp, Elsewhere))
@@ -337,6 +339,7 @@
     Task->LeaseEnds = std::max(Task->LeaseEnds, Now + Limits.TaskLease);
     if (Task->Phase == PartPhase::Starting) {
       Task->Phase = PartPhase::Running;
+      State.Dirty.insert(Key);
       ++State.Starts;
       Out.Notices.push_back({&events::TaskStarted, toString(Key), Task->Worker});
     }
@@ -463,12 +466,19 @@
     settleLost(State, Out, State.Parts.at(Key), "its worker is lost and its lease lapsed", Now,
                Wall);
   std::vector<TaskKey> Back;
+  std::map<decltype(RoundMisses::shapeOf(JobSpec())), bool> Elsewhere;
+  size_t Scanned = 0;
   for (const auto &[Order, Key] : State.Queue) {
+    if (Back.size() >= Limits.StartsPerRound || ++Scanned > Limits.ScannedPerRound)
+      break;
     const Part &Task = State.Parts.at(Key);
-    if (Now - Task.QueuedSince >= Limits.ReturnAfter && RoomElsewhere(*Task.Spec))
+    if (Now - Task.QueuedSince < Limits.ReturnAfter)
+      continue;
+    const auto [Known, New] = Elsewhere.try_emplace(RoundMisses::shapeOf(*Task.Spec), false);
+    if (New)
+      Known->second = RoomElsewhere(*Task.Spec);
+    if (Known->second)
       Back.push_back(Key);
-    if (Back.size() >= Limits.StartsPerRound)
-      break;
   }
   for (const TaskKey &Key : Back)
     Recorder(State, Out, Now)
@@ -567,6 +577,7 @@
   for (auto &[Key, Task] : State.Parts) {
     Task.LeaseEnds = Now + 2 * Limits.TaskLease;
     Task.QueuedSince = Now;
+    State.Dirty.insert(Key);
     Task.CallInFlight = false;
     if (Task.Phase != PartPhase::Starting)
       continue;
@@ -579,28 +590,34 @@
       Task.Adopted = false;
 }
 
-std::map<uint32_t, wire::ReportRequest> reportsDue(ShardState &State) {
+namespace {
+void addStatus(ShardState &State, const Part &Task, std::map<uint32_t, wire::ReportRequest> &Due) {
+  wire::ReportRequest &Report = Due[Task.Home];
+  Report.set_home(Task.Home);
+  Report.set_from(State.Id);
+  wire::PartStatus &Status = *Report.add_status();
+  *Status.mutable_key() = wireKey(Task.Key);
+  Status.set_phase(static_cast<int>(Task.Phase));
+  Status.set_outcome(static_cast<int>(Task.Outcome));
+  Status.set_detail(Task.Detail);
+  Status.set_worker(Task.Worker);
+  Status.set_attempt(Task.Attempt);
+  Status.set_ended_ms(Task.Ended.time_since_epoch().count());
+  Status.set_started_ms(Task.Started.time_since_epoch().count());
+  Status.set_returned(Task.Phase == PartPhase::Returned);
+}
+} // namespace
+
+std::map<uint32_t, wire::ReportRequest> reportsDue(ShardState &State, bool Again) {
   std::map<uint32_t, wire::ReportRequest> Due;
-  for (auto &[Key, Task] : State.Parts) {
-    const bool Final = Task.Phase == PartPhase::Ended || Task.Phase == PartPhase::Returned;
-    if (!Final && Task.ReportedPhase == Task.Phase && Task.ReportedAttempt == Task.Attempt)
-      continue;
-    Task.ReportedPhase = Task.Phase;
-    Task.ReportedAttempt = Task.Attempt;
-    wire::ReportRequest &Report = Due[Task.Home];
-    Report.set_home(Task.Home);
-    Report.set_from(State.Id);
-    wire::PartStatus &Status = *Report.add_status();
-    *Status.mutable_key() = wireKey(Key);
-    Status.set_phase(static_cast<int>(Task.Phase));
-    Status.set_outcome(static_cast<int>(Task.Outcome));
-    Status.set_detail(Task.Detail);
-    Status.set_worker(Task.Worker);
-    Status.set_attempt(Task.Attempt);
-    Status.set_ended_ms(Task.Ended.time_since_epoch().count());
-    Status.set_started_ms(Task.Started.time_since_epoch().count());
-    Status.set_returned(Task.Phase == PartPhase::Returned);
-  }
+  if (Again)
+    for (const auto &[Key, Task] : State.Parts)
+      if (Task.Phase == PartPhase::Ended || Task.Phase == PartPhase::Returned)
+        State.Dirty.insert(Key);
+  for (const TaskKey &Key : State.Dirty)
+    if (const Part *Task = findPart(State, Key))
+      addStatus(State, *Task, Due);
+  State.Dirty.clear();
   return Due;
 }
 
--- a/src/jobs/shard_state.cpp
+++ b/src/jobs/shard_state.cpp
@@ -76,6 +76,7 @@
   Task.Doubt = StartDoubt::None;
   Task.CallInFlight = false;
   Task.QueuedSince = Now;
+  State.Dirty.insert(Task.Key);
   Task.Order = orderOf(*Task.Spec);
   State.Queue.insert({Task.Order, Task.Key});
 }
@@ -101,6 +102,14 @@
   Task.Phase = Phase;
 }
 
+// Keeps OpenJobs true to the job's counts.
+void noteOpen(ShardState &State, const HomeJob &Job) {
+  if (Job.Ended == Job.Tasks.size())
+    State.OpenJobs.erase(Job.Spec->Id);
+  else
+    State.OpenJobs.insert(Job.Spec->Id);
+}
+
 void endTask(HomeJob &Job, HomeTask &Task, TaskOutcome Outcome, std::string Detail, WallTime When) {
   if (Task.Phase == HomePhase::Ended)
     return;
@@ -118,6 +127,7 @@
   Job.Spec = Spec;
   Job.Tasks.resize(Spec->Count);
   Job.Waiting = Spec->Count;
+  noteOpen(State, Job);
 }
 
 void apply(ShardState &State, const wire::TasksLent &What, TimePoint Now) {
@@ -148,9 +158,12 @@
 
 void apply(ShardState &State, const wire::TaskEnded &What, TimePoint) {
   HomeTask *Task = findTask(State, What.key().job(), What.key().index());
-  if (Task)
-    endTask(State.Jobs[What.key().job()], *Task, static_cast<TaskOutcome>(What.outcome()),
-            What.detail(), WallTime(Milliseconds(What.ended_ms())));
+  if (!Task)
+    return;
+  HomeJob &Job = State.Jobs[What.key().job()];
+  endTask(Job, *Task, static_cast<TaskOutcome>(What.outcome()), What.detail(),
+          WallTime(Milliseconds(What.ended_ms())));
+  noteOpen(State, Job);
 }
 
 void apply(ShardState &State, const wire::JobCancelled &What, TimePoint) {
@@ -162,6 +175,7 @@
   for (HomeTask &Task : Job.Tasks)
     if (Task.Phase == HomePhase::Waiting)
       endTask(Job, Task, TaskOutcome::Cancelled, "cancelled before it was placed", {});
+  noteOpen(State, Job);
 }
 
 void apply(ShardState &State, const wire::JobResized &What, TimePoint) {
@@ -174,10 +188,12 @@
   Job.Spec = Spec;
   Job.Waiting += What.count() - static_cast<uint32_t>(Job.Tasks.size());
   Job.Tasks.resize(What.count());
+  noteOpen(State, Job);
 }
 
 void apply(ShardState &State, const wire::JobForgotten &What, TimePoint) {
   State.Jobs.erase(What.job());
+  State.OpenJobs.erase(What.job());
 }
 
 void apply(ShardState &State, const wire::PartsAdopted &What, TimePoint Now) {
@@ -205,6 +221,7 @@
   Task->Attempt = What.attempt();
   Task->Started = WallTime(Milliseconds(What.intent_ms()));
   book(State, *Task, What.worker());
+  State.Dirty.insert(Task->Key);
 }
 
 void apply(ShardState &State, const wire::StartVoid &What, TimePoint Now) {
@@ -233,6 +250,7 @@
   Task->Phase = Task->Outcome == TaskOutcome::None ? PartPhase::Returned : PartPhase::Ended;
   Task->Detail = What.detail();
   Task->Ended = WallTime(Milliseconds(What.ended_ms()));
+  State.Dirty.insert(Task->Key);
 }
 
 void apply(ShardState &, const wire::PartCancelled &, TimePoint) {}
@@ -243,12 +261,15 @@
     return;
   State.Queue.erase({Task->Order, Task->Key});
   unbook(State, *Task);
+  State.Dirty.erase(Task->Key);
   State.Tombstones[Task->Key] = {Task->Attempt, Now};
   State.Parts.erase(TaskKey(Task->Key));
 }
 
 void apply(ShardState &State, const wire::ShardReset &, TimePoint) {
   State.Jobs.clear();
+  State.OpenJobs.clear();
+  State.Dirty.clear();
   State.Queue.clear();
   for (auto &[Key, Task] : State.Parts)
     unbook(State, Task);
