A process whose address refuses connections is proven gone, so a kill no longer waits for the lease

Change: a peer that does not answer gossip is probed; a refused connection proves that no process listens there, and a process listens for its whole life, so it can send nothing more. A frozen or cut-off process still has its listener and is treated as before. FenceTest.OwnerThatIsProvenGoneNeedsNoLapse.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -178,8 +178,13 @@
 Awaitable<void> EntryProcess::gossipWith(MemberInfo Peer) {
   const wire::ExchangeRequest News = ownNews();
   Result<wire::ExchangeReply> Reply = co_await Peers.Exchange(Peer.Peers, News);
-  if (!ok(Reply))
+  if (!ok(Reply)) {
+    // A frozen or cut-off process still has its listener; only one that is gone refuses.
+    const PeerOps::Listening Heard = co_await Peers.Probe(Peer.Peers);
+    if (Heard == PeerOps::Listening::Refused && !Peer.Log.empty())
+      Watch.noteGone(Peer.Log);
     co_return;
+  }
   wire::ExchangeRequest Heard;
   Heard.set_member(Peer.Name);
   Heard.set_address(toString(Peer.Peers));
--- a/src/include/valveshelf/fence.h
+++ b/src/include/valveshelf/fence.h
@@ -16,6 +16,11 @@
   std::string Claimant; ///< Its own journal.
   Endpoint Address;     ///< Where it answers as a guardian itself.
   std::function<wire::RefuseReply(const wire::RefuseRequest &)> RefuseHere;
+  /// True if the process of a journal is proven gone: nothing listens at its address any more.
+  /// It had neither to lapse nor to be refused then.
+  std::function<bool(const std::string &LogId)> ProvenGone = [](const std::string &) {
+    return false;
+  };
   Milliseconds Promise{1500};
   Milliseconds Margin{300};
   uint32_t RingSlots = JournalLimits{}.RingSlots;
--- a/src/include/valveshelf/membership.h
+++ b/src/include/valveshelf/membership.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,10 @@
   CellViewPtr view() const;
   /// \p Changed is called after each change. Set before `run`.
   void onChange(std::function<void()> Changed);
+  /// Nothing listens at the address of incarnation \p Log any more, so its process is gone. It is
+  /// left out of the view from now on; incarnations never come back.
+  void noteGone(const std::string &Log);
+  bool provenGone(const std::string &Log) const;
   /// Takes in what this process itself wrote, without waiting for the watch.
   void note(const StoreItem &Item);
 
@@ -89,7 +94,8 @@
   const Clock Time;
   std::function<void()> Changed;
   mutable std::mutex Mutex;
-  CellViewPtr Current; ///< Guarded by Mutex; what it points to never changes.
+  CellViewPtr Current;        ///< Guarded by Mutex; what it points to never changes.
+  std::set<std::string> Gone; ///< Incarnations proven gone. Guarded by Mutex.
 };
 
 /// The authority and the promises given, under one lock.
--- a/src/membership/cell_watch.cpp
+++ b/src/membership/cell_watch.cpp
@@ -74,6 +74,8 @@
     }
     for (const StoreItem &Item : Items.Items)
       applyItem(*Next, Item);
+    for (const std::string &Log : Gone)
+      Next->Members.erase(Log);
     Next->Revision = std::max(Next->Revision, Items.Revision);
     Current = std::move(Next);
   }
@@ -81,6 +83,22 @@
     Changed();
 }
 
+void CellWatch::noteGone(const std::string &Log) {
+  {
+    std::lock_guard Lock(Mutex);
+    if (!Current->Members.count(Log) || !Gone.insert(Log).second)
+      return;
+  }
+  apply({}, false);
+  if (Changed)
+    Changed();
+}
+
+bool CellWatch::provenGone(const std::string &Log) const {
+  std::lock_guard Lock(Mutex);
+  return Gone.count(Log) > 0;
+}
+
 void CellWatch::note(const StoreItem &Item) { apply({0, {Item}}, false); }
 
 Awaitable<Result<Done>> CellWatch::load() {
--- a/src/ownership/fence.cpp
+++ b/src/ownership/fence.cpp
@@ -98,14 +98,20 @@
     co_return error(View);
   if (value(View).Sealed)
     co_return Done{};
-  Result<Done> Lapsed = co_await leaseIsGone(Tools.Store, LogId);
-  if (!ok(Lapsed))
-    co_return Lapsed;
+  // A process that is gone sends nothing, whatever its lease and its promises say.
+  const bool Gone = Tools.ProvenGone(LogId);
+  if (!Gone) {
+    Result<Done> Lapsed = co_await leaseIsGone(Tools.Store, LogId);
+    if (!ok(Lapsed))
+      co_return Lapsed;
+  }
   // An owner without guardians never had more than its lease.
   std::vector<wire::JournalEntry> Held;
   const std::vector<wire::Guardian> Guardians = value(View).Guardians;
   if (!Guardians.empty()) {
-    Result<Done> Refused = co_await waitForRefusal(Tools, LogId, Guardians);
+    Result<Done> Refused = Done{};
+    if (!Gone)
+      Refused = co_await waitForRefusal(Tools, LogId, Guardians);
     if (!ok(Refused))
       co_return Refused;
     Result<std::vector<wire::JournalEntry>> Gathered = co_await gatherHeld(Tools, LogId, Guardians);
--- a/src/ownership/fence_test.cpp
+++ b/src/ownership/fence_test.cpp
@@ -133,6 +133,17 @@
   EXPECT_FALSE(ok(runOne(Io, fenceJournal(Tools, "owner.1"))));
 }
 
+TEST_F(FenceTest, OwnerThatIsProvenGoneNeedsNoLapse) {
+  Replies[Second] = reply(false, false, {held("witnessed", 1)});
+  Replies[First] = reply(false, false, {held("witnessed", 1)});
+  MemberInfo Owner{"owner", "owner.1", "olano", "z1", First, First, First};
+  Store.put(memberKey("owner"), encodeMember(Owner), 0, 0);
+  EXPECT_FALSE(ok(runOne(Io, fenceJournal(Tools, "owner.1"))));
+  Tools.ProvenGone = [](const std::string &Log) { return Log == "owner.1"; };
+  EXPECT_TRUE(ok(runOne(Io, fenceJournal(Tools, "owner.1"))));
+  EXPECT_EQ(jobsAfter(), (std::vector<std::string>{"stored", "witnessed"}));
+}
+
 TEST_F(FenceTest, NoGuardianRefusesNoSeal) {
   Replies[First] = reply(false, false, {});
   Replies[Second] = reply(false, false, {});
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -184,6 +184,7 @@
   Fence.RefuseHere = [this](const wire::RefuseRequest &Request) {
     return Promises.onRefuseAsked(Request);
   };
+  Fence.ProvenGone = [this](const std::string &Log) { return Tools.Watch.provenGone(Log); };
   Fence.Promise = Tools.Times.Promise;
   Fence.Margin = Tools.Times.Margin;
   Result<Done> Sealed = co_await fenceJournal(std::move(Fence), LogId);
