--- a/src/include/valveshelf/router.h
+++ b/src/include/valveshelf/router.h
@@ -60,8 +60,8 @@
   Result<Target> match(const HttpExchange &Exchange) const;
   Awaitable<Result<SlotGrant>> acquire(const Target &To, TimePoint Deadline,
                                        const std::string &Avoid);
-  Awaitable<bool> attempt(HttpExchange &Exchange, const Target &To, const SlotGrant &Slot,
-                          TimePoint Deadline, Attempt &State);
+  Awaitable<bool> attempt(HttpExchange &Exchange, const SlotGrant &Slot, TimePoint Deadline,
+                          Attempt &State);
 
   const RouterTools Tools;
   RouterFigures Figures;
--- a/src/jobs/shard_state.cpp
+++ b/src/jobs/shard_state.cpp
@@ -253,8 +253,6 @@
   State.Dirty.insert(Task->Key);
 }
 
-void apply(ShardState &, const wire::PartCancelled &, TimePoint) {}
-
 void apply(ShardState &State, const wire::PartDropped &What, TimePoint Now) {
   Part *Task = findPart(State, What.key());
   if (!Task)
@@ -395,8 +393,6 @@
     return apply(State, What.start_void(), Now);
   case wire::Record::kPartEnded:
     return apply(State, What.part_ended(), Now);
-  case wire::Record::kPartCancelled:
-    return apply(State, What.part_cancelled(), Now);
   case wire::Record::kPartDropped:
     return apply(State, What.part_dropped(), Now);
   case wire::Record::kShardReset:
--- a/src/ownership/ownership.cpp
+++ b/src/ownership/ownership.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio.hpp>
 #include <google/protobuf/util/json_util.h>
+#include <tbb/parallel_for_each.h>
 
 #include <algorithm>
 
@@ -325,8 +326,10 @@
 
 Awaitable<void> Ownership::snapshot() {
   Tools.Log.beginSnapshot();
-  for (const auto &Runner : all())
-    Runner->appendSnapshot({});
+  // Each shard is written down under its own lock; together they may be many megabytes.
+  const std::vector<std::shared_ptr<ShardRunner>> Runners = all();
+  tbb::parallel_for_each(
+      Runners, [](const std::shared_ptr<ShardRunner> &Runner) { Runner->appendSnapshot({}); });
   Tools.Log.endSnapshot();
   co_await Tools.Log.barrier();
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -122,6 +122,7 @@
   });
   LastSeen = Present;
   std::vector<std::string> Holders;
+  Holders.reserve(Present.size() + Away.size());
   for (const auto &[Name, Log] : Present)
     Holders.push_back(Name);
   for (const auto &[Name, Gone] : Away)
@@ -249,8 +250,8 @@
 
 // One try at one instance. True: the request has its answer, whole or cut. False: State.Last
 // says why not, and nothing of an answer went to the caller.
-Awaitable<bool> Router::attempt(HttpExchange &Exchange, const Target &To, const SlotGrant &Slot,
-                                TimePoint Deadline, Attempt &State) {
+Awaitable<bool> Router::attempt(HttpExchange &Exchange, const SlotGrant &Slot, TimePoint Deadline,
+                                Attempt &State) {
   CallOptions Options;
   Options.Timeout = std::max(std::chrono::duration_cast<Milliseconds>(Deadline - Tools.Time.Now()),
                              Milliseconds(1));
@@ -295,7 +296,6 @@
   // A cut answer is left unfinished, so the caller can't take it for whole.
   if (!co_await streamAnswer(Exchange, *Call))
     ++Figures.Cut;
-  (void)To;
   co_return true;
 }
 
@@ -328,7 +328,7 @@
       State.Last = Try == 1 ? error(Slot) : State.Last;
       break;
     }
-    const bool Answered = co_await attempt(Exchange, To, value(Slot), Deadline, State);
+    const bool Answered = co_await attempt(Exchange, value(Slot), Deadline, State);
     {
       std::lock_guard Lock(Mutex);
       giveBack(Slots, value(Slot), !Answered, Tools.Time.Now());
