--- a/testsuite/demo.py
+++ b/testsuite/demo.py
@@ -5,6 +5,7 @@
 import shutil
 import sys
 import tempfile
+import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -21,13 +22,57 @@
     return max(json.loads(body)["members"], key=lambda m: len(m["shards"]))["name"]
 
 
+def hold_up(cell):
+    """Keeps the cell under light load, and notes who dies by the user's hand."""
+    step("holding under light load; kill what you like, end with Enter or Ctrl-C")
+    over, jobs = threading.Event(), []
+
+    def load():
+        number = 0
+        while not over.is_set():
+            number += 1
+            try:
+                record = cell.submit({"partner": "olano", "milli_cores": 500, "run_time_ms": 1000,
+                                      "repeatable": number % 4 != 0})
+                if record["outcome"] == "accepted":
+                    jobs.append(record["id"])
+                cell.request("/registry/check", "hold-%d" % number)
+            except IndexError:
+                pass
+            over.wait(0.3)
+
+    def watch():
+        dead = set()
+        while not over.is_set():
+            for name, process in cell.processes.items():
+                if not process.alive() and name not in dead:
+                    dead.add(name)
+                    cell.note(type="killed", name=name)
+                    print("   %s is gone" % name, flush=True)
+            over.wait(0.02)
+
+    threads = [threading.Thread(target=load), threading.Thread(target=watch)]
+    for thread in threads:
+        thread.start()
+    try:
+        sys.stdin.readline()
+    except KeyboardInterrupt:
+        pass
+    print("   waiting until what was accepted has ended", flush=True)
+    over.set()
+    for thread in threads:
+        thread.join()
+    left = cell.wait_ended(list(jobs), 60)
+    print("   %d jobs accepted while holding, %d not ended" % (len(jobs), len(left)))
+
+
 def main():
     hold = "--hold" in sys.argv[1:]
     if set(sys.argv[1:]) - {"--hold"}:
         print("usage: scripts/demo [--hold]", file=sys.stderr)
         return 2
     folder = tempfile.mkdtemp(prefix="valveshelf-demo-")
-    cell = Cell(folder)
+    cell = Cell(folder, timing={"task_lease": "10s", "worker_poll": "1s"})
     try:
         step("starting the platform's stand-ins, 6 workers, 4 upstreams and 3 entry processes")
         began = time.time()
@@ -92,11 +137,8 @@
         cell.see_config()
         if hold:
             cell.restart(stopped)
-            step("holding; kill what you like, end with Enter or Ctrl-C, then the audit follows")
-            try:
-                sys.stdin.readline()
-            except KeyboardInterrupt:
-                pass
+            cell.wait_ready()
+            hold_up(cell)
         step("the auditor's table, from the stand-ins' and callers' records alone")
         code = cell.audit()
         return code
