--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -84,6 +84,31 @@
                                "A request was refused; the kind follows."};
 const EventKind RequestRetried{1803, "info", "request-retried",
                                "A request that surely did not run was tried elsewhere."};
+const EventKind SettingsRead{2001, "info", "settings-read",
+                             "The settings file was read again and is good."};
+const EventKind BecameReady{2002, "info", "became-ready", "The process takes new connections."};
+const EventKind BecameUnready{2003, "warn", "became-unready",
+                              "New connections should go to other processes; the reason follows."};
+const EventKind RecordUnreadable{2004, "error", "record-unreadable",
+                                 "A record of the store can't be read and is passed over."};
+const EventKind ClaimMade{2101, "info", "claim-made",
+                          "This process claimed the cell; its term is the fence for workers."};
+const EventKind TermBegun{2102, "info", "term-begun",
+                          "The scheduler has read the store and asks the workers what they hold."};
+const EventKind TermEnded{2103, "warn", "term-ended",
+                          "The scheduler of this process ended; the reason follows."};
+const EventKind JobKept{2201, "info", "job-kept", "The job is durable; its caller was told so."};
+const EventKind CallRefused{2202, "info", "call-refused",
+                            "A caller's request was refused; the kind and the reason follow."};
+const EventKind RunStopped{2301, "info", "run-stopped",
+                           "A run was ordered to stop; the reason follows."};
+const EventKind StartNotConfirmed{
+    2302, "info", "start-not-confirmed",
+    "A worker refused a start or did not answer; the result is numbered as in workload.h."};
+const EventKind WorkerSilent{2401, "warn", "worker-silent",
+                             "The worker does not answer; nothing new is placed there."};
+const EventKind WorkerReplaced{2402, "info", "worker-replaced",
+                               "Another life answers at the worker's address; its runs are lost."};
 } // namespace events
 
 std::span<const EventKind *const> allEvents() {
@@ -96,7 +121,10 @@
       &JobCancelled,   &TaskStarted,   &TaskEnded,     &TaskUnknown,        &TaskRequeued,
       &TaskUncertain,  &WorkerLost,    &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
       &TaskContained,  &ConfigInForce, &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
-      &RequestRefused, &RequestRetried};
+      &RequestRefused, &RequestRetried,
+      &SettingsRead,   &BecameReady,   &BecameUnready, &RecordUnreadable,   &ClaimMade,
+      &TermBegun,      &TermEnded,     &JobKept,       &CallRefused,        &RunStopped,
+      &StartNotConfirmed, &WorkerSilent, &WorkerReplaced};
   return All;
 }
 
--- /dev/null
+++ b/src/base/workload.cpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+// Names of jobs, steps and tasks, and the choice of a queue.
+#include "valveshelf/workload.h"
+
+#include <array>
+#include <charconv>
+
+namespace valveshelf::sched {
+namespace {
+constexpr size_t IdDigits = 16;
+
+// Takes the decimal number up to the next point off the front of \p Rest.
+std::optional<uint32_t> takeNumber(std::string_view &Rest) {
+  uint32_t Value = 0;
+  const auto [End, Code] = std::from_chars(Rest.data(), Rest.data() + Rest.size(), Value);
+  if (Code != std::errc())
+    return std::nullopt;
+  Rest.remove_prefix(static_cast<size_t>(End - Rest.data()));
+  return Value;
+}
+
+bool takePoint(std::string_view &Rest) {
+  if (Rest.empty() || Rest.front() != '.')
+    return false;
+  Rest.remove_prefix(1);
+  return true;
+}
+} // namespace
+
+std::string jobIdText(JobId Id) {
+  static constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text(IdDigits, '0');
+  for (size_t I = IdDigits; I-- > 0; Id >>= 4)
+    Text[I] = Digits[Id & 15];
+  return Text;
+}
+
+std::optional<JobId> parseJobId(std::string_view Text) {
+  JobId Value = 0;
+  if (Text.size() != IdDigits)
+    return std::nullopt;
+  const auto [End, Code] = std::from_chars(Text.data(), Text.data() + Text.size(), Value, 16);
+  if (Code != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+std::string toString(const StepKey &Key) {
+  return jobIdText(Key.Job) + "." + std::to_string(Key.Round) + "." + std::to_string(Key.Step);
+}
+
+std::string toString(const TaskKey &Key) {
+  return toString(Key.Step) + "." + std::to_string(Key.Index);
+}
+
+std::optional<TaskKey> parseTaskKey(std::string_view Text) {
+  const auto Job = parseJobId(Text.substr(0, IdDigits));
+  if (!Job)
+    return std::nullopt;
+  std::string_view Rest = Text.substr(IdDigits);
+  std::array<uint32_t, 3> Numbers{};
+  for (uint32_t &Number : Numbers) {
+    if (!takePoint(Rest))
+      return std::nullopt;
+    const auto Value = takeNumber(Rest);
+    if (!Value)
+      return std::nullopt;
+    Number = *Value;
+  }
+  if (!Rest.empty())
+    return std::nullopt;
+  return TaskKey{{*Job, Numbers[0], Numbers[1]}, Numbers[2]};
+}
+
+const Queue *findQueue(const CellConfiguration &Config, std::string_view Host,
+                       std::string_view Path) {
+  const Queue *Best = nullptr;
+  for (const Queue &Candidate : Config.Queues) {
+    if (Candidate.Host != Host || !Path.starts_with(Candidate.PathPrefix))
+      continue;
+    if (!Best || Candidate.PathPrefix.size() > Best->PathPrefix.size())
+      Best = &Candidate;
+  }
+  return Best;
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/cell/advice_lanes.cpp
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+// Chooses a lane for each question; heavy ones never take all of them.
+#include "cell/advice_lanes.h"
+
+namespace valveshelf {
+using namespace sched;
+
+namespace {
+// Longer questions count as heavy. (Quick checks' take some 10 ms, gangs' up to a second.)
+constexpr Milliseconds Heavy{150};
+// Lanes that heavy questions leave to others.
+constexpr size_t LightLanes = 2;
+// A lane that failed is left alone for this time; its question may still be served there.
+constexpr Milliseconds LanePause{700};
+// Added to the expected time of a question.
+constexpr Milliseconds Slack{400};
+constexpr int MaxTries = 3;
+} // namespace
+
+AdviceLanes::AdviceLanes(Executor Where, Clock Time, AskThrough Ask, Answered OnAnswer)
+    : Where(Where), Time(std::move(Time)), Ask(std::move(Ask)), OnAnswer(std::move(OnAnswer)) {}
+
+void AdviceLanes::setLanes(const std::set<std::string> &Names) {
+  std::erase_if(Lanes, [&](const auto &L) { return !L.second.Busy && !Names.count(L.first); });
+  for (const std::string &Name : Names)
+    Lanes.try_emplace(Name);
+  dispatch();
+}
+
+void AdviceLanes::add(Effects::Ask Question) {
+  const Entry Place{Question.Priority, ++NextNumber};
+  Queue.emplace(Place, Waiting{std::move(Question), 0});
+  dispatch();
+}
+
+void AdviceLanes::stop() {
+  Stopped = true;
+  *Alive = false;
+  Queue.clear();
+}
+
+bool AdviceLanes::isHeavy(const Effects::Ask &Question) const { return Question.Expected > Heavy; }
+
+size_t AdviceLanes::heavyLimit() const {
+  return Lanes.size() > LightLanes ? Lanes.size() - LightLanes : 1;
+}
+
+void AdviceLanes::dispatch() {
+  auto Next = Queue.begin();
+  while (!Stopped && Next != Queue.end()) {
+    auto Free = Lanes.begin();
+    while (Free != Lanes.end() && (Free->second.Busy || Free->second.NotBefore > Time.Now()))
+      ++Free;
+    if (Free == Lanes.end())
+      return;
+    const bool IsHeavy = isHeavy(Next->second.Question);
+    if (IsHeavy && HeavyNow >= heavyLimit()) {
+      ++Next;
+      continue;
+    }
+    HeavyNow += IsHeavy ? 1 : 0;
+    Free->second.Busy = true;
+    spawnLater(Where, ask(Free->first, std::move(Next->second)));
+    Next = Queue.erase(Next);
+  }
+}
+
+Awaitable<void> AdviceLanes::ask(std::string Name, Waiting What) {
+  const auto Lives = Alive;
+  const Milliseconds Timeout = What.Question.Expected * 3 / 2 + Slack;
+  Result<Advice> Answer =
+      co_await Ask(Name, What.Question.Step, What.Question.Workers, Timeout);
+  if (!*Lives)
+    co_return;
+  HeavyNow -= isHeavy(What.Question) ? 1 : 0;
+  Lane &Used = Lanes[Name];
+  Used.Busy = false;
+  if (!ok(Answer))
+    Used.NotBefore = Time.Now() + LanePause;
+  if (!ok(Answer) && ++What.Tries < MaxTries && Lanes.size() > 1) {
+    const Entry Place{What.Question.Priority, 0}; // before newer ones of its priority
+    Queue.emplace(Entry{Place.Priority, ++NextNumber}, std::move(What));
+  } else {
+    OnAnswer(What.Question, Answer);
+  }
+  dispatch();
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/advice_lanes.h
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+// Questions for advice, spread over all processes of the cell: the service takes one call of each
+// at a time, so that each process is a lane of its own.
+#pragma once
+
+#include "valveshelf/cell_state.h"
+#include "valveshelf/coroutines.h"
+#include "valveshelf/worker_link.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace valveshelf {
+
+/// Lives on one strand; all calls come from there.
+class AdviceLanes {
+public:
+  /// Asks through the member \p Lane.
+  using AskThrough = std::function<Awaitable<Result<Advice>>(
+      std::string Lane, sched::StepKey Step, std::vector<std::string> Workers,
+      Milliseconds Timeout)>;
+  using Answered = std::function<void(const sched::Effects::Ask &, const Result<Advice> &)>;
+
+  AdviceLanes(Executor Where, Clock Time, AskThrough Ask, Answered OnAnswer);
+  /// The members that may be asked through.
+  void setLanes(const std::set<std::string> &Names);
+  void add(sched::Effects::Ask Question);
+  void stop();
+
+private:
+  struct Lane {
+    bool Busy = false;
+    TimePoint NotBefore{}; ///< It failed; left alone until then.
+  };
+  struct Entry {
+    int Priority = 0;
+    uint64_t Number = 0;
+    auto operator<=>(const Entry &) const = default;
+  };
+  struct Waiting {
+    sched::Effects::Ask Question;
+    int Tries = 0;
+  };
+
+  void dispatch();
+  bool isHeavy(const sched::Effects::Ask &Question) const;
+  size_t heavyLimit() const;
+  Awaitable<void> ask(std::string Name, Waiting What);
+
+  const Executor Where;
+  const Clock Time;
+  const AskThrough Ask;
+  const Answered OnAnswer;
+  std::map<std::string, Lane> Lanes;
+  std::map<Entry, Waiting> Queue;
+  uint64_t NextNumber = 0;
+  size_t HeavyNow = 0; ///< Heavy questions in flight.
+  bool Stopped = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/intake.cpp
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+// Group commit of submissions, and the marks of cancellations.
+#include "cell/intake.h"
+
+#include <boost/asio.hpp>
+
+#include <map>
+
+namespace valveshelf {
+using namespace sched;
+
+namespace {
+// Transactions in flight at a time; with fewer, a slow store would hold callers up in line.
+constexpr int MaxWriting = 4;
+// A condition and a value for each job.
+constexpr size_t MaxBatch = MaxTransactionRows / 2;
+// Bytes of one transaction; keeps a call short on a small link.
+constexpr size_t MaxBatchBytes = 64 * 1024;
+// After a write without an answer, before it is tried again.
+constexpr Milliseconds RetryPause{40};
+} // namespace
+
+Intake::Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings)
+    : Where(Where), Store(std::move(Store)), Time(std::move(Time)), Settings(Settings) {}
+
+Awaitable<Result<Done>> Intake::submit(JobSpec Spec) {
+  auto Mine = std::make_shared<Pending>(Where);
+  Mine->Id = Spec.Id;
+  Mine->Bytes = encodeJob(Spec);
+  Mine->Deadline = Time.Now() + Settings.Timing.SubmitLimit;
+  Waiting.push_back(Mine);
+  dispatch();
+  while (!Mine->Decided)
+    co_await Mine->Wake.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return *Mine->Decided;
+}
+
+void Intake::dispatch() {
+  while (Writing < MaxWriting && !Waiting.empty()) {
+    std::vector<PendingPtr> Batch;
+    size_t Bytes = 0;
+    while (!Waiting.empty() && Batch.size() < MaxBatch && Bytes < MaxBatchBytes) {
+      Bytes += Waiting.front()->Bytes.size();
+      Batch.push_back(Waiting.front());
+      Waiting.pop_front();
+    }
+    ++Writing;
+    spawnLater(Where, write(std::move(Batch)));
+  }
+}
+
+void Intake::decide(const PendingPtr &Which, Result<Done> What) {
+  Which->Decided = std::move(What);
+  Which->Wake.cancel();
+}
+
+void Intake::retryOrGiveUp(const std::vector<PendingPtr> &Batch, const Error &Why) {
+  const bool Unknown = Why.Kind == ErrorKind::OutcomeUnknown;
+  for (const PendingPtr &Which : Batch) {
+    Which->MayBeWritten = Which->MayBeWritten || Unknown;
+    if (Which->MayBeWritten && Time.Now() < Which->Deadline)
+      Waiting.push_back(Which);
+    else if (Which->MayBeWritten)
+      decide(Which, Error{ErrorKind::OutcomeUnknown, "the store did not confirm the job in time"});
+    else
+      decide(Which, Error{ErrorKind::StoreUnavailable, Why.Detail});
+  }
+}
+
+Awaitable<void> Intake::write(std::vector<PendingPtr> Batch) {
+  Transaction Create;
+  for (const PendingPtr &Which : Batch) {
+    Create.Conditions.push_back({jobKey(Which->Id), 0});
+    Create.Puts.push_back({jobKey(Which->Id), Which->Bytes, 0, 0});
+  }
+  Result<TransactionResult> Written = co_await Store.Commit(std::move(Create));
+  if (!ok(Written)) {
+    if (error(Written).Kind == ErrorKind::OutcomeUnknown)
+      co_await sleepFor(RetryPause);
+    retryOrGiveUp(Batch, error(Written));
+  } else if (value(Written).Applied) {
+    for (const PendingPtr &Which : Batch)
+      decide(Which, Done{});
+  } else {
+    // Jobs that stand there already were handed in before; the others are tried again.
+    std::map<std::string, uint64_t> Standing;
+    for (const KeyValue &Item : value(Written).Standing)
+      Standing[Item.Key] = Item.Revision;
+    for (const PendingPtr &Which : Batch) {
+      if (Standing[jobKey(Which->Id)] != 0)
+        decide(Which, Done{});
+      else
+        Waiting.push_back(Which);
+    }
+  }
+  --Writing;
+  dispatch();
+}
+
+Awaitable<Result<Done>> Intake::cancel(JobId Id) {
+  const TimePoint Deadline = Time.Now() + Settings.Timing.SubmitLimit;
+  bool MayBeWritten = false;
+  Error Last;
+  while (Time.Now() < Deadline) {
+    Result<KeyValue> Read = co_await Store.Get(jobKey(Id));
+    if (ok(Read) && value(Read).Revision == 0)
+      co_return Error{ErrorKind::NotFound, "there is no such job"};
+    if (ok(Read)) {
+      Result<StoredJob> Stored = decodeJob(value(Read).Value);
+      if (!ok(Stored))
+        co_return error(Stored);
+      if (value(Stored).Phase == JobPhase::Cancelled)
+        co_return Done{};
+      if (value(Stored).Phase != JobPhase::Live)
+        co_return Error{ErrorKind::NotFound, "the job has ended"};
+      Transaction Mark;
+      Mark.Conditions.push_back({jobKey(Id), value(Read).Revision});
+      Mark.Puts.push_back({cancelKey(Id), "1", 0, 0});
+      Result<TransactionResult> Written = co_await Store.Commit(std::move(Mark));
+      if (ok(Written) && value(Written).Applied)
+        co_return Done{};
+      if (ok(Written))
+        continue; // the job has just ended; read again
+      MayBeWritten = MayBeWritten || error(Written).Kind == ErrorKind::OutcomeUnknown;
+      Last = error(Written);
+    } else {
+      Last = error(Read);
+    }
+    if (!MayBeWritten)
+      break;
+    co_await sleepFor(RetryPause);
+  }
+  co_return Error{MayBeWritten ? ErrorKind::OutcomeUnknown : ErrorKind::StoreUnavailable,
+                  Last.Detail};
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/leadership.cpp
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+// The claim on the cell, its renewal and its end.
+#include "cell/leadership.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+namespace valveshelf {
+using namespace sched;
+
+namespace {
+// How often a process looks whether it should claim; a claim is worth a few calls to the store.
+constexpr Milliseconds LookEvery{40};
+// Members claim one after the other, this far apart, so that one claim usually does.
+constexpr Milliseconds TurnGap{30};
+// After a claim that failed.
+constexpr Milliseconds RetryPause{150};
+// Renewals in one life of the claim; two may be lost.
+constexpr int RenewalsPerLife = 4;
+// A planned stop waits so long for what has to be saved.
+constexpr Milliseconds FlushTime{600};
+} // namespace
+
+Leadership::Leadership(const SchedulerTools &Tools, CellView &View) : Tools(Tools), View(View) {}
+
+void Leadership::start() { spawnLater(Tools.Where, loop()); }
+
+std::shared_ptr<SchedulerRunner> Leadership::scheduler() const {
+  return Runner && Runner->loaded() ? Runner : nullptr;
+}
+
+std::set<std::string> Leadership::memberNames() const {
+  std::set<std::string> Names{Tools.Settings.Member};
+  for (const auto &[Name, Info] : View.picture().Members)
+    Names.insert(Name);
+  return Names;
+}
+
+void Leadership::viewChanged() {
+  if (Runner)
+    Runner->setMembers(memberNames());
+}
+
+bool Leadership::mayClaim() const {
+  const CellPicture &Now = View.picture();
+  const bool Own = Now.Leader && Now.Leader->Name == Tools.Settings.Member;
+  return Now.Known && (Now.LeaderRevision == 0 || Own);
+}
+
+// Members take their turns by name.
+Milliseconds Leadership::turn() const {
+  const auto &Members = View.picture().Members;
+  const auto Before = std::distance(Members.begin(), Members.lower_bound(Tools.Settings.Member));
+  return TurnGap * Before;
+}
+
+Awaitable<void> Leadership::loop() {
+  while (!Stopped) {
+    if (!mayClaim()) {
+      co_await sleepFor(LookEvery);
+      continue;
+    }
+    co_await sleepFor(turn());
+    if (!mayClaim() || Stopped)
+      continue;
+    Result<Claim> Mine = co_await claim();
+    if (ok(Mine) && !Stopped)
+      co_await serve(value(Mine));
+    else
+      co_await sleepFor(RetryPause);
+  }
+}
+
+Awaitable<Result<Claim>> Leadership::claim() {
+  Result<KeyValue> Term = co_await Tools.Store.Get(std::string(TermKey));
+  if (!ok(Term))
+    co_return error(Term);
+  Result<uint64_t> Lease = co_await Tools.Store.GrantLease(Tools.Settings.Timing.LeaderLease);
+  if (!ok(Lease))
+    co_return error(Lease);
+  const std::string &Last = value(Term).Value;
+  Claim Mine;
+  Mine.Lease = value(Lease);
+  Mine.Term = (Last.empty() ? 0 : std::stoull(Last)) + 1;
+  const Leader Self{Tools.Settings.Member, Tools.Settings.Peers, Mine.Term};
+  Transaction Put;
+  Put.Conditions.push_back({std::string(LeaderKey), View.picture().LeaderRevision});
+  Put.Conditions.push_back({std::string(TermKey), value(Term).Revision});
+  Put.Puts.push_back({std::string(LeaderKey), encodeLeader(Self), 0, Mine.Lease});
+  Put.Puts.push_back({std::string(TermKey), std::to_string(Mine.Term), 0, 0});
+  Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
+  if (!ok(Written))
+    co_return error(Written); // if it was done after all, the lease lapses or the key is our own
+  if (!value(Written).Applied)
+    co_return Error{ErrorKind::Conflict, "another process was faster"};
+  Mine.LeaderRevision = value(Written).Revision;
+  logEvent(events::ClaimMade, {{"term", std::to_string(Mine.Term)},
+                               {"revision", std::to_string(Mine.LeaderRevision)}});
+  co_return Mine;
+}
+
+Awaitable<void> Leadership::serve(Claim Mine) {
+  bool Over = false;
+  Runner = std::make_shared<SchedulerRunner>(Tools, Mine, [&Over] { Over = true; });
+  CurrentLease = Mine.Lease;
+  Runner->setMembers(memberNames());
+  Runner->start();
+  const auto Current = Runner;
+  while (!Over && !Stopped) {
+    co_await sleepFor(Tools.Settings.Timing.LeaderLease / RenewalsPerLife);
+    const auto &Seen = View.picture().Leader;
+    if (Seen && Seen->Term > Mine.Term)
+      break;
+    Result<Done> Kept = co_await Tools.Store.KeepLease(Mine.Lease);
+    if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
+      break;
+  }
+  Current->stop();
+  if (Runner == Current)
+    Runner.reset();
+  if (!Over)
+    logEvent(events::TermEnded, {{"term", std::to_string(Mine.Term)},
+                                 {"why", Stopped ? "planned-stop" : "claim-lapsed"}});
+}
+
+Awaitable<void> Leadership::leave() {
+  Stopped = true;
+  const auto Current = Runner;
+  if (!Current)
+    co_return;
+  co_await Current->flush(FlushTime);
+  Current->stop();
+  co_await Tools.Store.EndLease(CurrentLease);
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/leadership.h
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+// Who schedules: the process whose claim stands in the store. Any process can be it; a claim holds
+// as long as its lease, and its term is the fence that workers check.
+#pragma once
+
+#include "cell/cell_view.h"
+#include "cell/scheduler_runner.h"
+
+#include <memory>
+
+namespace valveshelf {
+
+/// Claims the cell when nobody has it, and runs the scheduler while the claim holds. Lives on one
+/// strand.
+class Leadership {
+public:
+  Leadership(const SchedulerTools &Tools, CellView &View);
+  void start();
+  /// The picture of the cell has changed.
+  void viewChanged();
+  /// Hands the cell over: saves what is known and gives the claim up at once.
+  Awaitable<void> leave();
+  /// The scheduler, if it runs here and has read the store; else null.
+  std::shared_ptr<SchedulerRunner> scheduler() const;
+
+private:
+  Awaitable<void> loop();
+  bool mayClaim() const;
+  Milliseconds turn() const;
+  Awaitable<Result<Claim>> claim();
+  Awaitable<void> serve(Claim Mine);
+  std::set<std::string> memberNames() const;
+
+  const SchedulerTools Tools;
+  CellView &View;
+  std::shared_ptr<SchedulerRunner> Runner;
+  uint64_t CurrentLease = 0;
+  bool Stopped = false;
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/scheduler_runner.cpp
@@ -0,0 +1,491 @@
+// SPDX-License-Identifier: Apache-2.0
+// The process around the scheduler's decisions: loading, watching, workers and orders.
+#include "cell/scheduler_runner.h"
+
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+using namespace sched;
+
+namespace {
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+// After a failed call, before the next one.
+constexpr Milliseconds RetryPause{150};
+// Time outs are looked for this often.
+constexpr Milliseconds TickEvery{50};
+// Events that come together are placed together.
+constexpr Milliseconds PlaceDelay{2};
+// A worker is asked again so soon while its ends wait to be saved.
+constexpr Milliseconds UnsavedPause{400};
+// Run numbers of one term; no task starts so often in one.
+constexpr uint32_t RunsPerTerm = 1000;
+// A worker that is no longer listed, holds nothing and does not answer is forgotten.
+constexpr Milliseconds WatchWait{10000};
+
+std::string idOf(const std::string &Key, const std::string &Prefix) {
+  return Key.substr(Prefix.size());
+}
+} // namespace
+
+SchedulerRunner::SchedulerRunner(const SchedulerTools &Tools, Claim Mine,
+                                 std::function<void()> OnEnd)
+    : Tools(Tools), Mine(Mine), OnEnd(std::move(OnEnd)),
+      Lanes(Tools.Where, Tools.Time, Tools.Ask,
+            [this](const Effects::Ask &Question, const Result<Advice> &Answer) {
+              if (ok(Answer))
+                adviceAnswered(Cell, Question.Step, Question.Workers, value(Answer).Good,
+                               value(Answer).Valid, this->Tools.Time.Now());
+              else
+                adviceFailed(Cell, Question.Step, this->Tools.Time.Now());
+              placeSoon();
+            }),
+      SaveWake(Tools.Where, TimePoint::max()), PlaceTimer(Tools.Where) {
+  Cell.Limits = Tools.Settings.Scheduler;
+  Cell.Fence = Mine.Term;
+  Cell.FirstRun = static_cast<uint32_t>((Mine.Term - 1) * RunsPerTerm + 1);
+  Cell.Wall = Tools.Time.Wall();
+  Cell.WallAt = Tools.Time.Now();
+}
+
+void SchedulerRunner::start() { spawnLater(Tools.Where, run(shared_from_this())); }
+
+void SchedulerRunner::stop() {
+  Stopped = true;
+  Lanes.stop();
+  SaveWake.cancel();
+  PlaceTimer.cancel();
+}
+
+void SchedulerRunner::end(const char *Why) {
+  if (Stopped)
+    return;
+  logEvent(events::TermEnded, {{"term", std::to_string(Mine.Term)},
+                               {"why", "\"" + std::string(Why) + "\""}});
+  stop();
+  OnEnd();
+}
+
+void SchedulerRunner::setMembers(const std::set<std::string> &Names) { Lanes.setLanes(Names); }
+
+// Loading.
+
+Awaitable<void> SchedulerRunner::run(Self Me) {
+  while (!Me->Stopped) {
+    Result<Done> Loaded = co_await Me->load();
+    if (ok(Loaded))
+      co_return;
+    co_await sleepFor(RetryPause);
+  }
+}
+
+void SchedulerRunner::loadJobs(const KeyRange &Intake, const KeyRange &Runs) {
+  const TimePoint Now = Tools.Time.Now();
+  for (const KeyValue &Item : Intake.Items)
+    if (Item.Key.starts_with(JobPrefix))
+      takeIntake(Item, false);
+  for (const KeyValue &Item : Runs.Items) {
+    const auto Id = jobOfKey(Item.Key, ProgressPrefix);
+    const auto Found = Id ? Cell.Jobs.find(*Id) : Cell.Jobs.end();
+    if (Found == Cell.Jobs.end())
+      continue;
+    Found->second.ProgressRevision = Item.Revision;
+    Result<SavedSteps> Saved = decodeProgress(*Id, Item.Value);
+    if (!ok(Saved)) {
+      logEvent(events::RecordUnreadable, {{"key", Item.Key}});
+      continue;
+    }
+    for (const auto &[Step, Tasks] : value(Saved))
+      restoreStep(Cell, Step, Tasks);
+  }
+  Effects Out;
+  finishLoading(Cell, Now, Out);
+  for (const KeyValue &Item : Intake.Items)
+    if (const auto Id = jobOfKey(Item.Key, CancelPrefix))
+      cancelJob(Cell, *Id, Now, Out);
+  apply(Out);
+}
+
+void SchedulerRunner::loadWorkers(const KeyRange &Listed, const KeyRange &Runs) {
+  for (const KeyValue &Item : Listed.Items)
+    takeWorker(Item, false);
+  for (const KeyValue &Item : Runs.Items) {
+    if (!Item.Key.starts_with(WorkerRecordPrefix))
+      continue;
+    const std::string Id = idOf(Item.Key, std::string(WorkerRecordPrefix));
+    Result<WorkerInfo> Info = decodeWorkerRecord(Id, Item.Value);
+    if (ok(Info))
+      workerMayHoldRuns(Cell, value(Info), leaseEnd());
+    else
+      logEvent(events::RecordUnreadable, {{"key", Item.Key}});
+  }
+}
+
+Awaitable<Result<Done>> SchedulerRunner::load() {
+  const TimePoint Begun = Tools.Time.Now();
+  Result<KeyRange> Listed = co_await Tools.Store.Range(Tools.WorkerPrefix, false);
+  if (!ok(Listed))
+    co_return error(Listed);
+  Result<KeyRange> Runs = co_await Tools.Store.Range(std::string(RunPrefix), false);
+  if (!ok(Runs))
+    co_return error(Runs);
+  Result<KeyRange> Intake = co_await Tools.Store.Range(std::string(IntakePrefix), false);
+  if (!ok(Intake))
+    co_return error(Intake);
+  if (Stopped)
+    co_return Done{};
+  loadWorkers(value(Listed), value(Runs));
+  loadJobs(value(Intake), value(Runs));
+  const Self Me = shared_from_this();
+  spawnLater(Tools.Where, watchIntake(Me, value(Intake).Revision));
+  spawnLater(Tools.Where, watchWorkers(Me, value(Listed).Revision));
+  spawnLater(Tools.Where, saveLoop(Me));
+  spawnLater(Tools.Where, rosterLoop(Me));
+  spawnLater(Tools.Where, tickLoop(Me));
+  holdAll();
+  placeSoon();
+  const auto Took = std::chrono::duration_cast<Milliseconds>(Tools.Time.Now() - Begun);
+  logEvent(events::TermBegun, {{"term", std::to_string(Mine.Term)},
+                               {"jobs", std::to_string(Cell.Jobs.size())},
+                               {"workers", std::to_string(Cell.Workers.size())},
+                               {"unheard", std::to_string(Cell.Unheard.size())},
+                               {"load_ms", std::to_string(Took.count())}});
+  co_return Done{};
+}
+
+void SchedulerRunner::takeIntake(const KeyValue &Item, bool Fresh) {
+  const TimePoint Now = Tools.Time.Now();
+  Effects Out;
+  if (const auto Cancelled = jobOfKey(Item.Key, CancelPrefix)) {
+    if (!Cell.Jobs.count(*Cancelled))
+      OldCancels.insert(*Cancelled);
+    cancelJob(Cell, *Cancelled, Now, Out);
+    apply(Out);
+    return;
+  }
+  const auto Id = jobOfKey(Item.Key, JobPrefix);
+  if (!Id)
+    return;
+  Result<StoredJob> Stored = decodeJob(Item.Value);
+  if (!ok(Stored)) {
+    logEvent(events::RecordUnreadable, {{"key", Item.Key}});
+    return;
+  }
+  StoredJob &Read = value(Stored);
+  if (Read.Phase != JobPhase::Live) {
+    if (Cell.Jobs.count(*Id) || Cell.Ended.count(*Id))
+      return; // our own writing
+    Cell.Ended[*Id] = {Read.Phase, Item.Revision, Read.EndedAt};
+    Cell.Forgettable.emplace_back(Read.EndedAt, *Id);
+    return;
+  }
+  Read.Spec.Id = *Id;
+  addJob(Cell, std::make_shared<const JobSpec>(std::move(Read.Spec)), Item.Revision,
+         Fresh && Item.Revision > Mine.LeaderRevision, Now);
+}
+
+Awaitable<Result<uint64_t>> SchedulerRunner::rereadIntake() {
+  Result<KeyRange> Read = co_await Tools.Store.Range(std::string(IntakePrefix), false);
+  if (!ok(Read))
+    co_return error(Read);
+  for (const KeyValue &Item : value(Read).Items)
+    takeIntake(Item, true);
+  placeSoon();
+  co_return value(Read).Revision;
+}
+
+Awaitable<void> SchedulerRunner::watchIntake(Self Me, uint64_t From) {
+  while (!Me->Stopped) {
+    Result<KeyChanges> Read =
+        co_await Me->Tools.Store.Watch(std::string(IntakePrefix), From, WatchWait);
+    if (Me->Stopped)
+      co_return;
+    if (ok(Read)) {
+      for (const KeyChange &Change : value(Read).Changes)
+        if (!Change.Gone)
+          Me->takeIntake(Change.Item, true);
+      From = std::max(From, value(Read).Revision);
+      Me->placeSoon();
+      continue;
+    }
+    // What a cut watch may have missed is read; the history may be gone as well.
+    Result<uint64_t> Again = co_await Me->rereadIntake();
+    if (ok(Again))
+      From = value(Again);
+    else
+      co_await sleepFor(RetryPause);
+  }
+}
+
+void SchedulerRunner::takeWorker(const KeyValue &Item, bool Gone) {
+  const TimePoint Now = Tools.Time.Now();
+  const std::string Id = idOf(Item.Key, Tools.WorkerPrefix);
+  if (Gone)
+    return workerUnlisted(Cell, Id, Now);
+  Result<WorkerInfo> Read = Tools.DecodeWorker(Id, Item.Value);
+  if (!ok(Read)) {
+    logEvent(events::RecordUnreadable, {{"key", Item.Key}, {"why", error(Read).Detail}});
+    return;
+  }
+  workerListed(Cell, value(Read), Now);
+}
+
+Awaitable<Result<uint64_t>> SchedulerRunner::rereadWorkers() {
+  Result<KeyRange> Read = co_await Tools.Store.Range(Tools.WorkerPrefix, false);
+  if (!ok(Read))
+    co_return error(Read);
+  std::set<std::string> Seen;
+  for (const KeyValue &Item : value(Read).Items) {
+    Seen.insert(idOf(Item.Key, Tools.WorkerPrefix));
+    takeWorker(Item, false);
+  }
+  for (auto &[Id, On] : Cell.Workers)
+    if (!Seen.count(Id))
+      workerUnlisted(Cell, Id, Tools.Time.Now());
+  holdAll();
+  placeSoon();
+  co_return value(Read).Revision;
+}
+
+Awaitable<void> SchedulerRunner::watchWorkers(Self Me, uint64_t From) {
+  while (!Me->Stopped) {
+    Result<KeyChanges> Read =
+        co_await Me->Tools.Store.Watch(Me->Tools.WorkerPrefix, From, WatchWait);
+    if (Me->Stopped)
+      co_return;
+    if (ok(Read)) {
+      for (const KeyChange &Change : value(Read).Changes)
+        Me->takeWorker(Change.Item, Change.Gone);
+      From = std::max(From, value(Read).Revision);
+      Me->holdAll();
+      Me->placeSoon();
+      continue;
+    }
+    Result<uint64_t> Again = co_await Me->rereadWorkers();
+    if (ok(Again))
+      From = value(Again);
+    else
+      co_await sleepFor(RetryPause);
+  }
+}
+
+// Workers.
+
+TimePoint SchedulerRunner::leaseEnd() const {
+  const double Drift = 1 + 2 * Cell.Limits.ClockDrift;
+  const auto Lease = std::chrono::duration_cast<Milliseconds>(
+      std::chrono::duration<double, std::milli>(Tools.Settings.Timing.WorkerLease) * Drift);
+  return Tools.Time.Now() + Lease + Cell.Limits.LeaseMargin;
+}
+
+Milliseconds SchedulerRunner::workerTime(const std::string &Id) const {
+  const auto Found = Clocks.find(Id);
+  if (Found == Clocks.end())
+    return Milliseconds(0);
+  const auto Since = Tools.Time.Now() - Found->second.At;
+  return Found->second.Worker + std::chrono::duration_cast<Milliseconds>(Since);
+}
+
+void SchedulerRunner::holdAll() {
+  for (const auto &[Id, On] : Cell.Workers)
+    if (Held.insert(Id).second)
+      spawnLater(Tools.Where, holdLoop(shared_from_this(), Id));
+}
+
+// Returns false if the worker is over or this term is.
+Awaitable<bool> SchedulerRunner::holdOnce(std::string Id, Milliseconds Wait) {
+  const auto Found = Cell.Workers.find(Id);
+  if (Found == Cell.Workers.end())
+    co_return false;
+  HoldWorker Order;
+  Order.To = {Id, Found->second.Info.Address};
+  Order.Fence = Mine.Term;
+  Order.ForgetThrough = Found->second.ForgetThrough;
+  Order.Wait = Wait;
+  Order.Timeout = Tools.Settings.Timing.HoldTimeout;
+  if (Clocks.count(Id)) {
+    Order.Until = workerTime(Id) + Tools.Settings.Timing.WorkerLease;
+    workerLeased(Cell, Id, leaseEnd());
+  }
+  const TimePoint AskedAt = Tools.Time.Now();
+  Result<WorkerReport> Report = co_await Tools.Workers.Hold(std::move(Order));
+  if (Stopped)
+    co_return false;
+  const TimePoint Now = Tools.Time.Now();
+  Effects Out;
+  if (ok(Report)) {
+    ClockReading &Clock = Clocks[Id];
+    // Answers on two connections may overtake each other; an older one says nothing new.
+    if (value(Report).WorkerClock >= Clock.Worker) {
+      Clock = {value(Report).WorkerClock, Now};
+      workerReported(Cell, Id, value(Report), AskedAt, Now, Out);
+    }
+  } else if (error(Report).Kind == ErrorKind::NotOwner) {
+    Out.Deposed = true;
+  } else if (error(Report).Kind == ErrorKind::NotFound) {
+    logEvent(events::WorkerReplaced, {{"worker", Id}});
+    workerOver(Cell, Id, Now, Out);
+  } else {
+    if (Found->second.Answers)
+      logEvent(events::WorkerSilent, {{"worker", Id}, {"why", "\"" + error(Report).Detail + "\""}});
+    workerSilent(Cell, Id);
+  }
+  apply(Out);
+  placeSoon();
+  co_return !Stopped && Cell.Workers.count(Id) > 0;
+}
+
+Awaitable<void> SchedulerRunner::holdLoop(Self Me, std::string Id) {
+  while (!Me->Stopped) {
+    const auto Found = Me->Cell.Workers.find(Id);
+    if (Found == Me->Cell.Workers.end())
+      break;
+    Worker &On = Found->second;
+    const bool First = !Me->Clocks.count(Id);
+    const bool HasUnsaved = !On.Unsaved.empty();
+    if (HasUnsaved) {
+      // Asked again when the ends are saved; without the store, now and then.
+      const TimePoint Limit = Me->Tools.Time.Now() + UnsavedPause;
+      while (!Me->Stopped && Me->Cell.Workers.count(Id) &&
+             !Me->Cell.Workers.at(Id).Unsaved.empty() && Me->Tools.Time.Now() < Limit)
+        co_await sleepFor(Me->Tools.Settings.Timing.Gather / 2);
+      if (!Me->Cell.Workers.count(Id))
+        break;
+    }
+    const bool Waits = !First && Me->Cell.Workers.at(Id).Unsaved.empty();
+    const Milliseconds Wait = Waits ? Me->Tools.Settings.Timing.HoldWait : Milliseconds(0);
+    if (!co_await Me->holdOnce(Id, Wait))
+      break;
+    const Worker &After = Me->Cell.Workers.at(Id);
+    if (!After.Answers) {
+      if (!After.Listed && After.Attempts.empty() && Me->Tools.Time.Now() > After.LeaseEnd)
+        break;
+      co_await sleepFor(RetryPause);
+    }
+  }
+  Me->Held.erase(Id);
+  Me->Clocks.erase(Id);
+  if (!Me->Stopped && !Me->Cell.Workers.count(Id))
+    Me->OldRecords.insert(Id);
+}
+
+Awaitable<void> SchedulerRunner::look(Self Me, std::string Id) {
+  if (!Me->Stopped)
+    co_await Me->holdOnce(Id, Milliseconds(0));
+}
+
+Awaitable<void> SchedulerRunner::sendStart(Self Me, Effects::Start Order) {
+  const auto Found = Me->Cell.Workers.find(Order.Worker);
+  if (Found == Me->Cell.Workers.end() || Me->Stopped || Me->stoodStill())
+    co_return;
+  StartRun Start;
+  Start.To = {Order.Worker, Found->second.Info.Address};
+  Start.Run = Order.Run;
+  Start.Job = Order.Job;
+  Start.Until = Me->workerTime(Order.Worker) + Me->Tools.Settings.Timing.WorkerLease;
+  Start.Fence = Me->Mine.Term;
+  Start.Checkpoint = std::move(Order.Checkpoint);
+  Start.Ticket = std::move(Order.Ticket);
+  workerLeased(Me->Cell, Order.Worker, Me->leaseEnd());
+  const StartResult What = co_await Me->Tools.Workers.Start(std::move(Start));
+  if (Me->Stopped)
+    co_return;
+  if (What != StartResult::Started)
+    logEvent(events::StartNotConfirmed, {{"task", toString(Order.Run.Task)},
+                                         {"run", std::to_string(Order.Run.Run)},
+                                         {"worker", Order.Worker},
+                                         {"result", std::to_string(static_cast<int>(What))}});
+  Effects Out;
+  startAnswered(Me->Cell, Order.Worker, Order.Run, What, Me->Tools.Time.Now(), Out);
+  Me->apply(Out);
+  if (What != StartResult::Started)
+    Me->placeSoon();
+}
+
+Awaitable<void> SchedulerRunner::sendStop(Self Me, Effects::Stop Order) {
+  const auto Found = Me->Cell.Workers.find(Order.Worker);
+  if (Found == Me->Cell.Workers.end() || Me->Stopped)
+    co_return;
+  logEvent(events::RunStopped, {{"task", toString(Order.Run.Task)},
+                                {"run", std::to_string(Order.Run.Run)},
+                                {"worker", Order.Worker},
+                                {"why", "\"" + Order.Why + "\""}});
+  StopRun Stop{{Order.Worker, Found->second.Info.Address}, Order.Run, Me->Mine.Term};
+  Result<Done> Answer = co_await Me->Tools.Workers.Stop(std::move(Stop));
+  if (Me->Stopped)
+    co_return;
+  Effects Out;
+  if (ok(Answer))
+    stopAnswered(Me->Cell, Order.Worker, Order.Run, true, Me->Tools.Time.Now(), Out);
+  else if (error(Answer).Kind == ErrorKind::NotOwner)
+    Out.Deposed = true;
+  else if (error(Answer).Kind == ErrorKind::NotFound)
+    workerOver(Me->Cell, Order.Worker, Me->Tools.Time.Now(), Out);
+  else
+    stopAnswered(Me->Cell, Order.Worker, Order.Run, false, Me->Tools.Time.Now(), Out);
+  Me->apply(Out);
+}
+
+// Decisions.
+
+bool SchedulerRunner::stoodStill() const {
+  return LastTick != TimePoint{} &&
+         Tools.Time.Now() - LastTick > Tools.Settings.Timing.LeaderLease;
+}
+
+void SchedulerRunner::apply(Effects &Out) {
+  if (Stopped)
+    return;
+  if (stoodStill())
+    return end("this process stood still");
+  if (Out.Deposed)
+    return end("a worker has heard a newer scheduler");
+  const Self Me = shared_from_this();
+  for (Effects::Start &Order : Out.Starts)
+    spawnLater(Tools.Where, sendStart(Me, std::move(Order)));
+  for (Effects::Stop &Order : Out.Stops)
+    spawnLater(Tools.Where, sendStop(Me, std::move(Order)));
+  for (Effects::Ask &Question : Out.Asks)
+    Lanes.add(std::move(Question));
+  for (const std::string &Id : Out.Looks)
+    spawnLater(Tools.Where, look(Me, Id));
+  if (Out.Save)
+    SaveWake.cancel();
+  Out = {};
+}
+
+void SchedulerRunner::placeSoon() {
+  if (PlaceWaits || Stopped)
+    return;
+  PlaceWaits = true;
+  PlaceTimer.expires_after(PlaceDelay);
+  PlaceTimer.async_wait([Me = shared_from_this()](boost::system::error_code) {
+    Me->PlaceWaits = false;
+    if (Me->Stopped)
+      return;
+    Effects Out;
+    place(Me->Cell, Me->Tools.Time.Now(), Out);
+    Me->apply(Out);
+  });
+}
+
+Awaitable<void> SchedulerRunner::tickLoop(Self Me) {
+  while (!Me->Stopped) {
+    co_await sleepFor(TickEvery);
+    if (Me->Stopped)
+      co_return;
+    if (Me->stoodStill())
+      co_return Me->end("this process stood still");
+    Me->LastTick = Me->Tools.Time.Now();
+    Effects Out;
+    tick(Me->Cell, Me->Tools.Time.Now(), Me->Tools.Time.Wall(), Out);
+    place(Me->Cell, Me->Tools.Time.Now(), Out);
+    Me->apply(Out);
+  }
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/scheduler_runner.h
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+// One term of a scheduler: reads what the store has, asks every worker what it holds, then carries
+// out what the decisions of `cell_state.h` say. Ends when a newer scheduler is heard of.
+#pragma once
+
+#include "cell/advice_lanes.h"
+#include "valveshelf/cell_records.h"
+#include "valveshelf/cell_settings.h"
+#include "valveshelf/key_value_store.h"
+#include "valveshelf/coroutines.h"
+#include "valveshelf/worker_link.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace valveshelf {
+
+/// What a scheduler is made from. All of it outlives it.
+struct SchedulerTools {
+  Executor Where; ///< A strand; everything here runs on it.
+  Clock Time;
+  const CellSettings &Settings;
+  KeyValueStore Store;
+  WorkerLink Workers;
+  AdviceLanes::AskThrough Ask;
+  std::string WorkerPrefix; ///< Keys of the platform's list of workers.
+  std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view Bytes)>
+      DecodeWorker;
+};
+
+/// The claim that a term rests on.
+struct Claim {
+  uint64_t Term = 0;
+  uint64_t LeaderRevision = 0; ///< Of the leader's key as written by this process.
+  uint64_t Lease = 0;
+};
+
+class SchedulerRunner : public std::enable_shared_from_this<SchedulerRunner> {
+public:
+  /// \p OnEnd is called once, when the term is over by itself.
+  SchedulerRunner(const SchedulerTools &Tools, Claim Mine, std::function<void()> OnEnd);
+  void start();
+  /// Sends nothing any more.
+  void stop();
+  /// Saves what waits to be saved, for a planned stop, for at most \p Time.
+  Awaitable<void> flush(Milliseconds Time);
+  void setMembers(const std::set<std::string> &Names);
+  bool loaded() const { return Cell.Loaded; }
+  std::string_view state(sched::JobId Id) const { return shownState(Cell, Id); }
+  uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
+  const sched::CellState &cell() const { return Cell; }
+
+private:
+  using Self = std::shared_ptr<SchedulerRunner>;
+  struct ClockReading {
+    Milliseconds Worker{0};
+    TimePoint At{};
+  };
+
+  // Loading and watching.
+  static Awaitable<void> run(Self Me);
+  Awaitable<Result<Done>> load();
+  void loadJobs(const KeyRange &Intake, const KeyRange &Runs);
+  void loadWorkers(const KeyRange &Listed, const KeyRange &Runs);
+  static Awaitable<void> watchIntake(Self Me, uint64_t From);
+  static Awaitable<void> watchWorkers(Self Me, uint64_t From);
+  void takeIntake(const KeyValue &Item, bool Fresh);
+  void takeWorker(const KeyValue &Item, bool Gone);
+  Awaitable<Result<uint64_t>> rereadIntake();
+  Awaitable<Result<uint64_t>> rereadWorkers();
+
+  // Workers.
+  void holdAll();
+  static Awaitable<void> holdLoop(Self Me, std::string Id);
+  Awaitable<bool> holdOnce(std::string Id, Milliseconds Wait);
+  static Awaitable<void> look(Self Me, std::string Id);
+  static Awaitable<void> sendStart(Self Me, sched::Effects::Start Order);
+  static Awaitable<void> sendStop(Self Me, sched::Effects::Stop Order);
+  Milliseconds workerTime(const std::string &Id) const;
+  TimePoint leaseEnd() const;
+
+  // Saving.
+  static Awaitable<void> saveLoop(Self Me);
+  static Awaitable<void> rosterLoop(Self Me);
+  struct SaveEntry {
+    sched::JobId Id = 0;
+    uint64_t Number = 0;
+    bool Ends = false;
+    bool Removes = false; ///< Its progress is removed.
+  };
+  static Awaitable<void> save(Self Me, std::vector<SaveEntry> Batch);
+  bool addToTransaction(sched::JobId Id, Transaction &What, std::vector<SaveEntry> &Batch);
+  void saved(const std::vector<SaveEntry> &Batch, uint64_t Revision);
+  void notSaved(const std::vector<SaveEntry> &Batch, const std::vector<KeyValue> &Standing);
+  Transaction guarded() const;
+
+  // Decisions.
+  static Awaitable<void> tickLoop(Self Me);
+  void apply(sched::Effects &Out);
+  void placeSoon();
+  void end(const char *Why);
+  /// True if this process did not run for longer than its claim holds: somebody else may schedule.
+  bool stoodStill() const;
+
+  const SchedulerTools Tools;
+  const Claim Mine;
+  const std::function<void()> OnEnd;
+  sched::CellState Cell;
+  AdviceLanes Lanes;
+  std::map<std::string, ClockReading> Clocks; ///< By worker.
+  std::set<std::string> Held;                 ///< Workers with a hold loop.
+  std::set<std::string> OldRecords;           ///< Workers whose records are to be removed.
+  std::set<sched::JobId> OldCancels;          ///< Marks whose jobs have ended.
+  std::set<sched::JobId> SavingNow;
+  int SavesInFlight = 0;
+  boost::asio::steady_timer SaveWake;
+  boost::asio::steady_timer PlaceTimer;
+  bool PlaceWaits = false;
+  TimePoint LastTick{};
+  bool Stopped = false;
+};
+
+} // namespace valveshelf
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -19,7 +19,8 @@
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr size_t MaxIdlePerEndpoint = 16;
-constexpr std::chrono::seconds MaxIdleTime{5};
+// New connections are dear on both sides; one that the other side closed is noticed before use.
+constexpr std::chrono::seconds MaxIdleTime{60};
 
 struct Connection {
   explicit Connection(Executor Where) : Stream(asio::make_strand(Where)) {}
@@ -27,6 +28,15 @@
   beast::flat_buffer Buffer;
   TimePoint IdleSince{};
 
+  // False if the other side has closed it, or has sent what nobody asked for.
+  bool isQuiet() {
+    boost::system::error_code Failure;
+    char Byte = 0;
+    Stream.socket().non_blocking(true, Failure);
+    Stream.socket().receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek, Failure);
+    return Failure == asio::error::would_block && Buffer.size() == 0;
+  }
+
   // Discards what the kernel has not sent yet, so that nothing arrives later.
   void abort() {
     boost::system::error_code Ignored;
@@ -47,7 +57,7 @@
     while (!Kept.empty()) {
       ConnectionPtr Found = Kept.back();
       Kept.pop_back();
-      if (Steady::now() - Found->IdleSince < MaxIdleTime)
+      if (Steady::now() - Found->IdleSince < MaxIdleTime && Found->isQuiet())
         return Found;
     }
     return nullptr;
@@ -229,34 +239,63 @@
   co_return Call;
 }
 
+namespace {
+http::request<http::string_body> wholeMessage(const Endpoint &To, HttpRequest Request) {
+  http::request<http::string_body> Message{http::string_to_verb(Request.Method), Request.Target,
+                                           11, std::move(Request.Body)};
+  if (Message.method() == http::verb::unknown)
+    Message.method_string(Request.Method);
+  Message.set(http::field::host, toString(To));
+  for (const auto &[Key, Value] : Request.Headers)
+    Message.insert(Key, Value);
+  if (!Message.body().empty() || Request.Method == "POST" || Request.Method == "PUT")
+    Message.prepare_payload();
+  return Message;
+}
+
+HttpResponse wholeAnswer(http::response<http::string_body> Message) {
+  HttpResponse Answer;
+  Answer.Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message)
+    Answer.Headers.emplace_back(Field.name_string(), Field.value());
+  Answer.Body = std::move(Message.body());
+  return Answer;
+}
+} // namespace
+
 Awaitable<Result<HttpResponse>> HttpClient::send(Endpoint To, HttpRequest Request,
                                                  CallOptions Options) {
+  std::shared_ptr<Impl> Pool = Inner;
   const TimePoint Deadline = Steady::now() + Options.Timeout;
-  Result<std::shared_ptr<HttpCall>> Opened = co_await open(To, Options);
-  if (!ok(Opened))
-    co_return error(Opened);
-  std::shared_ptr<HttpCall> Call = value(Opened);
-  Result<Done> Written = co_await Call->writeHead(Request, Request.Body.size());
-  if (ok(Written))
-    Written = co_await Call->writeBody(Request.Body);
-  if (!ok(Written))
-    co_return error(Written);
-  Result<HttpResponse> Head = co_await Call->readHead();
-  if (!ok(Head))
-    co_return error(Head);
-  HttpResponse Answer = std::move(value(Head));
-  std::array<char, 16 * 1024> Room;
-  while (true) {
-    Result<size_t> Read = co_await Call->readBody(Room);
-    if (!ok(Read))
-      co_return error(Read);
-    if (value(Read) == 0)
-      co_return Answer;
-    Answer.Body.append(Room.data(), value(Read));
-    if (Answer.Body.size() > Options.MaxResponseBytes || Steady::now() > Deadline)
-      co_return Error{ErrorKind::UpstreamCut,
-                      "the answer of " + toString(To) + " is too large or too slow"};
+  ConnectionPtr Used = Options.FreshConnection ? nullptr : Pool->takeIdle(To);
+  if (!Used) {
+    Result<ConnectionPtr> Made = co_await Pool->connect(To, Options.Timeout);
+    if (!ok(Made))
+      co_return error(Made);
+    Used = value(Made);
+  }
+  const bool IsHead = Request.Method == "HEAD";
+  const auto Message = wholeMessage(To, std::move(Request));
+  Used->Stream.expires_at(Deadline);
+  auto [WriteFailure, Written] = co_await http::async_write(Used->Stream, Message, AsTuple);
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(Options.MaxResponseBytes);
+  Parser.skip(IsHead);
+  boost::system::error_code Failure = WriteFailure;
+  if (!Failure) {
+    auto [ReadFailure, Read] =
+        co_await http::async_read(Used->Stream, Used->Buffer, Parser, AsTuple);
+    Failure = ReadFailure;
+  }
+  if (Failure) {
+    Used->abort();
+    co_return Error{ErrorKind::UpstreamCut,
+                    "the answer of " + toString(To) + " is lost: " + Failure.message()};
   }
+  Used->Stream.expires_never();
+  if (Parser.keep_alive())
+    Pool->keep(To, Used);
+  co_return wholeAnswer(Parser.release());
 }
 
 } // namespace valveshelf
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -104,11 +104,7 @@
 }
 
 Awaitable<void> sendWhole(HttpExchange &Exchange, HttpResponse Response) {
-  bool Sent = co_await Exchange.writeHead(Response.Status, Response.Headers, Response.Body.size());
-  if (Sent && !Response.Body.empty())
-    Sent = co_await Exchange.writeBody(Response.Body);
-  if (Sent)
-    co_await Exchange.finish();
+  co_await Exchange.writeWhole(std::move(Response));
 }
 
 } // namespace valveshelf
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -95,6 +95,25 @@
     co_return !Failure;
   }
 
+  Awaitable<bool> writeWhole(HttpResponse Response) override {
+    http::response<http::string_body> Message{static_cast<http::status>(Response.Status), 11,
+                                              std::move(Response.Body)};
+    for (const auto &[Key, Value] : Response.Headers)
+      Message.insert(Key, Value);
+    KeepAlive = KeepAlive && Parser.keep_alive() && Parser.is_done();
+    Message.keep_alive(KeepAlive);
+    Bodyless = Method == "HEAD" || Response.Status == 204 || Response.Status == 304;
+    if (Response.Status != 204)
+      Message.content_length(Message.body().size());
+    if (Bodyless)
+      Message.body().clear();
+    Stream.expires_after(BodyTimeout);
+    HeadSent = true;
+    auto [Failure, Bytes] = co_await http::async_write(Stream, Message, AsTuple);
+    Finished = !Failure;
+    co_return Finished;
+  }
+
   Awaitable<bool> finish() override {
     if (Chunked) {
       auto [Failure, Sent] = co_await asio::async_write(Stream, http::make_chunk_last(), AsTuple);
@@ -168,6 +187,8 @@
     return Done{};
   }
 
+  void beginDrain() { Leaving = true; }
+
   void stopAccepting() {
     Draining = true;
     asio::post(Acceptor.get_executor(), [Self = shared_from_this()] {
@@ -245,7 +266,7 @@
     if (Failure)
       co_return co_await refuse(Stream, Buffer, Parser, Failure);
     ServerExchange Exchange(Stream, Buffer, Parser, Limits.BodyTimeout);
-    if (Draining)
+    if (Draining || Leaving)
       Exchange.closeAfter();
     if (isAmbiguous(Parser)) {
       Exchange.closeAfter();
@@ -292,6 +313,7 @@
   const HttpServerLimits Limits;
   const HttpHandler Handler;
   tcp::acceptor Acceptor;
+  std::atomic<bool> Leaving{false};
   std::atomic<bool> Draining{false};
   std::atomic<size_t> Connections{0};
   std::atomic<size_t> Active{0};
@@ -304,6 +326,7 @@
     : Inner(std::make_shared<Impl>(Where, std::move(Address), Limits, std::move(Handler))) {}
 HttpServer::~HttpServer() { Inner->stopAccepting(); }
 Result<Done> HttpServer::start() { return Inner->start(); }
+void HttpServer::beginDrain() { Inner->beginDrain(); }
 void HttpServer::stopAccepting() { Inner->stopAccepting(); }
 size_t HttpServer::inProgress() const { return Inner->inProgress(); }
 
--- /dev/null
+++ b/src/include/valveshelf/cell_link.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+// gRPC between the entry processes of a cell: calls to peers and the server for theirs.
+#pragma once
+
+#include "valveshelf/clock.h"
+#include "valveshelf/endpoint.h"
+#include "valveshelf/http.h"
+
+#include "cell.pb.h"
+
+#include <functional>
+#include <memory>
+
+namespace valveshelf {
+
+/// What this process answers to its peers; one function a method of the inner protocol.
+struct CellHandlers {
+  std::function<Awaitable<cell::AdviseReply>(cell::AdviseRequest)> Advise;
+  std::function<Awaitable<cell::JobStateReply>(cell::JobStateRequest)> JobState;
+  std::function<Awaitable<cell::WaitingReply>(cell::WaitingRequest)> Waiting;
+  std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
+};
+
+/// Calls to peers, with one kept channel an address. UpstreamUnavailable: the peer was surely not
+/// reached. UpstreamCut: it may have acted. Safe from any thread.
+struct CellLink {
+  template <class Request, class Reply>
+  using Call =
+      std::function<Awaitable<Result<Reply>>(Endpoint To, Request Message, Milliseconds Timeout)>;
+  Call<cell::AdviseRequest, cell::AdviseReply> Advise;
+  Call<cell::JobStateRequest, cell::JobStateReply> JobState;
+  Call<cell::WaitingRequest, cell::WaitingReply> Waiting;
+  Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
+};
+CellLink grpcCell(Executor Where);
+
+/// The server for peers. Handlers run on \p Where.
+class CellServer {
+public:
+  CellServer(Executor Where, Endpoint Address, CellHandlers Handlers);
+  ~CellServer();
+  CellServer(const CellServer &) = delete;
+  CellServer &operator=(const CellServer &) = delete;
+  /// BadSettings if the address can't be bound.
+  Result<Done> start();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Inner;
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/cell_process.h
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+// One entry process of a cell on the users' platform, whole: servers for callers, readiness,
+// metrics and peers around the intake, the configuration and, while it holds the claim, the
+// scheduler.
+#pragma once
+
+#include "valveshelf/cell_settings.h"
+#include "valveshelf/http.h"
+#include "valveshelf/key_value_store.h"
+#include "valveshelf/coroutines.h"
+#include "valveshelf/worker_link.h"
+#include "valveshelf/workload.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace valveshelf {
+
+/// The platform as a cell process needs it.
+struct CellPlatform {
+  KeyValueStore Store;
+  WorkerLink Workers;
+  AdviceLink Advice;
+  std::string ConfigurationKey;
+  std::string WorkerPrefix;
+  std::function<Result<sched::CellConfiguration>(std::string_view)> DecodeConfiguration;
+  std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view)> DecodeWorker;
+  std::function<Result<sched::JobSpec>(std::string_view)> DecodeSubmission;
+  std::function<std::string(std::string_view)> EncodeState;
+  std::function<std::string(uint64_t)> EncodeWaiting;
+};
+
+/// Runs on the strand \p Where.
+class CellProcess {
+public:
+  CellProcess(Executor Where, CellSettings Settings, Clock Time, CellPlatform From);
+  ~CellProcess();
+  CellProcess(const CellProcess &) = delete;
+  CellProcess &operator=(const CellProcess &) = delete;
+
+  /// Binds all addresses and begins. Returns once the listeners serve.
+  Result<Done> start();
+  /// Runs the planned stop, then calls \p Finished with the exit code.
+  void beginStop(std::function<void(int)> Finished);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Inner;
+};
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/cell_settings.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// Settings of `valveshelf serve`: one entry process of a cell on the users' platform.
+#pragma once
+
+#include "valveshelf/cell_state.h"
+#include "valveshelf/settings.h"
+
+namespace valveshelf {
+
+/// Times of the process itself. Defaults come from the runs named in docs/design/platform.md.
+struct CellTiming {
+  Milliseconds StoreTimeout{1000};     ///< For one call to the store beyond its wait.
+  Milliseconds WatchTime{1500};        ///< Longest wait of one watch; bounds how long a dead
+                                       ///< connection goes unnoticed.
+  Milliseconds LeaderLease{1500};      ///< Life of the scheduler's key without renewal.
+  Milliseconds MemberLease{4000};      ///< Life of a member's key without renewal.
+  Milliseconds WorkerTimeout{300};     ///< For one order to a worker.
+  Milliseconds HoldWait{1800};         ///< A worker's report is awaited so long.
+  Milliseconds HoldTimeout{700};       ///< Beyond that wait.
+  Milliseconds WorkerLease{5000};      ///< A worker runs on so long without word of us.
+  Milliseconds Gather{20};             ///< Ends are gathered so long before they are saved.
+  Milliseconds SubmitLimit{2300};      ///< A submission is decided by then; callers wait 3 s.
+  Milliseconds StopGrace{6000};        ///< From SIGTERM to SIGKILL.
+};
+
+/// Everything in the file.
+struct CellSettings {
+  std::string Member; ///< Name of this process, unique in the cell.
+  std::string Zone;   ///< Availability zone.
+  Endpoint Callers, Readiness, Peers, Metrics;
+  Endpoint Store, Advice;
+  bool HasAdvice = false;
+  std::string LogLevel;
+  unsigned Threads = 1;
+  CellTiming Timing;
+  IntakeLimits Limits;
+  sched::SchedulerLimits Scheduler;
+};
+
+/// Parses and checks a file; \p File is used in errors only.
+std::variant<CellSettings, SettingsErrors> parseCellSettings(std::string_view Text,
+                                                             const std::string &File);
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/cell_state.h
@@ -0,0 +1,282 @@
+// SPDX-License-Identifier: Apache-2.0
+// The scheduler of a cell: its state and the events that change it. Everything here is a pure
+// function of state, event and time; what has to be said or kept comes back as effects.
+//
+// One process of the cell holds this state at a time, under a fence that workers check. Its
+// promises:
+//  - a task has at most one attempt; another begins only when the earlier one surely does not run;
+//  - what a worker holds, is being stopped there or may still start there stays booked;
+//  - an end is let go by its worker only after it has been saved.
+//
+// Nothing here locks: one strand owns the state.
+#pragma once
+
+#include "valveshelf/workload.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace valveshelf::sched {
+
+struct Worker;
+
+/// Figures that the decisions need, from the platform's bounds and from settings.
+struct SchedulerLimits {
+  Milliseconds WorkerLease{6000};   ///< Longest time a worker runs on without word of us.
+  Milliseconds StopTime{200};       ///< Longest time a worker takes to stop a run.
+  Milliseconds GangTime{3000};      ///< How long gang members wait for each other.
+  Milliseconds EarlyTime{250};      ///< A timed round may start so much before its time.
+  Milliseconds StateKept{150000};   ///< How long the state of an ended job is kept.
+  double ClockDrift = 0.02;         ///< Workers' clocks may be off by this part.
+  Milliseconds LeaseMargin{300};    ///< Added to every lease that has to have run out.
+  Milliseconds SetAside{4000};      ///< How long a worker that fails everything gets no work.
+  Milliseconds TicketMargin{120};   ///< A ticket is not used this close to its end.
+  Milliseconds PlanTime{2500};      ///< A gang whose room is not free by then is planned anew.
+  double UrgentShare = 0.10;        ///< Part of each worker kept free of work that can wait.
+  int MaxFailuresInARow = 3;        ///< A worker that failed so many runs in a row is set aside.
+};
+
+/// Where an attempt stands.
+enum class AttemptPhase {
+  Planned,   ///< Room is held; nothing was said to the worker.
+  Starting,  ///< The order is on its way.
+  Uncertain, ///< The order got no answer; it may have been carried out or may still be.
+  Running,
+  Stopping,  ///< A stop was ordered; the run may still be there.
+};
+
+/// A run on a worker, or one that may be there.
+struct Attempt {
+  AttemptPhase Phase = AttemptPhase::Planned;
+  Resources Need;
+  int Priority = 0;
+  bool MayBeStopped = false;   ///< It saves its progress, so that stopping it loses little.
+  int Sends = 0;               ///< Start orders sent.
+  TimePoint Since{};           ///< Of the phase.
+  TimePoint StartedAt{};
+  TimePoint StopSent{};
+  bool StopAcked = false;
+  bool StopsPlan = false;      ///< It is stopped to make room.
+  TimePoint StopAckedAt{};
+  int Percent = 0;
+  TimePoint PercentChanged{};
+};
+
+/// One life of a worker and what is booked on it.
+/// Invariant: Booked is the sum of the needs of all attempts that are not Planned, Planned that of
+/// the others.
+struct Worker {
+  WorkerInfo Info;
+  bool Listed = false;     ///< It stands in the platform's list.
+  bool Heard = false;      ///< It has answered this scheduler; its attempts are known.
+  bool Answers = true;     ///< The last call to it was answered.
+  bool Saved = false;      ///< The store knows that it may hold runs of ours.
+  bool Full = false;       ///< It holds a run whose size nobody knows.
+  Resources Booked;
+  Resources Planned;
+  std::map<RunKey, Attempt> Attempts;
+  uint64_t LastEnd = 0;                             ///< Highest number of an end dealt with.
+  std::deque<std::pair<uint64_t, uint64_t>> Unsaved; ///< Number of an end, and the save it needs.
+  uint64_t ForgetThrough = 0;                       ///< Ends up to here are saved.
+  TimePoint LeaseEnd{};                             ///< By then everything on it has been killed.
+  int FailuresInARow = 0;
+  TimePoint SetAsideUntil{};
+};
+
+/// What is known of advice for a step.
+struct AdviceState {
+  struct Verdict {
+    bool Good = false;
+    std::string Ticket;
+    TimePoint ValidUntil{};
+  };
+  std::map<std::string, Verdict> Verdicts; ///< By worker. Good or not never changes.
+  bool Asking = false;
+  TimePoint NotBefore{};
+};
+
+struct TaskState {
+  bool Done = false;
+  Worker *At = nullptr;       ///< Where its attempt is; null: none.
+  uint32_t Run = 0;           ///< The run of its attempt, or the last one.
+  std::string Checkpoint;
+  std::set<uint32_t> FailedRuns;
+  bool MayRunElsewhere = false; ///< An earlier scheduler may have it on a worker not heard yet.
+  TimePoint NotBefore{};
+  const Worker *FailedOn = nullptr; ///< Compared only.
+};
+
+/// Place in the queue: what can still meet its objective first, then by priority and objective.
+struct QueuePlace {
+  bool Late = false;
+  int Priority = 0;
+  TimePoint Objective{};
+  StepKey Step;
+  friend auto operator<=>(const QueuePlace &, const QueuePlace &) = default;
+};
+
+/// One step of one round.
+/// Invariant: Open counts the tasks that are not done.
+struct StepState {
+  StepKey Key;
+  const StepSpec *Spec = nullptr;
+  std::vector<TaskState> Tasks;
+  uint32_t Open = 0;
+  uint32_t Booked = 0;    ///< Tasks that have an attempt.
+  std::optional<QueuePlace> Queued; ///< Its place in the placement queue, if it stands there.
+  uint32_t GangRun = 0;   ///< Last run of a gang.
+  std::set<uint32_t> GangFailures;
+  AdviceState Advice;
+  TimePoint RunnableSince{};
+  TimePoint PlannedAt{};
+  std::string Waits;      ///< Why nothing is placed just now, for people.
+};
+
+struct RoundState {
+  uint32_t Number = 0;
+  std::vector<StepState> Steps;
+  bool Done = false;
+};
+
+struct Job {
+  JobSpecPtr Spec;
+  uint64_t Revision = 0;         ///< Of its key in the store.
+  uint64_t ProgressRevision = 0; ///< Of its progress; 0: none is kept.
+  JobPhase Phase = JobPhase::Live;
+  bool Begun = false;
+  bool CancelWanted = false;
+  std::map<uint32_t, RoundState> Rounds;
+  uint32_t NextRound = 0;
+  uint32_t RoundsDone = 0;
+  TimePoint Objective{}; ///< By then it has to be complete to count in full.
+  uint64_t NeedsSave = 0; ///< Number of the newest save it needs; 0: saved.
+};
+
+/// The durable end of a job.
+struct EndedJob {
+  JobPhase Phase = JobPhase::Completed;
+  uint64_t Revision = 0;
+  WallTime EndedAt{};
+};
+
+struct CellState {
+  SchedulerLimits Limits;
+  uint64_t Fence = 0;
+  uint32_t FirstRun = 1; ///< Run numbers of this scheduler begin here.
+  std::unordered_map<JobId, Job> Jobs;
+  std::unordered_map<JobId, EndedJob> Ended; ///< Saved ends only.
+  std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
+  std::map<std::string, Worker> Workers;     ///< By id; nodes stay where they are.
+  std::set<QueuePlace> Queue;                ///< Steps with a task to place.
+  std::set<std::string> Unheard; ///< Workers that an earlier scheduler may have used.
+  bool Loaded = false;           ///< The store was read; nothing is placed before.
+  uint64_t LastSave = 0;
+  std::map<uint64_t, JobId> Saves; ///< Saves not yet durable, by number.
+  WallTime Wall{};     ///< The time of day at Now, as of the last tick.
+  TimePoint WallAt{};  ///< The steady time at which Wall was read.
+};
+
+/// What the process has to do.
+struct Effects {
+  struct Start {
+    std::string Worker;
+    RunKey Run;
+    JobSpecPtr Job;
+    std::string Checkpoint;
+    std::string Ticket;
+  };
+  struct Stop {
+    std::string Worker;
+    RunKey Run;
+    std::string Why;
+  };
+  struct Ask {
+    StepKey Step;
+    int Priority = 0;
+    std::vector<std::string> Workers;
+    Milliseconds Expected{0};
+  };
+  std::vector<Start> Starts;
+  std::vector<Stop> Stops;
+  std::vector<Ask> Asks;
+  std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
+  bool Save = false;              ///< Something waits to be saved.
+  bool Deposed = false;           ///< A newer scheduler has spoken; this one must end.
+};
+
+// Jobs.
+
+/// A job that the store holds. \p Fresh: no earlier scheduler can have started any of it.
+void addJob(CellState &Cell, JobSpecPtr Spec, uint64_t Revision, bool Fresh, TimePoint Now);
+/// Marks what an earlier scheduler saved: the tasks done, failures and checkpoints of one step.
+struct SavedTask {
+  uint32_t Index = 0;
+  bool Done = false;
+  std::vector<uint32_t> FailedRuns;
+  std::string Checkpoint;
+};
+void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
+/// Call once after all jobs were added and restored.
+void finishLoading(CellState &Cell, TimePoint Now, Effects &Out);
+void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
+/// The saves up to \p Number of \p Id are durable; its keys have these revisions now.
+void jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
+              uint64_t ProgressRevision, WallTime Now);
+/// The state to show a caller, empty if there is no such job here.
+std::string_view shownState(const CellState &Cell, JobId Id);
+/// Jobs of the queue of which nothing has begun.
+uint32_t waitingJobs(const CellState &Cell, const std::string &Queue);
+
+// Workers.
+
+void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now);
+void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint Now);
+/// An earlier scheduler may have runs there.
+void workerMayHoldRuns(CellState &Cell, const WorkerInfo &Info, TimePoint LeaseEnd);
+/// \p AskedAt: when the question was sent; what changed later is not in the report.
+void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
+                    TimePoint AskedAt, TimePoint Now, Effects &Out);
+void workerSilent(CellState &Cell, const std::string &Id);
+/// Another life answers at its address, or its lease has surely run out and it is gone.
+void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out);
+/// A lease until \p End, as the process reckons it, may have reached the worker.
+void workerLeased(CellState &Cell, const std::string &Id, TimePoint End);
+void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult What,
+                   TimePoint Now, Effects &Out);
+void stopAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, bool Acked,
+                  TimePoint Now, Effects &Out);
+
+// Advice and placement.
+
+void adviceAnswered(CellState &Cell, const StepKey &Step, const std::vector<std::string> &Named,
+                    const std::vector<std::pair<std::string, std::string>> &Good,
+                    Milliseconds Valid, TimePoint Now);
+void adviceFailed(CellState &Cell, const StepKey &Step, TimePoint Now);
+/// Time outs: answers that did not come, leases that ran out, rounds that are due.
+void tick(CellState &Cell, TimePoint Now, WallTime Wall, Effects &Out);
+/// Places what can be placed now.
+void place(CellState &Cell, TimePoint Now, Effects &Out);
+
+// Shared by the parts of the scheduler.
+
+StepState *findStep(CellState &Cell, const StepKey &Key);
+/// Books an attempt of the task; removes it again.
+Attempt &book(StepState &Step, uint32_t Index, Worker &On, uint32_t Run, AttemptPhase Phase,
+              const Job &Of, TimePoint Now);
+void unbook(CellState &Cell, Worker &On, const RunKey &Run);
+void setPhase(Worker &On, Attempt &What, AttemptPhase Phase, TimePoint Now);
+/// Orders the stop of a run, or drops it if it was only planned.
+void stopAttempt(CellState &Cell, Worker &On, const RunKey &Run, const char *Why, TimePoint Now,
+                 Effects &Out);
+/// Puts the step into the placement queue if one of its tasks can be placed.
+void queueStep(CellState &Cell, Job &Of, StepState &Step, TimePoint Now);
+void needSave(CellState &Cell, Job &Of, Effects &Out);
+/// Notes the end of a run in the task and the job.
+void runEnded(CellState &Cell, const RunKey &Run, RunEnd How, const std::string &Checkpoint,
+              Worker *On, TimePoint Now, Effects &Out);
+
+} // namespace valveshelf::sched
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -28,6 +28,10 @@
 extern const EventKind WorkerLost, WorkerBack, WorkerSuspected, WorkerCleared, TaskContained;
 extern const EventKind ConfigInForce, ConfigRefused, ConfigFromPeer;
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
+extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
+extern const EventKind ClaimMade, TermBegun, TermEnded;
+extern const EventKind JobKept, CallRefused, RunStopped, StartNotConfirmed;
+extern const EventKind WorkerSilent, WorkerReplaced;
 } // namespace events
 
 /// All events in order of number, for the catalogue.
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -81,6 +81,8 @@
                                     std::optional<uint64_t> Length) = 0;
   /// Sends a piece of the body and waits until the caller's connection took it.
   virtual Awaitable<bool> writeBody(std::span<const char> Piece) = 0;
+  /// Sends a whole answer at once. Returns false if the caller went away.
+  virtual Awaitable<bool> writeWhole(HttpResponse Response) = 0;
   /// Marks the answer as whole. An exchange that is not finished is cut, so that the caller
   /// can't take it for whole.
   virtual Awaitable<bool> finish() = 0;
@@ -113,6 +115,8 @@
 
   /// Binds and accepts. Returns BadSettings if the address can't be bound.
   Result<Done> start();
+  /// Asks callers, with each answer from now on, to use another connection.
+  void beginDrain();
   /// Accepts nothing more and closes idle connections; requests in progress go on.
   void stopAccepting();
   /// How many requests are in progress.
--- a/src/include/valveshelf/platform.h
+++ b/src/include/valveshelf/platform.h
@@ -5,6 +5,7 @@
 
 #include "valveshelf/box.h"
 #include "valveshelf/clock.h"
+#include "valveshelf/coroutines.h"
 #include "valveshelf/errors.h"
 #include "valveshelf/http.h"
 #include "valveshelf/shard_decisions.h"
@@ -17,12 +18,6 @@
 
 namespace valveshelf {
 
-/// The two clocks, injected wherever time is read.
-struct Clock {
-  std::function<TimePoint()> Now = [] { return Steady::now(); };
-  std::function<WallTime()> Wall = [] { return wallNow(); };
-};
-
 /// A value of the store and the version that a compare-and-swap names.
 struct StoreItem {
   std::string Key;
@@ -94,10 +89,4 @@
   WorkerOps Workers;
 };
 
-/// Runs \p Task on \p Where, never before this call returns, so that a lock held now is free.
-void spawnLater(Executor Where, Awaitable<void> Task);
-
-/// Waits for \p Time on the current executor.
-Awaitable<void> sleepFor(Milliseconds Time);
-
 } // namespace valveshelf
--- /dev/null
+++ b/src/include/valveshelf/workload.h
@@ -0,0 +1,196 @@
+// SPDX-License-Identifier: Apache-2.0
+// Jobs, steps, tasks and workers as the scheduler of a cell sees them: plain values, decoded once
+// from what callers and the platform say.
+#pragma once
+
+#include "valveshelf/clock.h"
+#include "valveshelf/endpoint.h"
+#include "valveshelf/resources.h"
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace valveshelf::sched {
+
+/// The number that the caller chose for its job; written as 16 hexadecimal digits.
+using JobId = uint64_t;
+
+std::string jobIdText(JobId Id);
+/// Empty if \p Text is not 16 hexadecimal digits.
+std::optional<JobId> parseJobId(std::string_view Text);
+
+/// One step of one round of a job. Rounds are the repetitions of a timed job; others have one.
+struct StepKey {
+  JobId Job = 0;
+  uint32_t Round = 0;
+  uint32_t Step = 0;
+  friend auto operator<=>(const StepKey &, const StepKey &) = default;
+};
+
+struct TaskKey {
+  StepKey Step;
+  uint32_t Index = 0;
+  friend auto operator<=>(const TaskKey &, const TaskKey &) = default;
+};
+
+/// One start of a task. Run numbers of a task rise.
+struct RunKey {
+  TaskKey Task;
+  uint32_t Run = 0;
+  friend auto operator<=>(const RunKey &, const RunKey &) = default;
+};
+
+/// JOB.ROUND.STEP and JOB.ROUND.STEP.INDEX, the form in which workers and the advice service
+/// name them.
+std::string toString(const StepKey &Key);
+std::string toString(const TaskKey &Key);
+std::optional<TaskKey> parseTaskKey(std::string_view Text);
+
+/// A service outside valveshelf that says which workers may run the steps of a queue.
+struct AdvicePolicy {
+  std::chrono::duration<double, std::milli> Decide{0};     ///< A call takes this long,
+  std::chrono::duration<double, std::milli> EachWorker{0}; ///< and this for each worker named.
+  Milliseconds Valid{0};                                   ///< How long a ticket holds.
+  friend bool operator==(const AdvicePolicy &, const AdvicePolicy &) = default;
+};
+
+/// A queue of the operators' configuration.
+struct Queue {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  std::string Service;   ///< The pool of workers that runs its tasks.
+  int Priority = 0;      ///< 0 goes first.
+  int MaxAttempts = 1;   ///< Failed runs of a task before its job fails.
+  double Extension = 1;  ///< Part of the objective: a multiple of the longest chain of work.
+  Milliseconds Target{}; ///< Part of the objective: added to it.
+  std::optional<AdvicePolicy> Advice;
+};
+
+/// A pool of workers in the operators' configuration.
+struct Service {
+  std::string Name;
+  bool GuardsCapacity = false; ///< Its workers refuse what does not fit.
+};
+
+/// The operators' configuration, whole.
+struct CellConfiguration {
+  uint64_t Version = 0;
+  std::vector<Queue> Queues;
+  std::vector<Service> Services;
+  int64_t MaxHeaderBytes = 16 * 1024;
+  int64_t MaxBodyBytes = 256 * 1024;
+};
+using ConfigurationPtr = std::shared_ptr<const CellConfiguration>;
+
+/// The queue of \p Host with the longest prefix of \p Path, or null.
+const Queue *findQueue(const CellConfiguration &Config, std::string_view Host,
+                       std::string_view Path);
+
+/// A step as its caller asked for it.
+struct StepSpec {
+  uint32_t Count = 1;
+  Resources Need;                ///< Of each task.
+  Milliseconds Estimate{0};      ///< The caller's guess of a task's run time; 0: none.
+  std::vector<uint32_t> After;   ///< Earlier steps that must be done first.
+  bool Checkpoints = false;      ///< Its tasks save their progress.
+  bool Gang = false;             ///< Its tasks can work only together.
+  bool SameRack = false;         ///< Slow unless all tasks are in one rack.
+  std::string RequiredLabel;     ///< The worker must have it; empty: any.
+  std::string NearRack;          ///< Slow in other racks; empty: none.
+  uint32_t MostPerWorker = 0;    ///< Tasks of the step that one worker may hold; 0: no limit.
+  bool Speculative = false;      ///< Copies may run side by side.
+  bool Lasting = false;          ///< Runs until the job is cancelled.
+  bool Fills = false;            ///< Takes no processor room, only what others leave.
+  std::string Image;             ///< Tasks of one image behave alike.
+  Milliseconds TargetTail{0};    ///< Objective of the users it serves; 0: none.
+  uint32_t MayMiss = 0;          ///< Lasting tasks that may be away at a time by our doing.
+};
+
+/// A job as it was accepted, with the policy of its queue at that time. Never changes.
+struct JobSpec {
+  JobId Id = 0;
+  std::string Queue;
+  std::string Service;
+  int Priority = 0;
+  int MaxAttempts = 1;
+  double Extension = 1;
+  Milliseconds Target{0};
+  std::optional<AdvicePolicy> Advice;
+  std::string Payload; ///< Passed on to the workers as it is.
+  std::vector<StepSpec> Steps;
+  uint32_t Repetitions = 0; ///< 0: one round, now.
+  WallTime FirstDue{};
+  Milliseconds Interval{0};
+  WallTime AcceptedAt{};
+};
+using JobSpecPtr = std::shared_ptr<const JobSpec>;
+
+enum class JobPhase { Live, Completed, Failed, Cancelled };
+
+/// How a run ended, as its worker lists it.
+enum class RunEnd {
+  Done,
+  Failed,  ///< By its own fault or its worker's.
+  Stopped, ///< By our order.
+  Lapsed,  ///< The worker's lease ran out.
+  Broken,  ///< Another member of its gang ended.
+  Alone,   ///< The rest of its gang did not come in time.
+};
+
+/// One life of a worker, as the platform lists it. A worker that restarts has a new id.
+struct WorkerInfo {
+  std::string Id;
+  std::string Service;
+  Endpoint Address;
+  std::string Zone;
+  std::string Machine; ///< The hardware it runs on, which outlives it; empty if not told.
+  std::string Rack;
+  std::vector<std::string> Labels;
+  Resources Capacity;
+  bool Draining = false; ///< It leaves soon and takes nothing new.
+};
+
+/// A run that a worker holds.
+struct ActiveRun {
+  RunKey Run;
+  std::string Checkpoint;
+  int Percent = 0;
+};
+
+/// A run that has ended on a worker and that we have not let it forget.
+struct EndedRun {
+  uint64_t Number = 0; ///< Rises by one with each end of this life of the worker.
+  RunKey Run;
+  RunEnd How = RunEnd::Stopped;
+  std::string Checkpoint;
+};
+
+/// What a worker says it holds.
+struct WorkerReport {
+  Milliseconds WorkerClock{0}; ///< Its own steady clock.
+  std::vector<ActiveRun> Active;
+  std::vector<EndedRun> Ended;
+};
+
+/// What became of an order to start a run.
+enum class StartResult {
+  Started,
+  RefusedFence,  ///< A newer scheduler has spoken to the worker.
+  RefusedOld,    ///< The worker has stopped or ended that run or a later one.
+  RefusedLate,   ///< The order came after its own time.
+  RefusedRoom,   ///< The worker guards its capacity and has no room.
+  RefusedTicket, ///< The ticket does not hold (any more).
+  RefusedBusy,   ///< The worker is unhealthy and did nothing.
+  RefusedWrong,  ///< The worker can't read the order.
+  OtherLife,     ///< Another life of the worker answered.
+  NotSent,       ///< No connection; surely nothing was started.
+  Unknown,       ///< No answer; it may have started or may still start.
+};
+
+} // namespace valveshelf::sched
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -196,31 +196,4 @@
   }};
 }
 
-// A loop that ended by an exception would leave a process that looks alive and does half its
-// work. Its peers take over from one that is dead.
-[[noreturn]] static void failFast(std::exception_ptr Fault) {
-  try {
-    std::rethrow_exception(Fault);
-  } catch (const std::exception &E) {
-    logEvent(events::InternalFault, {{"what", E.what()}});
-  } catch (...) {
-    logEvent(events::InternalFault, {{"what", "unknown"}});
-  }
-  std::abort();
-}
-
-void spawnLater(Executor Where, Awaitable<void> Task) {
-  boost::asio::post(Where, [Where, Task = std::move(Task)]() mutable {
-    boost::asio::co_spawn(Where, std::move(Task), [](std::exception_ptr Fault) {
-      if (Fault)
-        failFast(Fault);
-    });
-  });
-}
-
-Awaitable<void> sleepFor(Milliseconds Time) {
-  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor, Time);
-  co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-}
-
 } // namespace valveshelf
--- /dev/null
+++ b/src/records/cell_records.cpp
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: Apache-2.0
+// The cell's records in the store, in protobuf.
+#include "valveshelf/cell_records.h"
+
+#include "cell.pb.h"
+
+namespace valveshelf::sched {
+namespace {
+
+Error unreadable(const std::string &What) {
+  return {ErrorKind::Internal, "a record of the store can't be read: " + What};
+}
+
+WallTime wallTime(int64_t Millis) { return WallTime(Milliseconds(Millis)); }
+
+Result<Endpoint> readEndpoint(const std::string &Text) { return parseEndpoint(Text); }
+
+void writeStep(const StepSpec &From, cell::StepRecord &To) {
+  To.set_count(From.Count);
+  To.mutable_need()->set_milli_cores(From.Need.MilliCores);
+  To.mutable_need()->set_memory_mb(From.Need.MemoryMb);
+  To.mutable_need()->set_accelerators(From.Need.Accelerators);
+  To.set_estimate_ms(From.Estimate.count());
+  for (const uint32_t Earlier : From.After)
+    To.add_after(Earlier);
+  To.set_checkpoints(From.Checkpoints);
+  To.set_gang(From.Gang);
+  To.set_same_rack(From.SameRack);
+  To.set_required_label(From.RequiredLabel);
+  To.set_near_rack(From.NearRack);
+  To.set_most_per_worker(From.MostPerWorker);
+  To.set_speculative(From.Speculative);
+  To.set_lasting(From.Lasting);
+  To.set_fills(From.Fills);
+  To.set_image(From.Image);
+  To.set_target_tail_ms(From.TargetTail.count());
+  To.set_may_miss(From.MayMiss);
+}
+
+StepSpec readStep(const cell::StepRecord &From) {
+  StepSpec Step;
+  Step.Count = From.count();
+  Step.Need = {From.need().milli_cores(), From.need().memory_mb(), From.need().accelerators()};
+  Step.Estimate = Milliseconds(From.estimate_ms());
+  Step.After.assign(From.after().begin(), From.after().end());
+  Step.Checkpoints = From.checkpoints();
+  Step.Gang = From.gang();
+  Step.SameRack = From.same_rack();
+  Step.RequiredLabel = From.required_label();
+  Step.NearRack = From.near_rack();
+  Step.MostPerWorker = From.most_per_worker();
+  Step.Speculative = From.speculative();
+  Step.Lasting = From.lasting();
+  Step.Fills = From.fills();
+  Step.Image = From.image();
+  Step.TargetTail = Milliseconds(From.target_tail_ms());
+  Step.MayMiss = From.may_miss();
+  return Step;
+}
+
+cell::JobPhase phaseToRecord(JobPhase Phase) { return static_cast<cell::JobPhase>(Phase); }
+
+// Notes a task that has something to note.
+void writeNote(const StepState &Step, uint32_t Index, cell::StepProgress &To) {
+  const TaskState &Task = Step.Tasks[Index];
+  const bool First = Index == 0;
+  const std::set<uint32_t> &Failures =
+      Step.Spec->Gang && First ? Step.GangFailures : Task.FailedRuns;
+  const bool KeepsCheckpoint = !Task.Done && !Task.Checkpoint.empty();
+  if (Failures.empty() && !KeepsCheckpoint)
+    return;
+  cell::TaskNote &Note = *To.add_note();
+  Note.set_index(Index);
+  for (const uint32_t Run : Failures)
+    Note.add_failed_run(Run);
+  if (KeepsCheckpoint)
+    Note.set_checkpoint(Task.Checkpoint);
+}
+
+void writeStepProgress(const StepState &Step, cell::ProgressRecord &To) {
+  cell::StepProgress Record;
+  Record.set_round(Step.Key.Round);
+  Record.set_step(Step.Key.Step);
+  std::string Bits((Step.Tasks.size() + 7) / 8, '\0');
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    if (Step.Tasks[I].Done)
+      Bits[I / 8] = static_cast<char>(static_cast<unsigned char>(Bits[I / 8]) | (1U << (I % 8)));
+    writeNote(Step, I, Record);
+  }
+  if (Step.Open == Step.Tasks.size() && Record.note_size() == 0)
+    return;
+  Record.set_done(std::move(Bits));
+  To.mutable_steps()->Add(std::move(Record));
+}
+
+std::vector<SavedTask> readStepProgress(const cell::StepProgress &From) {
+  std::map<uint32_t, SavedTask> Tasks;
+  const std::string &Bits = From.done();
+  for (uint32_t I = 0; I < Bits.size() * 8; ++I)
+    if (static_cast<unsigned char>(Bits[I / 8]) & (1U << (I % 8)))
+      Tasks[I].Done = true;
+  for (const cell::TaskNote &Note : From.note()) {
+    SavedTask &Task = Tasks[Note.index()];
+    Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
+    Task.Checkpoint = Note.checkpoint();
+  }
+  std::vector<SavedTask> Read;
+  for (auto &[Index, Task] : Tasks) {
+    Task.Index = Index;
+    Read.push_back(std::move(Task));
+  }
+  return Read;
+}
+} // namespace
+
+std::string jobKey(JobId Id) { return std::string(JobPrefix) + jobIdText(Id); }
+std::string cancelKey(JobId Id) { return std::string(CancelPrefix) + jobIdText(Id); }
+std::string progressKey(JobId Id) { return std::string(ProgressPrefix) + jobIdText(Id); }
+std::string workerKey(const std::string &Id) { return std::string(WorkerRecordPrefix) + Id; }
+std::string memberKey(const std::string &Name) { return std::string(MemberPrefix) + Name; }
+
+std::optional<JobId> jobOfKey(std::string_view Key, std::string_view Prefix) {
+  if (!Key.starts_with(Prefix))
+    return std::nullopt;
+  return parseJobId(Key.substr(Prefix.size()));
+}
+
+std::string encodeJob(const JobSpec &Spec) {
+  cell::JobRecord Record;
+  Record.set_id(Spec.Id);
+  Record.set_queue(Spec.Queue);
+  Record.set_service(Spec.Service);
+  Record.set_priority(Spec.Priority);
+  Record.set_max_attempts(Spec.MaxAttempts);
+  Record.set_extension(Spec.Extension);
+  Record.set_target_ms(Spec.Target.count());
+  if (Spec.Advice) {
+    Record.mutable_advice()->set_decide_ms(Spec.Advice->Decide.count());
+    Record.mutable_advice()->set_each_worker_ms(Spec.Advice->EachWorker.count());
+    Record.mutable_advice()->set_valid_ms(Spec.Advice->Valid.count());
+  }
+  Record.set_payload(Spec.Payload);
+  for (const StepSpec &Step : Spec.Steps)
+    writeStep(Step, *Record.add_steps());
+  Record.set_repetitions(Spec.Repetitions);
+  Record.set_first_due_ms(Spec.FirstDue.time_since_epoch().count());
+  Record.set_interval_ms(Spec.Interval.count());
+  Record.set_accepted_ms(Spec.AcceptedAt.time_since_epoch().count());
+  return Record.SerializeAsString();
+}
+
+std::string encodeEndedJob(const JobSpec &Spec, JobPhase Phase, WallTime EndedAt) {
+  cell::JobRecord Record;
+  Record.set_id(Spec.Id);
+  Record.set_queue(Spec.Queue);
+  Record.set_phase(phaseToRecord(Phase));
+  Record.set_ended_ms(EndedAt.time_since_epoch().count());
+  return Record.SerializeAsString();
+}
+
+Result<StoredJob> decodeJob(const std::string &Bytes) {
+  cell::JobRecord Record;
+  if (!Record.ParseFromString(Bytes))
+    return unreadable("job");
+  StoredJob Read;
+  JobSpec &Spec = Read.Spec;
+  Spec.Id = Record.id();
+  Spec.Queue = Record.queue();
+  Spec.Service = Record.service();
+  Spec.Priority = Record.priority();
+  Spec.MaxAttempts = Record.max_attempts();
+  Spec.Extension = Record.extension();
+  Spec.Target = Milliseconds(Record.target_ms());
+  if (Record.has_advice()) {
+    using Fine = std::chrono::duration<double, std::milli>;
+    Spec.Advice =
+        AdvicePolicy{Fine(Record.advice().decide_ms()), Fine(Record.advice().each_worker_ms()),
+                     Milliseconds(Record.advice().valid_ms())};
+  }
+  Spec.Payload = Record.payload();
+  for (const cell::StepRecord &Step : Record.steps())
+    Spec.Steps.push_back(readStep(Step));
+  Spec.Repetitions = Record.repetitions();
+  Spec.FirstDue = wallTime(Record.first_due_ms());
+  Spec.Interval = Milliseconds(Record.interval_ms());
+  Spec.AcceptedAt = wallTime(Record.accepted_ms());
+  Read.Phase = static_cast<JobPhase>(Record.phase());
+  Read.EndedAt = wallTime(Record.ended_ms());
+  return Read;
+}
+
+std::string encodeProgress(const Job &Of) {
+  cell::ProgressRecord Record;
+  for (const auto &[Number, Round] : Of.Rounds)
+    for (const StepState &Step : Round.Steps)
+      writeStepProgress(Step, Record);
+  return Record.SerializeAsString();
+}
+
+Result<SavedSteps> decodeProgress(JobId Id, const std::string &Bytes) {
+  cell::ProgressRecord Record;
+  if (!Record.ParseFromString(Bytes))
+    return unreadable("progress of job " + jobIdText(Id));
+  SavedSteps Read;
+  for (const cell::StepProgress &Step : Record.steps())
+    Read.emplace_back(StepKey{Id, Step.round(), Step.step()}, readStepProgress(Step));
+  return Read;
+}
+
+std::string encodeMember(const Member &Value) {
+  cell::MemberRecord Record;
+  Record.set_name(Value.Name);
+  Record.set_peers(toString(Value.Peers));
+  Record.set_zone(Value.Zone);
+  return Record.SerializeAsString();
+}
+
+Result<Member> decodeMember(const std::string &Bytes) {
+  cell::MemberRecord Record;
+  if (!Record.ParseFromString(Bytes))
+    return unreadable("member");
+  Result<Endpoint> Peers = readEndpoint(Record.peers());
+  if (!ok(Peers))
+    return error(Peers);
+  return Member{Record.name(), value(Peers), Record.zone()};
+}
+
+std::string encodeLeader(const Leader &Value) {
+  cell::LeaderRecord Record;
+  Record.set_name(Value.Name);
+  Record.set_peers(toString(Value.Peers));
+  Record.set_term(Value.Term);
+  return Record.SerializeAsString();
+}
+
+Result<Leader> decodeLeader(const std::string &Bytes) {
+  cell::LeaderRecord Record;
+  if (!Record.ParseFromString(Bytes))
+    return unreadable("leader");
+  Result<Endpoint> Peers = readEndpoint(Record.peers());
+  if (!ok(Peers))
+    return error(Peers);
+  return Leader{Record.name(), value(Peers), Record.term()};
+}
+
+std::string encodeWorkerRecord(const WorkerInfo &Info) {
+  cell::WorkerRecord Record;
+  Record.set_address(toString(Info.Address));
+  Record.set_service(Info.Service);
+  Record.set_machine(Info.Machine);
+  return Record.SerializeAsString();
+}
+
+Result<WorkerInfo> decodeWorkerRecord(const std::string &Id, const std::string &Bytes) {
+  cell::WorkerRecord Record;
+  if (!Record.ParseFromString(Bytes))
+    return unreadable("worker " + Id);
+  Result<Endpoint> Address = readEndpoint(Record.address());
+  if (!ok(Address))
+    return error(Address);
+  WorkerInfo Info;
+  Info.Id = Id;
+  Info.Address = value(Address);
+  Info.Service = Record.service();
+  Info.Machine = Record.machine();
+  return Info;
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/jobs.cpp
@@ -0,0 +1,328 @@
+// SPDX-License-Identifier: Apache-2.0
+// The life of a job: rounds, steps and tasks, from acceptance to its saved end.
+#include "valveshelf/cell_state.h"
+
+#include <algorithm>
+
+namespace valveshelf::sched {
+namespace {
+
+// The longest chain of declared work through the steps.
+Milliseconds longestChain(const JobSpec &Spec) {
+  std::vector<Milliseconds> Through(Spec.Steps.size());
+  Milliseconds Longest{0};
+  for (size_t I = 0; I < Spec.Steps.size(); ++I) {
+    Milliseconds Before{0};
+    for (const uint32_t Earlier : Spec.Steps[I].After)
+      Before = std::max(Before, Through[Earlier]);
+    Through[I] = Before + Spec.Steps[I].Estimate;
+    Longest = std::max(Longest, Through[I]);
+  }
+  return Longest;
+}
+
+// By then the job, or a round that is due at \p Due, has to be complete.
+TimePoint objectiveOf(const CellState &Cell, const JobSpec &Spec, WallTime Due) {
+  const auto Chain = std::chrono::duration_cast<Milliseconds>(longestChain(Spec) * Spec.Extension);
+  return Cell.WallAt + (Due - Cell.Wall) + Chain + Spec.Target;
+}
+
+bool isRunnable(const RoundState &Round, const StepState &Step) {
+  return std::all_of(Step.Spec->After.begin(), Step.Spec->After.end(),
+                     [&](uint32_t Earlier) { return Round.Steps[Earlier].Open == 0; });
+}
+
+RoundState &makeRound(CellState &Cell, Job &Of, uint32_t Number, TimePoint Now) {
+  RoundState &Round = Of.Rounds[Number];
+  Round.Number = Number;
+  const auto &Specs = Of.Spec->Steps;
+  Round.Steps.resize(Specs.size());
+  for (uint32_t I = 0; I < Specs.size(); ++I) {
+    StepState &Step = Round.Steps[I];
+    Step.Key = {Of.Spec->Id, Number, I};
+    Step.Spec = &Specs[I];
+    Step.Tasks.resize(Specs[I].Count);
+    Step.Open = Specs[I].Count;
+  }
+  for (StepState &Step : Round.Steps)
+    queueStep(Cell, Of, Step, Now);
+  return Round;
+}
+
+void stopAll(CellState &Cell, Job &Of, const char *Why, TimePoint Now, Effects &Out) {
+  for (auto &[Number, Round] : Of.Rounds)
+    for (StepState &Step : Round.Steps) {
+      if (Step.Queued)
+        Cell.Queue.erase(*Step.Queued);
+      Step.Queued.reset();
+      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+        if (Worker *On = Step.Tasks[I].At)
+          stopAttempt(Cell, *On, {{Step.Key, I}, Step.Tasks[I].Run}, Why, Now, Out);
+    }
+}
+
+void endJob(CellState &Cell, Job &Of, JobPhase Phase, const char *Why, TimePoint Now,
+            Effects &Out) {
+  if (Of.Phase != JobPhase::Live)
+    return;
+  Of.Phase = Phase;
+  stopAll(Cell, Of, Why, Now, Out);
+  needSave(Cell, Of, Out);
+}
+
+// Stops what other runs of a task that is done may still be there.
+void stopLeftOver(CellState &Cell, StepState &Step, const RunKey &Ended, TimePoint Now,
+                  Effects &Out) {
+  const TaskState &Task = Step.Tasks[Ended.Task.Index];
+  if (Task.At && Task.Run != Ended.Run)
+    stopAttempt(Cell, *Task.At, {Ended.Task, Task.Run}, "an earlier run is done", Now, Out);
+}
+
+void stepDone(CellState &Cell, Job &Of, RoundState &Round, TimePoint Now, Effects &Out) {
+  for (StepState &Next : Round.Steps)
+    queueStep(Cell, Of, Next, Now);
+  const bool AllDone = std::all_of(Round.Steps.begin(), Round.Steps.end(),
+                                   [](const StepState &Step) { return Step.Open == 0; });
+  if (!AllDone || Round.Done)
+    return;
+  Round.Done = true;
+  ++Of.RoundsDone;
+  if (Of.RoundsDone >= std::max<uint32_t>(Of.Spec->Repetitions, 1))
+    endJob(Cell, Of, JobPhase::Completed, "the job is complete", Now, Out);
+}
+
+void taskDone(CellState &Cell, Job &Of, StepState &Step, const RunKey &Run, TimePoint Now,
+              Effects &Out) {
+  const bool WasOpen = Step.Open > 0;
+  if (Step.Spec->Gang) {
+    for (TaskState &Task : Step.Tasks)
+      Task.Done = true;
+    Step.Open = 0;
+  } else if (!Step.Tasks[Run.Task.Index].Done) {
+    Step.Tasks[Run.Task.Index].Done = true;
+    --Step.Open;
+  }
+  stopLeftOver(Cell, Step, Run, Now, Out);
+  needSave(Cell, Of, Out);
+  if (WasOpen && Step.Open == 0)
+    stepDone(Cell, Of, Of.Rounds.at(Run.Task.Step.Round), Now, Out);
+}
+
+void taskFailed(CellState &Cell, Job &Of, StepState &Step, const RunKey &Run, Worker *On,
+                TimePoint Now, Effects &Out) {
+  TaskState &Task = Step.Tasks[Run.Task.Index];
+  std::set<uint32_t> &Failures = Step.Spec->Gang ? Step.GangFailures : Task.FailedRuns;
+  Failures.insert(Run.Run);
+  Task.FailedOn = On;
+  needSave(Cell, Of, Out);
+  if (!Step.Spec->Lasting && Failures.size() >= static_cast<size_t>(Of.Spec->MaxAttempts))
+    endJob(Cell, Of, JobPhase::Failed, "a task failed as often as allowed", Now, Out);
+}
+
+void keepCheckpoint(StepState &Step, uint32_t Index, const std::string &Checkpoint) {
+  if (!Checkpoint.empty())
+    Step.Tasks[Step.Spec->Gang ? 0 : Index].Checkpoint = Checkpoint;
+}
+} // namespace
+
+StepState *findStep(CellState &Cell, const StepKey &Key) {
+  const auto Of = Cell.Jobs.find(Key.Job);
+  if (Of == Cell.Jobs.end())
+    return nullptr;
+  const auto Round = Of->second.Rounds.find(Key.Round);
+  if (Round == Of->second.Rounds.end() || Key.Step >= Round->second.Steps.size())
+    return nullptr;
+  return &Round->second.Steps[Key.Step];
+}
+
+void queueStep(CellState &Cell, Job &Of, StepState &Step, TimePoint Now) {
+  if (Step.Queued)
+    Cell.Queue.erase(*Step.Queued);
+  Step.Queued.reset();
+  const RoundState &Round = Of.Rounds.at(Step.Key.Round);
+  if (Of.Phase != JobPhase::Live || Step.Open == 0 || !isRunnable(Round, Step))
+    return;
+  if (Step.RunnableSince == TimePoint{})
+    Step.RunnableSince = Now;
+  // A step whose work would end after the objective earns little; it goes behind the others.
+  const bool Late = Now + Step.Spec->Estimate / 2 > Of.Objective;
+  Step.Queued = QueuePlace{Late, Of.Spec->Priority, Of.Objective, Step.Key};
+  Cell.Queue.insert(*Step.Queued);
+}
+
+void addJob(CellState &Cell, JobSpecPtr Spec, uint64_t Revision, bool Fresh, TimePoint Now) {
+  const JobId Id = Spec->Id;
+  if (Cell.Jobs.count(Id) || Cell.Ended.count(Id))
+    return;
+  Job &Of = Cell.Jobs[Id];
+  Of.Spec = Spec;
+  Of.Revision = Revision;
+  Of.Objective = objectiveOf(Cell, *Spec, Spec->Repetitions ? Spec->FirstDue : Spec->AcceptedAt);
+  if (Spec->Repetitions > 0)
+    return; // its rounds are made when they are due
+  RoundState &Round = makeRound(Cell, Of, 0, Now);
+  for (StepState &Step : Round.Steps)
+    for (TaskState &Task : Step.Tasks)
+      Task.MayRunElsewhere = !Fresh;
+}
+
+void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks) {
+  const auto Found = Cell.Jobs.find(Key.Job);
+  if (Found == Cell.Jobs.end())
+    return;
+  Job &Of = Found->second;
+  Of.Begun = true;
+  if (!Of.Rounds.count(Key.Round)) {
+    RoundState &Round = makeRound(Cell, Of, Key.Round, Cell.WallAt);
+    for (StepState &Step : Round.Steps)
+      for (TaskState &Task : Step.Tasks)
+        Task.MayRunElsewhere = true;
+  }
+  StepState *Step = findStep(Cell, Key);
+  if (!Step)
+    return;
+  for (const SavedTask &Saved : Tasks) {
+    if (Saved.Index >= Step->Tasks.size())
+      continue;
+    TaskState &Task = Step->Tasks[Saved.Index];
+    if (Saved.Done && !Task.Done) {
+      Task.Done = true;
+      --Step->Open;
+    }
+    Task.Checkpoint = Saved.Checkpoint;
+    (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
+        .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
+  }
+}
+
+void finishLoading(CellState &Cell, TimePoint Now, Effects &Out) {
+  Cell.Loaded = true;
+  for (auto &[Id, Of] : Cell.Jobs) {
+    for (auto &[Number, Round] : Of.Rounds) {
+      Round.Done = std::all_of(Round.Steps.begin(), Round.Steps.end(),
+                               [](const StepState &Step) { return Step.Open == 0; });
+      Of.RoundsDone += Round.Done ? 1 : 0;
+      for (StepState &Step : Round.Steps)
+        queueStep(Cell, Of, Step, Now);
+    }
+    if (Of.Phase == JobPhase::Live &&
+        Of.RoundsDone >= std::max<uint32_t>(Of.Spec->Repetitions, 1))
+      endJob(Cell, Of, JobPhase::Completed, "the job is complete", Now, Out);
+  }
+}
+
+void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out) {
+  const auto Found = Cell.Jobs.find(Id);
+  if (Found == Cell.Jobs.end())
+    return;
+  Found->second.CancelWanted = true;
+  endJob(Cell, Found->second, JobPhase::Cancelled, "the job was cancelled", Now, Out);
+}
+
+void needSave(CellState &Cell, Job &Of, Effects &Out) {
+  Of.NeedsSave = ++Cell.LastSave;
+  Cell.Saves.emplace(Of.NeedsSave, Of.Spec->Id);
+  Out.Save = true;
+}
+
+namespace {
+// Lets workers forget the ends whose saves are durable.
+void releaseEnds(CellState &Cell) {
+  const uint64_t Durable = Cell.Saves.empty() ? Cell.LastSave : Cell.Saves.begin()->first - 1;
+  for (auto &[Id, On] : Cell.Workers)
+    while (!On.Unsaved.empty() && On.Unsaved.front().second <= Durable) {
+      On.ForgetThrough = On.Unsaved.front().first;
+      On.Unsaved.pop_front();
+    }
+}
+} // namespace
+
+void jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
+              uint64_t ProgressRevision, WallTime Now) {
+  std::erase_if(Cell.Saves,
+                [&](const auto &Save) { return Save.second == Id && Save.first <= Number; });
+  releaseEnds(Cell);
+  const auto Found = Cell.Jobs.find(Id);
+  if (Found == Cell.Jobs.end())
+    return;
+  Job &Of = Found->second;
+  Of.Revision = Revision;
+  Of.ProgressRevision = ProgressRevision;
+  if (Of.NeedsSave > Number)
+    return;
+  Of.NeedsSave = 0;
+  if (Of.Phase == JobPhase::Live)
+    return;
+  Cell.Ended[Id] = {Of.Phase, Revision, Now};
+  Cell.Forgettable.emplace_back(Now, Id);
+  Cell.Jobs.erase(Found);
+}
+
+std::string_view shownState(const CellState &Cell, JobId Id) {
+  if (const auto Ended = Cell.Ended.find(Id); Ended != Cell.Ended.end())
+    switch (Ended->second.Phase) {
+    case JobPhase::Completed:
+      return "completed";
+    case JobPhase::Failed:
+      return "failed";
+    case JobPhase::Cancelled:
+      return "cancelled";
+    case JobPhase::Live:
+      break;
+    }
+  const auto Found = Cell.Jobs.find(Id);
+  if (Found == Cell.Jobs.end())
+    return {};
+  return Found->second.Begun ? "running" : "queued";
+}
+
+uint32_t waitingJobs(const CellState &Cell, const std::string &Queue) {
+  return static_cast<uint32_t>(
+      std::count_if(Cell.Jobs.begin(), Cell.Jobs.end(), [&](const auto &Entry) {
+        const Job &Of = Entry.second;
+        return Of.Spec->Queue == Queue && !Of.Begun && Of.Phase == JobPhase::Live;
+      }));
+}
+
+void runEnded(CellState &Cell, const RunKey &Run, RunEnd How, const std::string &Checkpoint,
+              Worker *On, TimePoint Now, Effects &Out) {
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (!Step || Run.Task.Index >= Step->Tasks.size())
+    return;
+  Job &Of = Cell.Jobs.at(Run.Task.Step.Job);
+  Of.Begun = true;
+  if (Of.Phase != JobPhase::Live)
+    return;
+  if (How == RunEnd::Done)
+    return taskDone(Cell, Of, *Step, Run, Now, Out);
+  if (Step->Tasks[Run.Task.Index].Done)
+    return;
+  keepCheckpoint(*Step, Run.Task.Index, Checkpoint);
+  if (How == RunEnd::Failed)
+    taskFailed(Cell, Of, *Step, Run, On, Now, Out);
+  else if (!Checkpoint.empty())
+    needSave(Cell, Of, Out); // a successor goes on from the checkpoint
+  queueStep(Cell, Of, *Step, Now);
+}
+
+// Makes the rounds that are due.
+static void startDueRounds(CellState &Cell, Job &Of, TimePoint Now) {
+  const JobSpec &Spec = *Of.Spec;
+  while (Of.Phase == JobPhase::Live && Of.NextRound < Spec.Repetitions) {
+    const WallTime Due = Spec.FirstDue + Spec.Interval * Of.NextRound;
+    if (Cell.Wall < Due)
+      return;
+    Of.Objective = objectiveOf(Cell, Spec, Due);
+    if (!Of.Rounds.count(Of.NextRound))
+      makeRound(Cell, Of, Of.NextRound, Now);
+    ++Of.NextRound;
+  }
+}
+
+void tickJobs(CellState &Cell, TimePoint Now) {
+  for (auto &[Id, Of] : Cell.Jobs)
+    if (Of.Spec->Repetitions > 0)
+      startDueRounds(Cell, Of, Now);
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/placement.cpp
@@ -0,0 +1,494 @@
+// SPDX-License-Identifier: Apache-2.0
+// Where waiting tasks go: free room first, then room made by stopping work that can wait and saves
+// its progress; gangs whole or not at all; advice asked when it is needed.
+#include "valveshelf/cell_state.h"
+
+#include <algorithm>
+
+namespace valveshelf::sched {
+namespace {
+// After so many steps of one priority in a row that found no place, the pass leaves the rest of
+// that priority for the next one; keeps a pass short when much waits.
+constexpr int MaxMissesInARow = 40;
+// Most workers named in one question for advice. (The platform's limit.)
+constexpr size_t MaxNamed = 100;
+// A question that got no answer is asked again after this time.
+constexpr Milliseconds AskAgain{50};
+// A step that could not be planned in time waits so long before the next try.
+constexpr Milliseconds PlanAgain{100};
+
+// One pass of placement over the queue.
+struct Pass {
+  CellState &Cell;
+  TimePoint Now;
+  Effects &Out;
+};
+
+bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
+  return Label.empty() ||
+         std::find(Info.Labels.begin(), Info.Labels.end(), Label) != Info.Labels.end();
+}
+
+bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+  return On.Heard && On.Saved && On.Listed && On.Answers && !On.Full && !On.Info.Draining &&
+         On.SetAsideUntil <= In.Now && On.Info.Service == Of.Spec->Service &&
+         hasLabel(On.Info, Step.Spec->RequiredLabel);
+}
+
+// What a step of this priority may still take. Work that can wait leaves some room for work that
+// can't.
+Resources roomFor(const Pass &In, const Worker &On, int Priority) {
+  Resources Room = On.Info.Capacity - On.Booked - On.Planned;
+  if (Priority > 0) {
+    const double Share = In.Cell.Limits.UrgentShare;
+    const Resources &Whole = On.Info.Capacity;
+    Room.MilliCores -= static_cast<int64_t>(static_cast<double>(Whole.MilliCores) * Share);
+    Room.MemoryMb -= static_cast<int64_t>(static_cast<double>(Whole.MemoryMb) * Share);
+  }
+  return Room;
+}
+
+Resources needOf(const StepState &Step) {
+  Resources Need = Step.Spec->Need;
+  if (Step.Spec->Fills)
+    Need.MilliCores = 0;
+  return Need;
+}
+
+const AdviceState::Verdict *verdictOn(const StepState &Step, const Worker &On) {
+  const auto Found = Step.Advice.Verdicts.find(On.Info.Id);
+  return Found == Step.Advice.Verdicts.end() ? nullptr : &Found->second;
+}
+
+bool isAdvised(const Job &Of, const StepState &Step, const Worker &On) {
+  if (!Of.Spec->Advice)
+    return true;
+  const AdviceState::Verdict *Known = verdictOn(Step, On);
+  return Known && Known->Good;
+}
+
+bool hasTicket(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
+  if (!Of.Spec->Advice)
+    return true;
+  const AdviceState::Verdict *Known = verdictOn(Step, On);
+  return Known && Known->Good && Known->ValidUntil > In.Now;
+}
+
+uint32_t heldOf(const StepState &Step, const Worker &On) {
+  return static_cast<uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(),
+                    [&](const TaskState &Task) { return Task.At == &On; }));
+}
+
+// What could be stopped on the worker in favour of a step of this priority.
+bool canYield(const Attempt &What, int Priority) {
+  const bool Placed = What.Phase == AttemptPhase::Running;
+  return Placed && What.MayBeStopped && What.Priority > Priority;
+}
+
+Resources yieldable(const Worker &On, int Priority) {
+  Resources Sum;
+  for (const auto &[Run, What] : On.Attempts)
+    if (canYield(What, Priority))
+      Sum += What.Need;
+  return Sum;
+}
+
+// Stops the work that loses least until \p Missing would be free.
+void makeRoom(Pass &In, Worker &On, int Priority) {
+  Resources Over = On.Booked + On.Planned - On.Info.Capacity;
+  std::vector<std::pair<TimePoint, RunKey>> Candidates;
+  for (const auto &[Run, What] : On.Attempts) {
+    if (What.Phase == AttemptPhase::Stopping)
+      Over -= What.Need; // is being freed already
+    else if (canYield(What, Priority))
+      Candidates.emplace_back(What.StartedAt, Run);
+  }
+  std::sort(Candidates.begin(), Candidates.end());
+  while (!Candidates.empty() &&
+         (Over.MilliCores > 0 || Over.MemoryMb > 0 || Over.Accelerators > 0)) {
+    const RunKey Run = Candidates.back().second; // the newest has the least to save
+    Candidates.pop_back();
+    Over -= On.Attempts.at(Run).Need;
+    On.Attempts.at(Run).StopsPlan = true;
+    stopAttempt(In.Cell, On, Run, "its room is needed by more urgent work", In.Now, In.Out);
+  }
+}
+
+void ask(Pass &In, const Job &Of, StepState &Step, std::vector<std::string> Workers) {
+  if (Step.Advice.Asking || Workers.empty() || Step.Advice.NotBefore > In.Now)
+    return;
+  if (Workers.size() > MaxNamed)
+    Workers.resize(MaxNamed);
+  Step.Advice.Asking = true;
+  const auto Time = Of.Spec->Advice->Decide + Of.Spec->Advice->EachWorker * Workers.size();
+  In.Out.Asks.push_back({Step.Key, Of.Spec->Priority, std::move(Workers),
+                         std::chrono::duration_cast<Milliseconds>(Time)});
+}
+
+// Asks about workers of which nothing is known yet, those with the most room first.
+void askUnknown(Pass &In, const Job &Of, StepState &Step) {
+  if (!Of.Spec->Advice || Step.Advice.Asking)
+    return;
+  std::vector<std::pair<int64_t, std::string>> Unknown;
+  for (const auto &[Id, On] : In.Cell.Workers)
+    if (isUsable(In, On, Of, Step) && !verdictOn(Step, On) &&
+        fits(needOf(Step), On.Info.Capacity))
+      Unknown.emplace_back(-roomFor(In, On, Of.Spec->Priority).MilliCores, Id);
+  std::sort(Unknown.begin(), Unknown.end());
+  std::vector<std::string> Names;
+  for (auto &[Room, Id] : Unknown)
+    Names.push_back(std::move(Id));
+  ask(In, Of, Step, std::move(Names));
+}
+
+const std::string &checkpointOf(const StepState &Step, uint32_t Index) {
+  return Step.Tasks[Step.Spec->Gang ? 0 : Index].Checkpoint;
+}
+
+void start(Pass &In, const Job &Of, StepState &Step, uint32_t Index, Worker &On, Attempt &What) {
+  setPhase(On, What, AttemptPhase::Starting, In.Now);
+  What.Sends = 1;
+  const AdviceState::Verdict *Known = verdictOn(Step, On);
+  In.Out.Starts.push_back({On.Info.Id,
+                           {{Step.Key, Index}, Step.Tasks[Index].Run},
+                           Of.Spec,
+                           checkpointOf(Step, Index),
+                           Known ? Known->Ticket : std::string()});
+}
+
+uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index) {
+  return std::max(Cell.FirstRun, Step.Tasks[Index].Run + 1);
+}
+
+bool isPlaceable(const Pass &In, const TaskState &Task) {
+  const bool MayRun = Task.MayRunElsewhere && !In.Cell.Unheard.empty();
+  return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now;
+}
+
+// Smaller is better.
+struct Score {
+  int Penalty = 0;
+  int64_t Left = 0;
+  friend auto operator<=>(const Score &, const Score &) = default;
+};
+
+Score scoreOf(const Pass &In, const Job &Of, const StepState &Step, const TaskState &Task,
+              const Worker &On) {
+  Score Value;
+  const bool Far = !Step.Spec->NearRack.empty() && On.Info.Rack != Step.Spec->NearRack;
+  Value.Penalty += Far ? 2 : 0;
+  Value.Penalty += Task.FailedOn == &On ? 1 : 0;
+  // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
+  const int64_t Left = roomFor(In, On, Of.Spec->Priority).MilliCores;
+  Value.Left = Of.Spec->Priority == 0 ? -Left : Left;
+  return Value;
+}
+
+bool holdsLimit(const StepState &Step, const Worker &On) {
+  return Step.Spec->MostPerWorker > 0 && heldOf(Step, On) >= Step.Spec->MostPerWorker;
+}
+
+Worker *findRoom(Pass &In, const Job &Of, StepState &Step, const TaskState &Task) {
+  Worker *Best = nullptr;
+  Score BestScore;
+  for (auto &[Id, On] : In.Cell.Workers) {
+    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) ||
+        !fits(needOf(Step), roomFor(In, On, Of.Spec->Priority)) || holdsLimit(Step, On))
+      continue;
+    const Score Value = scoreOf(In, Of, Step, Task, On);
+    if (!Best || Value < BestScore) {
+      Best = &On;
+      BestScore = Value;
+    }
+  }
+  return Best;
+}
+
+// A worker where stopping less urgent work makes room; the one with most of it.
+Worker *findYielding(Pass &In, const Job &Of, StepState &Step) {
+  Worker *Best = nullptr;
+  int64_t BestRoom = 0;
+  for (auto &[Id, On] : In.Cell.Workers) {
+    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) || holdsLimit(Step, On))
+      continue;
+    const int Priority = Of.Spec->Priority;
+    const Resources Room = roomFor(In, On, Priority) + yieldable(On, Priority);
+    if (fits(needOf(Step), Room) && (!Best || Room.MilliCores > BestRoom)) {
+      Best = &On;
+      BestRoom = Room.MilliCores;
+    }
+  }
+  return Best;
+}
+
+// Starts what is planned and has its room and its ticket.
+void launchSingles(Pass &In, const Job &Of, StepState &Step) {
+  std::vector<std::string> NoTicket;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    Worker *On = Step.Tasks[I].At;
+    if (!On)
+      continue;
+    const RunKey Run{{Step.Key, I}, Step.Tasks[I].Run};
+    Attempt &What = On->Attempts.at(Run);
+    if (What.Phase != AttemptPhase::Planned)
+      continue;
+    if (!isUsable(In, *On, Of, Step) || In.Now - What.Since > In.Cell.Limits.PlanTime)
+      unbook(In.Cell, *On, Run);
+    else if (!hasTicket(In, Of, Step, *On))
+      NoTicket.push_back(On->Info.Id);
+    else if (fits(What.Need, On->Info.Capacity - On->Booked))
+      start(In, Of, Step, I, *On, What);
+  }
+  std::sort(NoTicket.begin(), NoTicket.end());
+  NoTicket.erase(std::unique(NoTicket.begin(), NoTicket.end()), NoTicket.end());
+  ask(In, Of, Step, std::move(NoTicket));
+}
+
+bool placeSingles(Pass &In, const Job &Of, StepState &Step) {
+  bool Missed = false;
+  for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
+    TaskState &Task = Step.Tasks[I];
+    if (!isPlaceable(In, Task))
+      continue;
+    Worker *On = findRoom(In, Of, Step, Task);
+    const bool Yields = !On && !Step.Queued->Late;
+    if (Yields)
+      On = findYielding(In, Of, Step);
+    if (!On) {
+      Missed = true;
+      continue;
+    }
+    book(Step, I, *On, nextRun(In.Cell, Step, I), AttemptPhase::Planned, Of, In.Now);
+    if (Yields)
+      makeRoom(In, *On, Of.Spec->Priority);
+  }
+  launchSingles(In, Of, Step);
+  if (Missed)
+    askUnknown(In, Of, Step);
+  Step.Waits = Missed ? "no advised worker has room" : "";
+  return !Missed;
+}
+
+// Tasks of a gang that a worker could take.
+struct GangSeat {
+  Worker *On = nullptr;
+  int64_t Free = 0;  ///< In the room that is free,
+  int64_t Seats = 0; ///< and when less urgent work is stopped.
+};
+
+std::vector<GangSeat> gangSeats(Pass &In, const Job &Of, const StepState &Step, bool Yields) {
+  std::vector<GangSeat> Found;
+  int64_t Most = Step.Spec->Count;
+  if (Step.Spec->MostPerWorker > 0)
+    Most = std::min<int64_t>(Most, Step.Spec->MostPerWorker);
+  for (auto &[Id, On] : In.Cell.Workers) {
+    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step))
+      continue;
+    const Resources Room = roomFor(In, On, Of.Spec->Priority);
+    GangSeat Seat{&On, timesFits(needOf(Step), Room, Most), 0};
+    Seat.Seats = Seat.Free;
+    if (Yields)
+      Seat.Seats =
+          timesFits(needOf(Step), Room + yieldable(On, Of.Spec->Priority), Most);
+    if (Seat.Seats > 0)
+      Found.push_back(Seat);
+  }
+  return Found;
+}
+
+int64_t sumSeats(const std::vector<GangSeat> &Seats) {
+  int64_t Sum = 0;
+  for (const GangSeat &Seat : Seats)
+    Sum += Seat.Seats;
+  return Sum;
+}
+
+// Seats within one rack if the gang wants that and one rack is enough.
+std::vector<GangSeat> inOneRack(const StepState &Step, const std::vector<GangSeat> &Seats) {
+  std::map<std::string, std::vector<GangSeat>> Racks;
+  for (const GangSeat &Seat : Seats)
+    Racks[Seat.On->Info.Rack].push_back(Seat);
+  if (const auto Near = Racks.find(Step.Spec->NearRack);
+      Near != Racks.end() && sumSeats(Near->second) >= Step.Spec->Count)
+    return Near->second;
+  if (Step.Spec->SameRack)
+    for (auto &[Rack, Inside] : Racks)
+      if (sumSeats(Inside) >= Step.Spec->Count)
+        return Inside;
+  return Seats;
+}
+
+void planGang(Pass &In, const Job &Of, StepState &Step, std::vector<GangSeat> Seats, bool Yields) {
+  // Free seats first, then those that cost least: few workers with many seats each.
+  std::sort(Seats.begin(), Seats.end(), [](const GangSeat &A, const GangSeat &B) {
+    return std::pair(A.Free, A.Seats) > std::pair(B.Free, B.Seats);
+  });
+  uint32_t Run = std::max(In.Cell.FirstRun, Step.GangRun + 1);
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    Run = std::max(Run, nextRun(In.Cell, Step, I));
+  Step.GangRun = Run;
+  Step.PlannedAt = In.Now;
+  uint32_t Next = 0;
+  std::vector<Worker *> Used;
+  for (const GangSeat &Seat : Seats) {
+    for (int64_t I = 0; I < Seat.Seats && Next < Step.Tasks.size(); ++I)
+      book(Step, Next++, *Seat.On, Run, AttemptPhase::Planned, Of, In.Now);
+    Used.push_back(Seat.On);
+    if (Next == Step.Tasks.size())
+      break;
+  }
+  if (Yields)
+    for (Worker *On : Used)
+      makeRoom(In, *On, Of.Spec->Priority);
+}
+
+void dropPlan(Pass &In, StepState &Step) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    if (Worker *On = Step.Tasks[I].At)
+      unbook(In.Cell, *On, {{Step.Key, I}, Step.Tasks[I].Run});
+  for (TaskState &Task : Step.Tasks)
+    Task.NotBefore = In.Now + PlanAgain;
+}
+
+// Starts a planned gang once each member has its room and its ticket.
+bool launchGang(Pass &In, const Job &Of, StepState &Step) {
+  std::set<Worker *> Used;
+  for (const TaskState &Task : Step.Tasks)
+    Used.insert(Task.At);
+  std::vector<std::string> NoTicket;
+  bool HasRoom = true;
+  for (Worker *On : Used) {
+    if (!isUsable(In, *On, Of, Step)) {
+      dropPlan(In, Step);
+      return false;
+    }
+    if (!hasTicket(In, Of, Step, *On))
+      NoTicket.push_back(On->Info.Id);
+    Resources Needed;
+    for (uint32_t I = 0; I < heldOf(Step, *On); ++I)
+      Needed += needOf(Step);
+    HasRoom = HasRoom && fits(Needed, On->Info.Capacity - On->Booked);
+  }
+  const bool Ready = HasRoom && NoTicket.empty();
+  if (!Ready) {
+    Step.Waits = HasRoom ? "tickets are asked for" : "room is being made";
+    ask(In, Of, Step, std::move(NoTicket));
+    if (In.Now - Step.PlannedAt > In.Cell.Limits.PlanTime)
+      dropPlan(In, Step);
+    return false;
+  }
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    Worker &On = *Step.Tasks[I].At;
+    start(In, Of, Step, I, On, On.Attempts.at({{Step.Key, I}, Step.GangRun}));
+  }
+  Step.Waits.clear();
+  return true;
+}
+
+bool isPlanned(const StepState &Step) {
+  const TaskState &First = Step.Tasks.front();
+  if (!First.At || Step.Booked < Step.Tasks.size())
+    return false;
+  const auto Found = First.At->Attempts.find({{Step.Key, 0}, First.Run});
+  return Found != First.At->Attempts.end() && Found->second.Phase == AttemptPhase::Planned;
+}
+
+bool placeGang(Pass &In, const Job &Of, StepState &Step) {
+  if (isPlanned(Step))
+    return launchGang(In, Of, Step);
+  if (Step.Booked > 0 || !std::all_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                      [&](const TaskState &T) { return isPlaceable(In, T); }))
+    return false;
+  bool Yields = false;
+  std::vector<GangSeat> Seats = gangSeats(In, Of, Step, false);
+  if (sumSeats(Seats) < Step.Spec->Count && !Step.Queued->Late) {
+    Yields = true;
+    Seats = gangSeats(In, Of, Step, true);
+  }
+  if (sumSeats(Seats) < Step.Spec->Count) {
+    Step.Waits = "the advised workers have no room for the whole gang";
+    askUnknown(In, Of, Step);
+    return false;
+  }
+  planGang(In, Of, Step, inOneRack(Step, Seats), Yields);
+  launchGang(In, Of, Step);
+  return true;
+}
+
+// True if the step has a task that still has to be placed or launched.
+bool hasWork(const StepState &Step) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    const TaskState &Task = Step.Tasks[I];
+    if (Task.Done)
+      continue;
+    if (!Task.At)
+      return true;
+    const auto Found = Task.At->Attempts.find({{Step.Key, I}, Task.Run});
+    if (Found != Task.At->Attempts.end() && Found->second.Phase == AttemptPhase::Planned)
+      return true;
+  }
+  return false;
+}
+} // namespace
+
+void adviceAnswered(CellState &Cell, const StepKey &Key, const std::vector<std::string> &Named,
+                    const std::vector<std::pair<std::string, std::string>> &Good,
+                    Milliseconds Valid, TimePoint Now) {
+  StepState *Step = findStep(Cell, Key);
+  if (!Step)
+    return;
+  Step->Advice.Asking = false;
+  for (const std::string &Id : Named)
+    Step->Advice.Verdicts.try_emplace(Id);
+  for (const auto &[Id, Ticket] : Good)
+    Step->Advice.Verdicts[Id] = {true, Ticket, Now + Valid - Cell.Limits.TicketMargin};
+  queueStep(Cell, Cell.Jobs.at(Key.Job), *Step, Now);
+}
+
+void adviceFailed(CellState &Cell, const StepKey &Key, TimePoint Now) {
+  StepState *Step = findStep(Cell, Key);
+  if (!Step)
+    return;
+  Step->Advice.Asking = false;
+  Step->Advice.NotBefore = Now + AskAgain;
+}
+
+void place(CellState &Cell, TimePoint Now, Effects &Out) {
+  if (!Cell.Loaded)
+    return;
+  Pass In{Cell, Now, Out};
+  int Misses = 0;
+  std::pair<bool, int> Group{false, 0};
+  bool Skipping = false;
+  const std::vector<QueuePlace> Order(Cell.Queue.begin(), Cell.Queue.end());
+  for (const QueuePlace &Entry : Order) {
+    if (std::pair(Entry.Late, Entry.Priority) != Group) {
+      Group = {Entry.Late, Entry.Priority};
+      Misses = 0;
+      Skipping = false;
+    }
+    if (Skipping)
+      continue;
+    StepState *Step = findStep(Cell, Entry.Step);
+    if (!Step || !Step->Queued)
+      continue;
+    Job &Of = Cell.Jobs.at(Entry.Step.Job);
+    if (!hasWork(*Step)) {
+      Cell.Queue.erase(*Step->Queued);
+      Step->Queued.reset();
+      continue;
+    }
+    if (!Entry.Late && Now + Step->Spec->Estimate / 2 > Of.Objective)
+      queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
+    if (Of.Spec->Advice && Step->Advice.Verdicts.empty()) {
+      askUnknown(In, Of, *Step);
+      continue;
+    }
+    const bool Placed = Step->Spec->Gang ? placeGang(In, Of, *Step) : placeSingles(In, Of, *Step);
+    Misses = Placed ? 0 : Misses + 1;
+    Skipping = Misses >= MaxMissesInARow;
+  }
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/workers.cpp
@@ -0,0 +1,412 @@
+// SPDX-License-Identifier: Apache-2.0
+// Workers and the attempts on them: what their reports, answers and silences mean.
+#include "valveshelf/cell_state.h"
+
+#include <algorithm>
+
+namespace valveshelf::sched {
+
+void tickJobs(CellState &Cell, TimePoint Now);
+
+namespace {
+// A stop whose answer is lost is ordered again after this time; a few round trips.
+constexpr Milliseconds StopAgain{500};
+// How often a start without an answer is sent before it is stopped instead.
+constexpr int MaxSends = 2;
+// A run without progress for so long stands still. Reports come every two seconds at least.
+constexpr Milliseconds StuckTime{3500};
+// A worker that is busy or can't be reached is left alone for this time.
+constexpr Milliseconds ShortPause{500};
+
+Worker *findWorker(CellState &Cell, const std::string &Id) {
+  const auto Found = Cell.Workers.find(Id);
+  return Found == Cell.Workers.end() ? nullptr : &Found->second;
+}
+
+// Unheard workers keep old tasks back; with the last one heard they are free.
+void heard(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out) {
+  if (Cell.Unheard.erase(Id) == 0 || !Cell.Unheard.empty())
+    return;
+  for (auto &[JobNumber, Of] : Cell.Jobs)
+    for (auto &[Number, Round] : Of.Rounds)
+      for (StepState &Step : Round.Steps) {
+        // A gang that an earlier scheduler began in part can't be completed any more.
+        const bool Partial = Step.Spec->Gang && Step.Booked > 0 && Step.Booked < Step.Open;
+        for (uint32_t I = 0; Partial && I < Step.Tasks.size(); ++I)
+          if (Step.Tasks[I].At)
+            stopAttempt(Cell, *Step.Tasks[I].At, {{Step.Key, I}, Step.Tasks[I].Run},
+                        "the gang is not whole", Now, Out);
+        queueStep(Cell, Of, Step, Now);
+      }
+}
+
+// A run that this scheduler did not start: taken over if the task needs one, else stopped.
+void adopt(CellState &Cell, Worker &On, const ActiveRun &Row, TimePoint Now, Effects &Out) {
+  StepState *Step = findStep(Cell, Row.Run.Task.Step);
+  const bool Known = Step && Row.Run.Task.Index < Step->Tasks.size();
+  if (!Known) {
+    // Its job has ended, or was never ours. Its size is unknown until it is gone.
+    On.Full = true;
+    Attempt &Stray = On.Attempts[Row.Run];
+    Stray.Phase = AttemptPhase::Running;
+    Stray.StartedAt = Stray.Since = Now;
+    stopAttempt(Cell, On, Row.Run, "its job has ended", Now, Out);
+    return;
+  }
+  Job &Of = Cell.Jobs.at(Step->Key.Job);
+  const TaskState &Task = Step->Tasks[Row.Run.Task.Index];
+  const bool Wanted = Of.Phase == JobPhase::Live && !Task.Done && !Task.At;
+  if (Wanted) {
+    Attempt &Taken = book(*Step, Row.Run.Task.Index, On, Row.Run.Run, AttemptPhase::Running, Of, Now);
+    Taken.StartedAt = Taken.PercentChanged = Now;
+    Of.Begun = true;
+    if (Step->Spec->Gang)
+      Step->GangRun = std::max(Step->GangRun, Row.Run.Run);
+    queueStep(Cell, Of, *Step, Now);
+    return;
+  }
+  Attempt &Extra = On.Attempts[Row.Run];
+  Extra.Phase = AttemptPhase::Running;
+  Extra.Need = Step->Spec->Need;
+  Extra.StartedAt = Extra.Since = Now;
+  On.Booked += Extra.Need;
+  stopAttempt(Cell, On, Row.Run, "the task does not need it", Now, Out);
+}
+
+void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What,
+                  TimePoint Now) {
+  if (What.Phase == AttemptPhase::Starting || What.Phase == AttemptPhase::Uncertain) {
+    setPhase(On, What, AttemptPhase::Running, Now);
+    What.StartedAt = What.PercentChanged = Now;
+  }
+  if (What.Percent != Row.Percent) {
+    What.Percent = Row.Percent;
+    What.PercentChanged = Now;
+  }
+  StepState *Step = findStep(Cell, Row.Run.Task.Step);
+  if (!Step || Row.Run.Task.Index >= Step->Tasks.size())
+    return;
+  Cell.Jobs.at(Step->Key.Job).Begun = true;
+  if (!Row.Checkpoint.empty())
+    Step->Tasks[Step->Spec->Gang ? 0 : Row.Run.Task.Index].Checkpoint = Row.Checkpoint;
+}
+
+// A worker whose runs all fail is set aside for a while, so that tasks don't use up their
+// attempts on it.
+void judge(CellState &Cell, Worker &On, RunEnd How, TimePoint Now) {
+  if (How == RunEnd::Done)
+    On.FailuresInARow = 0;
+  if (How != RunEnd::Failed || ++On.FailuresInARow < Cell.Limits.MaxFailuresInARow)
+    return;
+  On.SetAsideUntil = Now + Cell.Limits.SetAside;
+  On.FailuresInARow = Cell.Limits.MaxFailuresInARow - 1;
+}
+
+void readEnds(CellState &Cell, Worker &On, const WorkerReport &Report, TimePoint Now,
+              Effects &Out) {
+  for (const EndedRun &End : Report.Ended) {
+    if (End.Number <= On.LastEnd)
+      continue;
+    On.LastEnd = End.Number;
+    unbook(Cell, On, End.Run);
+    judge(Cell, On, End.How, Now);
+    runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
+    const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
+    const uint64_t Save = Of == Cell.Jobs.end() ? 0 : Of->second.NeedsSave;
+    if (Save == 0 && On.Unsaved.empty())
+      On.ForgetThrough = End.Number;
+    else
+      On.Unsaved.emplace_back(End.Number, Save);
+  }
+}
+
+// Runs that were stopped without ever having begun are in no list.
+void dropNeverBegun(CellState &Cell, Worker &On, const std::set<RunKey> &Active, TimePoint AskedAt,
+                    TimePoint Now, Effects &Out) {
+  std::vector<RunKey> Gone;
+  for (const auto &[Run, What] : On.Attempts)
+    if (What.Phase == AttemptPhase::Stopping && What.StopAcked && AskedAt >= What.StopAckedAt &&
+        !Active.count(Run))
+      Gone.push_back(Run);
+  for (const RunKey &Run : Gone) {
+    unbook(Cell, On, Run);
+    runEnded(Cell, Run, RunEnd::Stopped, "", &On, Now, Out);
+  }
+}
+
+// Gang members of a run that can't be whole are stopped at once, before they have waited in vain.
+void stopGang(CellState &Cell, StepState &Step, uint32_t Run, const char *Why, TimePoint Now,
+              Effects &Out) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    if (Step.Tasks[I].At && Step.Tasks[I].Run == Run)
+      stopAttempt(Cell, *Step.Tasks[I].At, {{Step.Key, I}, Run}, Why, Now, Out);
+}
+
+void refused(CellState &Cell, Worker &On, const RunKey &Run, StartResult What, TimePoint Now,
+             Effects &Out) {
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (What == StartResult::RefusedTicket && Step)
+    Step->Advice.Verdicts[On.Info.Id].ValidUntil = Now;
+  if (What == StartResult::RefusedBusy || What == StartResult::NotSent)
+    On.SetAsideUntil = std::max(On.SetAsideUntil, Now + ShortPause);
+  if (What == StartResult::RefusedRoom)
+    Out.Looks.push_back(On.Info.Id);
+  unbook(Cell, On, Run);
+  if (!Step)
+    return;
+  if (Step->Spec->Gang)
+    stopGang(Cell, *Step, Run.Run, "a member was refused", Now, Out);
+  queueStep(Cell, Cell.Jobs.at(Step->Key.Job), *Step, Now);
+}
+
+void sendAgain(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What, Effects &Out) {
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  const std::string &Checkpoint =
+      Step->Tasks[Step->Spec->Gang ? 0 : Run.Task.Index].Checkpoint;
+  ++What.Sends;
+  Out.Starts.push_back({On.Info.Id, Run, Cell.Jobs.at(Run.Task.Step.Job).Spec, Checkpoint,
+                        Step->Advice.Verdicts[On.Info.Id].Ticket});
+}
+} // namespace
+
+Attempt &book(StepState &Step, uint32_t Index, Worker &On, uint32_t Run, AttemptPhase Phase,
+              const Job &Of, TimePoint Now) {
+  TaskState &Task = Step.Tasks[Index];
+  Task.At = &On;
+  Task.Run = Run;
+  ++Step.Booked;
+  Attempt &Made = On.Attempts[{{Step.Key, Index}, Run}];
+  Made.Need = Step.Spec->Need;
+  if (Step.Spec->Fills)
+    Made.Need.MilliCores = 0;
+  Made.Priority = Of.Spec->Priority;
+  Made.MayBeStopped = Step.Spec->Checkpoints && !Step.Spec->Gang && !Step.Spec->Lasting;
+  Made.Phase = Phase;
+  Made.Since = Now;
+  (Phase == AttemptPhase::Planned ? On.Planned : On.Booked) += Made.Need;
+  return Made;
+}
+
+void setPhase(Worker &On, Attempt &What, AttemptPhase Phase, TimePoint Now) {
+  if (What.Phase == AttemptPhase::Planned && Phase != AttemptPhase::Planned) {
+    On.Planned -= What.Need;
+    On.Booked += What.Need;
+  }
+  What.Phase = Phase;
+  What.Since = Now;
+}
+
+void unbook(CellState &Cell, Worker &On, const RunKey &Run) {
+  const auto Found = On.Attempts.find(Run);
+  if (Found == On.Attempts.end())
+    return;
+  const Attempt &What = Found->second;
+  (What.Phase == AttemptPhase::Planned ? On.Planned : On.Booked) -= What.Need;
+  On.Attempts.erase(Found);
+  if (On.Full)
+    On.Full = std::any_of(On.Attempts.begin(), On.Attempts.end(),
+                          [](const auto &Entry) { return Entry.second.Need == Resources{}; });
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (!Step || Run.Task.Index >= Step->Tasks.size())
+    return;
+  TaskState &Task = Step->Tasks[Run.Task.Index];
+  if (Task.At == &On && Task.Run == Run.Run) {
+    Task.At = nullptr;
+    --Step->Booked;
+  }
+}
+
+void stopAttempt(CellState &Cell, Worker &On, const RunKey &Run, const char *Why, TimePoint Now,
+                 Effects &Out) {
+  const auto Found = On.Attempts.find(Run);
+  if (Found == On.Attempts.end() || Found->second.Phase == AttemptPhase::Stopping)
+    return;
+  if (Found->second.Phase == AttemptPhase::Planned)
+    return unbook(Cell, On, Run);
+  setPhase(On, Found->second, AttemptPhase::Stopping, Now);
+  Found->second.StopSent = Now;
+  Out.Stops.push_back({On.Info.Id, Run, Why});
+}
+
+void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now) {
+  const bool New = !Cell.Workers.count(Info.Id);
+  Worker &On = Cell.Workers[Info.Id];
+  On.Info = Info;
+  On.Listed = true;
+  if (New)
+    On.LeaseEnd = Now;
+}
+
+void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint) {
+  if (Worker *On = findWorker(Cell, Id))
+    On->Listed = false;
+}
+
+void workerMayHoldRuns(CellState &Cell, const WorkerInfo &Info, TimePoint LeaseEnd) {
+  Worker &On = Cell.Workers[Info.Id];
+  if (On.Info.Id.empty())
+    On.Info = Info;
+  On.Saved = true;
+  On.LeaseEnd = std::max(On.LeaseEnd, LeaseEnd);
+  Cell.Unheard.insert(Info.Id);
+}
+
+void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
+                    TimePoint AskedAt, TimePoint Now, Effects &Out) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  On->Answers = true;
+  readEnds(Cell, *On, Report, Now, Out);
+  std::set<RunKey> Active;
+  for (const ActiveRun &Row : Report.Active) {
+    Active.insert(Row.Run);
+    const auto Found = On->Attempts.find(Row.Run);
+    if (Found == On->Attempts.end())
+      adopt(Cell, *On, Row, Now, Out);
+    else
+      noteProgress(Cell, *On, Row, Found->second, Now);
+  }
+  dropNeverBegun(Cell, *On, Active, AskedAt, Now, Out);
+  On->Heard = true;
+  heard(Cell, Id, Now, Out);
+}
+
+void workerSilent(CellState &Cell, const std::string &Id) {
+  if (Worker *On = findWorker(Cell, Id))
+    On->Answers = false;
+}
+
+void workerLeased(CellState &Cell, const std::string &Id, TimePoint End) {
+  if (Worker *On = findWorker(Cell, Id))
+    On->LeaseEnd = std::max(On->LeaseEnd, End);
+}
+
+// All runs of the worker are over.
+static void dropAttempts(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+  std::vector<RunKey> Lost;
+  for (const auto &[Run, What] : On.Attempts)
+    Lost.push_back(Run);
+  for (const RunKey &Run : Lost) {
+    unbook(Cell, On, Run);
+    runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
+  }
+}
+
+void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  dropAttempts(Cell, *On, Now, Out);
+  Cell.Workers.erase(Id);
+  heard(Cell, Id, Now, Out);
+}
+
+void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult What,
+                   TimePoint Now, Effects &Out) {
+  if (What == StartResult::RefusedFence)
+    Out.Deposed = true;
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  if (What == StartResult::OtherLife)
+    return workerOver(Cell, Id, Now, Out);
+  On->Answers = What != StartResult::Unknown && What != StartResult::NotSent;
+  const auto Found = On->Attempts.find(Run);
+  if (Found == On->Attempts.end())
+    return;
+  Attempt &Which = Found->second;
+  if (Which.Phase != AttemptPhase::Starting && Which.Phase != AttemptPhase::Uncertain)
+    return;
+  if (What == StartResult::Started) {
+    setPhase(*On, Which, AttemptPhase::Running, Now);
+    Which.StartedAt = Which.PercentChanged = Now;
+    if (findStep(Cell, Run.Task.Step))
+      Cell.Jobs.at(Run.Task.Step.Job).Begun = true;
+    return;
+  }
+  if (What == StartResult::Unknown && Which.Sends < MaxSends && findStep(Cell, Run.Task.Step)) {
+    setPhase(*On, Which, AttemptPhase::Uncertain, Now);
+    return sendAgain(Cell, *On, Run, Which, Out);
+  }
+  // After an order without an answer a refusal proves nothing about that order.
+  if (What != StartResult::Unknown && Which.Sends == 1)
+    return refused(Cell, *On, Run, What, Now, Out);
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (Step && Step->Spec->Gang)
+    return stopGang(Cell, *Step, Run.Run, "a member's start is uncertain", Now, Out);
+  stopAttempt(Cell, *On, Run, "its start is uncertain", Now, Out);
+}
+
+void stopAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, bool Acked,
+                  TimePoint Now, Effects &Out) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  On->Answers = Acked;
+  const auto Found = On->Attempts.find(Run);
+  if (Found == On->Attempts.end() || !Acked)
+    return;
+  Attempt &What = Found->second;
+  What.StopAcked = true;
+  What.StopAckedAt = Now;
+  if (What.StartedAt == TimePoint{})
+    Out.Looks.push_back(Id);
+}
+
+// Stops that have to be ordered again or whose end has to be looked for.
+static void tickStops(const CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+  bool Look = false;
+  for (auto &[Run, What] : On.Attempts) {
+    if (What.Phase != AttemptPhase::Stopping || Now - What.StopSent < StopAgain)
+      continue;
+    if (What.StopAcked && Now - What.StopAckedAt < Cell.Limits.StopTime + StopAgain)
+      continue;
+    What.StopSent = Now;
+    if (!What.StopAcked)
+      Out.Stops.push_back({On.Info.Id, Run, "the stop was not confirmed"});
+    Look = Look || What.StopAcked;
+  }
+  if (Look)
+    Out.Looks.push_back(On.Info.Id);
+}
+
+// Runs that make no progress are stopped and go on elsewhere.
+static void tickStuck(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+  std::vector<RunKey> Stuck;
+  for (const auto &[Run, What] : On.Attempts) {
+    const StepState *Step = findStep(Cell, Run.Task.Step);
+    const bool Watched = What.Phase == AttemptPhase::Running && Step && !Step->Spec->Lasting;
+    if (Watched && What.Percent < 100 && Now - What.PercentChanged > StuckTime)
+      Stuck.push_back(Run);
+  }
+  for (const RunKey &Run : Stuck)
+    stopAttempt(Cell, On, Run, "it makes no progress", Now, Out);
+  if (!Stuck.empty())
+    On.SetAsideUntil = Now + Cell.Limits.SetAside;
+}
+
+void tick(CellState &Cell, TimePoint Now, WallTime Wall, Effects &Out) {
+  Cell.Wall = Wall;
+  Cell.WallAt = Now;
+  if (!Cell.Loaded)
+    return;
+  std::vector<std::string> Over;
+  for (auto &[Id, On] : Cell.Workers) {
+    const bool Lapsed = !On.Answers && Now > On.LeaseEnd;
+    if (Lapsed && !On.Listed)
+      Over.push_back(Id);
+    else if (Lapsed) {
+      dropAttempts(Cell, On, Now, Out);
+      heard(Cell, Id, Now, Out);
+    } else if (On.Answers) {
+      tickStops(Cell, On, Now, Out);
+      tickStuck(Cell, On, Now, Out);
+    }
+  }
+  for (const std::string &Id : Over)
+    workerOver(Cell, Id, Now, Out);
+  tickJobs(Cell, Now);
+}
+
+} // namespace valveshelf::sched
--- a/src/valveshelf/commands.h
+++ b/src/valveshelf/commands.h
@@ -17,6 +17,7 @@
 inline constexpr int ExitUnknown = 3;
 
 int runEntry(const Arguments &Args);
+int runServe(const Arguments &Args);
 int runCheckConfig(const Arguments &Args);
 int runSubmit(const Arguments &Args);
 int runStatus(const Arguments &Args);
--- a/src/valveshelf/main.cpp
+++ b/src/valveshelf/main.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::array Commands{
     Command{"entry", "run an entry process", runEntry},
+    Command{"serve", "run an entry process of a cell on the users' platform", runServe},
     Command{"check-config", "check settings and configuration files", runCheckConfig},
     Command{"submit", "submit a job", runSubmit},
     Command{"status", "show a job, or all jobs", runStatus},
--- /dev/null
+++ b/src/valveshelf/serve_command.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// `valveshelf serve`: an entry process of a cell on the users' platform.
+#include "options.h"
+
+#include "platform/codec.h"
+#include "platform/links.h"
+#include "valveshelf/cell_process.h"
+#include "valveshelf/events.h"
+
+#include <boost/asio.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace valveshelf {
+namespace asio = boost::asio;
+namespace {
+
+CellPlatform connect(HttpClient &Client, const CellSettings &Settings) {
+  CellPlatform From;
+  From.Store = platform::openStore(platform::directTransport(Client, Settings.Store),
+                                   Settings.Timing.StoreTimeout);
+  From.Workers = platform::openWorkers(Client, Settings.Timing.WorkerTimeout);
+  From.Advice = platform::openAdvice(Client, Settings.Advice);
+  From.ConfigurationKey = platform::ConfigurationKey;
+  From.WorkerPrefix = platform::WorkerPrefix;
+  From.DecodeConfiguration = platform::decodeConfiguration;
+  From.DecodeWorker = platform::decodeWorker;
+  From.DecodeSubmission = platform::decodeSubmission;
+  From.EncodeState = platform::encodeJobState;
+  From.EncodeWaiting = platform::encodeWaiting;
+  return From;
+}
+
+// A changed file is checked and reported; its addresses hold until the next start.
+void checkAgain(const std::string &Path) {
+  Result<std::string> Text = readFile(Path);
+  if (!ok(Text)) {
+    logEvent(events::SettingsRefused, {{"why", "\"" + error(Text).Detail + "\""}});
+    return;
+  }
+  const auto Read = parseCellSettings(value(Text), Path);
+  if (const auto *Errors = std::get_if<SettingsErrors>(&Read))
+    logEvent(events::SettingsRefused, {{"why", "\"" + toString(Errors->front()) + "\""}});
+  else
+    logEvent(events::SettingsRead, {{"file", Path}});
+}
+
+void awaitReload(asio::signal_set &Signals, const std::string &Path) {
+  Signals.async_wait([&Signals, Path](boost::system::error_code Failure, int) {
+    if (Failure)
+      return;
+    checkAgain(Path);
+    awaitReload(Signals, Path);
+  });
+}
+
+int serve(CellSettings Settings, const std::string &Path) {
+  asio::io_context Io(static_cast<int>(Settings.Threads));
+  const auto Guard = asio::make_work_guard(Io);
+  HttpClient Client(Io.get_executor());
+  const unsigned Threads = Settings.Threads;
+  const std::string Addresses = "callers=" + toString(Settings.Callers) +
+                                " peers=" + toString(Settings.Peers) +
+                                " store=" + toString(Settings.Store);
+  CellPlatform From = connect(Client, Settings);
+  CellProcess Process(asio::make_strand(Io), std::move(Settings), Clock{}, std::move(From));
+  if (Result<Done> Started = Process.start(); !ok(Started)) {
+    std::cerr << "valveshelf serve: " << error(Started).Detail << "\n";
+    return answerFor(error(Started).Kind).ExitCode;
+  }
+  logEvent(events::Started, {{"addresses", "\"" + Addresses + "\""}});
+  int Exit = ExitDone;
+  asio::signal_set Stop(Io, SIGTERM, SIGINT);
+  Stop.async_wait([&](boost::system::error_code Failure, int) {
+    if (Failure)
+      return;
+    Process.beginStop([&](int Code) {
+      Exit = Code;
+      Io.stop();
+    });
+  });
+  asio::signal_set Reload(Io, SIGHUP);
+  awaitReload(Reload, Path);
+  std::vector<std::thread> Pool;
+  for (unsigned I = 1; I < Threads; ++I)
+    Pool.emplace_back([&Io] { Io.run(); });
+  Io.run();
+  for (std::thread &Thread : Pool)
+    Thread.join();
+  // Coroutines that still wait refer to what is about to be destroyed; the process ends here.
+  std::cout.flush();
+  std::_Exit(Exit);
+}
+
+} // namespace
+
+int runServe(const Arguments &Args) {
+  cxxopts::Options Options(
+      Args[0], "Runs an entry process of a cell until SIGTERM, which begins the planned stop.");
+  Options.add_options()("config", "TOML file with this process's settings",
+                        cxxopts::value<std::string>());
+  int Exit = 0;
+  const auto Parsed = parseOptions(Options, Args, Exit);
+  if (!Parsed)
+    return Exit;
+  if (!Parsed->count("config")) {
+    std::cerr << Args[0] << ": --config FILE is needed\n";
+    return ExitUsage;
+  }
+  const std::string Path = (*Parsed)["config"].as<std::string>();
+  Result<std::string> Text = readFile(Path);
+  if (!ok(Text)) {
+    std::cerr << error(Text).Detail << "\n";
+    return ExitUsage;
+  }
+  auto Settings = parseCellSettings(value(Text), Path);
+  if (auto *Errors = std::get_if<SettingsErrors>(&Settings)) {
+    for (const SettingsError &Wrong : *Errors)
+      std::cerr << toString(Wrong) << "\n";
+    return ExitUsage;
+  }
+  CellSettings &Read = std::get<CellSettings>(Settings);
+  openLog(Read.LogLevel, Read.Member);
+  std::signal(SIGPIPE, SIG_IGN);
+  return serve(std::move(Read), Path);
+}
+
+} // namespace valveshelf
