--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -113,18 +113,23 @@
 
 std::span<const EventKind *const> allEvents() {
   using namespace events;
-  static const std::array All{
-      &Started,        &Stopping,      &Stopped,       &SettingsRefused,    &InternalFault,
-      &LeaseGranted,   &LeaseLost,     &AuthorityLost, &AuthorityByPromise, &Fenced,
-      &ShardClaimed,   &ShardReleased, &ClaimLost,     &JournalSealed,      &StepDownConfirmed,
-      &StoreDown,      &StoreUp,       &JobAccepted,   &JobRefused,         &JobEnded,
-      &JobCancelled,   &TaskStarted,   &TaskEnded,     &TaskUnknown,        &TaskRequeued,
-      &TaskUncertain,  &WorkerLost,    &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
-      &TaskContained,  &ConfigInForce, &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
-      &RequestRefused, &RequestRetried,
-      &SettingsRead,   &BecameReady,   &BecameUnready, &RecordUnreadable,   &ClaimMade,
-      &TermBegun,      &TermEnded,     &JobKept,       &CallRefused,        &RunStopped,
-      &StartNotConfirmed, &WorkerSilent, &WorkerReplaced};
+  static const std::array All{&Started,         &Stopping,         &Stopped,
+                              &SettingsRefused, &InternalFault,    &LeaseGranted,
+                              &LeaseLost,       &AuthorityLost,    &AuthorityByPromise,
+                              &Fenced,          &ShardClaimed,     &ShardReleased,
+                              &ClaimLost,       &JournalSealed,    &StepDownConfirmed,
+                              &StoreDown,       &StoreUp,          &JobAccepted,
+                              &JobRefused,      &JobEnded,         &JobCancelled,
+                              &TaskStarted,     &TaskEnded,        &TaskUnknown,
+                              &TaskRequeued,    &TaskUncertain,    &WorkerLost,
+                              &WorkerBack,      &WorkerSuspected,  &WorkerCleared,
+                              &TaskContained,   &ConfigInForce,    &ConfigRefused,
+                              &ConfigFromPeer,  &UpstreamFailed,   &RequestRefused,
+                              &RequestRetried,  &SettingsRead,     &BecameReady,
+                              &BecameUnready,   &RecordUnreadable, &ClaimMade,
+                              &TermBegun,       &TermEnded,        &JobKept,
+                              &CallRefused,     &RunStopped,       &StartNotConfirmed,
+                              &WorkerSilent,    &WorkerReplaced};
   return All;
 }
 
--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -68,8 +68,7 @@
 Awaitable<void> AdviceLanes::ask(std::string Name, Waiting What) {
   const auto Lives = Alive;
   const Milliseconds Timeout = What.Question.Expected * 3 / 2 + Slack;
-  Result<Advice> Answer =
-      co_await Ask(Name, What.Question.Step, What.Question.Workers, Timeout);
+  Result<Advice> Answer = co_await Ask(Name, What.Question.Step, What.Question.Workers, Timeout);
   if (!*Lives)
     co_return;
   HeavyNow -= isHeavy(What.Question) ? 1 : 0;
--- a/src/cell/advice_lanes.h
+++ b/src/cell/advice_lanes.h
@@ -18,9 +18,9 @@
 class AdviceLanes {
 public:
   /// Asks through the member \p Lane.
-  using AskThrough = std::function<Awaitable<Result<Advice>>(
-      std::string Lane, sched::StepKey Step, std::vector<std::string> Workers,
-      Milliseconds Timeout)>;
+  using AskThrough = std::function<Awaitable<Result<Advice>>(std::string Lane, sched::StepKey Step,
+                                                             std::vector<std::string> Workers,
+                                                             Milliseconds Timeout)>;
   using Answered = std::function<void(const sched::Effects::Ask &, const Result<Advice> &)>;
 
   AdviceLanes(Executor Where, Clock Time, AskThrough Ask, Answered OnAnswer);
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -23,6 +23,10 @@
 // Kept back from the time for a planned stop, so that the process ends before it is killed.
 constexpr Milliseconds StopReserve{900};
 constexpr Milliseconds StopLook{20};
+// For telling the scheduler what has become durable.
+constexpr Milliseconds AnnounceTimeout{500};
+// Two more hops of the cell's own.
+constexpr Milliseconds RelaySlack{100};
 constexpr int HttpOk = 200;
 } // namespace
 
@@ -31,11 +35,20 @@
   Impl(Executor Where, CellSettings Given, Clock Time, CellPlatform From)
       : Where(Where), Settings(std::move(Given)), Time(Time), From(std::move(From)),
         Peers(grpcCell(Where)),
-        View(Where, this->From.Store, Time, Settings, [this] { Lead.viewChanged(); }),
-        Config(Where, this->From.Store, Settings, this->From.ConfigurationKey,
-               this->From.DecodeConfiguration),
-        In(Where, this->From.Store, Time, Settings), Lead(schedulerTools(), View),
-        Door(Settings, Time, callerCodec(), this->From.Store, Config, View, Lead, In, Peers),
+        Path(
+            Time, this->From.StoreCalls,
+            [this](Endpoint Peer, HttpRequest Request, Milliseconds Timeout) {
+              return relay(std::move(Peer), std::move(Request), Timeout);
+            },
+            [this] { return otherPeers(); }),
+        Store(this->From.OpenStore([this](StoreCall Call) { return Path.call(std::move(Call)); })),
+        View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
+        Config(Where, Store, Settings, this->From.ConfigurationKey, this->From.DecodeConfiguration),
+        In(
+            Where, Store, Time, Settings, [this] { return Path.isSilent(); },
+            [this](IntakeNews News) { announce(std::move(News)); }),
+        Lead(schedulerTools(), View),
+        Door(Settings, Time, callerCodec(), Store, Config, View, Lead, In, Peers),
         Callers(Where, Settings.Callers, serverLimits(),
                 [this](HttpExchange &E) { return serveCaller(E); }),
         Readiness(Where, Settings.Readiness, serverLimits(),
@@ -71,8 +84,7 @@
     while (Time.Now() - Begun < LeaveTime)
       co_await sleepFor(StopLook);
     Callers.stopAccepting();
-    while (Callers.inProgress() > 0 &&
-           Time.Now() - Begun < Settings.Timing.StopGrace - StopReserve)
+    while (Callers.inProgress() > 0 && Time.Now() - Begun < Settings.Timing.StopGrace - StopReserve)
       co_await sleepFor(StopLook);
     logEvent(events::Stopped, {{"in_progress", std::to_string(Callers.inProgress())}});
     Finished(0);
@@ -82,7 +94,7 @@
     return {Where,
             Time,
             Settings,
-            From.Store,
+            Store,
             From.Workers,
             [this](std::string Lane, StepKey Step, std::vector<std::string> Workers,
                    Milliseconds Timeout) {
@@ -138,8 +150,8 @@
   Awaitable<cell::AdviseReply> advise(cell::AdviseRequest Asked) {
     const StepKey Step{Asked.job(), Asked.round(), Asked.step()};
     std::vector<std::string> Workers(Asked.worker().begin(), Asked.worker().end());
-    Result<Advice> Answer = co_await From.Advice.Ask(Step, std::move(Workers),
-                                                     Milliseconds(Asked.timeout_ms()));
+    Result<Advice> Answer =
+        co_await From.Advice.Ask(Step, std::move(Workers), Milliseconds(Asked.timeout_ms()));
     cell::AdviseReply Reply;
     if (!ok(Answer)) {
       Reply.set_error(static_cast<int>(error(Answer).Kind));
@@ -163,17 +175,98 @@
     Answers.Waiting = [this](cell::WaitingRequest Asked) -> Awaitable<cell::WaitingReply> {
       co_return Door.waiting(Asked);
     };
-    Answers.StoreCall = [](cell::StoreCallRequest) -> Awaitable<cell::StoreCallReply> {
-      cell::StoreCallReply Reply;
-      Reply.set_error(static_cast<int>(ErrorKind::StoreUnavailable));
-      co_return Reply;
+    Answers.Announce = [this](cell::AnnounceRequest Asked) -> Awaitable<cell::AnnounceReply> {
+      co_return announced(Asked);
     };
+    Answers.StoreCall = [this](cell::StoreCallRequest Asked) { return passOn(std::move(Asked)); };
     return Answers;
   }
 
+  // What has become durable here is told to the scheduler; its watch would bring it as well.
+  void announce(IntakeNews News) {
+    if (const auto Here = Lead.scheduler()) {
+      for (const std::string &Job : News.Jobs)
+        Here->announceJob(Job, News.Revision);
+      for (const JobId Id : News.Cancelled)
+        Here->announceCancel(Id);
+      return;
+    }
+    const auto &Leader = View.picture().Leader;
+    if (Leader && Leader->Name != Settings.Member)
+      spawnLater(Where, tell(Leader->Peers, std::move(News)));
+  }
+
+  Awaitable<void> tell(Endpoint To, IntakeNews News) {
+    cell::AnnounceRequest Message;
+    Message.set_revision(News.Revision);
+    for (std::string &Job : News.Jobs)
+      Message.add_job(std::move(Job));
+    for (const JobId Id : News.Cancelled)
+      Message.add_cancelled(Id);
+    // Without an answer the scheduler's watch brings the news.
+    co_await Peers.Announce(To, std::move(Message), AnnounceTimeout);
+  }
+
+  cell::AnnounceReply announced(const cell::AnnounceRequest &News) {
+    cell::AnnounceReply Reply;
+    const auto Here = Lead.scheduler();
+    if (!Here) {
+      Reply.set_error(static_cast<int>(ErrorKind::NotOwner));
+      return Reply;
+    }
+    for (const std::string &Job : News.job())
+      Here->announceJob(Job, News.revision());
+    for (const JobId Id : News.cancelled())
+      Here->announceCancel(Id);
+    return Reply;
+  }
+
+  std::vector<Endpoint> otherPeers() const {
+    std::vector<Endpoint> Found;
+    for (const auto &[Name, Info] : View.picture().Members)
+      if (Name != Settings.Member)
+        Found.push_back(Info.Peers);
+    return Found;
+  }
+
+  // A call to the store through a peer, and one for a peer.
+  Awaitable<Result<HttpResponse>> relay(Endpoint Peer, HttpRequest Request, Milliseconds Timeout) {
+    cell::StoreCallRequest Message;
+    Message.set_method(std::move(Request.Method));
+    Message.set_target(std::move(Request.Target));
+    Message.set_body(std::move(Request.Body));
+    Message.set_timeout_ms(Timeout.count());
+    Result<cell::StoreCallReply> Reply =
+        co_await Peers.StoreCall(Peer, std::move(Message), Timeout + RelaySlack);
+    if (!ok(Reply))
+      co_return error(Reply);
+    const cell::StoreCallReply &Got = value(Reply);
+    if (Got.error() != 0)
+      co_return Error{static_cast<ErrorKind>(Got.error()), Got.detail()};
+    co_return HttpResponse{Got.status(), {}, Got.body()};
+  }
+
+  Awaitable<cell::StoreCallReply> passOn(cell::StoreCallRequest Asked) {
+    HttpRequest Request{Asked.method(), Asked.target(), {}, Asked.body()};
+    if (!Request.Body.empty())
+      Request.Headers.emplace_back("Content-Type", "application/json");
+    Result<HttpResponse> Answer =
+        co_await Path.callForPeer(std::move(Request), Milliseconds(Asked.timeout_ms()));
+    cell::StoreCallReply Reply;
+    if (ok(Answer)) {
+      Reply.set_status(value(Answer).Status);
+      Reply.set_body(std::move(value(Answer).Body));
+    } else {
+      Reply.set_error(static_cast<int>(error(Answer).Kind));
+      Reply.set_detail(error(Answer).Detail);
+    }
+    co_return Reply;
+  }
+
   Awaitable<void> serveCaller(HttpExchange &Exchange) {
     const ConfigurationPtr Now = Config.current();
-    const auto MostBytes = static_cast<size_t>(Now ? Now->MaxBodyBytes : CellConfiguration{}.MaxBodyBytes);
+    const auto MostBytes =
+        static_cast<size_t>(Now ? Now->MaxBodyBytes : CellConfiguration{}.MaxBodyBytes);
     Result<std::string> Body = std::string();
     if (Exchange.hasBody())
       Body = co_await readWhole(Exchange, MostBytes);
@@ -185,18 +278,19 @@
     std::string Host(findHeader(Exchange.headers(), "Host"));
     // On the strand of this process, where all state lives.
     HttpResponse Answer = co_await boost::asio::co_spawn(
-        Where, Door.answer(Exchange.method(), Exchange.target(), std::move(Host),
-                           std::move(value(Body))),
+        Where,
+        Door.answer(Exchange.method(), Exchange.target(), std::move(Host), std::move(value(Body))),
         boost::asio::use_awaitable);
     co_await sendWhole(Exchange, std::move(Answer));
   }
 
   Awaitable<void> serveReadiness(HttpExchange &Exchange) {
     const bool Ready =
-        !Stopping && Config.current() && Time.Now() - View.lastAnswer() < StoreSilence;
+        !Stopping && Config.current() && Time.Now() - Path.lastAnswer() < StoreSilence;
     if (Ready != WasReady)
-      logEvent(Ready ? events::BecameReady : events::BecameUnready,
-               {{"config", Config.current() ? "yes" : "no"}, {"stopping", Stopping ? "yes" : "no"}});
+      logEvent(
+          Ready ? events::BecameReady : events::BecameUnready,
+          {{"config", Config.current() ? "yes" : "no"}, {"stopping", Stopping ? "yes" : "no"}});
     WasReady = Ready;
     HttpResponse Answer = Ready ? jsonResponse(HttpOk, "{}")
                                 : errorResponse({ErrorKind::StoreUnavailable, "not ready"});
@@ -211,6 +305,8 @@
   const Clock Time;
   const CellPlatform From;
   const CellLink Peers;
+  StorePath Path;
+  const KeyValueStore Store;
   CellView View;
   ConfigWatch Config;
   Intake In;
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -14,10 +14,9 @@
 constexpr int RenewalsPerLife = 3;
 } // namespace
 
-CellView::CellView(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
+CellView::CellView(Executor Where, KeyValueStore Store, const CellSettings &Settings,
                    std::function<void()> Changed)
-    : Where(Where), Store(std::move(Store)), Time(std::move(Time)), Settings(Settings),
-      Changed(std::move(Changed)) {}
+    : Where(Where), Store(std::move(Store)), Settings(Settings), Changed(std::move(Changed)) {}
 
 void CellView::start() {
   spawnLater(Where, watchLoop());
@@ -50,7 +49,6 @@
   Result<KeyRange> Read = co_await Store.Range(std::string(ViewPrefix), false);
   if (!ok(Read))
     co_return error(Read);
-  noteAnswer();
   Picture = {};
   for (const KeyValue &Item : value(Read).Items)
     take(Item, false);
@@ -77,7 +75,6 @@
         co_await sleepFor(RetryPause);
       continue;
     }
-    noteAnswer();
     for (const KeyChange &Change : value(Read).Changes)
       take(Change.Item, Change.Gone);
     Revision = std::max(Revision, value(Read).Revision);
@@ -96,7 +93,6 @@
   Result<TransactionResult> Written = co_await Store.Commit(std::move(Put));
   if (!ok(Written))
     co_return error(Written);
-  noteAnswer();
   Lease = value(Granted);
   co_return Done{};
 }
@@ -109,7 +105,6 @@
     else
       Kept = co_await Store.KeepLease(Lease);
     if (ok(Kept)) {
-      noteAnswer();
       co_await sleepFor(Settings.Timing.MemberLease / RenewalsPerLife);
       continue;
     }
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -5,8 +5,8 @@
 
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_settings.h"
-#include "valveshelf/key_value_store.h"
 #include "valveshelf/coroutines.h"
+#include "valveshelf/key_value_store.h"
 
 #include <functional>
 #include <map>
@@ -27,7 +27,7 @@
 class CellView {
 public:
   /// \p Changed is called after each change of the picture.
-  CellView(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
+  CellView(Executor Where, KeyValueStore Store, const CellSettings &Settings,
            std::function<void()> Changed);
 
   void start();
@@ -35,9 +35,6 @@
   /// Gives up this process's own place in the list, at once.
   Awaitable<void> leave();
   const CellPicture &picture() const { return Picture; }
-  /// When the store last answered this process.
-  TimePoint lastAnswer() const { return LastAnswer; }
-  void noteAnswer() { LastAnswer = Time.Now(); }
 
 private:
   Awaitable<void> watchLoop();
@@ -48,13 +45,11 @@
 
   const Executor Where;
   const KeyValueStore Store;
-  const Clock Time;
   const CellSettings &Settings;
   const std::function<void()> Changed;
   CellPicture Picture;
   uint64_t Revision = 0; ///< The watch goes on from here; 0: everything has to be read.
   uint64_t Lease = 0;    ///< Of this process's own key; 0: none.
-  TimePoint LastAnswer{};
   bool Stopped = false;
 };
 
--- a/src/cell/config_watch.h
+++ b/src/cell/config_watch.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include "valveshelf/cell_settings.h"
-#include "valveshelf/key_value_store.h"
 #include "valveshelf/coroutines.h"
+#include "valveshelf/key_value_store.h"
 #include "valveshelf/workload.h"
 
 #include <functional>
--- a/src/cell/front_door.cpp
+++ b/src/cell/front_door.cpp
@@ -87,8 +87,7 @@
   if (!ok(Kept))
     co_return refusal(error(Kept), jobIdText(Id));
   const auto Took = std::chrono::duration_cast<Milliseconds>(Time.Now() - Came);
-  logEvent(events::JobKept,
-           {{"job", jobIdText(Id)}, {"ms", std::to_string(Took.count())}});
+  logEvent(events::JobKept, {{"job", jobIdText(Id)}, {"ms", std::to_string(Took.count())}});
   co_return jsonResponse(HttpOk, "{}");
 }
 
--- a/src/cell/intake.cpp
+++ b/src/cell/intake.cpp
@@ -20,10 +20,15 @@
 constexpr Milliseconds RetryPause{40};
 } // namespace
 
-Intake::Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings)
-    : Where(Where), Store(std::move(Store)), Time(std::move(Time)), Settings(Settings) {}
+Intake::Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
+               std::function<bool()> IsSilent, std::function<void(IntakeNews)> Announce)
+    : Where(Where), Store(std::move(Store)), Time(std::move(Time)), Settings(Settings),
+      IsSilent(std::move(IsSilent)), Announce(std::move(Announce)) {}
 
 Awaitable<Result<Done>> Intake::submit(JobSpec Spec) {
+  // Refused before anything is written: the caller may try elsewhere, and nothing will run.
+  if (IsSilent())
+    co_return Error{ErrorKind::StoreUnavailable, "the store does not answer"};
   auto Mine = std::make_shared<Pending>(Where);
   Mine->Id = Spec.Id;
   Mine->Bytes = encodeJob(Spec);
@@ -79,8 +84,13 @@
       co_await sleepFor(RetryPause);
     retryOrGiveUp(Batch, error(Written));
   } else if (value(Written).Applied) {
-    for (const PendingPtr &Which : Batch)
+    IntakeNews News;
+    News.Revision = value(Written).Revision;
+    for (const PendingPtr &Which : Batch) {
       decide(Which, Done{});
+      News.Jobs.push_back(std::move(Which->Bytes));
+    }
+    Announce(std::move(News));
   } else {
     // Jobs that stand there already were handed in before; the others are tried again.
     std::map<std::string, uint64_t> Standing;
@@ -117,8 +127,10 @@
       Mark.Conditions.push_back({jobKey(Id), value(Read).Revision});
       Mark.Puts.push_back({cancelKey(Id), "1", 0, 0});
       Result<TransactionResult> Written = co_await Store.Commit(std::move(Mark));
-      if (ok(Written) && value(Written).Applied)
+      if (ok(Written) && value(Written).Applied) {
+        Announce({{}, 0, {Id}});
         co_return Done{};
+      }
       if (ok(Written))
         continue; // the job has just ended; read again
       MayBeWritten = MayBeWritten || error(Written).Kind == ErrorKind::OutcomeUnknown;
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -4,20 +4,30 @@
 
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_settings.h"
-#include "valveshelf/key_value_store.h"
 #include "valveshelf/coroutines.h"
+#include "valveshelf/key_value_store.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
+#include <functional>
 #include <memory>
 
 namespace valveshelf {
 
+/// Told of what has just become durable.
+struct IntakeNews {
+  std::vector<std::string> Jobs; ///< Their records.
+  uint64_t Revision = 0;         ///< Of the jobs' keys.
+  std::vector<sched::JobId> Cancelled;
+};
+
 /// Lives on one strand; all calls come from there.
 class Intake {
 public:
-  Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings);
+  /// \p IsSilent: the store does not answer; what is written now has no certain outcome.
+  Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
+         std::function<bool()> IsSilent, std::function<void(IntakeNews)> Announce);
 
   /// Returns once the job is durable. StoreUnavailable: it surely is not and never will be.
   /// OutcomeUnknown: it may be, or may still become so.
@@ -46,6 +56,8 @@
   const KeyValueStore Store;
   const Clock Time;
   const CellSettings &Settings;
+  const std::function<bool()> IsSilent;
+  const std::function<void(IntakeNews)> Announce;
   std::deque<PendingPtr> Waiting;
   int Writing = 0; ///< Transactions in flight.
 };
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -24,8 +24,6 @@
 constexpr Milliseconds UnsavedPause{400};
 // Run numbers of one term; no task starts so often in one.
 constexpr uint32_t RunsPerTerm = 1000;
-// A worker that is no longer listed, holds nothing and does not answer is forgotten.
-constexpr Milliseconds WatchWait{10000};
 
 std::string idOf(const std::string &Key, const std::string &Prefix) {
   return Key.substr(Prefix.size());
@@ -64,8 +62,8 @@
 void SchedulerRunner::end(const char *Why) {
   if (Stopped)
     return;
-  logEvent(events::TermEnded, {{"term", std::to_string(Mine.Term)},
-                               {"why", "\"" + std::string(Why) + "\""}});
+  logEvent(events::TermEnded,
+           {{"term", std::to_string(Mine.Term)}, {"why", "\"" + std::string(Why) + "\""}});
   stop();
   OnEnd();
 }
@@ -188,6 +186,25 @@
          Fresh && Item.Revision > Mine.LeaderRevision, Now);
 }
 
+void SchedulerRunner::announceJob(const std::string &Bytes, uint64_t Revision) {
+  if (Stopped || !Cell.Loaded)
+    return;
+  Result<StoredJob> Stored = decodeJob(Bytes);
+  if (!ok(Stored)) {
+    logEvent(events::RecordUnreadable, {{"key", "announced"}});
+    return;
+  }
+  takeIntake({jobKey(value(Stored).Spec.Id), Bytes, Revision, 0}, true);
+  placeSoon();
+}
+
+void SchedulerRunner::announceCancel(JobId Id) {
+  if (Stopped || !Cell.Loaded)
+    return;
+  takeIntake({cancelKey(Id), "", 0, 0}, true);
+  placeSoon();
+}
+
 Awaitable<Result<uint64_t>> SchedulerRunner::rereadIntake() {
   Result<KeyRange> Read = co_await Tools.Store.Range(std::string(IntakePrefix), false);
   if (!ok(Read))
@@ -200,8 +217,8 @@
 
 Awaitable<void> SchedulerRunner::watchIntake(Self Me, uint64_t From) {
   while (!Me->Stopped) {
-    Result<KeyChanges> Read =
-        co_await Me->Tools.Store.Watch(std::string(IntakePrefix), From, WatchWait);
+    Result<KeyChanges> Read = co_await Me->Tools.Store.Watch(std::string(IntakePrefix), From,
+                                                             Me->Tools.Settings.Timing.WatchTime);
     if (Me->Stopped)
       co_return;
     if (ok(Read)) {
@@ -253,8 +270,8 @@
 
 Awaitable<void> SchedulerRunner::watchWorkers(Self Me, uint64_t From) {
   while (!Me->Stopped) {
-    Result<KeyChanges> Read =
-        co_await Me->Tools.Store.Watch(Me->Tools.WorkerPrefix, From, WatchWait);
+    Result<KeyChanges> Read = co_await Me->Tools.Store.Watch(Me->Tools.WorkerPrefix, From,
+                                                             Me->Tools.Settings.Timing.WatchTime);
     if (Me->Stopped)
       co_return;
     if (ok(Read)) {
@@ -433,8 +450,7 @@
 // Decisions.
 
 bool SchedulerRunner::stoodStill() const {
-  return LastTick != TimePoint{} &&
-         Tools.Time.Now() - LastTick > Tools.Settings.Timing.LeaderLease;
+  return LastTick != TimePoint{} && Tools.Time.Now() - LastTick > Tools.Settings.Timing.LeaderLease;
 }
 
 void SchedulerRunner::apply(Effects &Out) {
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -6,8 +6,8 @@
 #include "cell/advice_lanes.h"
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_settings.h"
-#include "valveshelf/key_value_store.h"
 #include "valveshelf/coroutines.h"
+#include "valveshelf/key_value_store.h"
 #include "valveshelf/worker_link.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -49,6 +49,10 @@
   /// Saves what waits to be saved, for a planned stop, for at most \p Time.
   Awaitable<void> flush(Milliseconds Time);
   void setMembers(const std::set<std::string> &Names);
+  /// A job that was made durable at \p Revision, and one that was marked as cancelled: told here so
+  /// that they need not wait for the watch.
+  void announceJob(const std::string &Bytes, uint64_t Revision);
+  void announceCancel(sched::JobId Id);
   bool loaded() const { return Cell.Loaded; }
   std::string_view state(sched::JobId Id) const { return shownState(Cell, Id); }
   uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -29,8 +29,7 @@
   return What;
 }
 
-bool SchedulerRunner::addToTransaction(JobId Id, Transaction &What,
-                                       std::vector<SaveEntry> &Batch) {
+bool SchedulerRunner::addToTransaction(JobId Id, Transaction &What, std::vector<SaveEntry> &Batch) {
   const auto Found = Cell.Jobs.find(Id);
   if (Found == Cell.Jobs.end())
     return false;
--- /dev/null
+++ b/src/cell/store_path.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// Time outs that follow the store's pace, silence, and the way through peers.
+#include "valveshelf/store_path.h"
+
+#include "valveshelf/events.h"
+
+#include <algorithm>
+
+namespace valveshelf {
+namespace {
+// A plain call is given up after this many typical times, within the two bounds. An answer that is
+// lost costs this time; one that is late costs a call made twice.
+constexpr double TypicalTimes = 6;
+constexpr Milliseconds LeastTimeout{120};
+constexpr Milliseconds MostTimeout{1000};
+// Weight of the newest answer in the typical time.
+constexpr double NewestWeight = 0.2;
+// Beyond the wait of a call that the store holds, and for large answers.
+constexpr Milliseconds PatientTimeout{1000};
+// The store is silent if a call has been out so long and nothing was answered since.
+constexpr Milliseconds Silence{450};
+// After so many failures in a row calls go through peers; straight again is tried at this interval.
+constexpr int FailuresForRelay = 2;
+constexpr Milliseconds DirectEvery{400};
+// A peer passes calls on only if the store has answered it within this time.
+constexpr Milliseconds FreshEnough{2500};
+constexpr int HttpTooMany = 429;
+constexpr int HttpUnavailable = 503;
+} // namespace
+
+StorePath::StorePath(Clock Time, Direct Straight, Relay Through,
+                     std::function<std::vector<Endpoint>()> Peers)
+    : Time(std::move(Time)), Straight(std::move(Straight)), Through(std::move(Through)),
+      Peers(std::move(Peers)) {}
+
+Milliseconds StorePath::timeoutFor(const StoreCall &Call) const {
+  if (Call.Wait.count() > 0 || Call.IsLarge)
+    return Call.Wait + PatientTimeout;
+  const Milliseconds Wanted(static_cast<int64_t>(TypicalMs * TypicalTimes));
+  return std::clamp(Wanted, LeastTimeout, MostTimeout);
+}
+
+void StorePath::note(bool Answered, Milliseconds Took, Milliseconds Limit) {
+  // A call that was given up took at least twice its limit, as far as anybody knows.
+  const double Sample = static_cast<double>(Answered ? Took.count() : 2 * Limit.count());
+  TypicalMs += NewestWeight * (Sample - TypicalMs);
+}
+
+bool StorePath::isSilent() const {
+  const TimePoint Now = Time.Now();
+  const bool Fails = FailuresInARow > 1 && Now - LastAnswer > Silence;
+  return Fails || (!Out.empty() && Now - Out.begin()->first > Silence);
+}
+
+bool StorePath::isTurnedAway(const Result<HttpResponse> &Answer) const {
+  if (!ok(Answer))
+    return true;
+  return value(Answer).Status == HttpUnavailable || value(Answer).Status == HttpTooMany;
+}
+
+Awaitable<Result<HttpResponse>> StorePath::callThroughPeer(const StoreCall &Call,
+                                                           Milliseconds Timeout) {
+  const std::vector<Endpoint> Known = Peers();
+  Result<HttpResponse> Answer =
+      Error{ErrorKind::UpstreamUnavailable, "no peer reaches the store either"};
+  for (size_t Tried = 0; Tried < Known.size(); ++Tried) {
+    const Endpoint &Peer = Known[NextPeer % Known.size()];
+    Answer = co_await Through(Peer, Call.Request, Timeout);
+    if (ok(Answer)) {
+      LastAnswer = Time.Now();
+      co_return Answer;
+    }
+    ++NextPeer;
+    if (error(Answer).Kind == ErrorKind::UpstreamCut)
+      co_return Answer; // it may have been carried out
+  }
+  co_return Answer;
+}
+
+Awaitable<Result<HttpResponse>> StorePath::call(StoreCall Call) {
+  const Milliseconds Timeout = timeoutFor(Call);
+  const TimePoint Begun = Time.Now();
+  const bool UsePeers = FailuresInARow >= FailuresForRelay && Begun < DirectAgain;
+  if (UsePeers) {
+    Result<HttpResponse> Relayed = co_await callThroughPeer(Call, Timeout);
+    co_return Relayed;
+  }
+  if (FailuresInARow >= FailuresForRelay)
+    DirectAgain = Begun + DirectEvery;
+  const bool IsPlain = Call.Wait.count() == 0;
+  const auto Mark = IsPlain ? Out.emplace(Begun, 0) : Out.end();
+  Result<HttpResponse> Answer = co_await Straight(Call.Request, Timeout);
+  if (IsPlain)
+    Out.erase(Mark);
+  const TimePoint Now = Time.Now();
+  if (IsPlain && !Call.IsLarge)
+    note(ok(Answer), std::chrono::duration_cast<Milliseconds>(Now - Begun), Timeout);
+  if (!isTurnedAway(Answer)) {
+    if (FailuresInARow >= FailuresForRelay)
+      logEvent(events::StoreUp, {{"failures", std::to_string(FailuresInARow)}});
+    FailuresInARow = 0;
+    LastDirectAnswer = LastAnswer = Now;
+    co_return Answer;
+  }
+  if (++FailuresInARow == FailuresForRelay) {
+    logEvent(events::StoreDown,
+             {{"why", ok(Answer) ? "status " + std::to_string(value(Answer).Status)
+                                 : "\"" + error(Answer).Detail + "\""}});
+    DirectAgain = Now + DirectEvery;
+  }
+  // What was refused surely was not done; a peer may be served.
+  const bool Refused = ok(Answer) || error(Answer).Kind == ErrorKind::UpstreamUnavailable;
+  if (!Refused || FailuresInARow < FailuresForRelay)
+    co_return Answer;
+  Result<HttpResponse> Relayed = co_await callThroughPeer(Call, Timeout);
+  if (!ok(Relayed) && error(Relayed).Kind == ErrorKind::UpstreamUnavailable)
+    co_return Answer;
+  co_return Relayed;
+}
+
+Awaitable<Result<HttpResponse>> StorePath::callForPeer(HttpRequest Request, Milliseconds Timeout) {
+  if (Time.Now() - LastDirectAnswer > FreshEnough || FailuresInARow >= FailuresForRelay)
+    co_return Error{ErrorKind::UpstreamUnavailable, "the store does not answer here either"};
+  Result<HttpResponse> Answer = co_await Straight(std::move(Request), Timeout);
+  if (ok(Answer) && isTurnedAway(Answer))
+    co_return Error{ErrorKind::UpstreamUnavailable, "the store refuses here as well"};
+  co_return Answer;
+}
+
+} // namespace valveshelf
--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -35,7 +35,6 @@
 }
 
 void readTiming(TomlReader &Table, CellTiming &Read) {
-  Read.StoreTimeout = Table.duration("store_timeout", Read.StoreTimeout, 50ms, 30s);
   Read.WatchTime = Table.duration("watch_time", Read.WatchTime, 100ms, 30s);
   Read.LeaderLease = Table.duration("leader_lease", Read.LeaderLease, 500ms, 1min);
   Read.MemberLease = Table.duration("member_lease", Read.MemberLease, 1s, 1min);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -241,8 +241,8 @@
 
 namespace {
 http::request<http::string_body> wholeMessage(const Endpoint &To, HttpRequest Request) {
-  http::request<http::string_body> Message{http::string_to_verb(Request.Method), Request.Target,
-                                           11, std::move(Request.Body)};
+  http::request<http::string_body> Message{http::string_to_verb(Request.Method), Request.Target, 11,
+                                           std::move(Request.Body)};
   if (Message.method() == http::verb::unknown)
     Message.method_string(Request.Method);
   Message.set(http::field::host, toString(To));
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -18,6 +18,7 @@
   std::function<Awaitable<cell::AdviseReply>(cell::AdviseRequest)> Advise;
   std::function<Awaitable<cell::JobStateReply>(cell::JobStateRequest)> JobState;
   std::function<Awaitable<cell::WaitingReply>(cell::WaitingRequest)> Waiting;
+  std::function<Awaitable<cell::AnnounceReply>(cell::AnnounceRequest)> Announce;
   std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
 };
 
@@ -30,6 +31,7 @@
   Call<cell::AdviseRequest, cell::AdviseReply> Advise;
   Call<cell::JobStateRequest, cell::JobStateReply> JobState;
   Call<cell::WaitingRequest, cell::WaitingReply> Waiting;
+  Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
 };
 CellLink grpcCell(Executor Where);
--- a/src/include/valveshelf/cell_process.h
+++ b/src/include/valveshelf/cell_process.h
@@ -5,9 +5,10 @@
 #pragma once
 
 #include "valveshelf/cell_settings.h"
+#include "valveshelf/coroutines.h"
 #include "valveshelf/http.h"
 #include "valveshelf/key_value_store.h"
-#include "valveshelf/coroutines.h"
+#include "valveshelf/store_path.h"
 #include "valveshelf/worker_link.h"
 #include "valveshelf/workload.h"
 
@@ -19,7 +20,8 @@
 
 /// The platform as a cell process needs it.
 struct CellPlatform {
-  KeyValueStore Store;
+  StorePath::Direct StoreCalls; ///< Straight to the store.
+  std::function<KeyValueStore(StoreTransport)> OpenStore;
   WorkerLink Workers;
   AdviceLink Advice;
   std::string ConfigurationKey;
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -9,18 +9,17 @@
 
 /// Times of the process itself. Defaults come from the runs named in docs/design/platform.md.
 struct CellTiming {
-  Milliseconds StoreTimeout{1000};     ///< For one call to the store beyond its wait.
-  Milliseconds WatchTime{1500};        ///< Longest wait of one watch; bounds how long a dead
-                                       ///< connection goes unnoticed.
-  Milliseconds LeaderLease{1500};      ///< Life of the scheduler's key without renewal.
-  Milliseconds MemberLease{4000};      ///< Life of a member's key without renewal.
-  Milliseconds WorkerTimeout{300};     ///< For one order to a worker.
-  Milliseconds HoldWait{1800};         ///< A worker's report is awaited so long.
-  Milliseconds HoldTimeout{700};       ///< Beyond that wait.
-  Milliseconds WorkerLease{5000};      ///< A worker runs on so long without word of us.
-  Milliseconds Gather{20};             ///< Ends are gathered so long before they are saved.
-  Milliseconds SubmitLimit{2300};      ///< A submission is decided by then; callers wait 3 s.
-  Milliseconds StopGrace{6000};        ///< From SIGTERM to SIGKILL.
+  Milliseconds WatchTime{1500};    ///< Longest wait of one watch; bounds how long a dead
+                                   ///< connection goes unnoticed.
+  Milliseconds LeaderLease{1500};  ///< Life of the scheduler's key without renewal.
+  Milliseconds MemberLease{4000};  ///< Life of a member's key without renewal.
+  Milliseconds WorkerTimeout{300}; ///< For one order to a worker.
+  Milliseconds HoldWait{1800};     ///< A worker's report is awaited so long.
+  Milliseconds HoldTimeout{700};   ///< Beyond that wait.
+  Milliseconds WorkerLease{5000};  ///< A worker runs on so long without word of us.
+  Milliseconds Gather{20};         ///< Ends are gathered so long before they are saved.
+  Milliseconds SubmitLimit{800};   ///< A submission is decided by then.
+  Milliseconds StopGrace{6000};    ///< From SIGTERM to SIGKILL.
 };
 
 /// Everything in the file.
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -26,18 +26,18 @@
 
 /// Figures that the decisions need, from the platform's bounds and from settings.
 struct SchedulerLimits {
-  Milliseconds WorkerLease{6000};   ///< Longest time a worker runs on without word of us.
-  Milliseconds StopTime{200};       ///< Longest time a worker takes to stop a run.
-  Milliseconds GangTime{3000};      ///< How long gang members wait for each other.
-  Milliseconds EarlyTime{250};      ///< A timed round may start so much before its time.
-  Milliseconds StateKept{150000};   ///< How long the state of an ended job is kept.
-  double ClockDrift = 0.02;         ///< Workers' clocks may be off by this part.
-  Milliseconds LeaseMargin{300};    ///< Added to every lease that has to have run out.
-  Milliseconds SetAside{4000};      ///< How long a worker that fails everything gets no work.
-  Milliseconds TicketMargin{120};   ///< A ticket is not used this close to its end.
-  Milliseconds PlanTime{2500};      ///< A gang whose room is not free by then is planned anew.
-  double UrgentShare = 0.10;        ///< Part of each worker kept free of work that can wait.
-  int MaxFailuresInARow = 3;        ///< A worker that failed so many runs in a row is set aside.
+  Milliseconds WorkerLease{6000}; ///< Longest time a worker runs on without word of us.
+  Milliseconds StopTime{200};     ///< Longest time a worker takes to stop a run.
+  Milliseconds GangTime{3000};    ///< How long gang members wait for each other.
+  Milliseconds EarlyTime{250};    ///< A timed round may start so much before its time.
+  Milliseconds StateKept{150000}; ///< How long the state of an ended job is kept.
+  double ClockDrift = 0.02;       ///< Workers' clocks may be off by this part.
+  Milliseconds LeaseMargin{300};  ///< Added to every lease that has to have run out.
+  Milliseconds SetAside{4000};    ///< How long a worker that fails everything gets no work.
+  Milliseconds TicketMargin{120}; ///< A ticket is not used this close to its end.
+  Milliseconds PlanTime{2500};    ///< A gang whose room is not free by then is planned anew.
+  double UrgentShare = 0.10;      ///< Part of each worker kept free of work that can wait.
+  int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
 };
 
 /// Where an attempt stands.
@@ -46,7 +46,7 @@
   Starting,  ///< The order is on its way.
   Uncertain, ///< The order got no answer; it may have been carried out or may still be.
   Running,
-  Stopping,  ///< A stop was ordered; the run may still be there.
+  Stopping, ///< A stop was ordered; the run may still be there.
 };
 
 /// A run on a worker, or one that may be there.
@@ -54,13 +54,13 @@
   AttemptPhase Phase = AttemptPhase::Planned;
   Resources Need;
   int Priority = 0;
-  bool MayBeStopped = false;   ///< It saves its progress, so that stopping it loses little.
-  int Sends = 0;               ///< Start orders sent.
-  TimePoint Since{};           ///< Of the phase.
+  bool MayBeStopped = false; ///< It saves its progress, so that stopping it loses little.
+  int Sends = 0;             ///< Start orders sent.
+  TimePoint Since{};         ///< Of the phase.
   TimePoint StartedAt{};
   TimePoint StopSent{};
   bool StopAcked = false;
-  bool StopsPlan = false;      ///< It is stopped to make room.
+  bool StopsPlan = false; ///< It is stopped to make room.
   TimePoint StopAckedAt{};
   int Percent = 0;
   TimePoint PercentChanged{};
@@ -71,18 +71,18 @@
 /// the others.
 struct Worker {
   WorkerInfo Info;
-  bool Listed = false;     ///< It stands in the platform's list.
-  bool Heard = false;      ///< It has answered this scheduler; its attempts are known.
-  bool Answers = true;     ///< The last call to it was answered.
-  bool Saved = false;      ///< The store knows that it may hold runs of ours.
-  bool Full = false;       ///< It holds a run whose size nobody knows.
+  bool Listed = false; ///< It stands in the platform's list.
+  bool Heard = false;  ///< It has answered this scheduler; its attempts are known.
+  bool Answers = true; ///< The last call to it was answered.
+  bool Saved = false;  ///< The store knows that it may hold runs of ours.
+  bool Full = false;   ///< It holds a run whose size nobody knows.
   Resources Booked;
   Resources Planned;
   std::map<RunKey, Attempt> Attempts;
-  uint64_t LastEnd = 0;                             ///< Highest number of an end dealt with.
+  uint64_t LastEnd = 0;                              ///< Highest number of an end dealt with.
   std::deque<std::pair<uint64_t, uint64_t>> Unsaved; ///< Number of an end, and the save it needs.
-  uint64_t ForgetThrough = 0;                       ///< Ends up to here are saved.
-  TimePoint LeaseEnd{};                             ///< By then everything on it has been killed.
+  uint64_t ForgetThrough = 0;                        ///< Ends up to here are saved.
+  TimePoint LeaseEnd{};                              ///< By then everything on it has been killed.
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
 };
@@ -101,8 +101,8 @@
 
 struct TaskState {
   bool Done = false;
-  Worker *At = nullptr;       ///< Where its attempt is; null: none.
-  uint32_t Run = 0;           ///< The run of its attempt, or the last one.
+  Worker *At = nullptr; ///< Where its attempt is; null: none.
+  uint32_t Run = 0;     ///< The run of its attempt, or the last one.
   std::string Checkpoint;
   std::set<uint32_t> FailedRuns;
   bool MayRunElsewhere = false; ///< An earlier scheduler may have it on a worker not heard yet.
@@ -126,14 +126,14 @@
   const StepSpec *Spec = nullptr;
   std::vector<TaskState> Tasks;
   uint32_t Open = 0;
-  uint32_t Booked = 0;    ///< Tasks that have an attempt.
+  uint32_t Booked = 0;              ///< Tasks that have an attempt.
   std::optional<QueuePlace> Queued; ///< Its place in the placement queue, if it stands there.
-  uint32_t GangRun = 0;   ///< Last run of a gang.
+  uint32_t GangRun = 0;             ///< Last run of a gang.
   std::set<uint32_t> GangFailures;
   AdviceState Advice;
   TimePoint RunnableSince{};
   TimePoint PlannedAt{};
-  std::string Waits;      ///< Why nothing is placed just now, for people.
+  std::string Waits; ///< Why nothing is placed just now, for people.
 };
 
 struct RoundState {
@@ -152,7 +152,7 @@
   std::map<uint32_t, RoundState> Rounds;
   uint32_t NextRound = 0;
   uint32_t RoundsDone = 0;
-  TimePoint Objective{}; ///< By then it has to be complete to count in full.
+  TimePoint Objective{};  ///< By then it has to be complete to count in full.
   uint64_t NeedsSave = 0; ///< Number of the newest save it needs; 0: saved.
 };
 
@@ -168,16 +168,16 @@
   uint64_t Fence = 0;
   uint32_t FirstRun = 1; ///< Run numbers of this scheduler begin here.
   std::unordered_map<JobId, Job> Jobs;
-  std::unordered_map<JobId, EndedJob> Ended; ///< Saved ends only.
+  std::unordered_map<JobId, EndedJob> Ended;          ///< Saved ends only.
   std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
-  std::map<std::string, Worker> Workers;     ///< By id; nodes stay where they are.
-  std::set<QueuePlace> Queue;                ///< Steps with a task to place.
+  std::map<std::string, Worker> Workers;              ///< By id; nodes stay where they are.
+  std::set<QueuePlace> Queue;                         ///< Steps with a task to place.
   std::set<std::string> Unheard; ///< Workers that an earlier scheduler may have used.
   bool Loaded = false;           ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
   std::map<uint64_t, JobId> Saves; ///< Saves not yet durable, by number.
-  WallTime Wall{};     ///< The time of day at Now, as of the last tick.
-  TimePoint WallAt{};  ///< The steady time at which Wall was read.
+  WallTime Wall{};                 ///< The time of day at Now, as of the last tick.
+  TimePoint WallAt{};              ///< The steady time at which Wall was read.
 };
 
 /// What the process has to do.
--- a/src/include/valveshelf/key_value_store.h
+++ b/src/include/valveshelf/key_value_store.h
@@ -57,8 +57,8 @@
 
 struct TransactionResult {
   bool Applied = false;
-  uint64_t Revision = 0;           ///< Of the change, if it was applied.
-  std::vector<KeyValue> Standing;  ///< The conditions' keys as they stand, if it was not.
+  uint64_t Revision = 0;          ///< Of the change, if it was applied.
+  std::vector<KeyValue> Standing; ///< The conditions' keys as they stand, if it was not.
 };
 
 /// The store. Errors: StoreUnavailable (surely nothing was done), OutcomeUnknown (a write that may
--- /dev/null
+++ b/src/include/valveshelf/store_path.h
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+// How calls reach the platform's store: straight, or through a peer while the store turns this box
+// away. Knows how fast the store answers just now and whether it has fallen silent.
+#pragma once
+
+#include "valveshelf/coroutines.h"
+#include "valveshelf/endpoint.h"
+#include "valveshelf/errors.h"
+#include "valveshelf/http.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace valveshelf {
+
+/// One call to the store.
+struct StoreCall {
+  HttpRequest Request;
+  Milliseconds Wait{0}; ///< The store may hold the answer so long.
+  bool IsLarge = false; ///< The answer may be large.
+};
+
+/// Carries a call to the store. UpstreamUnavailable: surely not sent. UpstreamCut: sent, and the
+/// answer is lost.
+using StoreTransport = std::function<Awaitable<Result<HttpResponse>>(StoreCall Call)>;
+
+/// Lives on one strand; all calls come from there.
+class StorePath {
+public:
+  using Direct =
+      std::function<Awaitable<Result<HttpResponse>>(HttpRequest Request, Milliseconds Timeout)>;
+  using Relay = std::function<Awaitable<Result<HttpResponse>>(Endpoint Peer, HttpRequest Request,
+                                                              Milliseconds Timeout)>;
+
+  /// \p Peers lists the processes that could pass a call on. Both transports outlive the path.
+  StorePath(Clock Time, Direct Straight, Relay Through,
+            std::function<std::vector<Endpoint>()> Peers);
+
+  Awaitable<Result<HttpResponse>> call(StoreCall Call);
+  /// A call for a peer: straight only, and only if the store answers this process.
+  Awaitable<Result<HttpResponse>> callForPeer(HttpRequest Request, Milliseconds Timeout);
+  /// True while calls are out and none has been answered for longer than the store ever takes;
+  /// what is written now would have no certain outcome.
+  bool isSilent() const;
+  /// When the store last answered, on either way.
+  TimePoint lastAnswer() const { return LastAnswer; }
+
+private:
+  Milliseconds timeoutFor(const StoreCall &Call) const;
+  void note(bool Answered, Milliseconds Took, Milliseconds Limit);
+  bool isTurnedAway(const Result<HttpResponse> &Answer) const;
+  Awaitable<Result<HttpResponse>> callThroughPeer(const StoreCall &Call, Milliseconds Timeout);
+
+  const Clock Time;
+  const Direct Straight;
+  const Relay Through;
+  const std::function<std::vector<Endpoint>()> Peers;
+  double TypicalMs = 20;  ///< Moving average of the time of an answer.
+  int FailuresInARow = 0; ///< Of straight calls.
+  TimePoint LastDirectAnswer{};
+  TimePoint LastAnswer{};
+  TimePoint DirectAgain{};           ///< While peers are used: when to try straight again.
+  std::multimap<TimePoint, int> Out; ///< Plain calls that wait for an answer, by their start.
+  size_t NextPeer = 0;
+};
+
+} // namespace valveshelf
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -95,21 +95,21 @@
 /// A step as its caller asked for it.
 struct StepSpec {
   uint32_t Count = 1;
-  Resources Need;                ///< Of each task.
-  Milliseconds Estimate{0};      ///< The caller's guess of a task's run time; 0: none.
-  std::vector<uint32_t> After;   ///< Earlier steps that must be done first.
-  bool Checkpoints = false;      ///< Its tasks save their progress.
-  bool Gang = false;             ///< Its tasks can work only together.
-  bool SameRack = false;         ///< Slow unless all tasks are in one rack.
-  std::string RequiredLabel;     ///< The worker must have it; empty: any.
-  std::string NearRack;          ///< Slow in other racks; empty: none.
-  uint32_t MostPerWorker = 0;    ///< Tasks of the step that one worker may hold; 0: no limit.
-  bool Speculative = false;      ///< Copies may run side by side.
-  bool Lasting = false;          ///< Runs until the job is cancelled.
-  bool Fills = false;            ///< Takes no processor room, only what others leave.
-  std::string Image;             ///< Tasks of one image behave alike.
-  Milliseconds TargetTail{0};    ///< Objective of the users it serves; 0: none.
-  uint32_t MayMiss = 0;          ///< Lasting tasks that may be away at a time by our doing.
+  Resources Need;              ///< Of each task.
+  Milliseconds Estimate{0};    ///< The caller's guess of a task's run time; 0: none.
+  std::vector<uint32_t> After; ///< Earlier steps that must be done first.
+  bool Checkpoints = false;    ///< Its tasks save their progress.
+  bool Gang = false;           ///< Its tasks can work only together.
+  bool SameRack = false;       ///< Slow unless all tasks are in one rack.
+  std::string RequiredLabel;   ///< The worker must have it; empty: any.
+  std::string NearRack;        ///< Slow in other racks; empty: none.
+  uint32_t MostPerWorker = 0;  ///< Tasks of the step that one worker may hold; 0: no limit.
+  bool Speculative = false;    ///< Copies may run side by side.
+  bool Lasting = false;        ///< Runs until the job is cancelled.
+  bool Fills = false;          ///< Takes no processor room, only what others leave.
+  std::string Image;           ///< Tasks of one image behave alike.
+  Milliseconds TargetTail{0};  ///< Objective of the users it serves; 0: none.
+  uint32_t MayMiss = 0;        ///< Lasting tasks that may be away at a time by our doing.
 };
 
 /// A job as it was accepted, with the policy of its queue at that time. Never changes.
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -205,8 +205,7 @@
       for (StepState &Step : Round.Steps)
         queueStep(Cell, Of, Step, Now);
     }
-    if (Of.Phase == JobPhase::Live &&
-        Of.RoundsDone >= std::max<uint32_t>(Of.Spec->Repetitions, 1))
+    if (Of.Phase == JobPhase::Live && Of.RoundsDone >= std::max<uint32_t>(Of.Spec->Repetitions, 1))
       endJob(Cell, Of, JobPhase::Completed, "the job is complete", Now, Out);
   }
 }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -75,9 +75,8 @@
 }
 
 uint32_t heldOf(const StepState &Step, const Worker &On) {
-  return static_cast<uint32_t>(
-      std::count_if(Step.Tasks.begin(), Step.Tasks.end(),
-                    [&](const TaskState &Task) { return Task.At == &On; }));
+  return static_cast<uint32_t>(std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(), [&](const TaskState &Task) { return Task.At == &On; }));
 }
 
 // What could be stopped on the worker in favour of a step of this priority.
@@ -132,8 +131,7 @@
     return;
   std::vector<std::pair<int64_t, std::string>> Unknown;
   for (const auto &[Id, On] : In.Cell.Workers)
-    if (isUsable(In, On, Of, Step) && !verdictOn(Step, On) &&
-        fits(needOf(Step), On.Info.Capacity))
+    if (isUsable(In, On, Of, Step) && !verdictOn(Step, On) && fits(needOf(Step), On.Info.Capacity))
       Unknown.emplace_back(-roomFor(In, On, Of.Spec->Priority).MilliCores, Id);
   std::sort(Unknown.begin(), Unknown.end());
   std::vector<std::string> Names;
@@ -289,8 +287,7 @@
     GangSeat Seat{&On, timesFits(needOf(Step), Room, Most), 0};
     Seat.Seats = Seat.Free;
     if (Yields)
-      Seat.Seats =
-          timesFits(needOf(Step), Room + yieldable(On, Of.Spec->Priority), Most);
+      Seat.Seats = timesFits(needOf(Step), Room + yieldable(On, Of.Spec->Priority), Most);
     if (Seat.Seats > 0)
       Found.push_back(Seat);
   }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -57,7 +57,8 @@
   const TaskState &Task = Step->Tasks[Row.Run.Task.Index];
   const bool Wanted = Of.Phase == JobPhase::Live && !Task.Done && !Task.At;
   if (Wanted) {
-    Attempt &Taken = book(*Step, Row.Run.Task.Index, On, Row.Run.Run, AttemptPhase::Running, Of, Now);
+    Attempt &Taken =
+        book(*Step, Row.Run.Task.Index, On, Row.Run.Run, AttemptPhase::Running, Of, Now);
     Taken.StartedAt = Taken.PercentChanged = Now;
     Of.Begun = true;
     if (Step->Spec->Gang)
@@ -73,8 +74,7 @@
   stopAttempt(Cell, On, Row.Run, "the task does not need it", Now, Out);
 }
 
-void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What,
-                  TimePoint Now) {
+void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What, TimePoint Now) {
   if (What.Phase == AttemptPhase::Starting || What.Phase == AttemptPhase::Uncertain) {
     setPhase(On, What, AttemptPhase::Running, Now);
     What.StartedAt = What.PercentChanged = Now;
@@ -161,8 +161,7 @@
 
 void sendAgain(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What, Effects &Out) {
   StepState *Step = findStep(Cell, Run.Task.Step);
-  const std::string &Checkpoint =
-      Step->Tasks[Step->Spec->Gang ? 0 : Run.Task.Index].Checkpoint;
+  const std::string &Checkpoint = Step->Tasks[Step->Spec->Gang ? 0 : Run.Task.Index].Checkpoint;
   ++What.Sends;
   Out.Starts.push_back({On.Info.Id, Run, Cell.Jobs.at(Run.Task.Step.Job).Spec, Checkpoint,
                         Step->Advice.Verdicts[On.Info.Id].Ticket});
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -19,8 +19,12 @@
 
 CellPlatform connect(HttpClient &Client, const CellSettings &Settings) {
   CellPlatform From;
-  From.Store = platform::openStore(platform::directTransport(Client, Settings.Store),
-                                   Settings.Timing.StoreTimeout);
+  From.StoreCalls = [&Client, Address = Settings.Store](HttpRequest Request, Milliseconds Timeout) {
+    CallOptions Options;
+    Options.Timeout = Timeout;
+    return Client.send(Address, std::move(Request), Options);
+  };
+  From.OpenStore = platform::openStore;
   From.Workers = platform::openWorkers(Client, Settings.Timing.WorkerTimeout);
   From.Advice = platform::openAdvice(Client, Settings.Advice);
   From.ConfigurationKey = platform::ConfigurationKey;
