--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -324,7 +324,9 @@
   Order.ForgetThrough = Found->second.ForgetThrough;
   Order.Wait = Wait;
   Order.Timeout = Tools.Settings.Timing.HoldTimeout;
-  if (Clocks.count(Id)) {
+  // A worker that does not answer is only asked: an extension that may or may not arrive would put
+  // off for ever the time at which its runs are surely over.
+  if (Clocks.count(Id) && Found->second.Answers) {
     Order.Until = workerTime(Id) + Tools.Settings.Timing.WorkerLease;
     workerLeased(Cell, Id, leaseEnd());
   }
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -78,10 +78,10 @@
     const auto Found = Cell.Jobs.find(Entry.Id);
     if (Found == Cell.Jobs.end())
       continue;
-    if (const auto It = Revisions.find(progressKey(Entry.Id)); It != Revisions.end())
-      Found->second.ProgressRevision = It->second;
-    if (const auto It = Revisions.find(jobKey(Entry.Id)); It != Revisions.end())
-      Found->second.Revision = It->second;
+    // A key that is not listed does not exist (any more).
+    Found->second.ProgressRevision = Revisions[progressKey(Entry.Id)];
+    if (Entry.Ends)
+      Found->second.Revision = Revisions[jobKey(Entry.Id)];
   }
 }
 
