--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -35,11 +35,11 @@
          hasLabel(On.Info, Step.Spec->RequiredLabel);
 }
 
-// What a step of this priority may still take. Work that can wait leaves some room for work that
-// can't.
-Resources roomFor(const Pass &In, const Worker &On, int Priority) {
+// What the step may still take. Work that can wait leaves some room for work that can't, but for
+// gangs, whose members are too large for what is left between them.
+Resources roomFor(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
   Resources Room = On.Info.Capacity - On.Booked - On.Planned;
-  if (Priority > 0) {
+  if (Of.Spec->Priority > 0 && !Step.Spec->Gang) {
     const double Share = In.Cell.Limits.UrgentShare;
     const Resources &Whole = On.Info.Capacity;
     Room.MilliCores -= static_cast<int64_t>(static_cast<double>(Whole.MilliCores) * Share);
@@ -132,7 +132,7 @@
   std::vector<std::pair<int64_t, std::string>> Unknown;
   for (const auto &[Id, On] : In.Cell.Workers)
     if (isUsable(In, On, Of, Step) && !verdictOn(Step, On) && fits(needOf(Step), On.Info.Capacity))
-      Unknown.emplace_back(-roomFor(In, On, Of.Spec->Priority).MilliCores, Id);
+      Unknown.emplace_back(-roomFor(In, On, Of, Step).MilliCores, Id);
   std::sort(Unknown.begin(), Unknown.end());
   std::vector<std::string> Names;
   for (auto &[Room, Id] : Unknown)
@@ -178,7 +178,7 @@
   Value.Penalty += Far ? 2 : 0;
   Value.Penalty += Task.FailedOn == &On ? 1 : 0;
   // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
-  const int64_t Left = roomFor(In, On, Of.Spec->Priority).MilliCores;
+  const int64_t Left = roomFor(In, On, Of, Step).MilliCores;
   Value.Left = Of.Spec->Priority == 0 ? -Left : Left;
   return Value;
 }
@@ -192,7 +192,7 @@
   Score BestScore;
   for (auto &[Id, On] : In.Cell.Workers) {
     if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) ||
-        !fits(needOf(Step), roomFor(In, On, Of.Spec->Priority)) || holdsLimit(Step, On))
+        !fits(needOf(Step), roomFor(In, On, Of, Step)) || holdsLimit(Step, On))
       continue;
     const Score Value = scoreOf(In, Of, Step, Task, On);
     if (!Best || Value < BestScore) {
@@ -211,7 +211,7 @@
     if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) || holdsLimit(Step, On))
       continue;
     const int Priority = Of.Spec->Priority;
-    const Resources Room = roomFor(In, On, Priority) + yieldable(On, Priority);
+    const Resources Room = roomFor(In, On, Of, Step) + yieldable(On, Priority);
     if (fits(needOf(Step), Room) && (!Best || Room.MilliCores > BestRoom)) {
       Best = &On;
       BestRoom = Room.MilliCores;
@@ -283,7 +283,7 @@
   for (auto &[Id, On] : In.Cell.Workers) {
     if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step))
       continue;
-    const Resources Room = roomFor(In, On, Of.Spec->Priority);
+    const Resources Room = roomFor(In, On, Of, Step);
     GangSeat Seat{&On, timesFits(needOf(Step), Room, Most), 0};
     Seat.Seats = Seat.Free;
     if (Yields)
--- /dev/null
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -0,0 +1,665 @@
+// SPDX-License-Identifier: Apache-2.0
+// Random days for the scheduler's decisions: lost and late orders, lost answers, workers that die
+// or are cut off, saves without an answer, takeovers with the old scheduler still talking. The
+// world's own records judge every start. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED change
+// length and seed.
+#include "standins/worker_model.h"
+#include "valveshelf/cell_records.h"
+#include "valveshelf/cell_state.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <memory>
+#include <random>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+using standins::RunPlan;
+using standins::WorkerModel;
+
+constexpr Milliseconds WorkerLease{3000};
+constexpr Milliseconds OrderTimeout{300};
+
+// What the store holds.
+struct Kept {
+  JobSpecPtr Spec;
+  JobPhase Phase = JobPhase::Live;
+  std::string Progress;
+  uint64_t Revision = 0;
+  bool Cancelled = false;
+};
+
+struct Box {
+  WorkerModel Model;
+  WorkerInfo Info;
+  bool Dead = false;
+  Milliseconds CutUntil{0};
+  bool ListedGone = false;
+};
+
+// One scheduler process and its view.
+struct Process {
+  CellState Cell;
+  bool Over = false;
+  Milliseconds StopsAt{Milliseconds::max()}; ///< A deposed process that does not know it yet.
+  std::set<JobId> Saving;
+  std::map<std::string, std::pair<Milliseconds, Milliseconds>> Clocks; ///< Worker's and ours.
+};
+using ProcessPtr = std::shared_ptr<Process>;
+
+class World {
+public:
+  explicit World(uint64_t Seed) : Random(Seed) {
+    for (int I = 0; I < 6; ++I)
+      addBox("r" + std::to_string(I / 3));
+    takeOver();
+  }
+
+  int64_t Events = 0;
+  int64_t Starts = 0;
+  int64_t Takeovers = 0;
+  std::vector<std::string> Breaks;
+
+  void play(int64_t Count) {
+    for (int64_t I = 0; I < Count && Breaks.empty(); ++I)
+      step(true);
+    Calm = true;
+    // Everything that was accepted ends once the troubles are over.
+    for (int I = 0; I < 400000 && Breaks.empty() && unfinished() > 0; ++I) {
+      // Now and then a new box: advice may have been against all the others.
+      if (I % 20000 == 0)
+        addBox("r0");
+      step(false);
+    }
+    if (Breaks.empty() && unfinished() > 0)
+      Breaks.push_back(std::to_string(unfinished()) + " jobs never end, such as " + stuckJob());
+  }
+
+private:
+  TimePoint steady() const { return TimePoint{} + 1000s + Now; }
+  WallTime wall() const { return WallTime(1000s + Now); }
+  bool chance(double P) { return std::uniform_real_distribution<>(0, 1)(Random) < P; }
+  int64_t upTo(int64_t Most) { return std::uniform_int_distribution<int64_t>(0, Most)(Random); }
+  void after(Milliseconds Delay, std::function<void()> What) {
+    Calendar.emplace(Now + Delay, std::move(What));
+  }
+
+  void addBox(const std::string &Rack) {
+    auto Made = std::make_shared<Box>();
+    const std::string Id = "i-" + std::to_string(++LastBox);
+    Made->Info.Id = Id;
+    Made->Info.Service = "pool";
+    Made->Info.Rack = Rack;
+    Made->Info.Labels = {LastBox % 2 ? "a" : "b", Rack};
+    Made->Info.Capacity = {8000, 8000, 0};
+    Made->Model.Id = Id;
+    Made->Model.Now = Milliseconds(upTo(100000));
+    Made->Model.LongestLease = WorkerLease * 2;
+    Made->Model.PlanOf = [this](const RunKey &Run) { return planOf(Run); };
+    Box *Raw = Made.get();
+    Made->Model.OnStart = [this, Raw](const RunKey &Run) { judgeStart(*Raw, Run); };
+    Made->Model.OnEnd = [this](const RunKey &Run, RunEnd How) { ended(Run, How); };
+    Boxes[Id] = std::move(Made);
+    if (Current && !Current->Over)
+      after(Milliseconds(upTo(300)), [this, Id] {
+        if (Boxes.count(Id) && !Boxes[Id]->Dead && Current)
+          workerListed(Current->Cell, Boxes[Id]->Info, steady());
+      });
+  }
+
+  RunPlan planOf(const RunKey &Run) {
+    const StepSpec &Step = specOf(Run.Task.Step);
+    RunPlan Plan;
+    Plan.Work = Milliseconds(20 + upTo(800));
+    Plan.Fails = chance(0.05);
+    Plan.GangSize = Step.Gang ? Step.Count : 0;
+    return Plan;
+  }
+
+  const StepSpec &specOf(const StepKey &Key) { return Store.at(Key.Job).Spec->Steps.at(Key.Step); }
+
+  // The rules, from the world's own records.
+  void judgeStart(Box &On, const RunKey &Run) {
+    ++Starts;
+    const Kept &Of = Store.at(Run.Task.Step.Job);
+    const StepSpec &Step = specOf(Run.Task.Step);
+    Resources Sum;
+    uint32_t OfStep = 0;
+    for (const auto &[Key, What] : On.Model.Runs) {
+      Sum += specOf(Key.Task.Step).Need;
+      OfStep += Key.Task.Step == Run.Task.Step ? 1 : 0;
+    }
+    if (!fits(Sum, On.Info.Capacity))
+      broken("LIMIT", Run);
+    if (Step.MostPerWorker > 0 && OfStep > Step.MostPerWorker)
+      broken("ROUTE (too many of a step)", Run);
+    if (!Step.RequiredLabel.empty() && On.Info.Labels[0] != Step.RequiredLabel)
+      broken("ROUTE (label)", Run);
+    for (const auto &[Id, Other] : Boxes)
+      for (const auto &[Key, What] : Other->Model.Runs)
+        if (Other.get() != &On && !Other->Dead && Key.Task == Run.Task)
+          broken("TWICE (at the same time)", Run);
+    if (NotedDone.count(Run.Task))
+      broken("TWICE (after its end was noted)", Run);
+    for (const uint32_t Earlier : Step.After)
+      for (uint32_t I = 0; I < Of.Spec->Steps[Earlier].Count; ++I)
+        if (!ReallyDone.count({{Run.Task.Step.Job, 0, Earlier}, I}))
+          broken("ORDER", Run);
+    const auto Failures = NotedFailures.find(Run.Task);
+    if (Failures != NotedFailures.end() &&
+        Failures->second.size() >= static_cast<size_t>(Of.Spec->MaxAttempts))
+      broken("BUDGET", Run);
+    if (Step.Gang)
+      wakeGang(Run);
+  }
+
+  // A gang works from the moment when all its members are there.
+  void wakeGang(const RunKey &Run) {
+    std::vector<WorkerModel::Run *> Members;
+    for (const auto &[Id, Other] : Boxes)
+      for (auto &[Key, What] : Other->Model.Runs)
+        if (!Other->Dead && Key.Task.Step == Run.Task.Step && Key.Run == Run.Run) {
+          Members.push_back(&What);
+          What.WorksSince = Other->Model.Now;
+        }
+    for (WorkerModel::Run *Member : Members)
+      Member->Works = Members.size() >= specOf(Run.Task.Step).Count;
+  }
+
+  void ended(const RunKey &Run, RunEnd How) {
+    const StepSpec &Step = specOf(Run.Task.Step);
+    if (How == RunEnd::Done)
+      for (uint32_t I = 0; I < Step.Count; ++I)
+        if (Step.Gang || I == Run.Task.Index)
+          ReallyDone.insert({Run.Task.Step, I});
+    if (!Step.Gang)
+      return;
+    // The others learn of it a little later.
+    after(5ms, [this, Run, How] {
+      for (const auto &[Id, Other] : Boxes) {
+        std::vector<RunKey> Mates;
+        for (const auto &[Key, What] : Other->Model.Runs)
+          if (Key.Task.Step == Run.Task.Step && Key.Run == Run.Run && !Other->Dead)
+            Mates.push_back(Key);
+        for (const RunKey &Mate : Mates)
+          Other->Model.end(Mate, How == RunEnd::Done ? RunEnd::Done : RunEnd::Broken);
+      }
+    });
+  }
+
+  void broken(const std::string &Rule, const RunKey &Run) {
+    Breaks.push_back(Rule + " at " + std::to_string(Now.count()) + " ms: " + toString(Run.Task) +
+                     " run " + std::to_string(Run.Run));
+  }
+
+  // The process around the decisions.
+
+  void apply(const ProcessPtr &Of, Effects &Out) {
+    if (Out.Deposed)
+      Of->Over = true;
+    if (Of->Over)
+      return;
+    for (const Effects::Start &Order : Out.Starts)
+      sendStart(Of, Order);
+    for (const Effects::Stop &Order : Out.Stops)
+      sendStop(Of, Order);
+    for (const Effects::Ask &Question : Out.Asks)
+      sendAsk(Of, Question);
+    for (const std::string &Id : Out.Looks)
+      sendHold(Of, Id);
+    if (Out.Save)
+      after(Milliseconds(upTo(30)), [this, Of] { save(Of); });
+  }
+
+  enum class Fate { Fine, AnswerLost, Lost, Late };
+  Fate fateOf(const Box &To) {
+    if (To.Dead || To.CutUntil > Now)
+      return Fate::Lost;
+    if (Calm || !chance(0.08))
+      return Fate::Fine;
+    const int64_t Which = upTo(2);
+    return Which == 0 ? Fate::AnswerLost : Which == 1 ? Fate::Lost : Fate::Late;
+  }
+
+  Milliseconds workerTime(const Process &Of, const std::string &Id) const {
+    const auto Found = Of.Clocks.find(Id);
+    return Found == Of.Clocks.end() ? 0ms : Found->second.first + (Now - Found->second.second);
+  }
+  TimePoint leaseEnd() const { return steady() + WorkerLease * 104 / 100 + 200ms; }
+
+  void sendStart(const ProcessPtr &Of, const Effects::Start &Order) {
+    const auto Found = Boxes.find(Order.Worker);
+    if (Found == Boxes.end())
+      return;
+    const auto To = Found->second;
+    workerLeased(Of->Cell, Order.Worker, leaseEnd());
+    const standins::StartOrderSeen Seen{
+        Order.Run, Of->Cell.Fence, workerTime(*Of, Order.Worker) + WorkerLease, Order.Checkpoint};
+    const Fate How = fateOf(*To);
+    const Milliseconds Delay(How == Fate::Late ? 2000 + upTo(10000) : 1 + upTo(10));
+    after(Delay, [this, Of, To, Seen, How, Id = Order.Worker] {
+      StartResult What = StartResult::Unknown;
+      if (How != Fate::Lost && !To->Dead) {
+        To->Model.advance(To->Model.Now);
+        What = To->Model.start(Seen);
+      }
+      if (How != Fate::Fine)
+        return;
+      after(Milliseconds(1 + upTo(5)),
+            [this, Of, Id, Seen, What] { deliverStart(Of, Id, Seen.Run, What); });
+    });
+    if (How != Fate::Fine)
+      after(OrderTimeout, [this, Of, Id = Order.Worker, Run = Order.Run] {
+        deliverStart(Of, Id, Run, StartResult::Unknown);
+      });
+  }
+
+  void deliverStart(const ProcessPtr &Of, const std::string &Id, const RunKey &Run,
+                    StartResult What) {
+    if (Of->Over)
+      return;
+    Effects Out;
+    startAnswered(Of->Cell, Id, Run, What, steady(), Out);
+    apply(Of, Out);
+  }
+
+  void sendStop(const ProcessPtr &Of, const Effects::Stop &Order) {
+    const auto Found = Boxes.find(Order.Worker);
+    if (Found == Boxes.end())
+      return;
+    const auto To = Found->second;
+    const Fate How = fateOf(*To);
+    const Milliseconds Delay(How == Fate::Late ? 2000 + upTo(10000) : 1 + upTo(10));
+    const uint64_t Fence = Of->Cell.Fence;
+    const auto Answer = [this, Of, Id = Order.Worker, Run = Order.Run](bool Acked, bool Refused) {
+      if (Of->Over)
+        return;
+      Effects Out;
+      Out.Deposed = Refused;
+      if (!Refused)
+        stopAnswered(Of->Cell, Id, Run, Acked, steady(), Out);
+      apply(Of, Out);
+    };
+    after(Delay, [this, To, Run = Order.Run, Fence, How, Answer] {
+      if (How == Fate::Lost || To->Dead)
+        return;
+      const bool Taken = To->Model.stop(Run, Fence);
+      if (How == Fate::Fine)
+        after(2ms, [Answer, Taken] { Answer(true, !Taken); });
+    });
+    if (How != Fate::Fine)
+      after(OrderTimeout, [Answer] { Answer(false, false); });
+  }
+
+  void sendAsk(const ProcessPtr &Of, const Effects::Ask &Question) {
+    const bool Fails = !Calm && chance(0.05);
+    after(Milliseconds(5 + upTo(40)), [this, Of, Question, Fails] {
+      if (Of->Over)
+        return;
+      if (Fails)
+        return adviceFailed(Of->Cell, Question.Step, steady());
+      std::vector<std::pair<std::string, std::string>> Good;
+      for (const std::string &Id : Question.Workers)
+        if (std::hash<std::string>()(toString(Question.Step) + Id) % 10 < 7)
+          Good.emplace_back(Id, "ticket");
+      adviceAnswered(Of->Cell, Question.Step, Question.Workers, Good, 800ms, steady());
+    });
+  }
+
+  // Asks the worker what it holds. Ends it is told to forget have to be in the store.
+  void sendHold(const ProcessPtr &Of, const std::string &Id) {
+    const auto Found = Boxes.find(Id);
+    const auto Known = Of->Cell.Workers.find(Id);
+    if (Of->Over || Found == Boxes.end() || Known == Of->Cell.Workers.end())
+      return;
+    const auto To = Found->second;
+    const Fate How = fateOf(*To);
+    const bool Extends = Of->Clocks.count(Id) && Known->second.Answers;
+    std::optional<Milliseconds> Until;
+    if (Extends) {
+      Until = workerTime(*Of, Id) + WorkerLease;
+      workerLeased(Of->Cell, Id, leaseEnd());
+    }
+    const uint64_t Forget = Known->second.ForgetThrough;
+    const uint64_t Fence = Of->Cell.Fence;
+    const TimePoint AskedAt = steady();
+    const Milliseconds Delay(How == Fate::Late ? 2000 + upTo(10000) : 1 + upTo(10));
+    after(Delay, [=, this] {
+      if (How == Fate::Lost || To->Dead)
+        return;
+      noteForgotten(*To, Fence, Forget);
+      auto Report = To->Model.hold(Fence, Forget, Until);
+      if (How == Fate::Fine)
+        after(Milliseconds(1 + upTo(20)), [=, this] { heardFrom(Of, Id, Report, AskedAt); });
+    });
+    if (How != Fate::Fine)
+      after(OrderTimeout, [this, Of, Id, To] {
+        if (Of->Over)
+          return;
+        Effects Out;
+        // A new life at the same place says so at once.
+        if (To->Dead && chance(0.5))
+          workerOver(Of->Cell, Id, steady(), Out);
+        else
+          workerSilent(Of->Cell, Id);
+        apply(Of, Out);
+      });
+  }
+
+  void heardFrom(const ProcessPtr &Of, const std::string &Id,
+                 const std::optional<WorkerReport> &Report, TimePoint AskedAt) {
+    if (Of->Over)
+      return;
+    Effects Out;
+    if (!Report) {
+      Out.Deposed = true;
+      return apply(Of, Out);
+    }
+    auto &Clock = Of->Clocks[Id];
+    if (Report->WorkerClock < Clock.first)
+      return;
+    Clock = {Report->WorkerClock, Now};
+    workerReported(Of->Cell, Id, *Report, AskedAt, steady(), Out);
+    apply(Of, Out);
+  }
+
+  void noteForgotten(const Box &On, uint64_t Fence, uint64_t Through) {
+    if (Fence < On.Model.Fence)
+      return;
+    for (const EndedRun &End : On.Model.Ended) {
+      if (End.Number > Through)
+        continue;
+      const StepSpec &Step = specOf(End.Run.Task.Step);
+      if (End.How == RunEnd::Failed && !Step.Gang)
+        NotedFailures[End.Run.Task].insert(End.Run.Run);
+      if (End.How != RunEnd::Done)
+        continue;
+      for (uint32_t I = 0; I < Step.Count; ++I)
+        if (Step.Gang || I == End.Run.Task.Index)
+          NotedDone.insert({End.Run.Task.Step, I});
+      if (!isDurable(End.Run.Task))
+        broken("an end was let go before it was saved", End.Run);
+    }
+  }
+
+  bool isDurable(const TaskKey &Task) {
+    const Kept &Of = Store.at(Task.Step.Job);
+    if (Of.Phase != JobPhase::Live)
+      return true;
+    Result<SavedSteps> Saved = decodeProgress(Task.Step.Job, Of.Progress);
+    for (const auto &[Key, Tasks] : value(Saved))
+      for (const SavedTask &Entry : Tasks)
+        if (Key == Task.Step && Entry.Index == Task.Index && Entry.Done)
+          return true;
+    return false;
+  }
+
+  // Saves one job at a time; an answer may be lost and the save done or not.
+  void save(const ProcessPtr &Of) {
+    if (Of->Over || Of->Cell.Saves.empty())
+      return;
+    for (const auto &[Number, Id] : Of->Cell.Saves)
+      if (Of->Saving.insert(Id).second)
+        return saveJob(Of, Id);
+  }
+
+  void saveJob(const ProcessPtr &Of, JobId Id) {
+    const auto Found = Of->Cell.Jobs.find(Id);
+    if (Found == Of->Cell.Jobs.end()) {
+      Of->Saving.erase(Id);
+      return;
+    }
+    const Job &Job = Found->second;
+    const uint64_t Number = Job.NeedsSave;
+    const JobPhase Phase = Job.Phase;
+    const std::string Progress = Phase == JobPhase::Live ? encodeProgress(Job) : "";
+    const bool Loses = !Calm && chance(0.1);
+    const bool Does = !Loses || chance(0.5);
+    after(Milliseconds(2 + upTo(20)), [=, this] {
+      if (StoreTerm != Of->Cell.Fence) {
+        Of->Over = true;
+        return;
+      }
+      Kept &Row = Store.at(Id);
+      if (Does && Row.Phase == JobPhase::Live) {
+        Row.Phase = Phase;
+        Row.Progress = Progress;
+        Row.Revision = ++Revision;
+      }
+      after(Loses ? 200ms : 2ms, [=, this] {
+        Of->Saving.erase(Id);
+        if (!Loses && !Of->Over)
+          jobSaved(Of->Cell, Id, Number, Revision, Revision, wall());
+        after(1ms, [this, Of] { save(Of); });
+      });
+    });
+  }
+
+  // A new scheduler; the old one may go on for a while without knowing.
+  void takeOver() {
+    ++Takeovers;
+    if (Current)
+      Current->StopsAt = chance(0.5) ? Now : Now + Milliseconds(upTo(4000));
+    if (Current && Current->StopsAt == Now)
+      Current->Over = true;
+    auto Next = std::make_shared<Process>();
+    CellState &Cell = Next->Cell;
+    Cell.Limits.StopTime = 50ms;
+    Cell.Limits.SetAside = 1000ms;
+    Cell.Limits.PlanTime = 1000ms;
+    Cell.Fence = ++StoreTerm;
+    Cell.FirstRun = static_cast<uint32_t>((StoreTerm - 1) * 1000 + 1);
+    Cell.Wall = wall();
+    Cell.WallAt = steady();
+    for (const auto &[Id, Entry] : Boxes) {
+      if (!Entry->Dead && !chance(0.2))
+        workerListed(Cell, Entry->Info, steady());
+      workerMayHoldRuns(Cell, Entry->Info, leaseEnd() + 4000ms);
+    }
+    for (const auto &[Id, Row] : Store)
+      if (Row.Phase == JobPhase::Live) {
+        addJob(Cell, Row.Spec, Row.Revision, false, steady());
+        Result<SavedSteps> Saved = decodeProgress(Id, Row.Progress);
+        for (const auto &[Key, Tasks] : value(Saved))
+          restoreStep(Cell, Key, Tasks);
+      }
+    Effects Out;
+    finishLoading(Cell, steady(), Out);
+    for (const auto &[Id, Row] : Store)
+      if (Row.Cancelled)
+        cancelJob(Cell, Id, steady(), Out);
+    Current = Next;
+    apply(Next, Out);
+  }
+
+  void submit() {
+    auto Spec = std::make_shared<JobSpec>();
+    Spec->Id = ++LastJob;
+    Spec->Queue = "q";
+    Spec->Service = "pool";
+    Spec->Priority = static_cast<int>(upTo(2));
+    Spec->MaxAttempts = 2 + static_cast<int>(upTo(1));
+    Spec->Extension = 2;
+    Spec->Target = 1000ms;
+    Spec->AcceptedAt = wall();
+    if (chance(0.6))
+      Spec->Advice = AdvicePolicy{};
+    const int64_t Steps = 1 + upTo(2);
+    for (uint32_t I = 0; I < Steps; ++I) {
+      StepSpec Step;
+      Step.Count = static_cast<uint32_t>(1 + upTo(4));
+      Step.Need = {500 + upTo(2500), 500 + upTo(2500), 0};
+      Step.Estimate = Milliseconds(upTo(800));
+      if (I > 0 && chance(0.8))
+        Step.After = {I - 1};
+      Step.Checkpoints = chance(0.5);
+      Step.Gang = chance(0.3);
+      if (Step.Gang) // fits on one box
+        Step.Need = {500 + upTo(900), 500 + upTo(900), 0};
+      Step.RequiredLabel = chance(0.1) && !Spec->Advice && !Step.Gang ? "a" : "";
+      Step.MostPerWorker = chance(0.1) && !Spec->Advice && !Step.Gang ? 2 : 0;
+      Spec->Steps.push_back(Step);
+    }
+    Store[Spec->Id] = {Spec, JobPhase::Live, "", ++Revision, false};
+    const ProcessPtr To = Current;
+    after(Milliseconds(upTo(50)), [this, To, Spec, At = Revision] {
+      if (!To->Over && To == Current)
+        addJob(To->Cell, Spec, At, true, steady());
+    });
+  }
+
+  void cancelOne() {
+    if (Store.empty())
+      return;
+    auto Row = std::next(Store.begin(), upTo(static_cast<int64_t>(Store.size()) - 1));
+    if (Row->second.Phase != JobPhase::Live)
+      return;
+    Row->second.Cancelled = true;
+    if (Current->Over)
+      return;
+    Effects Out;
+    cancelJob(Current->Cell, Row->first, steady(), Out);
+    apply(Current, Out);
+  }
+
+  void hurtBox() {
+    auto Which = std::next(Boxes.begin(), upTo(static_cast<int64_t>(Boxes.size()) - 1))->second;
+    if (chance(0.7)) {
+      Which->CutUntil = Now + Milliseconds(upTo(6000));
+      return;
+    }
+    if (Which->Dead)
+      return;
+    Which->Dead = true;
+    Which->Model.Runs.clear();
+    if (!Current->Over)
+      workerUnlisted(Current->Cell, Which->Info.Id, steady());
+    addBox(Which->Info.Rack);
+  }
+
+  void step(bool Trouble) {
+    ++Events;
+    if (Trouble) {
+      if (chance(0.010) && unfinished() < 30)
+        submit();
+      if (chance(0.0010))
+        cancelOne();
+      if (chance(0.0008))
+        hurtBox();
+      if (chance(0.00015))
+        takeOver();
+    }
+    if (Current->Over && !Pending) {
+      Pending = true;
+      after(300ms, [this] {
+        Pending = false;
+        if (Current->Over)
+          takeOver();
+      });
+    }
+    const Milliseconds Before = Now;
+    if (Calendar.empty() || Calendar.begin()->first > Now + 10ms)
+      Now += 10ms;
+    else
+      Now = std::max(Now, Calendar.begin()->first);
+    for (const auto &[Id, Entry] : Boxes)
+      if (!Entry->Dead)
+        Entry->Model.advance(Entry->Model.Now + (Now - Before));
+    if (!Calendar.empty() && Calendar.begin()->first <= Now) {
+      auto What = std::move(Calendar.begin()->second);
+      Calendar.erase(Calendar.begin());
+      What();
+    }
+    if (Now / 50ms != Before / 50ms)
+      regular();
+  }
+
+  // What each scheduler does by itself: tick, place, holds.
+  void regular() {
+    for (const ProcessPtr &Of : {Current, Previous}) {
+      if (!Of || Of->Over)
+        continue;
+      if (Now >= Of->StopsAt) {
+        Of->Over = true;
+        continue;
+      }
+      for (auto &[Id, On] : Of->Cell.Workers)
+        On.Saved = true;
+      Effects Out;
+      tick(Of->Cell, steady(), wall(), Out);
+      place(Of->Cell, steady(), Out);
+      apply(Of, Out);
+      for (const auto &[Id, Entry] : Boxes)
+        if (chance(0.15))
+          sendHold(Of, Id);
+      save(Of);
+    }
+    if (Previous != Current && Current)
+      Previous = Current;
+  }
+
+  int64_t unfinished() const {
+    return std::count_if(Store.begin(), Store.end(),
+                         [](const auto &Row) { return Row.second.Phase == JobPhase::Live; });
+  }
+  std::string stuckJob() const {
+    for (const auto &[Id, Row] : Store)
+      if (Row.Phase == JobPhase::Live) {
+        std::string Text = jobIdText(Id);
+        const auto Found = Current->Cell.Jobs.find(Id);
+        if (Found == Current->Cell.Jobs.end())
+          return Text + " (unknown to the scheduler)";
+        for (const auto &[Number, Round] : Found->second.Rounds)
+          for (const StepState &Step : Round.Steps)
+            Text += " [open " + std::to_string(Step.Open) + " booked " +
+                    std::to_string(Step.Booked) + " queued " +
+                    std::to_string(Step.Queued.has_value()) + " " + Step.Waits + "]";
+        return Text;
+      }
+    return "-";
+  }
+
+  std::mt19937_64 Random;
+  Milliseconds Now{0};
+  bool Calm = false;
+  bool Pending = false;
+  std::multimap<Milliseconds, std::function<void()>> Calendar;
+  std::map<std::string, std::shared_ptr<Box>> Boxes;
+  std::map<JobId, Kept> Store;
+  uint64_t StoreTerm = 0;
+  uint64_t Revision = 0;
+  uint64_t LastJob = 0;
+  int LastBox = 0;
+  ProcessPtr Current;
+  ProcessPtr Previous;
+  std::set<TaskKey> ReallyDone;
+  std::set<TaskKey> NotedDone;
+  std::map<TaskKey, std::set<uint32_t>> NotedFailures;
+};
+
+int64_t fromEnvironment(const char *Name, int64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text ? std::strtoll(Text, nullptr, 10) : Default;
+}
+
+TEST(SchedulerFuzz, HoldsItsPromisesInRandomTrouble) {
+  const int64_t Events = fromEnvironment("VALVESHELF_FUZZ_EVENTS", 400000);
+  const int64_t First = fromEnvironment("VALVESHELF_FUZZ_SEED", 1);
+  constexpr int64_t EventsPerWorld = 20000;
+  int64_t Starts = 0;
+  int64_t Takeovers = 0;
+  for (int64_t Done = 0, Seed = First; Done < Events; Done += EventsPerWorld, ++Seed) {
+    World One(static_cast<uint64_t>(Seed));
+    One.play(EventsPerWorld);
+    Starts += One.Starts;
+    Takeovers += One.Takeovers;
+    ASSERT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
+  }
+  EXPECT_GT(Starts, Events / 200);
+  std::cout << Events << " events, " << Starts << " starts, " << Takeovers << " takeovers\n";
+}
+
+} // namespace
+} // namespace valveshelf::sched
