--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -51,7 +51,7 @@
 
 class World {
 public:
-  explicit World(uint64_t Seed) : Random(Seed) {
+  explicit World(uint64_t Seed) : Random(Seed), StopTime(Seed % 2 ? 50 : 900) {
     for (int I = 0; I < 6; ++I)
       addBox("r" + std::to_string(I / 3));
     takeOver();
@@ -97,6 +97,7 @@
     Made->Model.Id = Id;
     Made->Model.Now = Milliseconds(upTo(100000));
     Made->Model.LongestLease = WorkerLease * 2;
+    Made->Model.StopTime = StopTime;
     Made->Model.PlanOf = [this](const RunKey &Run) { return planOf(Run); };
     Box *Raw = Made.get();
     Made->Model.OnStart = [this, Raw](const RunKey &Run) { judgeStart(*Raw, Run); };
@@ -241,10 +242,11 @@
     const Milliseconds Delay(How == Fate::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     after(Delay, [this, Of, To, Seen, How, Id = Order.Worker] {
       StartResult What = StartResult::Unknown;
-      if (How != Fate::Lost && !To->Dead) {
-        To->Model.advance(To->Model.Now);
+      // An unhealthy worker does nothing and says so.
+      if (How == Fate::Fine && !Calm && chance(0.1))
+        What = StartResult::RefusedBusy;
+      else if (How != Fate::Lost && !To->Dead)
         What = To->Model.start(Seen);
-      }
       if (How != Fate::Fine)
         return;
       after(Milliseconds(1 + upTo(5)),
@@ -332,7 +334,8 @@
       noteForgotten(*To, Fence, Forget);
       auto Report = To->Model.hold(Fence, Forget, Until);
       if (How == Fate::Fine)
-        after(Milliseconds(1 + upTo(20)), [=, this] { heardFrom(Of, Id, Report, AskedAt); });
+        after(Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20)),
+              [=, this] { heardFrom(Of, Id, Report, AskedAt); });
     });
     if (How != Fate::Fine)
       after(OrderTimeout, [this, Of, Id, To] {
@@ -446,7 +449,7 @@
       Current->Over = true;
     auto Next = std::make_shared<Process>();
     CellState &Cell = Next->Cell;
-    Cell.Limits.StopTime = 50ms;
+    Cell.Limits.StopTime = StopTime;
     Cell.Limits.SetAside = 1000ms;
     Cell.Limits.PlanTime = 1000ms;
     Cell.Fence = ++StoreTerm;
@@ -622,6 +625,7 @@
   }
 
   std::mt19937_64 Random;
+  const Milliseconds StopTime;
   Milliseconds Now{0};
   bool Calm = false;
   bool Pending = false;
--- /dev/null
+++ b/testsuite/platform_cell.py
@@ -0,0 +1,221 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A cell of `valveshelf serve` processes on loopback against the stand-in of the users' platform.
+
+Used by scripts/demo and by the sessions whose run.py says PLATFORM = True. Every process is a child
+of this one and is ended by its own id.
+"""
+import json
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+from cell import BIN, Process, call, free_ports
+
+HOST = "queue.example"
+PREFIXES = {"check": "/check/", "scan": "/scan/", "rebuild": "/rebuild/", "nowhere": "/nowhere/"}
+
+SETTINGS = """[member]
+name = "%(name)s"
+zone = "z1"
+[listen]
+callers = "127.0.0.1:%(callers)d"
+readiness = "127.0.0.1:%(readiness)d"
+peers = "127.0.0.1:%(peers)d"
+metrics = "127.0.0.1:%(metrics)d"
+[platform]
+store = "127.0.0.1:%(store)d"
+advice = "127.0.0.1:%(advice)d"
+[bounds]
+longest_worker_lease = "6s"
+stop_time = "50ms"
+stop_grace_seconds = 6
+"""
+
+
+def configuration(version=1):
+    advice = {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500}
+    routes = [
+        {"name": "q-check", "priority": 0, "max_attempts": 3, "extension": 1.5, "advice": advice},
+        {"name": "q-rebuild", "priority": 1, "max_attempts": 3, "extension": 2.2},
+        {"name": "q-scan", "priority": 2, "max_attempts": 2, "extension": 4.0},
+    ]
+    for route in routes:
+        route.update(host=HOST, path_prefix=PREFIXES[route["name"][2:]], service="pool",
+                     kind="non_idempotent", timeout_ms=3000, target_latency_ms=1000)
+    return {"version": version, "routes": routes,
+            "services": [{"name": "pool", "rejects_overload": False}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144}}
+
+
+def step(count=1, cpu=1000, mem_mb=500, work_ms=100, gang=False, after=None, saves=False):
+    return {"count": count, "cpu": cpu, "mem_mb": mem_mb, "estimated_ms": work_ms, "gang": gang,
+            "after": after or [], "checkpointing": saves, "work_ms": work_ms}
+
+
+def job_body(steps):
+    """The stand-in's workers read what the tasks do from the spec."""
+    spec = [{k: (int(v) if k == "gang" else v) for k, v in s.items()} for s in steps]
+    wire = []
+    for one in steps:
+        row = {k: v for k, v in one.items() if k not in ("after", "work_ms")}
+        if one["after"]:
+            row["after_revision"] = one["after"]
+        wire.append(row)
+    return json.dumps({"spec": json.dumps(spec), "steps": wire})
+
+
+class PlatformCell:
+    def __init__(self, folder, entries=3, workers=6):
+        self.folder, self.worker_count = folder, workers
+        ports = free_ports(2 + workers + entries * 4)
+        self.store = ports[0]
+        self.platform = Process("platform", "platform", [
+            os.path.join(BIN, "standins"), "users-platform", "--port", str(ports[0]),
+            "--workers", str(workers)], "127.0.0.1:%d" % ports[0],
+            os.path.join(folder, "platform.log"))
+        self.entries = {}
+        for i in range(entries):
+            mine = ports[2 + workers + i * 4:][:4]
+            name = "e%d" % (i + 1)
+            values = dict(zip(("callers", "readiness", "peers", "metrics"), mine), name=name,
+                          store=ports[0], advice=ports[1])
+            path = os.path.join(folder, name + ".toml")
+            with open(path, "w") as out:
+                out.write(SETTINGS % values)
+            entry = Process(name, "entry", [os.path.join(BIN, "valveshelf"), "serve", "--config", path],
+                            "127.0.0.1:%d" % mine[0], os.path.join(folder, name + ".log"))
+            entry.readiness = "127.0.0.1:%d" % mine[1]
+            entry.metrics = "127.0.0.1:%d" % mine[3]
+            self.entries[name] = entry
+        self.accepted, self.unclear, self.refused = {}, set(), set()
+        self.lock = threading.Lock()
+        self.random = random.Random(7)
+
+    def start(self):
+        self.platform.start()
+        self.wait("the platform serves", lambda: self.control({}) == 200, 10)
+        self.control({"configuration": configuration()})
+        for entry in self.entries.values():
+            entry.start()
+
+    def wait(self, what, holds, seconds):
+        limit = time.time() + seconds
+        while time.time() < limit:
+            if holds():
+                return
+            time.sleep(0.03)
+        raise RuntimeError("waited %d s in vain until %s" % (seconds, what))
+
+    def wait_ready(self, seconds=20):
+        for entry in self.entries.values():
+            if entry.alive():
+                self.wait(entry.name + " is ready",
+                          lambda: call(entry.readiness, "GET", "/")[0] == 200, seconds)
+
+    def control(self, what):
+        return call(self.platform.address, "POST", "/stand-in", json.dumps(what))[0]
+
+    def verdict(self):
+        return json.loads(call(self.platform.address, "GET", "/verdict")[2])
+
+    def alive(self):
+        return [e for e in self.entries.values() if e.alive()]
+
+    def ask(self, entry, method, queue, job="", body=None, timeout=4.0):
+        status, headers, answer = call(self.entries[entry].address, method, PREFIXES[queue] + job, body,
+                                       {"Host": HOST, "Content-Type": "application/json"}, timeout)
+        return status, headers, answer
+
+    def submit(self, entry, queue, steps, job=None):
+        """Hands a job in once and notes what the caller may rely on."""
+        with self.lock:
+            job = job or "%016x" % self.random.getrandbits(64)
+        status, _, _ = self.ask(entry, "POST", queue, job, job_body(steps))
+        with self.lock:
+            if status == 200:
+                self.accepted[job] = queue
+            elif status in (429, 503):
+                self.refused.add(job)
+            else:
+                self.unclear.add(job)
+        return status, job
+
+    def state(self, job, entry=None):
+        entry = entry or self.alive()[0].name
+        status, _, body = self.ask(entry, "GET", self.accepted.get(job, "check"), job)
+        return json.loads(body)["state"] if status == 200 else status
+
+    def scheduler(self):
+        """The entry that schedules now, or did last."""
+        return self.last_term()[1]
+
+    def term(self):
+        return self.last_term()[0]
+
+    def last_term(self):
+        """The newest term that began, by the entries' logs, and the entry whose it is."""
+        best = None
+        for entry in self.entries.values():
+            for line in open(entry.log, errors="replace") if os.path.exists(entry.log) else []:
+                if " term-begun " in line:
+                    term = int(line.split("term=")[1].split()[0])
+                    best = max(best or (0, ""), (term, entry.name))
+        return best or (0, None)
+
+    def flood(self, count, gap=0.01):
+        """A mix of jobs over the living entries; returns how many were accepted."""
+        before = len(self.accepted)
+        for i in range(count):
+            names = [e.name for e in self.alive()]
+            kind = i % 4
+            if kind == 0:
+                steps, queue = [step(2, 2000, 800, 150, gang=True)], "rebuild"
+            elif kind == 1:
+                steps, queue = [step(3, 800, 400, 120, saves=True), step(2, 500, 200, 60, after=[0])], "scan"
+            else:
+                steps, queue = [step(2, 700, 300, 60)], "check"
+            self.submit(names[i % len(names)], queue, steps)
+            time.sleep(gap)
+        return len(self.accepted) - before
+
+    def finish(self, seconds=40):
+        """Waits until each accepted job has ended; returns how many ended in each way."""
+        left, ended = dict(self.accepted), {}
+        limit = time.time() + seconds
+        while left and time.time() < limit:
+            for job in list(left):
+                state = self.state(job)
+                if state in ("completed", "failed", "cancelled"):
+                    ended[state] = ended.get(state, 0) + 1
+                    del left[job]
+            time.sleep(0.05)
+        for job in left:
+            ended["not ended"] = ended.get("not ended", 0) + 1
+            print("not ended: %s is %s" % (job, self.state(job)), file=sys.stderr)
+        return ended
+
+    def say_verdict(self, say):
+        found = self.verdict()
+        say("starts judged: %s, broken rules: %d" % ("some" if found["starts"] else "none",
+                                                     len(found["breaks"])))
+        for line in found["breaks"]:
+            print("broken:", line, file=sys.stderr)
+        return not found["breaks"]
+
+    def restart(self, name):
+        self.entries[name].start()
+
+    def stop(self, name, seconds=10):
+        entry = self.entries[name]
+        entry.signal(signal.SIGTERM)
+        entry.child.wait(timeout=seconds)
+        return entry.child.returncode
+
+    def end(self):
+        for process in list(self.entries.values()) + [self.platform]:
+            if process.alive():
+                process.signal(signal.SIGCONT)
+                process.kill()
--- a/testsuite/run_session.py
+++ b/testsuite/run_session.py
@@ -2,6 +2,8 @@
 """Runs testsuite/NAME/run.py over real processes and compares its transcript with the golden
 file reference.txt. With VALVESHELF_UPDATE=1 the golden file is written anew.
 
+A run.py that says PLATFORM = True gets a cell on the stand-in of the users' platform.
+
 A run.py has one function, run(cell, say): it drives the cell and says what a reader should see.
 What it says must not hold times, ports or ids of processes.
 """
@@ -15,6 +17,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cell import Cell, KITAMI, OLANO, TOP
+from platform_cell import PlatformCell
 
 
 def load(name):
@@ -30,16 +33,21 @@
     module = load(name)
     folder = tempfile.mkdtemp(prefix="valveshelf-session-%s-" % name)
     said = []
-    cell = Cell(folder, **getattr(module, "CELL", {}))
+    on_platform = getattr(module, "PLATFORM", False)
+    cell = (PlatformCell if on_platform else Cell)(folder, **getattr(module, "CELL", {}))
     failed = False
     try:
         cell.start()
         cell.wait_ready(30)
-        cell.apply_config("olano", OLANO)
-        cell.apply_config("kitami", KITAMI)
+        if not on_platform:
+            cell.apply_config("olano", OLANO)
+            cell.apply_config("kitami", KITAMI)
         module.run(cell, said.append)
-        clean = cell.audit() == 0
-        said.append("auditor: " + ("clean" if clean else "BROKEN"))
+        if on_platform:
+            clean = cell.say_verdict(said.append)
+        else:
+            clean = cell.audit() == 0
+            said.append("auditor: " + ("clean" if clean else "BROKEN"))
         # No golden file can bless a break.
         failed = not clean
     except Exception:
--- a/testsuite/standins/main.cpp
+++ b/testsuite/standins/main.cpp
@@ -19,7 +19,10 @@
     return standins::runWorker(Given);
   if (Part == "upstream")
     return standins::runUpstream(Given);
-  std::cerr << "Usage: standins store|boxes|worker|upstream [--OPTION VALUE]... | audit DIR\n"
+  if (Part == "users-platform")
+    return standins::runUsersPlatform(Given);
+  std::cerr << "Usage: standins store|boxes|worker|upstream|users-platform [--OPTION VALUE]... | "
+               "audit DIR\n"
                "See testsuite/standins/README.md.\n";
   return 2;
 }
--- a/testsuite/standins/standin.h
+++ b/testsuite/standins/standin.h
@@ -75,5 +75,6 @@
 int runBoxes(const Options &Given);
 int runWorker(const Options &Given);
 int runUpstream(const Options &Given);
+int runUsersPlatform(const Options &Given);
 
 } // namespace standins
--- /dev/null
+++ b/testsuite/standins/users_platform.cpp
@@ -0,0 +1,634 @@
+// SPDX-License-Identifier: Apache-2.0
+// Stand-in for the users' platform, written from its published pages: the key-value store with
+// transactions, leases and watches, workers, and the advice service. One process, one thread. It
+// judges every start by its own records; `GET /verdict` tells what it found.
+#include "standin.h"
+#include "standins/worker_model.h"
+
+#include "platform/json_fields.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <iostream>
+#include <set>
+
+namespace standins {
+namespace asio = boost::asio;
+using namespace valveshelf::sched;
+using valveshelf::standins::RunPlan;
+using valveshelf::standins::StartOrderSeen;
+using valveshelf::standins::WorkerModel;
+
+namespace {
+constexpr size_t MaxRows = 32;
+constexpr Milliseconds ModelStep{5};
+constexpr Milliseconds ListEvery{500};
+
+std::string base64Of(std::string_view Bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string Text(base64::encoded_size(Bytes.size()), '\0');
+  Text.resize(base64::encode(Text.data(), Bytes.data(), Bytes.size()));
+  return Text;
+}
+
+json::object parsed(const std::string &Body) {
+  json::error_code Failure;
+  json::value Root = json::parse(Body, Failure);
+  return Failure || !Root.is_object() ? json::object() : Root.as_object();
+}
+int64_t numberOf(const json::object &From, std::string_view Key, int64_t Default = 0) {
+  const json::value *Found = From.if_contains(Key);
+  return Found && Found->is_number() ? Found->to_number<int64_t>() : Default;
+}
+std::string textOf(const json::object &From, std::string_view Key) {
+  const json::value *Found = From.if_contains(Key);
+  return Found && Found->is_string() ? std::string(Found->as_string()) : std::string();
+}
+const json::array &rowsOf(const json::object &From, std::string_view Key) {
+  static const json::array Empty;
+  const json::value *Found = From.if_contains(Key);
+  return Found && Found->is_array() ? Found->as_array() : Empty;
+}
+
+// The key-value store.
+
+struct Item {
+  std::string Value; ///< As sent, in base64.
+  uint64_t Revision = 0;
+  uint64_t Made = 0;
+  uint64_t Lease = 0;
+};
+
+class KeyStore {
+public:
+  explicit KeyStore(asio::io_context &Io) : Changed(Io, TimePoint::max()) {}
+
+  bool Down = false;       ///< Every call is refused with 503.
+  int64_t LoseAnswers = 0; ///< So many transactions are done and not answered.
+  int64_t Calls = 0;
+
+  Awaitable<HttpResponse> handle(Call Made) {
+    ++Calls;
+    if (Down)
+      co_return answer(503, json::object());
+    if (Made.Path == "/api/kv-watch")
+      co_return co_await watch(Made);
+    if (Made.Path == "/api/kv-key")
+      co_return get(Made);
+    if (Made.Path == "/api/kv-range")
+      co_return range(Made);
+    if (Made.Path == "/api/kv-txn")
+      co_return commit(parsed(Made.Body));
+    if (Made.Path == "/api/kv-lease")
+      co_return grant(numberOf(parsed(Made.Body), "ttl_ms"));
+    if (Made.Path.starts_with("/api/kv-keep/"))
+      co_return keep(std::stoull(Made.Path.substr(13)));
+    if (Made.Path.starts_with("/api/kv-lease-end/")) {
+      endLease(std::stoull(Made.Path.substr(18)));
+      co_return answer(200, json::object());
+    }
+    co_return answer(404, json::object());
+  }
+
+  void put(const std::string &Key, std::string Value, uint64_t Lease) {
+    Item &Row = Items[Key];
+    Row.Value = std::move(Value);
+    Row.Revision = nextRevision();
+    if (Row.Made == 0)
+      Row.Made = Revision;
+    Row.Lease = Lease;
+    History.emplace_back(Key, describe(Key, Row));
+    Changed.cancel();
+  }
+  void remove(const std::string &Key) {
+    if (Items.erase(Key) == 0)
+      return;
+    History.emplace_back(
+        Key, json::object{{"private_key", Key}, {"revision", nextRevision()}, {"gone", true}});
+    Changed.cancel();
+  }
+  const Item *find(const std::string &Key) const {
+    const auto Found = Items.find(Key);
+    return Found == Items.end() ? nullptr : &Found->second;
+  }
+  void expire() {
+    const TimePoint Now = Steady::now();
+    std::vector<uint64_t> Over;
+    for (const auto &[Id, L] : Leases)
+      if (L.second < Now)
+        Over.push_back(Id);
+    for (const uint64_t Id : Over)
+      endLease(Id);
+  }
+
+private:
+  // All rows of a transaction share its revision.
+  uint64_t nextRevision() { return InTransaction ? Revision : ++Revision; }
+  static json::object describe(const std::string &Key, const Item &Row) {
+    return {{"private_key", Key},
+            {"value", Row.Value},
+            {"revision", Row.Revision},
+            {"made", Row.Made},
+            {"lease", Row.Lease}};
+  }
+  HttpResponse get(const Call &Made) {
+    const std::string Key = queryParameter(Made.Target, "private_key").value_or("");
+    const Item *Row = find(Key);
+    if (!Row)
+      return answer(404, json::object());
+    json::object Body = describe(Key, *Row);
+    Body["at"] = Revision;
+    return answer(200, Body);
+  }
+  HttpResponse range(const Call &Made) {
+    const std::string Prefix = queryParameter(Made.Target, "path_prefix").value_or("");
+    json::array Rows;
+    for (const auto &[Key, Row] : Items)
+      if (Key.starts_with(Prefix))
+        Rows.push_back(describe(Key, Row));
+    return answer(200, json::object{{"items", Rows}, {"more", false}, {"at", Revision}});
+  }
+  Awaitable<HttpResponse> watch(const Call &Made) {
+    const std::string Prefix = queryParameter(Made.Target, "path_prefix").value_or("");
+    const uint64_t After = std::stoull(queryParameter(Made.Target, "after_revision").value_or("0"));
+    const Milliseconds Wait(std::stoll(queryParameter(Made.Target, "wait_ms").value_or("0")));
+    const TimePoint Until = Steady::now() + Wait;
+    while (true) {
+      json::array Events;
+      for (const auto &[Key, Event] : History)
+        if (Event.at("revision").to_number<uint64_t>() > After && Key.starts_with(Prefix))
+          Events.push_back(Event);
+      if (!Events.empty() || Steady::now() >= Until || Down)
+        co_return answer(200, json::object{{"events", Events}, {"at", Revision}});
+      asio::steady_timer Look(co_await asio::this_coro::executor, Milliseconds(3));
+      co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+  }
+  HttpResponse commit(const json::object &Body) {
+    const json::array &Conditions = rowsOf(Body, "expected_revision");
+    const json::array &Puts = rowsOf(Body, "put");
+    const json::array &Removes = rowsOf(Body, "remove");
+    if (Conditions.size() + Puts.size() + Removes.size() > MaxRows)
+      return answer(400, json::object{{"error", "too many rows"}});
+    json::array Standing;
+    bool Holds = true;
+    for (const json::value &Row : Conditions) {
+      const std::string Key = textOf(Row.as_object(), "private_key");
+      const Item *There = find(Key);
+      const uint64_t Now = There ? There->Revision : 0;
+      Holds = Holds && static_cast<int64_t>(Now) == numberOf(Row.as_object(), "revision");
+      if (There)
+        Standing.push_back(describe(Key, *There));
+    }
+    if (!Holds)
+      return answer(412, json::object{{"items", Standing}});
+    for (const json::value &Row : Puts) {
+      const auto Lease = static_cast<uint64_t>(numberOf(Row.as_object(), "lease"));
+      if (Lease != 0 && !Leases.count(Lease))
+        return answer(404, json::object());
+    }
+    ++Revision;
+    InTransaction = true;
+    for (const json::value &Row : Puts)
+      put(textOf(Row.as_object(), "private_key"), textOf(Row.as_object(), "value"),
+          static_cast<uint64_t>(numberOf(Row.as_object(), "lease")));
+    for (const json::value &Key : Removes)
+      remove(std::string(Key.as_string()));
+    InTransaction = false;
+    if (LoseAnswers > 0) {
+      --LoseAnswers;
+      return {0, {}, ""}; // no answer
+    }
+    return answer(200, json::object{{"revision", Revision}});
+  }
+  HttpResponse grant(int64_t Life) {
+    const uint64_t Id = ++LastLease;
+    Leases[Id] = {Milliseconds(Life), Steady::now() + Milliseconds(Life)};
+    return answer(200, json::object{{"lease", Id}, {"ttl_ms", Life}});
+  }
+  HttpResponse keep(uint64_t Id) {
+    const auto Found = Leases.find(Id);
+    if (Found == Leases.end())
+      return answer(404, json::object());
+    Found->second.second = Steady::now() + Found->second.first;
+    return answer(200, json::object{{"ttl_ms", Found->second.first.count()}});
+  }
+  void endLease(uint64_t Id) {
+    Leases.erase(Id);
+    std::vector<std::string> Gone;
+    for (const auto &[Key, Row] : Items)
+      if (Row.Lease == Id)
+        Gone.push_back(Key);
+    for (const std::string &Key : Gone)
+      remove(Key);
+  }
+
+  std::map<std::string, Item> Items;
+  std::vector<std::pair<std::string, json::object>> History;
+  std::map<uint64_t, std::pair<Milliseconds, TimePoint>> Leases;
+  uint64_t Revision = 0;
+  uint64_t LastLease = 0;
+  bool InTransaction = false;
+  asio::steady_timer Changed;
+};
+
+// Workers and the advice service.
+
+struct Seat {
+  WorkerModel Model;
+  std::string Address;
+  std::string Rack;
+  Resources Capacity;
+  bool Dead = false; ///< It answers nothing.
+  bool Mute = false; ///< It carries orders out and answers nothing.
+  bool Draining = false;
+  std::map<RunKey, Resources> Needs;
+};
+
+class Pool {
+public:
+  Pool(asio::io_context &Io, KeyStore &Store, const std::string &Host, int FirstPort, int Count)
+      : Io(Io), Store(Store), Begun(Steady::now()) {
+    for (int I = 0; I < Count; ++I) {
+      auto Made = std::make_shared<Seat>();
+      Made->Address = Host + ":" + std::to_string(FirstPort + I);
+      Made->Rack = "r" + std::to_string(I / 3);
+      Made->Capacity = {16000, 32768, 0};
+      beginLife(*Made);
+      Seats.push_back(Made);
+    }
+  }
+
+  std::vector<std::shared_ptr<Seat>> Seats;
+  std::vector<std::string> Breaks;
+  int64_t Starts = 0;
+  int64_t Advised = 0;
+
+  // A life of the worker: empty, with a new id.
+  void beginLife(Seat &Of) {
+    if (!Of.Model.Id.empty())
+      Store.remove("servers/" + Of.Model.Id);
+    Of.Model = WorkerModel();
+    Of.Model.Id = "i-" + std::to_string(++LastLife);
+    Of.Model.Now = Milliseconds(1000 * LastLife);
+    Of.Model.LongestLease = Milliseconds(6000);
+    Seat *Raw = &Of;
+    Of.Model.PlanOf = [this](const RunKey &Run) { return planOf(Run); };
+    Of.Model.OnStart = [this, Raw](const RunKey &Run) { judge(*Raw, Run); };
+    Of.Model.OnEnd = [this](const RunKey &Run, RunEnd How) { ended(Run, How); };
+    Of.Needs.clear();
+    Of.Dead = Of.Mute = false;
+    list(Of);
+  }
+
+  void list(const Seat &Of) {
+    const json::object Entry{{"service", "pool"},
+                             {"address", Of.Address},
+                             {"zone", "z1"},
+                             {"version", "v1"},
+                             {"state", Of.Draining ? "draining" : "ready"},
+                             {"machine", "m-" + Of.Address},
+                             {"capacity", json::object{{"cpu", Of.Capacity.MilliCores},
+                                                       {"mem_mb", Of.Capacity.MemoryMb},
+                                                       {"gpu", 0}}},
+                             {"labels", json::array{"a", Of.Rack}}};
+    Store.put("servers/" + Of.Model.Id, base64Of(json::serialize(Entry)), 0);
+  }
+
+  Awaitable<void> run() {
+    TimePoint Last = Steady::now();
+    while (true) {
+      asio::steady_timer Timer(Io, ModelStep);
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      const TimePoint Now = Steady::now();
+      const auto Passed = std::chrono::duration_cast<Milliseconds>(Now - Last);
+      Last += Passed;
+      for (const auto &One : Seats)
+        if (!One->Dead)
+          One->Model.advance(One->Model.Now + Passed);
+      Store.expire();
+    }
+  }
+
+  Awaitable<HttpResponse> handle(std::shared_ptr<Seat> To, Call Made) {
+    if (To->Dead)
+      co_return HttpResponse{0, {}, ""};
+    if (findHeader(Made.Headers, "Valveshelf-Expect-Instance") != To->Model.Id)
+      co_return answer(421, json::object());
+    const json::object Body = parsed(Made.Body);
+    HttpResponse Answer = answer(404, json::object());
+    if (Made.Path == "/api/run-start")
+      Answer = start(*To, Body);
+    else if (Made.Path == "/api/run-stop")
+      Answer = stop(*To, Body);
+    else if (Made.Path == "/api/hold")
+      Answer = co_await hold(To, Body);
+    if (To->Mute || To->Dead)
+      co_return HttpResponse{0, {}, ""};
+    co_return Answer;
+  }
+
+  Awaitable<HttpResponse> advise(Call Made) {
+    const json::object Body = parsed(Made.Body);
+    json::array Good;
+    for (const json::value &Worker : rowsOf(Body, "workers"))
+      if (std::hash<std::string>()(textOf(Body, "phase") + std::string(Worker.as_string())) % 10 <
+          7)
+        Good.push_back(json::array{Worker, "t-" + std::to_string(++Advised)});
+    asio::steady_timer Thinks(Io, Milliseconds(5));
+    co_await Thinks.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return answer(200, json::object{{"good", Good}, {"valid_ms", 1500}});
+  }
+
+private:
+  struct Known {
+    Resources Need;
+    uint32_t Count = 1;
+    bool Gang = false;
+    Milliseconds Work{100};
+    std::vector<uint32_t> After;
+  };
+
+  // The spec of a job here is its steps, as `count cpu mem_mb gang work_ms after` rows of JSON.
+  const Known *knownStep(const StepKey &Key) const {
+    const auto Found = Jobs.find(Key.Job);
+    return Found == Jobs.end() || Key.Step >= Found->second.size() ? nullptr
+                                                                   : &Found->second[Key.Step];
+  }
+  void learn(JobId Id, const std::string &Spec) {
+    if (Jobs.count(Id))
+      return;
+    json::error_code Failure;
+    const json::value Root = json::parse(Spec, Failure);
+    if (Failure || !Root.is_array())
+      return;
+    for (const json::value &Row : Root.as_array()) {
+      const json::object &Step = Row.as_object();
+      Known Read;
+      Read.Need = {numberOf(Step, "cpu"), numberOf(Step, "mem_mb"), 0};
+      Read.Count = static_cast<uint32_t>(numberOf(Step, "count", 1));
+      Read.Gang = numberOf(Step, "gang") != 0;
+      Read.Work = Milliseconds(numberOf(Step, "work_ms", 100));
+      for (const json::value &Earlier : rowsOf(Step, "after"))
+        Read.After.push_back(Earlier.to_number<uint32_t>());
+      Jobs[Id].push_back(Read);
+    }
+  }
+  RunPlan planOf(const RunKey &Run) const {
+    const Known *Step = knownStep(Run.Task.Step);
+    RunPlan Plan;
+    if (!Step)
+      return Plan;
+    Plan.Work = Step->Work;
+    Plan.GangSize = Step->Gang ? Step->Count : 0;
+    return Plan;
+  }
+
+  void broken(const std::string &Rule, const RunKey &Run) {
+    Breaks.push_back(Rule + ": " + toString(Run.Task) + " run " + std::to_string(Run.Run));
+    std::cerr << "broken: " << Breaks.back() << "\n";
+  }
+
+  void judge(Seat &On, const RunKey &Run) {
+    ++Starts;
+    const Known *Step = knownStep(Run.Task.Step);
+    if (!Step)
+      return broken("unknown job", Run);
+    Resources Sum;
+    for (const auto &[Key, What] : On.Model.Runs)
+      if (const Known *Other = knownStep(Key.Task.Step))
+        Sum += Other->Need;
+    if (!fits(Sum, On.Capacity))
+      broken("worker over-full", Run);
+    for (const auto &Other : Seats)
+      for (const auto &[Key, What] : Other->Model.Runs)
+        if (Other.get() != &On && !Other->Dead && Key.Task == Run.Task)
+          broken("task in two places", Run);
+    if (NotedDone.count(Run.Task))
+      broken("started after its end was let go", Run);
+    for (const uint32_t Earlier : Step->After)
+      for (uint32_t I = 0; I < Jobs[Run.Task.Step.Job][Earlier].Count; ++I)
+        if (!Done.count({{Run.Task.Step.Job, Run.Task.Step.Round, Earlier}, I}))
+          broken("step before its predecessor", Run);
+    if (Step->Gang)
+      wakeGang(Run, Step->Count);
+  }
+
+  void wakeGang(const RunKey &Run, uint32_t Size) {
+    std::vector<WorkerModel::Run *> Members;
+    for (const auto &Other : Seats)
+      for (auto &[Key, What] : Other->Model.Runs)
+        if (!Other->Dead && Key.Task.Step == Run.Task.Step && Key.Run == Run.Run) {
+          What.WorksSince = Other->Model.Now;
+          Members.push_back(&What);
+        }
+    for (WorkerModel::Run *Member : Members)
+      Member->Works = Members.size() >= Size;
+  }
+
+  void ended(const RunKey &Run, RunEnd How) {
+    const Known *Step = knownStep(Run.Task.Step);
+    if (!Step)
+      return;
+    if (How == RunEnd::Done)
+      for (uint32_t I = 0; I < Step->Count; ++I)
+        if (Step->Gang || I == Run.Task.Index)
+          Done.insert({Run.Task.Step, I});
+    if (!Step->Gang)
+      return;
+    asio::post(Io, [this, Run, How] {
+      for (const auto &Other : Seats) {
+        std::vector<RunKey> Mates;
+        for (const auto &[Key, What] : Other->Model.Runs)
+          if (Key.Task.Step == Run.Task.Step && Key.Run == Run.Run)
+            Mates.push_back(Key);
+        for (const RunKey &Mate : Mates)
+          Other->Model.end(Mate, How == RunEnd::Done ? RunEnd::Done : RunEnd::Broken);
+      }
+    });
+  }
+
+  static std::optional<RunKey> runOf(const json::object &Body) {
+    const auto Task = parseTaskKey(textOf(Body, "task"));
+    if (!Task)
+      return std::nullopt;
+    return RunKey{*Task, static_cast<uint32_t>(numberOf(Body, "run_id"))};
+  }
+
+  HttpResponse start(Seat &To, const json::object &Body) {
+    const auto Run = runOf(Body);
+    if (!Run)
+      return answer(400, json::object{{"clock_ms", To.Model.Now.count()}});
+    learn(Run->Task.Step.Job, textOf(Body, "spec"));
+    const StartResult What =
+        To.Model.start({*Run, static_cast<uint64_t>(numberOf(Body, "fencing_token")),
+                        Milliseconds(numberOf(Body, "until_ms")), textOf(Body, "checkpoint")});
+    const json::object Clock{{"clock_ms", To.Model.Now.count()}};
+    if (What == StartResult::Started)
+      return answer(200, Clock);
+    json::object Refusal = Clock;
+    Refusal["reason"] = What == StartResult::RefusedFence  ? "fence"
+                        : What == StartResult::RefusedLate ? "late"
+                                                           : "old";
+    return answer(409, Refusal);
+  }
+
+  HttpResponse stop(Seat &To, const json::object &Body) {
+    const auto Run = runOf(Body);
+    json::object Answer{{"clock_ms", To.Model.Now.count()}};
+    if (!Run)
+      return answer(400, Answer);
+    if (To.Model.stop(*Run, static_cast<uint64_t>(numberOf(Body, "fencing_token"))))
+      return answer(200, Answer);
+    Answer["reason"] = "fence";
+    return answer(409, Answer);
+  }
+
+  Awaitable<HttpResponse> hold(std::shared_ptr<Seat> To, json::object Body) {
+    const auto Fence = static_cast<uint64_t>(numberOf(Body, "fencing_token"));
+    const auto Forget = static_cast<uint64_t>(numberOf(Body, "last_seen"));
+    std::optional<Milliseconds> Until;
+    if (Body.contains("until_ms"))
+      Until = Milliseconds(numberOf(Body, "until_ms"));
+    const TimePoint Limit = Steady::now() + Milliseconds(numberOf(Body, "wait_ms"));
+    const std::string Life = To->Model.Id;
+    noteForgotten(*To, Fence, Forget);
+    auto Report = To->Model.hold(Fence, Forget, Until);
+    while (Report && Report->Ended.empty() && Steady::now() < Limit && To->Model.Id == Life) {
+      asio::steady_timer Look(Io, Milliseconds(4));
+      co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
+      Report = To->Model.hold(Fence, Forget, std::nullopt);
+    }
+    if (!Report)
+      co_return answer(409, json::object{{"clock_ms", To->Model.Now.count()}, {"reason", "fence"}});
+    json::array Active;
+    for (const ActiveRun &Row : Report->Active)
+      Active.push_back(
+          json::array{toString(Row.Run.Task), Row.Run.Run, Row.Checkpoint, Row.Percent, 0});
+    static constexpr const char *Ways[] = {"done",   "failed", "stopped",
+                                           "lapsed", "broken", "alone"};
+    json::array Ended;
+    for (const EndedRun &End : Report->Ended)
+      Ended.push_back(json::array{End.Number, toString(End.Run.Task), End.Run.Run,
+                                  Ways[static_cast<int>(End.How)], End.Checkpoint});
+    co_return answer(200, json::object{{"clock_ms", Report->WorkerClock.count()},
+                                       {"active", Active},
+                                       {"ended_at", Ended}});
+  }
+
+  void noteForgotten(const Seat &On, uint64_t Fence, uint64_t Through) {
+    if (Fence < On.Model.Fence)
+      return;
+    for (const EndedRun &End : On.Model.Ended) {
+      const Known *Step = knownStep(End.Run.Task.Step);
+      if (End.Number > Through || End.How != RunEnd::Done || !Step)
+        continue;
+      for (uint32_t I = 0; I < Step->Count; ++I)
+        if (Step->Gang || I == End.Run.Task.Index)
+          NotedDone.insert({End.Run.Task.Step, I});
+    }
+  }
+
+  asio::io_context &Io;
+  KeyStore &Store;
+  const TimePoint Begun;
+  int LastLife = 0;
+  std::map<JobId, std::vector<Known>> Jobs;
+  std::set<valveshelf::sched::TaskKey> Done;
+  std::set<valveshelf::sched::TaskKey> NotedDone;
+};
+
+// The page by which a session makes trouble.
+HttpResponse control(KeyStore &Store, Pool &Workers, const Call &Made) {
+  const json::object Body = parsed(Made.Body);
+  if (const json::value *Value = Body.if_contains("store_down"))
+    Store.Down = Value->as_bool();
+  if (Body.contains("lose_answers"))
+    Store.LoseAnswers = numberOf(Body, "lose_answers");
+  if (Body.contains("configuration"))
+    Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
+  if (Body.contains("worker")) {
+    Seat &Which = *Workers.Seats.at(static_cast<size_t>(numberOf(Body, "worker")));
+    const std::string What = textOf(Body, "becomes");
+    Which.Dead = What == "dead";
+    Which.Mute = What == "mute";
+    if (What == "dead")
+      Store.remove("servers/" + Which.Model.Id);
+    if (What == "reborn")
+      Workers.beginLife(Which);
+    if (What == "draining") {
+      Which.Draining = true;
+      Workers.list(Which);
+    }
+  }
+  return answer(200, json::object());
+}
+
+HttpResponse verdict(const KeyStore &Store, const Pool &Workers) {
+  json::array Breaks;
+  for (const std::string &Break : Workers.Breaks)
+    Breaks.emplace_back(Break);
+  int64_t Running = 0;
+  for (const auto &One : Workers.Seats)
+    Running += One->Dead ? 0 : static_cast<int64_t>(One->Model.Runs.size());
+  return answer(200, json::object{{"starts", Workers.Starts},
+                                  {"running", Running},
+                                  {"store_calls", Store.Calls},
+                                  {"breaks", Breaks}});
+}
+
+// Serves \p Handle; an answer with status 0 is never sent.
+HttpHandler handlerFor(Handler Handle) {
+  return [Handle](HttpExchange &Exchange) -> Awaitable<void> {
+    Call Made{Exchange.method(), Exchange.target(), std::string(pathOf(Exchange.target())), "",
+              Exchange.headers()};
+    if (Exchange.hasBody()) {
+      Result<std::string> Body = co_await readWhole(Exchange, size_t{8} << 20);
+      if (!ok(Body))
+        co_return;
+      Made.Body = std::move(value(Body));
+    }
+    HttpResponse Answer = co_await Handle(std::move(Made));
+    if (Answer.Status != 0)
+      co_await sendWhole(Exchange, std::move(Answer));
+  };
+}
+} // namespace
+
+int runUsersPlatform(const Options &Given) {
+  asio::io_context Io(1);
+  const std::string Host = "127.0.0.1";
+  const int Port = static_cast<int>(Given.number("port", 7000));
+  const int Count = static_cast<int>(Given.number("workers", 6));
+  KeyStore Store(Io);
+  Pool Workers(Io, Store, Host, Port + 2, Count);
+  std::vector<std::unique_ptr<HttpServer>> Servers;
+  const auto Serve = [&](int At, Handler Handle) {
+    const Endpoint Where{Host, static_cast<uint16_t>(At)};
+    Servers.push_back(std::make_unique<HttpServer>(Io.get_executor(), Where, HttpServerLimits{},
+                                                   handlerFor(std::move(Handle))));
+    const Result<Done> Started = Servers.back()->start();
+    if (!ok(Started))
+      std::cerr << error(Started).Detail << "\n";
+    return ok(Started);
+  };
+  bool Good = Serve(Port, [&](Call Made) -> Awaitable<HttpResponse> {
+    if (Made.Path == "/stand-in")
+      co_return control(Store, Workers, Made);
+    if (Made.Path == "/verdict")
+      co_return verdict(Store, Workers);
+    co_return co_await Store.handle(std::move(Made));
+  });
+  Good = Good && Serve(Port + 1, [&](Call Made) { return Workers.advise(std::move(Made)); });
+  for (int I = 0; I < Count && Good; ++I)
+    Good = Serve(Port + 2 + I, [&Workers, To = Workers.Seats[static_cast<size_t>(I)]](Call Made) {
+      return Workers.handle(To, std::move(Made));
+    });
+  if (!Good)
+    return 1;
+  asio::co_spawn(Io, Workers.run(), asio::detached);
+  Io.run();
+  return 0;
+}
+
+} // namespace standins
