--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -88,7 +88,7 @@
   if (!ok(Granted))
     co_return error(Granted);
   Transaction Put;
-  const Member Self{Settings.Member, Settings.Peers, Settings.Zone};
+  const Member Self{Settings.Member, Settings.Peers, Settings.Zone, Settings.Power};
   Put.Puts.push_back({memberKey(Settings.Member), encodeMember(Self), 0, value(Granted)});
   Result<TransactionResult> Written = co_await Store.Commit(std::move(Put));
   if (!ok(Written))
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace valveshelf {
 using namespace sched;
 
@@ -48,10 +50,13 @@
   return Now.Known && (Now.LeaderRevision == 0 || Own);
 }
 
-// Members take their turns by name.
+// The strongest members come first, equal ones by name.
 Milliseconds Leadership::turn() const {
   const auto &Members = View.picture().Members;
-  const auto Before = std::distance(Members.begin(), Members.lower_bound(Tools.Settings.Member));
+  const auto Mine = std::pair(-Tools.Settings.Power, Tools.Settings.Member);
+  const auto Before = std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
+    return std::pair(-Entry.second.Power, Entry.first) < Mine;
+  });
   return TurnGap * Before;
 }
 
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds PlaceDelay{2};
 // A worker is asked again so soon while its ends wait to be saved.
 constexpr Milliseconds UnsavedPause{400};
+// Between two watches of what callers handed in. An announcement that is lost costs this time.
+constexpr Milliseconds IntakeGather{250};
 // Run numbers of one term; no task starts so often in one.
 constexpr uint32_t RunsPerTerm = 1000;
 
@@ -227,6 +229,9 @@
           Me->takeIntake(Change.Item, true);
       From = std::max(From, value(Read).Revision);
       Me->placeSoon();
+      // Jobs are announced as well; news is gathered so that a busy hour costs few calls.
+      if (!value(Read).Changes.empty())
+        co_await sleepFor(IntakeGather);
       continue;
     }
     // What a cut watch may have missed is read; the history may be gone as well.
--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -70,6 +70,7 @@
   });
   Root.table("process", false, [&](TomlReader &T) {
     Read.Threads = static_cast<unsigned>(T.integer("threads", Read.Threads, 1, 64));
+    Read.Power = T.number("power", Read.Power, 0.001, 1024);
   });
   Root.finish();
 }
--- a/src/include/valveshelf/cell_records.h
+++ b/src/include/valveshelf/cell_records.h
@@ -54,6 +54,7 @@
   std::string Name;
   Endpoint Peers;
   std::string Zone;
+  double Power = 0; ///< Cores it may use; the strongest schedules.
   friend bool operator==(const Member &, const Member &) = default;
 };
 std::string encodeMember(const Member &Value);
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -31,6 +31,7 @@
   bool HasAdvice = false;
   std::string LogLevel;
   unsigned Threads = 1;
+  double Power = 1; ///< Cores that the process may use.
   CellTiming Timing;
   IntakeLimits Limits;
   sched::SchedulerLimits Scheduler;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -212,6 +212,7 @@
   Record.set_name(Value.Name);
   Record.set_peers(toString(Value.Peers));
   Record.set_zone(Value.Zone);
+  Record.set_power(Value.Power);
   return Record.SerializeAsString();
 }
 
@@ -222,7 +223,7 @@
   Result<Endpoint> Peers = readEndpoint(Record.peers());
   if (!ok(Peers))
     return error(Peers);
-  return Member{Record.name(), value(Peers), Record.zone()};
+  return Member{Record.name(), value(Peers), Record.zone(), Record.power()};
 }
 
 std::string encodeLeader(const Leader &Value) {
