A claim never overwrites one made meanwhile; only a probe tries a store that turns the box away

Ruled out: the store's conditions. Cause 2: every 400 ms one call of a box that the store turns away was tried straight and hung until its time out, a caller's submission among them. Change: the revision is the one that the decision was made on; a probe of the process's own tries the store while calls go through peers.

--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -36,7 +36,7 @@
       : Where(Where), Settings(std::move(Given)), Time(Time), From(std::move(From)),
         Peers(grpcCell(Where)),
         Path(
-            Time, this->From.StoreCalls,
+            Where, Time, this->From.StoreProbe, this->From.StoreCalls,
             [this](Endpoint Peer, HttpRequest Request, Milliseconds Timeout) {
               return relay(std::move(Peer), std::move(Request), Timeout);
             },
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -69,7 +69,7 @@
     co_await sleepFor(turn());
     if (!mayClaim() || Stopped)
       continue;
-    Result<Claim> Mine = co_await claim();
+    Result<Claim> Mine = co_await claim(View.picture().LeaderRevision);
     if (ok(Mine) && !Stopped)
       co_await serve(value(Mine));
     else
@@ -77,7 +77,9 @@
   }
 }
 
-Awaitable<Result<Claim>> Leadership::claim() {
+// \p Standing is the revision of the leader's key when the claim was decided on; one that another
+// process has written since is left alone.
+Awaitable<Result<Claim>> Leadership::claim(uint64_t Standing) {
   Result<KeyValue> Term = co_await Tools.Store.Get(std::string(TermKey));
   if (!ok(Term))
     co_return error(Term);
@@ -90,7 +92,7 @@
   Mine.Term = (Last.empty() ? 0 : std::stoull(Last)) + 1;
   const Leader Self{Tools.Settings.Member, Tools.Settings.Peers, Mine.Term};
   Transaction Put;
-  Put.Conditions.push_back({std::string(LeaderKey), View.picture().LeaderRevision});
+  Put.Conditions.push_back({std::string(LeaderKey), Standing});
   Put.Conditions.push_back({std::string(TermKey), value(Term).Revision});
   Put.Puts.push_back({std::string(LeaderKey), encodeLeader(Self), 0, Mine.Lease});
   Put.Puts.push_back({std::string(TermKey), std::to_string(Mine.Term), 0, 0});
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -27,7 +27,7 @@
   Awaitable<void> loop();
   bool mayClaim() const;
   Milliseconds turn() const;
-  Awaitable<Result<Claim>> claim();
+  Awaitable<Result<Claim>> claim(uint64_t Standing);
   Awaitable<void> serve(Claim Mine);
   std::set<std::string> memberNames() const;
 
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -19,19 +19,23 @@
 constexpr Milliseconds PatientTimeout{1000};
 // The store is silent if a call has been out so long and nothing was answered since.
 constexpr Milliseconds Silence{450};
-// After so many failures in a row calls go through peers; straight again is tried at this interval.
+// After so many failures in a row calls go through peers. Meanwhile a read of the process's own
+// tries the store straight at this interval, so that no caller's work hangs on the attempt.
 constexpr int FailuresForRelay = 2;
-constexpr Milliseconds DirectEvery{400};
+constexpr Milliseconds ProbeEvery{300};
+constexpr Milliseconds ProbeTimeout{400};
+// Peers tried for one call; if the store is down for all, more would only cost time.
+constexpr size_t MostPeersTried = 3;
 // A peer passes calls on only if the store has answered it within this time.
 constexpr Milliseconds FreshEnough{2500};
 constexpr int HttpTooMany = 429;
 constexpr int HttpUnavailable = 503;
 } // namespace
 
-StorePath::StorePath(Clock Time, Direct Straight, Relay Through,
+StorePath::StorePath(Executor Where, Clock Time, HttpRequest Probe, Direct Straight, Relay Through,
                      std::function<std::vector<Endpoint>()> Peers)
-    : Time(std::move(Time)), Straight(std::move(Straight)), Through(std::move(Through)),
-      Peers(std::move(Peers)) {}
+    : Where(Where), Time(std::move(Time)), ProbeRequest(std::move(Probe)),
+      Straight(std::move(Straight)), Through(std::move(Through)), Peers(std::move(Peers)) {}
 
 Milliseconds StorePath::timeoutFor(const StoreCall &Call) const {
   if (Call.Wait.count() > 0 || Call.IsLarge)
@@ -63,7 +67,7 @@
   const std::vector<Endpoint> Known = Peers();
   Result<HttpResponse> Answer =
       Error{ErrorKind::UpstreamUnavailable, "no peer reaches the store either"};
-  for (size_t Tried = 0; Tried < Known.size(); ++Tried) {
+  for (size_t Tried = 0; Tried < std::min(Known.size(), MostPeersTried); ++Tried) {
     const Endpoint &Peer = Known[NextPeer % Known.size()];
     Answer = co_await Through(Peer, Call.Request, Timeout);
     if (ok(Answer)) {
@@ -77,16 +81,12 @@
   co_return Answer;
 }
 
-Awaitable<Result<HttpResponse>> StorePath::call(StoreCall Call) {
-  const Milliseconds Timeout = timeoutFor(Call);
+bool StorePath::usesPeers() const { return FailuresInARow >= FailuresForRelay; }
+
+// Calls straight and notes what that says of the store.
+Awaitable<Result<HttpResponse>> StorePath::callStraight(const StoreCall &Call,
+                                                        Milliseconds Timeout) {
   const TimePoint Begun = Time.Now();
-  const bool UsePeers = FailuresInARow >= FailuresForRelay && Begun < DirectAgain;
-  if (UsePeers) {
-    Result<HttpResponse> Relayed = co_await callThroughPeer(Call, Timeout);
-    co_return Relayed;
-  }
-  if (FailuresInARow >= FailuresForRelay)
-    DirectAgain = Begun + DirectEvery;
   const bool IsPlain = Call.Wait.count() == 0;
   const auto Mark = IsPlain ? Out.emplace(Begun, 0) : Out.end();
   Result<HttpResponse> Answer = co_await Straight(Call.Request, Timeout);
@@ -96,21 +96,45 @@
   if (IsPlain && !Call.IsLarge)
     note(ok(Answer), std::chrono::duration_cast<Milliseconds>(Now - Begun), Timeout);
   if (!isTurnedAway(Answer)) {
-    if (FailuresInARow >= FailuresForRelay)
+    if (usesPeers())
       logEvent(events::StoreUp, {{"failures", std::to_string(FailuresInARow)}});
     FailuresInARow = 0;
     LastDirectAnswer = LastAnswer = Now;
     co_return Answer;
   }
-  if (++FailuresInARow == FailuresForRelay) {
+  if (++FailuresInARow == FailuresForRelay)
     logEvent(events::StoreDown,
              {{"why", ok(Answer) ? "status " + std::to_string(value(Answer).Status)
                                  : "\"" + error(Answer).Detail + "\""}});
-    DirectAgain = Now + DirectEvery;
+  co_return Answer;
+}
+
+Awaitable<void> StorePath::probe() {
+  Probing = true;
+  while (usesPeers()) {
+    co_await sleepFor(ProbeEvery);
+    StoreCall Call;
+    Call.Request = ProbeRequest;
+    Call.IsLarge = true; // says nothing of the typical time
+    co_await callStraight(Call, ProbeTimeout);
   }
+  Probing = false;
+}
+
+Awaitable<Result<HttpResponse>> StorePath::call(StoreCall Call) {
+  const Milliseconds Timeout = timeoutFor(Call);
+  if (usesPeers()) {
+    Result<HttpResponse> Relayed = co_await callThroughPeer(Call, Timeout);
+    co_return Relayed;
+  }
+  Result<HttpResponse> Answer = co_await callStraight(Call, Timeout);
+  if (!usesPeers())
+    co_return Answer;
+  if (!Probing)
+    spawnLater(Where, probe());
   // What was refused surely was not done; a peer may be served.
   const bool Refused = ok(Answer) || error(Answer).Kind == ErrorKind::UpstreamUnavailable;
-  if (!Refused || FailuresInARow < FailuresForRelay)
+  if (!Refused)
     co_return Answer;
   Result<HttpResponse> Relayed = co_await callThroughPeer(Call, Timeout);
   if (!ok(Relayed) && error(Relayed).Kind == ErrorKind::UpstreamUnavailable)
@@ -119,7 +143,7 @@
 }
 
 Awaitable<Result<HttpResponse>> StorePath::callForPeer(HttpRequest Request, Milliseconds Timeout) {
-  if (Time.Now() - LastDirectAnswer > FreshEnough || FailuresInARow >= FailuresForRelay)
+  if (Time.Now() - LastDirectAnswer > FreshEnough || usesPeers())
     co_return Error{ErrorKind::UpstreamUnavailable, "the store does not answer here either"};
   Result<HttpResponse> Answer = co_await Straight(std::move(Request), Timeout);
   if (ok(Answer) && isTurnedAway(Answer))
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -35,8 +35,9 @@
   using Relay = std::function<Awaitable<Result<HttpResponse>>(Endpoint Peer, HttpRequest Request,
                                                               Milliseconds Timeout)>;
 
-  /// \p Peers lists the processes that could pass a call on. Both transports outlive the path.
-  StorePath(Clock Time, Direct Straight, Relay Through,
+  /// \p Peers lists the processes that could pass a call on. \p Probe is a harmless read that
+  /// tells whether the store serves this box. Both transports outlive the path.
+  StorePath(Executor Where, Clock Time, HttpRequest Probe, Direct Straight, Relay Through,
             std::function<std::vector<Endpoint>()> Peers);
 
   Awaitable<Result<HttpResponse>> call(StoreCall Call);
@@ -53,8 +54,13 @@
   void note(bool Answered, Milliseconds Took, Milliseconds Limit);
   bool isTurnedAway(const Result<HttpResponse> &Answer) const;
   Awaitable<Result<HttpResponse>> callThroughPeer(const StoreCall &Call, Milliseconds Timeout);
+  Awaitable<Result<HttpResponse>> callStraight(const StoreCall &Call, Milliseconds Timeout);
+  bool usesPeers() const;
+  Awaitable<void> probe();
 
+  const Executor Where;
   const Clock Time;
+  const HttpRequest ProbeRequest;
   const Direct Straight;
   const Relay Through;
   const std::function<std::vector<Endpoint>()> Peers;
@@ -62,7 +68,7 @@
   int FailuresInARow = 0; ///< Of straight calls.
   TimePoint LastDirectAnswer{};
   TimePoint LastAnswer{};
-  TimePoint DirectAgain{};           ///< While peers are used: when to try straight again.
+  bool Probing = false;              ///< While peers are used: the store is tried straight.
   std::multimap<TimePoint, int> Out; ///< Plain calls that wait for an answer, by their start.
   size_t NextPeer = 0;
 };
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -5,6 +5,7 @@
 #include "platform/codec.h"
 #include "platform/links.h"
 #include "valveshelf/cell_process.h"
+#include "valveshelf/cell_records.h"
 #include "valveshelf/events.h"
 
 #include <boost/asio.hpp>
@@ -24,6 +25,7 @@
     Options.Timeout = Timeout;
     return Client.send(Address, std::move(Request), Options);
   };
+  From.StoreProbe = platform::readRequest(std::string(sched::TermKey));
   From.OpenStore = platform::openStore;
   From.Workers = platform::openWorkers(Client, Settings.Timing.WorkerTimeout);
   From.Advice = platform::openAdvice(Client, Settings.Advice);
