Structured logs on standard output, metrics, and jobs explained

Change: each decision that touches a job is a line (taken, advice, placed, failed, stopped, ended) with its id, inputs and ages; 40 lines a second of one kind, what is left out is counted; the writer never waits for a reader. 14 metrics at the metrics address, docs/METRICS.md checked by a test. GET /v1/jobs/ID/explain there, on any process, tells per step what it waits for and which condition leaves out how many workers.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -7,7 +7,17 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/log4cplus.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <utility>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 namespace valveshelf {
 namespace events {
@@ -100,11 +110,22 @@
 const EventKind JobKept{2201, "info", "job-kept", "The job is durable; its caller was told so."};
 const EventKind CallRefused{2202, "info", "call-refused",
                             "A caller's request was refused; the kind and the reason follow."};
+const EventKind JobTaken{
+    2203, "info", "job-taken",
+    "The scheduler knows the job: how it heard of it, its steps and objective."};
 const EventKind RunStopped{2301, "info", "run-stopped",
                            "A run was ordered to stop; the reason follows."};
 const EventKind StartNotConfirmed{
     2302, "info", "start-not-confirmed",
     "A worker refused a start or did not answer; the result is numbered as in workload.h."};
+const EventKind StepPlaced{
+    2303, "info", "step-placed",
+    "Start orders for tasks of a step: how many, where, since when the step could run."};
+const EventKind AdviceGiven{2304, "info", "advice-given",
+                            "Advice for a step: through which box, how many workers it named good, "
+                            "after how long."};
+const EventKind TaskFailed{2305, "info", "task-failed",
+                           "A run failed; how often the task may still be tried."};
 const EventKind WorkerSilent{2401, "warn", "worker-silent",
                              "The worker does not answer; nothing new is placed there."};
 const EventKind WorkerReplaced{2402, "info", "worker-replaced",
@@ -113,23 +134,18 @@
 
 std::span<const EventKind *const> allEvents() {
   using namespace events;
-  static const std::array All{&Started,         &Stopping,         &Stopped,
-                              &SettingsRefused, &InternalFault,    &LeaseGranted,
-                              &LeaseLost,       &AuthorityLost,    &AuthorityByPromise,
-                              &Fenced,          &ShardClaimed,     &ShardReleased,
-                              &ClaimLost,       &JournalSealed,    &StepDownConfirmed,
-                              &StoreDown,       &StoreUp,          &JobAccepted,
-                              &JobRefused,      &JobEnded,         &JobCancelled,
-                              &TaskStarted,     &TaskEnded,        &TaskUnknown,
-                              &TaskRequeued,    &TaskUncertain,    &WorkerLost,
-                              &WorkerBack,      &WorkerSuspected,  &WorkerCleared,
-                              &TaskContained,   &ConfigInForce,    &ConfigRefused,
-                              &ConfigFromPeer,  &UpstreamFailed,   &RequestRefused,
-                              &RequestRetried,  &SettingsRead,     &BecameReady,
-                              &BecameUnready,   &RecordUnreadable, &ClaimMade,
-                              &TermBegun,       &TermEnded,        &JobKept,
-                              &CallRefused,     &RunStopped,       &StartNotConfirmed,
-                              &WorkerSilent,    &WorkerReplaced};
+  static const std::array All{
+      &Started,          &Stopping,       &Stopped,       &SettingsRefused,    &InternalFault,
+      &LeaseGranted,     &LeaseLost,      &AuthorityLost, &AuthorityByPromise, &Fenced,
+      &ShardClaimed,     &ShardReleased,  &ClaimLost,     &JournalSealed,      &StepDownConfirmed,
+      &StoreDown,        &StoreUp,        &JobAccepted,   &JobRefused,         &JobEnded,
+      &JobCancelled,     &TaskStarted,    &TaskEnded,     &TaskUnknown,        &TaskRequeued,
+      &TaskUncertain,    &WorkerLost,     &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
+      &TaskContained,    &ConfigInForce,  &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
+      &RequestRefused,   &RequestRetried, &SettingsRead,  &BecameReady,        &BecameUnready,
+      &RecordUnreadable, &ClaimMade,      &TermBegun,     &TermEnded,          &JobKept,
+      &CallRefused,      &JobTaken,       &RunStopped,    &StartNotConfirmed,  &StepPlaced,
+      &AdviceGiven,      &TaskFailed,     &WorkerSilent,  &WorkerReplaced};
   return All;
 }
 
@@ -150,9 +166,81 @@
 }
 } // namespace
 
-void openLog(const std::string &Level, const std::string &Member) {
+namespace {
+std::atomic<uint64_t> LeftOut{0};
+
+// Writes lines without ever waiting for the reader; a line that does not go out whole is lost.
+class UnblockedAppender final : public log4cplus::Appender {
+public:
+  UnblockedAppender() {
+    ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  }
+  ~UnblockedAppender() override { destructorImpl(); }
+  void close() override { closed = true; }
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent &Event) override {
+    std::ostringstream Line;
+    layout->formatAndAppend(Line, Event);
+    const std::string Text = Line.str();
+    if (::write(STDOUT_FILENO, Text.data(), Text.size()) < 0)
+      ++LeftOut;
+  }
+};
+
+// Lets so many lines of one kind through a second; the next line after a gap tells how many are
+// missing.
+class LineLimit {
+public:
+  void setRate(int Lines) { PerSecond = Lines; }
+
+  // Returns false if the line is left out; else \p Missing is how many were since the last one.
+  bool take(int Number, uint64_t &Missing) {
+    if (PerSecond == 0)
+      return true;
+    std::lock_guard Lock(Mutex);
+    Bucket &Of = Buckets[Number];
+    const auto Now = std::chrono::steady_clock::now();
+    const double Passed = std::chrono::duration<double>(Now - Of.Last).count();
+    Of.Tokens = std::min(2.0 * PerSecond, Of.Tokens + Passed * PerSecond);
+    Of.Last = Now;
+    if (Of.Tokens < 1) {
+      ++Of.Missing;
+      ++LeftOut;
+      return false;
+    }
+    Of.Tokens -= 1;
+    Missing = std::exchange(Of.Missing, 0);
+    return true;
+  }
+
+private:
+  struct Bucket {
+    double Tokens = 0;
+    std::chrono::steady_clock::time_point Last{};
+    uint64_t Missing = 0;
+  };
+  int PerSecond = 0;
+  std::mutex Mutex;
+  std::map<int, Bucket> Buckets; ///< By number of the event. Guarded by Mutex.
+};
+
+LineLimit &lineLimit() {
+  static LineLimit Limit;
+  return Limit;
+}
+} // namespace
+
+uint64_t logLinesLeftOut() { return LeftOut; }
+
+void openLog(const std::string &Level, const std::string &Member, LogLimits Limits) {
   static log4cplus::Initializer Initializer;
-  log4cplus::SharedAppenderPtr Appender(new log4cplus::ConsoleAppender(true, true));
+  lineLimit().setRate(Limits.LinesPerSecond);
+  log4cplus::SharedAppenderPtr Appender;
+  if (Limits.ToStandardOutput)
+    Appender = new UnblockedAppender();
+  else
+    Appender = new log4cplus::ConsoleAppender(true, true);
   Appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %p " +
                                                                  Member + " %m%n"));
   logger().addAppender(Appender);
@@ -161,11 +249,14 @@
 
 void logEvent(const EventKind &Kind, std::initializer_list<EventField> Fields) {
   const log4cplus::LogLevel Level = levelOf(Kind.Level);
-  if (!logger().isEnabledFor(Level))
+  uint64_t Missing = 0;
+  if (!logger().isEnabledFor(Level) || !lineLimit().take(Kind.Number, Missing))
     return;
   std::string Line = "VS-" + std::to_string(Kind.Number) + " " + std::string(Kind.Name);
   for (const EventField &Field : Fields)
-    Line += " " + std::string(Field.first) + "=" + Field.second;
+    Line.append(" ").append(Field.first).append("=").append(Field.second);
+  if (Missing > 0)
+    Line.append(" left_out=").append(std::to_string(Missing));
   logger().log(Level, Line);
 }
 
--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -29,7 +29,7 @@
 
 void AdviceLanes::add(Effects::Ask Question) {
   const Entry Place{Question.Priority, ++NextNumber};
-  Queue.emplace(Place, Waiting{std::move(Question), 0});
+  Queue.emplace(Place, Waiting{std::move(Question), Time.Now(), 0});
   dispatch();
 }
 
@@ -77,10 +77,10 @@
   if (!ok(Answer))
     Used.NotBefore = Time.Now() + LanePause;
   if (!ok(Answer) && ++What.Tries < MaxTries && Lanes.size() > 1) {
-    const Entry Place{What.Question.Priority, 0}; // before newer ones of its priority
-    Queue.emplace(Entry{Place.Priority, ++NextNumber}, std::move(What));
+    const Entry Place{What.Question.Priority, ++NextNumber};
+    Queue.emplace(Place, std::move(What));
   } else {
-    OnAnswer(What.Question, Answer);
+    OnAnswer(What.Question, Answer, Name, Time.Now() - What.Since);
   }
   dispatch();
 }
--- a/src/cell/advice_lanes.h
+++ b/src/cell/advice_lanes.h
@@ -21,7 +21,9 @@
   using AskThrough = std::function<Awaitable<Result<Advice>>(std::string Lane, sched::StepKey Step,
                                                              std::vector<std::string> Workers,
                                                              Milliseconds Timeout)>;
-  using Answered = std::function<void(const sched::Effects::Ask &, const Result<Advice> &)>;
+  /// \p Took: since the question was added.
+  using Answered = std::function<void(const sched::Effects::Ask &, const Result<Advice> &,
+                                      const std::string &Lane, Steady::duration Took)>;
 
   AdviceLanes(Executor Where, Clock Time, AskThrough Ask, Answered OnAnswer);
   /// The members that may be asked through.
@@ -41,6 +43,7 @@
   };
   struct Waiting {
     sched::Effects::Ask Question;
+    TimePoint Since{};
     int Tries = 0;
   };
 
--- /dev/null
+++ b/src/cell/cell_metrics.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+// The metrics, in prometheus-cpp.
+#include "valveshelf/cell_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <sstream>
+
+namespace valveshelf {
+namespace metrics {
+const MetricKind Calls{"calls_total", "counter",
+                       "Callers' requests answered, by `case`: the method and the status."};
+const MetricKind CallSeconds{"call_seconds", "histogram", "From a caller's request to its answer."};
+const MetricKind StoreSeconds{"store_seconds", "histogram",
+                              "Calls to the platform's store that hold no answer back."};
+const MetricKind Terms{"terms_total", "counter", "Terms as the scheduler that began here."};
+const MetricKind Jobs{"jobs", "gauge", "Live jobs, while this process schedules; else 0."};
+const MetricKind Waiting{"steps_waiting", "gauge",
+                         "Steps with a task to place, while this process schedules; else 0."};
+const MetricKind Starts{"starts_total", "counter",
+                        "Start orders answered, by `case`: the result as numbered in workload.h."};
+const MetricKind StartSeconds{"start_seconds", "histogram", "From a start order to its answer."};
+const MetricKind Ends{"ends_total", "counter", "Jobs ended and saved, by `case`: the phase."};
+const MetricKind FirstStartSeconds{
+    "first_start_seconds", "histogram",
+    "From the time at which a step could run to the first start of one of its tasks."};
+const MetricKind AdviceSeconds{
+    "advice_seconds", "histogram",
+    "From the wish for advice to its answer, waiting for a lane included."};
+const MetricKind Workers{"workers", "gauge",
+                         "Workers known, while this process schedules; else 0."};
+const MetricKind LogLinesLeftOut{"log_lines_left_out", "gauge",
+                                 "Log lines left out by the limit a kind of event, or because "
+                                 "standard output was not read."};
+const MetricKind Ready{"ready", "gauge", "1 while the process calls itself ready."};
+} // namespace metrics
+
+std::span<const MetricKind *const> metricTable() {
+  using namespace metrics;
+  static const std::array All{
+      &Calls,         &CallSeconds, &StoreSeconds,    &Terms, &Jobs,
+      &Waiting,       &Starts,      &StartSeconds,    &Ends,  &FirstStartSeconds,
+      &AdviceSeconds, &Workers,     &LogLinesLeftOut, &Ready};
+  return All;
+}
+
+namespace {
+const std::string Prefix = "valveshelf_";
+// Seconds; from a local answer to a caller's whole patience.
+const prometheus::Histogram::BucketBoundaries Bounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                                     0.2,   0.5,   1,     2,    5,    10};
+} // namespace
+
+struct CellMetrics::Impl {
+  prometheus::Registry Registry;
+  std::map<std::string_view, prometheus::Family<prometheus::Counter> *> Counters;
+  std::map<std::string_view, prometheus::Gauge *> Gauges;
+  std::map<std::string_view, prometheus::Histogram *> Histograms;
+};
+
+CellMetrics::CellMetrics() : Inner(std::make_unique<Impl>()) {
+  for (const MetricKind *Kind : metricTable()) {
+    const std::string Name = Prefix + std::string(Kind->Name);
+    const std::string Help(Kind->Meaning);
+    if (Kind->Type == "counter")
+      Inner->Counters[Kind->Name] =
+          &prometheus::BuildCounter().Name(Name).Help(Help).Register(Inner->Registry);
+    else if (Kind->Type == "gauge")
+      Inner->Gauges[Kind->Name] =
+          &prometheus::BuildGauge().Name(Name).Help(Help).Register(Inner->Registry).Add({});
+    else
+      Inner->Histograms[Kind->Name] = &prometheus::BuildHistogram()
+                                           .Name(Name)
+                                           .Help(Help)
+                                           .Register(Inner->Registry)
+                                           .Add({}, Bounds);
+  }
+}
+CellMetrics::~CellMetrics() = default;
+
+void CellMetrics::count(const MetricKind &Kind, const std::string &Label) {
+  prometheus::Labels Labels;
+  if (!Label.empty())
+    Labels["case"] = Label;
+  Inner->Counters.at(Kind.Name)->Add(Labels).Increment();
+}
+
+void CellMetrics::observe(const MetricKind &Kind, Steady::duration Time) {
+  Inner->Histograms.at(Kind.Name)->Observe(std::chrono::duration<double>(Time).count());
+}
+
+void CellMetrics::set(const MetricKind &Kind, double Value) {
+  Inner->Gauges.at(Kind.Name)->Set(Value);
+}
+
+std::string CellMetrics::text() const {
+  return prometheus::TextSerializer().Serialize(Inner->Registry.Collect());
+}
+
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/cell_metrics_test.cpp
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+// docs/METRICS.md is the table of metrics, line by line. VALVESHELF_UPDATE=1 writes it anew.
+#include "valveshelf/cell_metrics.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
+namespace valveshelf {
+namespace {
+
+std::string catalogue() {
+  std::string Text = "# Metrics\n\nEach process serves these at its metrics address, in the text "
+                     "form of Prometheus. This page is checked\nagainst the code by a test.\n\n"
+                     "| name | type | meaning |\n| --- | --- | --- |\n";
+  for (const MetricKind *Kind : metricTable())
+    Text += "| valveshelf_" + std::string(Kind->Name) + " | " + std::string(Kind->Type) + " | " +
+            std::string(Kind->Meaning) + " |\n";
+  return Text;
+}
+
+TEST(CellMetrics, CatalogueMatchesTheTable) {
+  const std::string Path = VALVESHELF_SOURCE_DIR "/docs/METRICS.md";
+  if (std::getenv("VALVESHELF_UPDATE"))
+    std::ofstream(Path) << catalogue();
+  std::ifstream File(Path);
+  const std::string Written(std::istreambuf_iterator<char>(File), {});
+  EXPECT_EQ(Written, catalogue());
+}
+
+TEST(CellMetrics, EachIsServed) {
+  CellMetrics Figures;
+  Figures.count(metrics::Calls, "GET 200");
+  Figures.count(metrics::Calls, "GET 200");
+  Figures.observe(metrics::CallSeconds, Milliseconds(30));
+  Figures.set(metrics::Jobs, 7);
+  const std::string Text = Figures.text();
+  EXPECT_NE(Text.find("valveshelf_calls_total{case=\"GET 200\"} 2"), std::string::npos) << Text;
+  EXPECT_NE(Text.find("valveshelf_call_seconds_bucket{le=\"0.05\"} 1"), std::string::npos) << Text;
+  EXPECT_NE(Text.find("valveshelf_jobs 7"), std::string::npos) << Text;
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -8,6 +8,7 @@
 #include "cell/intake.h"
 #include "cell/leadership.h"
 #include "valveshelf/cell_link.h"
+#include "valveshelf/cell_metrics.h"
 #include "valveshelf/events.h"
 
 #include <boost/asio.hpp>
@@ -27,6 +28,8 @@
 constexpr Milliseconds AnnounceTimeout{500};
 // Two more hops of the cell's own.
 constexpr Milliseconds RelaySlack{100};
+// For asking the scheduler to explain a job.
+constexpr Milliseconds ExplainTimeout{2000};
 constexpr int HttpOk = 200;
 } // namespace
 
@@ -40,7 +43,8 @@
             [this](Endpoint Peer, HttpRequest Request, Milliseconds Timeout) {
               return relay(std::move(Peer), std::move(Request), Timeout);
             },
-            [this] { return otherPeers(); }),
+            [this] { return otherPeers(); },
+            [this](Steady::duration Took) { Metrics.observe(metrics::StoreSeconds, Took); }),
         Store(this->From.OpenStore([this](StoreCall Call) { return Path.call(std::move(Call)); })),
         View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
         Config(Where, Store, Settings, this->From.ConfigurationKey, this->From.DecodeConfiguration),
@@ -53,10 +57,13 @@
                 [this](HttpExchange &E) { return serveCaller(E); }),
         Readiness(Where, Settings.Readiness, serverLimits(),
                   [this](HttpExchange &E) { return serveReadiness(E); }),
+        Operators(Where, Settings.Metrics, serverLimits(),
+                  [this](HttpExchange &E) { return serveOperator(E); }),
         PeersIn(Where, Settings.Peers, handlers()) {}
 
   Result<Done> start() {
-    for (const Result<Done> &Started : {PeersIn.start(), Readiness.start(), Callers.start()})
+    for (const Result<Done> &Started :
+         {PeersIn.start(), Operators.start(), Readiness.start(), Callers.start()})
       if (!ok(Started))
         return Started;
     Config.start();
@@ -101,7 +108,8 @@
               return askThrough(std::move(Lane), Step, std::move(Workers), Timeout);
             },
             From.WorkerPrefix,
-            From.DecodeWorker};
+            From.DecodeWorker,
+            Metrics};
   }
 
   CallerCodec callerCodec() const {
@@ -175,6 +183,14 @@
     Answers.Waiting = [this](cell::WaitingRequest Asked) -> Awaitable<cell::WaitingReply> {
       co_return Door.waiting(Asked);
     };
+    Answers.Explain = [this](cell::ExplainRequest Asked) -> Awaitable<cell::ExplainReply> {
+      cell::ExplainReply Reply;
+      if (const auto Here = Lead.scheduler())
+        Reply.set_text(Here->explain(Asked.id()));
+      else
+        Reply.set_error(static_cast<int>(ErrorKind::NotOwner));
+      co_return Reply;
+    };
     Answers.Announce = [this](cell::AnnounceRequest Asked) -> Awaitable<cell::AnnounceReply> {
       co_return announced(Asked);
     };
@@ -277,13 +293,51 @@
     }
     std::string Host(findHeader(Exchange.headers(), "Host"));
     // On the strand of this process, where all state lives.
+    const TimePoint Came = Time.Now();
     HttpResponse Answer = co_await boost::asio::co_spawn(
         Where,
         Door.answer(Exchange.method(), Exchange.target(), std::move(Host), std::move(value(Body))),
         boost::asio::use_awaitable);
+    Metrics.observe(metrics::CallSeconds, Time.Now() - Came);
+    Metrics.count(metrics::Calls, Exchange.method() + " " + std::to_string(Answer.Status));
+    co_await sendWhole(Exchange, std::move(Answer));
+  }
+
+  // The operators' page of this process: its figures, and jobs explained.
+  Awaitable<void> serveOperator(HttpExchange &Exchange) {
+    const std::string Path(pathOf(Exchange.target()));
+    HttpResponse Answer = errorResponse({ErrorKind::NotFound, "there is no page " + Path});
+    if (Path == "/metrics") {
+      Metrics.set(metrics::LogLinesLeftOut, static_cast<double>(logLinesLeftOut()));
+      Answer = {HttpOk, {{"Content-Type", "text/plain; version=0.0.4"}}, Metrics.text()};
+    } else if (Path.starts_with(JobsPath) && Path.ends_with(ExplainPath)) {
+      const size_t Length = Path.size() - JobsPath.size() - ExplainPath.size();
+      const auto Id = parseJobId(std::string_view(Path).substr(JobsPath.size(), Length));
+      if (Id)
+        Answer = co_await boost::asio::co_spawn(Where, explain(*Id), boost::asio::use_awaitable);
+    }
     co_await sendWhole(Exchange, std::move(Answer));
   }
 
+  Awaitable<HttpResponse> explain(JobId Id) {
+    std::string Text;
+    const auto &Leader = View.picture().Leader;
+    if (const auto Here = Lead.scheduler()) {
+      Text = Here->explain(Id);
+    } else if (Leader && Leader->Name != Settings.Member) {
+      cell::ExplainRequest Question;
+      Question.set_id(Id);
+      Result<cell::ExplainReply> Reply =
+          co_await Peers.Explain(Leader->Peers, Question, ExplainTimeout);
+      if (!ok(Reply))
+        co_return errorResponse(error(Reply));
+      Text = value(Reply).text();
+    }
+    if (Text.empty())
+      co_return errorResponse({ErrorKind::NotFound, "the scheduler knows no such live job"});
+    co_return jsonResponse(HttpOk, Text + "\n");
+  }
+
   Awaitable<void> serveReadiness(HttpExchange &Exchange) {
     const bool Ready =
         !Stopping && Config.current() && Time.Now() - Path.lastAnswer() < StoreSilence;
@@ -292,6 +346,7 @@
           Ready ? events::BecameReady : events::BecameUnready,
           {{"config", Config.current() ? "yes" : "no"}, {"stopping", Stopping ? "yes" : "no"}});
     WasReady = Ready;
+    Metrics.set(metrics::Ready, Ready ? 1 : 0);
     HttpResponse Answer = Ready ? jsonResponse(HttpOk, "{}")
                                 : errorResponse({ErrorKind::StoreUnavailable, "not ready"});
     co_await sendWhole(Exchange, std::move(Answer));
@@ -299,12 +354,15 @@
 
   // Callers keep connections open between requests; an idle one is closed after this.
   static constexpr Milliseconds IdleTime{60000};
+  static constexpr std::string_view JobsPath = "/v1/jobs/";
+  static constexpr std::string_view ExplainPath = "/explain";
 
   const Executor Where;
   const CellSettings Settings;
   const Clock Time;
   const CellPlatform From;
   const CellLink Peers;
+  CellMetrics Metrics;
   StorePath Path;
   const KeyValueStore Store;
   CellView View;
@@ -314,6 +372,7 @@
   FrontDoor Door;
   HttpServer Callers;
   HttpServer Readiness;
+  HttpServer Operators;
   CellServer PeersIn;
   bool Stopping = false;
   bool WasReady = false;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -36,7 +36,17 @@
                                  std::function<void()> OnEnd)
     : Tools(Tools), Mine(Mine), OnEnd(std::move(OnEnd)),
       Lanes(Tools.Where, Tools.Time, Tools.Ask,
-            [this](const Effects::Ask &Question, const Result<Advice> &Answer) {
+            [this](const Effects::Ask &Question, const Result<Advice> &Answer,
+                   const std::string &Lane, Steady::duration Took) {
+              this->Tools.Metrics.observe(metrics::AdviceSeconds, Took);
+              logEvent(
+                  events::AdviceGiven,
+                  {{"step", toString(Question.Step)},
+                   {"through", Lane},
+                   {"asked", std::to_string(Question.Workers.size())},
+                   {"good", ok(Answer) ? std::to_string(value(Answer).Good.size())
+                                       : "\"" + error(Answer).Detail + "\""},
+                   {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(Took).count())}});
               if (ok(Answer))
                 adviceAnswered(Cell, Question.Step, Question.Workers, value(Answer).Good,
                                value(Answer).Valid, this->Tools.Time.Now());
@@ -56,6 +66,8 @@
 
 void SchedulerRunner::stop() {
   Stopped = true;
+  for (const MetricKind *Kind : {&metrics::Jobs, &metrics::Waiting, &metrics::Workers})
+    Tools.Metrics.set(*Kind, 0);
   Lanes.stop();
   SaveWake.cancel();
   PlaceTimer.cancel();
@@ -149,6 +161,7 @@
   holdAll();
   placeSoon();
   const auto Took = std::chrono::duration_cast<Milliseconds>(Tools.Time.Now() - Begun);
+  Tools.Metrics.count(metrics::Terms);
   logEvent(events::TermBegun, {{"term", std::to_string(Mine.Term)},
                                {"jobs", std::to_string(Cell.Jobs.size())},
                                {"workers", std::to_string(Cell.Workers.size())},
@@ -184,6 +197,12 @@
     return;
   }
   Read.Spec.Id = *Id;
+  if (!Cell.Jobs.count(*Id) && !Cell.Ended.count(*Id))
+    logEvent(events::JobTaken, {{"job", jobIdText(*Id)},
+                                {"steps", std::to_string(Read.Spec.Steps.size())},
+                                {"queue", Read.Spec.Queue},
+                                {"revision", std::to_string(Item.Revision)},
+                                {"new", Fresh ? "yes" : "no"}});
   addJob(Cell, std::make_shared<const JobSpec>(std::move(Read.Spec)), Item.Revision,
          Fresh && Item.Revision > Mine.LeaderRevision, Now);
 }
@@ -415,7 +434,10 @@
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
   workerLeased(Me->Cell, Order.Worker, Me->leaseEnd());
+  const TimePoint SentAt = Me->Tools.Time.Now();
   const StartResult What = co_await Me->Tools.Workers.Start(std::move(Start));
+  Me->Tools.Metrics.observe(metrics::StartSeconds, Me->Tools.Time.Now() - SentAt);
+  Me->Tools.Metrics.count(metrics::Starts, std::to_string(static_cast<int>(What)));
   if (Me->Stopped)
     co_return;
   if (What != StartResult::Started)
@@ -467,6 +489,7 @@
     return end("this process stood still");
   if (Out.Deposed)
     return end("a worker has heard a newer scheduler");
+  report(Out);
   const Self Me = shared_from_this();
   for (Effects::Start &Order : Out.Starts)
     spawnLater(Tools.Where, sendStart(Me, std::move(Order)));
@@ -481,6 +504,29 @@
   Out = {};
 }
 
+// The decisions that touch jobs, for the log and the figures.
+void SchedulerRunner::report(const Effects &Out) {
+  const TimePoint Now = Tools.Time.Now();
+  const auto Millis = [](Steady::duration Time) {
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(Time).count());
+  };
+  for (const Effects::Placed &What : Out.Placements) {
+    if (What.First)
+      Tools.Metrics.observe(metrics::FirstStartSeconds, Now - What.RunnableSince);
+    logEvent(events::StepPlaced, {{"step", toString(What.Step)},
+                                  {"tasks", std::to_string(What.Tasks)},
+                                  {"workers", std::to_string(What.Workers)},
+                                  {"waited_ms", Millis(Now - What.RunnableSince)},
+                                  {"objective_in_ms", Millis(What.Objective - Now)}});
+  }
+  for (const Effects::Failure &What : Out.Failures)
+    logEvent(events::TaskFailed, {{"task", toString(What.Run.Task)},
+                                  {"run", std::to_string(What.Run.Run)},
+                                  {"worker", What.Worker},
+                                  {"failures", std::to_string(What.Failures)},
+                                  {"allowed", std::to_string(What.MaxAttempts)}});
+}
+
 void SchedulerRunner::placeSoon() {
   if (PlaceWaits || Stopped)
     return;
@@ -504,6 +550,9 @@
     if (Me->stoodStill())
       co_return Me->end("this process stood still");
     Me->LastTick = Me->Tools.Time.Now();
+    Me->Tools.Metrics.set(metrics::Jobs, static_cast<double>(Me->Cell.Jobs.size()));
+    Me->Tools.Metrics.set(metrics::Waiting, static_cast<double>(Me->Cell.Queue.size()));
+    Me->Tools.Metrics.set(metrics::Workers, static_cast<double>(Me->Cell.Workers.size()));
     Effects Out;
     tick(Me->Cell, Me->Tools.Time.Now(), Me->Tools.Time.Wall(), Out);
     place(Me->Cell, Me->Tools.Time.Now(), Out);
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cell/advice_lanes.h"
+#include "valveshelf/cell_metrics.h"
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_settings.h"
 #include "valveshelf/coroutines.h"
@@ -30,6 +31,7 @@
   std::string WorkerPrefix; ///< Keys of the platform's list of workers.
   std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view Bytes)>
       DecodeWorker;
+  CellMetrics &Metrics;
 };
 
 /// The claim that a term rests on.
@@ -56,7 +58,7 @@
   bool loaded() const { return Cell.Loaded; }
   std::string_view state(sched::JobId Id) const { return shownState(Cell, Id); }
   uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
-  const sched::CellState &cell() const { return Cell; }
+  std::string explain(sched::JobId Id) const { return explainJob(Cell, Id, Tools.Time.Now()); }
 
 private:
   using Self = std::shared_ptr<SchedulerRunner>;
@@ -105,6 +107,7 @@
   // Decisions.
   static Awaitable<void> tickLoop(Self Me);
   void apply(sched::Effects &Out);
+  void report(const sched::Effects &Out);
   void placeSoon();
   void end(const char *Why);
   /// True if this process did not run for longer than its claim holds: somebody else may schedule.
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -57,6 +57,8 @@
     const auto Found = Cell.Jobs.find(Entry.Id);
     if (Found == Cell.Jobs.end())
       continue;
+    if (Entry.Ends)
+      Tools.Metrics.count(metrics::Ends, std::to_string(static_cast<int>(Found->second.Phase)));
     if (Entry.Ends)
       logEvent(events::JobEnded,
                {{"job", jobIdText(Entry.Id)},
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -33,9 +33,11 @@
 } // namespace
 
 StorePath::StorePath(Executor Where, Clock Time, HttpRequest Probe, Direct Straight, Relay Through,
-                     std::function<std::vector<Endpoint>()> Peers)
+                     std::function<std::vector<Endpoint>()> Peers,
+                     std::function<void(Steady::duration)> Observe)
     : Where(Where), Time(std::move(Time)), ProbeRequest(std::move(Probe)),
-      Straight(std::move(Straight)), Through(std::move(Through)), Peers(std::move(Peers)) {}
+      Straight(std::move(Straight)), Through(std::move(Through)), Peers(std::move(Peers)),
+      Observe(std::move(Observe)) {}
 
 Milliseconds StorePath::timeoutFor(const StoreCall &Call) const {
   if (Call.Wait.count() > 0 || Call.IsLarge)
@@ -90,9 +92,11 @@
   const bool IsPlain = Call.Wait.count() == 0;
   const auto Mark = IsPlain ? Out.emplace(Begun, 0) : Out.end();
   Result<HttpResponse> Answer = co_await Straight(Call.Request, Timeout);
-  if (IsPlain)
-    Out.erase(Mark);
   const TimePoint Now = Time.Now();
+  if (IsPlain) {
+    Out.erase(Mark);
+    Observe(Now - Begun);
+  }
   if (IsPlain && !Call.IsLarge)
     note(ok(Answer), std::chrono::duration_cast<Milliseconds>(Now - Begun), Timeout);
   if (!isTurnedAway(Answer)) {
--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -67,6 +67,8 @@
   Root.table("bounds", false, [&](TomlReader &T) { readBounds(T, Read); });
   Root.table("log", false, [&](TomlReader &T) {
     Read.LogLevel = T.oneOf("level", "info", {"debug", "info", "warn", "error"});
+    Read.LogLinesPerSecond =
+        static_cast<int>(T.integer("lines_per_second", Read.LogLinesPerSecond, 0, 100000));
   });
   Root.table("process", false, [&](TomlReader &T) {
     Read.Threads = static_cast<unsigned>(T.integer("threads", Read.Threads, 1, 64));
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -18,6 +18,7 @@
   std::function<Awaitable<cell::AdviseReply>(cell::AdviseRequest)> Advise;
   std::function<Awaitable<cell::JobStateReply>(cell::JobStateRequest)> JobState;
   std::function<Awaitable<cell::WaitingReply>(cell::WaitingRequest)> Waiting;
+  std::function<Awaitable<cell::ExplainReply>(cell::ExplainRequest)> Explain;
   std::function<Awaitable<cell::AnnounceReply>(cell::AnnounceRequest)> Announce;
   std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
 };
@@ -31,6 +32,7 @@
   Call<cell::AdviseRequest, cell::AdviseReply> Advise;
   Call<cell::JobStateRequest, cell::JobStateReply> JobState;
   Call<cell::WaitingRequest, cell::WaitingReply> Waiting;
+  Call<cell::ExplainRequest, cell::ExplainReply> Explain;
   Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
 };
--- /dev/null
+++ b/src/include/valveshelf/cell_metrics.h
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+// Counters and latency histograms of an entry process of a cell. docs/METRICS.md lists them and is
+// checked against `metricTable` by a test.
+#pragma once
+
+#include "valveshelf/clock.h"
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace valveshelf {
+
+/// A metric's name without the common prefix, its type and its meaning.
+struct MetricKind {
+  std::string_view Name;
+  std::string_view Type; ///< "counter", "gauge" or "histogram".
+  std::string_view Meaning;
+};
+
+namespace metrics {
+extern const MetricKind Calls, CallSeconds, StoreSeconds, Terms, Jobs, Waiting, Starts,
+    StartSeconds, Ends, FirstStartSeconds, AdviceSeconds, Workers, LogLinesLeftOut, Ready;
+} // namespace metrics
+
+/// All metrics, for the catalogue.
+std::span<const MetricKind *const> metricTable();
+
+/// Holds the figures. Safe from any thread.
+class CellMetrics {
+public:
+  CellMetrics();
+  ~CellMetrics();
+  CellMetrics(const CellMetrics &) = delete;
+  CellMetrics &operator=(const CellMetrics &) = delete;
+
+  /// Adds one to a counter. \p Label tells cases apart; empty: none.
+  void count(const MetricKind &Kind, const std::string &Label = "");
+  void observe(const MetricKind &Kind, Steady::duration Time);
+  void set(const MetricKind &Kind, double Value);
+  /// The text that is served.
+  std::string text() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Inner;
+};
+
+} // namespace valveshelf
--- a/src/include/valveshelf/cell_records.h
+++ b/src/include/valveshelf/cell_records.h
@@ -69,6 +69,10 @@
 std::string encodeLeader(const Leader &Value);
 Result<Leader> decodeLeader(const std::string &Bytes);
 
+/// What the scheduler knows of a job, as JSON for people: its steps, what they wait for and since
+/// when, what advice said, where its tasks are. Empty if there is no such live job.
+std::string explainJob(const CellState &Cell, JobId Id, TimePoint Now);
+
 std::string encodeWorkerRecord(const WorkerInfo &Info);
 Result<WorkerInfo> decodeWorkerRecord(const std::string &Id, const std::string &Bytes);
 
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -30,6 +30,7 @@
   Endpoint Store, Advice;
   bool HasAdvice = false;
   std::string LogLevel;
+  int LogLinesPerSecond = 40; ///< Of one kind of event; 0: no limit.
   unsigned Threads = 1;
   double Power = 1; ///< Cores that the process may use.
   CellTiming Timing;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -133,7 +133,8 @@
   AdviceState Advice;
   TimePoint RunnableSince{};
   TimePoint PlannedAt{};
-  std::string Waits; ///< Why nothing is placed just now, for people.
+  bool Ordered = false; ///< A start of it was ordered.
+  std::string Waits;    ///< Why nothing is placed just now, for people.
 };
 
 struct RoundState {
@@ -200,7 +201,25 @@
     std::vector<std::string> Workers;
     Milliseconds Expected{0};
   };
+  /// For the log: what one pass ordered for a step.
+  struct Placed {
+    StepKey Step;
+    uint32_t Tasks = 0;
+    uint32_t Workers = 0;
+    TimePoint RunnableSince{};
+    TimePoint Objective{};
+    bool First = false; ///< Nothing of the step was ordered before.
+  };
+  /// For the log: a run that failed.
+  struct Failure {
+    RunKey Run;
+    std::string Worker;
+    size_t Failures = 0;
+    int MaxAttempts = 0;
+  };
   std::vector<Start> Starts;
+  std::vector<Placed> Placements;
+  std::vector<Failure> Failures;
   std::vector<Stop> Stops;
   std::vector<Ask> Asks;
   std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -2,6 +2,7 @@
 // Numbered log events. docs/EVENTS.md is checked against this table by a test.
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -30,7 +31,8 @@
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
 extern const EventKind ClaimMade, TermBegun, TermEnded;
-extern const EventKind JobKept, CallRefused, RunStopped, StartNotConfirmed;
+extern const EventKind JobKept, CallRefused, JobTaken, StepPlaced, RunStopped, StartNotConfirmed;
+extern const EventKind AdviceGiven, TaskFailed;
 extern const EventKind WorkerSilent, WorkerReplaced;
 } // namespace events
 
@@ -40,9 +42,19 @@
 /// A named value of a log line.
 using EventField = std::pair<std::string_view, std::string>;
 
+/// How much of the log is kept back.
+struct LogLimits {
+  bool ToStandardOutput =
+      false;              ///< Else standard error. Never blocks: what nobody reads is dropped.
+  int LinesPerSecond = 0; ///< Of one kind of event, and twice as many at once; 0: no limit.
+};
+
+/// Lines left out so far, by the limit or because they were not read.
+uint64_t logLinesLeftOut();
+
 /// Sets up log4cplus to write to standard error. \p Level is "debug", "info", "warn" or
 /// "error"; \p Member is printed in each line. Call once, before any thread starts.
-void openLog(const std::string &Level, const std::string &Member);
+void openLog(const std::string &Level, const std::string &Member, LogLimits Limits = {});
 
 /// Writes one line `VS-<number> <name> key=value ...`. Safe from any thread.
 void logEvent(const EventKind &Kind, std::initializer_list<EventField> Fields = {});
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -38,7 +38,8 @@
   /// \p Peers lists the processes that could pass a call on. \p Probe is a harmless read that
   /// tells whether the store serves this box. Both transports outlive the path.
   StorePath(Executor Where, Clock Time, HttpRequest Probe, Direct Straight, Relay Through,
-            std::function<std::vector<Endpoint>()> Peers);
+            std::function<std::vector<Endpoint>()> Peers,
+            std::function<void(Steady::duration)> Observe);
 
   Awaitable<Result<HttpResponse>> call(StoreCall Call);
   /// A call for a peer: straight only, and only if the store answers this process.
@@ -64,8 +65,9 @@
   const Direct Straight;
   const Relay Through;
   const std::function<std::vector<Endpoint>()> Peers;
-  double TypicalMs = 20;  ///< Moving average of the time of an answer.
-  int FailuresInARow = 0; ///< Of straight calls.
+  const std::function<void(Steady::duration)> Observe; ///< Told how long each plain call took.
+  double TypicalMs = 20;                               ///< Moving average of the time of an answer.
+  int FailuresInARow = 0;                              ///< Of straight calls.
   TimePoint LastDirectAnswer{};
   TimePoint LastAnswer{};
   bool Probing = false;              ///< While peers are used: the store is tried straight.
--- /dev/null
+++ b/src/records/explain.cpp
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+// A job explained to people.
+#include "valveshelf/cell_records.h"
+
+#include <boost/json.hpp>
+
+namespace valveshelf::sched {
+namespace json = boost::json;
+
+namespace {
+constexpr const char *PhaseNames[] = {"planned", "starting", "uncertain", "running", "stopping"};
+
+json::object explainTask(const StepState &Step, uint32_t Index, TimePoint Now) {
+  const TaskState &Task = Step.Tasks[Index];
+  json::object Text{{"task", Index}, {"done", Task.Done}};
+  if (!Task.FailedRuns.empty())
+    Text["failed_runs"] = Task.FailedRuns.size();
+  if (!Task.At)
+    return Text;
+  Text["worker"] = Task.At->Info.Id;
+  Text["run"] = Task.Run;
+  const auto Found = Task.At->Attempts.find({{Step.Key, Index}, Task.Run});
+  if (Found == Task.At->Attempts.end())
+    return Text;
+  Text["phase"] = PhaseNames[static_cast<int>(Found->second.Phase)];
+  Text["percent"] = Found->second.Percent;
+  Text["since_ms"] = std::chrono::duration_cast<Milliseconds>(Now - Found->second.Since).count();
+  return Text;
+}
+
+// How many workers each condition leaves out, and how many have room.
+json::object explainWorkers(const CellState &Cell, const Job &Of, const StepState &Step,
+                            TimePoint Now) {
+  int64_t OtherService = 0;
+  int64_t Silent = 0;
+  int64_t Leaving = 0;
+  int64_t SetAside = 0;
+  int64_t AdvisedAgainst = 0;
+  int64_t NotAsked = 0;
+  int64_t NoRoom = 0;
+  int64_t Possible = 0;
+  for (const auto &[Id, On] : Cell.Workers) {
+    const auto Verdict = Step.Advice.Verdicts.find(Id);
+    const bool Asked = Verdict != Step.Advice.Verdicts.end();
+    if (On.Info.Service != Of.Spec->Service)
+      ++OtherService;
+    else if (!On.Heard || !On.Answers)
+      ++Silent;
+    else if (!On.Listed || On.Info.Draining)
+      ++Leaving;
+    else if (On.SetAsideUntil > Now)
+      ++SetAside;
+    else if (Of.Spec->Advice && !Asked)
+      ++NotAsked;
+    else if (Of.Spec->Advice && !Verdict->second.Good)
+      ++AdvisedAgainst;
+    else if (!fits(Step.Spec->Need, On.Info.Capacity - On.Booked - On.Planned))
+      ++NoRoom;
+    else
+      ++Possible;
+  }
+  return {{"of_another_service", OtherService},
+          {"silent", Silent},
+          {"leaving", Leaving},
+          {"set_aside", SetAside},
+          {"advice_not_asked", NotAsked},
+          {"advised_against", AdvisedAgainst},
+          {"without_room", NoRoom},
+          {"possible", Possible}};
+}
+} // namespace
+
+std::string explainJob(const CellState &Cell, JobId Id, TimePoint Now) {
+  const auto Found = Cell.Jobs.find(Id);
+  if (Found == Cell.Jobs.end())
+    return {};
+  const Job &Of = Found->second;
+  json::array Steps;
+  for (const auto &[Number, Round] : Of.Rounds)
+    for (const StepState &Step : Round.Steps) {
+      json::array Tasks;
+      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+        Tasks.push_back(explainTask(Step, I, Now));
+      json::object Text{{"step", toString(Step.Key)},
+                        {"open", Step.Open},
+                        {"booked", Step.Booked},
+                        {"gang", Step.Spec->Gang},
+                        {"waits_for", Step.Waits},
+                        {"advice_pending", Step.Advice.Asking},
+                        {"workers", explainWorkers(Cell, Of, Step, Now)},
+                        {"tasks", std::move(Tasks)}};
+      if (Step.RunnableSince != TimePoint{})
+        Text["runnable_for_ms"] =
+            std::chrono::duration_cast<Milliseconds>(Now - Step.RunnableSince).count();
+      Steps.push_back(std::move(Text));
+    }
+  const auto Objective = std::chrono::duration_cast<Milliseconds>(Of.Objective - Now);
+  return json::serialize(json::object{{"job", jobIdText(Id)},
+                                      {"queue", Of.Spec->Queue},
+                                      {"priority", Of.Spec->Priority},
+                                      {"objective_in_ms", Objective.count()},
+                                      {"scheduler_term", Cell.Fence},
+                                      {"steps", std::move(Steps)}});
+}
+
+} // namespace valveshelf::sched
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -114,6 +114,8 @@
   std::set<uint32_t> &Failures = Step.Spec->Gang ? Step.GangFailures : Task.FailedRuns;
   Failures.insert(Run.Run);
   Task.FailedOn = On;
+  Out.Failures.push_back(
+      {Run, On ? On->Info.Id : std::string(), Failures.size(), Of.Spec->MaxAttempts});
   needSave(Cell, Of, Out);
   if (!Step.Spec->Lasting && Failures.size() >= static_cast<size_t>(Of.Spec->MaxAttempts))
     endJob(Cell, Of, JobPhase::Failed, "a task failed as often as allowed", Now, Out);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -155,6 +155,19 @@
                            Known ? Known->Ticket : std::string()});
 }
 
+// Notes for the log what was ordered for the step since \p Before starts.
+void notePlaced(Pass &In, const Job &Of, StepState &Step, size_t Before) {
+  if (In.Out.Starts.size() == Before)
+    return;
+  std::set<std::string> Workers;
+  for (size_t I = Before; I < In.Out.Starts.size(); ++I)
+    Workers.insert(In.Out.Starts[I].Worker);
+  In.Out.Placements.push_back({Step.Key, static_cast<uint32_t>(In.Out.Starts.size() - Before),
+                               static_cast<uint32_t>(Workers.size()), Step.RunnableSince,
+                               Of.Objective, !Step.Ordered});
+  Step.Ordered = true;
+}
+
 uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index) {
   return std::max(Cell.FirstRun, Step.Tasks[Index].Run + 1);
 }
@@ -482,7 +495,9 @@
       askUnknown(In, Of, *Step);
       continue;
     }
+    const size_t Before = Out.Starts.size();
     const bool Placed = Step->Spec->Gang ? placeGang(In, Of, *Step) : placeSingles(In, Of, *Step);
+    notePlaced(In, Of, *Step, Before);
     Misses = Placed ? 0 : Misses + 1;
     Skipping = Misses >= MaxMissesInARow;
   }
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -128,7 +128,7 @@
     return ExitUsage;
   }
   CellSettings &Read = std::get<CellSettings>(Settings);
-  openLog(Read.LogLevel, Read.Member);
+  openLog(Read.LogLevel, Read.Member, {true, Read.LogLinesPerSecond});
   std::signal(SIGPIPE, SIG_IGN);
   return serve(std::move(Read), Path);
 }
