A scheduler at whose address nothing listens is replaced before its claim runs out

Ruled out: the load of the new term (74 ms), advice, the store. Change: a failed announcement makes an entry try a connection to the scheduler; refused or unanswered, it claims in its turn over the old claim. The fence makes a wrong guess safe; a frozen or slow scheduler still listens.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -107,6 +107,9 @@
                           "The scheduler has read the store and asks the workers what they hold."};
 const EventKind TermEnded{2103, "warn", "term-ended",
                           "The scheduler of this process ended; the reason follows."};
+const EventKind SchedulerGone{
+    2104, "warn", "scheduler-gone",
+    "Nothing listens at the scheduler's address; it is replaced before its claim runs out."};
 const EventKind JobKept{2201, "info", "job-kept", "The job is durable; its caller was told so."};
 const EventKind CallRefused{2202, "info", "call-refused",
                             "A caller's request was refused; the kind and the reason follow."};
@@ -143,9 +146,9 @@
       &TaskUncertain,    &WorkerLost,     &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
       &TaskContained,    &ConfigInForce,  &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
       &RequestRefused,   &RequestRetried, &SettingsRead,  &BecameReady,        &BecameUnready,
-      &RecordUnreadable, &ClaimMade,      &TermBegun,     &TermEnded,          &JobKept,
-      &CallRefused,      &JobTaken,       &RunStopped,    &StartNotConfirmed,  &StepPlaced,
-      &AdviceGiven,      &TaskFailed,     &WorkerSilent,  &WorkerReplaced};
+      &RecordUnreadable, &ClaimMade,      &TermBegun,     &TermEnded,          &SchedulerGone,
+      &JobKept,          &CallRefused,    &JobTaken,      &RunStopped,         &StartNotConfirmed,
+      &StepPlaced,       &AdviceGiven,    &TaskFailed,    &WorkerSilent,       &WorkerReplaced};
   return All;
 }
 
--- a/src/cell/advice_lanes.h
+++ b/src/cell/advice_lanes.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace valveshelf {
 
@@ -39,7 +40,9 @@
   struct Entry {
     int Priority = 0;
     uint64_t Number = 0;
-    auto operator<=>(const Entry &) const = default;
+    friend bool operator<(const Entry &A, const Entry &B) {
+      return std::tie(A.Priority, A.Number) < std::tie(B.Priority, B.Number);
+    }
   };
   struct Waiting {
     sched::Effects::Ask Question;
--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -87,6 +87,22 @@
   co_return Error{Kind, "peer " + toString(To) + ": " + Status.error_message()};
 }
 
+Awaitable<bool> listens(Endpoint To, Milliseconds Timeout) {
+  using asio::ip::tcp;
+  const Executor Where = co_await asio::this_coro::executor;
+  tcp::socket Socket(Where);
+  asio::steady_timer Timer(Where, Timeout);
+  Timer.async_wait([&Socket](boost::system::error_code Code) {
+    boost::system::error_code Ignored;
+    if (!Code)
+      Socket.close(Ignored);
+  });
+  const tcp::endpoint Target(asio::ip::make_address(To.Host), To.Port);
+  auto [Failure] = co_await Socket.async_connect(Target, asio::as_tuple(asio::use_awaitable));
+  Timer.cancel();
+  co_return !Failure;
+}
+
 } // namespace
 
 CellLink grpcCell(Executor Where) {
@@ -105,6 +121,7 @@
   VALVESHELF_CELL_CALL(Announce);
   VALVESHELF_CELL_CALL(StoreCall);
 #undef VALVESHELF_CELL_CALL
+  Link.Listens = [](Endpoint To, Milliseconds Timeout) { return listens(std::move(To), Timeout); };
   return Link;
 }
 
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -26,6 +26,8 @@
 constexpr Milliseconds StopLook{20};
 // For telling the scheduler what has become durable.
 constexpr Milliseconds AnnounceTimeout{500};
+// A process that does not take a connection by then is dead or cut off.
+constexpr Milliseconds ListenTimeout{250};
 // Two more hops of the cell's own.
 constexpr Milliseconds RelaySlack{100};
 // For asking the scheduler to explain a job.
@@ -51,7 +53,8 @@
         In(
             Where, Store, Time, Settings, [this] { return Path.isSilent(); },
             [this](IntakeNews News) { announce(std::move(News)); }),
-        Lead(schedulerTools(), View),
+        Lead(schedulerTools(), View,
+             [this](Endpoint To) { return Peers.Listens(std::move(To), ListenTimeout); }),
         Door(Settings, Time, callerCodec(), Store, Config, View, Lead, In, Peers),
         Callers(Where, Settings.Callers, serverLimits(),
                 [this](HttpExchange &E) { return serveCaller(E); }),
@@ -220,7 +223,10 @@
     for (const JobId Id : News.Cancelled)
       Message.add_cancelled(Id);
     // Without an answer the scheduler's watch brings the news.
-    co_await Peers.Announce(To, std::move(Message), AnnounceTimeout);
+    Result<cell::AnnounceReply> Told =
+        co_await Peers.Announce(To, std::move(Message), AnnounceTimeout);
+    if (!ok(Told))
+      co_await Lead.suspect();
   }
 
   cell::AnnounceReply announced(const cell::AnnounceRequest &News) {
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -24,7 +24,8 @@
 constexpr Milliseconds FlushTime{600};
 } // namespace
 
-Leadership::Leadership(const SchedulerTools &Tools, CellView &View) : Tools(Tools), View(View) {}
+Leadership::Leadership(const SchedulerTools &Tools, CellView &View, Listens Probe)
+    : Tools(Tools), View(View), Probe(std::move(Probe)) {}
 
 void Leadership::start() { spawnLater(Tools.Where, loop()); }
 
@@ -47,7 +48,22 @@
 bool Leadership::mayClaim() const {
   const CellPicture &Now = View.picture();
   const bool Own = Now.Leader && Now.Leader->Name == Tools.Settings.Member;
-  return Now.Known && (Now.LeaderRevision == 0 || Own);
+  const bool Gone = Now.Leader && Now.Leader->Term == GoneTerm;
+  return Now.Known && (Now.LeaderRevision == 0 || Own || Gone);
+}
+
+Awaitable<void> Leadership::suspect() {
+  const std::optional<Leader> Suspect = View.picture().Leader;
+  if (Probing || Stopped || !Suspect || Suspect->Name == Tools.Settings.Member)
+    co_return;
+  Probing = true;
+  const bool Lives = co_await Probe(Suspect->Peers);
+  Probing = false;
+  if (Lives)
+    co_return;
+  logEvent(events::SchedulerGone,
+           {{"scheduler", Suspect->Name}, {"term", std::to_string(Suspect->Term)}});
+  GoneTerm = Suspect->Term;
 }
 
 // The strongest members come first, equal ones by name.
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -14,10 +14,15 @@
 /// strand.
 class Leadership {
 public:
-  Leadership(const SchedulerTools &Tools, CellView &View);
+  /// Whether the process at an address listens.
+  using Listens = std::function<Awaitable<bool>(Endpoint To)>;
+  Leadership(const SchedulerTools &Tools, CellView &View, Listens Probe);
   void start();
   /// The picture of the cell has changed.
   void viewChanged();
+  /// A call to the scheduler failed. If nothing listens at its address it is taken for gone before
+  /// its lease has run out; the fence makes that safe should it live on.
+  Awaitable<void> suspect();
   /// Hands the cell over: saves what is known and gives the claim up at once.
   Awaitable<void> leave();
   /// The scheduler, if it runs here and has read the store; else null.
@@ -33,6 +38,9 @@
 
   const SchedulerTools Tools;
   CellView &View;
+  const Listens Probe;
+  uint64_t GoneTerm = 0; ///< The term of a scheduler that is taken for gone; 0: none.
+  bool Probing = false;
   std::shared_ptr<SchedulerRunner> Runner;
   uint64_t CurrentLease = 0;
   bool Stopped = false;
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -35,6 +35,8 @@
   Call<cell::ExplainRequest, cell::ExplainReply> Explain;
   Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
+  /// Whether a process listens there; a frozen one still does, a dead or cut off one does not.
+  std::function<Awaitable<bool>(Endpoint To, Milliseconds Timeout)> Listens;
 };
 CellLink grpcCell(Executor Where);
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -116,7 +116,11 @@
   int Priority = 0;
   TimePoint Objective{};
   StepKey Step;
-  friend auto operator<=>(const QueuePlace &, const QueuePlace &) = default;
+  friend bool operator==(const QueuePlace &, const QueuePlace &) = default;
+  friend bool operator<(const QueuePlace &A, const QueuePlace &B) {
+    return std::tie(A.Late, A.Priority, A.Objective, A.Step) <
+           std::tie(B.Late, B.Priority, B.Objective, B.Step);
+  }
 };
 
 /// One step of one round.
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -30,7 +30,7 @@
 extern const EventKind ConfigInForce, ConfigRefused, ConfigFromPeer;
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
-extern const EventKind ClaimMade, TermBegun, TermEnded;
+extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone;
 extern const EventKind JobKept, CallRefused, JobTaken, StepPlaced, RunStopped, StartNotConfirmed;
 extern const EventKind AdviceGiven, TaskFailed;
 extern const EventKind WorkerSilent, WorkerReplaced;
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -7,12 +7,12 @@
 #include "valveshelf/endpoint.h"
 #include "valveshelf/resources.h"
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace valveshelf::sched {
@@ -29,20 +29,29 @@
   JobId Job = 0;
   uint32_t Round = 0;
   uint32_t Step = 0;
-  friend auto operator<=>(const StepKey &, const StepKey &) = default;
+  friend bool operator==(const StepKey &, const StepKey &) = default;
+  friend bool operator<(const StepKey &A, const StepKey &B) {
+    return std::tie(A.Job, A.Round, A.Step) < std::tie(B.Job, B.Round, B.Step);
+  }
 };
 
 struct TaskKey {
   StepKey Step;
   uint32_t Index = 0;
-  friend auto operator<=>(const TaskKey &, const TaskKey &) = default;
+  friend bool operator==(const TaskKey &, const TaskKey &) = default;
+  friend bool operator<(const TaskKey &A, const TaskKey &B) {
+    return std::tie(A.Step, A.Index) < std::tie(B.Step, B.Index);
+  }
 };
 
 /// One start of a task. Run numbers of a task rise.
 struct RunKey {
   TaskKey Task;
   uint32_t Run = 0;
-  friend auto operator<=>(const RunKey &, const RunKey &) = default;
+  friend bool operator==(const RunKey &, const RunKey &) = default;
+  friend bool operator<(const RunKey &A, const RunKey &B) {
+    return std::tie(A.Task, A.Run) < std::tie(B.Task, B.Run);
+  }
 };
 
 /// JOB.ROUND.STEP and JOB.ROUND.STEP.INDEX, the form in which workers and the advice service
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -135,6 +135,7 @@
       Unknown.emplace_back(-roomFor(In, On, Of, Step).MilliCores, Id);
   std::sort(Unknown.begin(), Unknown.end());
   std::vector<std::string> Names;
+  Names.reserve(Unknown.size());
   for (auto &[Room, Id] : Unknown)
     Names.push_back(std::move(Id));
   ask(In, Of, Step, std::move(Names));
@@ -181,7 +182,9 @@
 struct Score {
   int Penalty = 0;
   int64_t Left = 0;
-  friend auto operator<=>(const Score &, const Score &) = default;
+  friend bool operator<(const Score &A, const Score &B) {
+    return std::tie(A.Penalty, A.Left) < std::tie(B.Penalty, B.Left);
+  }
 };
 
 Score scoreOf(const Pass &In, const Job &Of, const StepState &Step, const TaskState &Task,
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -16,7 +16,6 @@
 namespace asio = boost::asio;
 using namespace valveshelf::sched;
 using valveshelf::standins::RunPlan;
-using valveshelf::standins::StartOrderSeen;
 using valveshelf::standins::WorkerModel;
 
 namespace {
