--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -13,7 +13,7 @@
                                    ///< connection goes unnoticed.
   Milliseconds LeaderLease{1500};  ///< Life of the scheduler's key without renewal.
   Milliseconds MemberLease{4000};  ///< Life of a member's key without renewal.
-  Milliseconds WorkerTimeout{300}; ///< For one order to a worker.
+  Milliseconds WorkerTimeout{150}; ///< For one order to a worker; it is sent again then.
   Milliseconds HoldWait{1800};     ///< A worker's report is awaited so long.
   Milliseconds HoldTimeout{700};   ///< Beyond that wait.
   Milliseconds WorkerLease{5000};  ///< A worker runs on so long without word of us.
