--- /dev/null
+++ b/src/cell/leadership_test.cpp
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+// The claim on the cell, against a store in memory.
+#include "cell/leadership.h"
+
+#include "fakes/fake_key_value_store.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+using namespace sched;
+using namespace std::chrono_literals;
+
+struct Bench {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store{Io};
+  CellSettings Settings;
+  CellMetrics Metrics;
+  std::unique_ptr<CellView> View;
+  std::unique_ptr<Leadership> Lead;
+  bool PeerListens = true;
+
+  explicit Bench(const std::string &Name) {
+    Settings.Member = Name;
+    Settings.Zone = "z";
+    Settings.Peers = {"127.0.0.1", 1};
+    Settings.Timing.WatchTime = 50ms;
+    Settings.Timing.LeaderLease = 400ms;
+    View = std::make_unique<CellView>(Io.get_executor(), Store.ops(), Settings,
+                                      [this] { Lead->viewChanged(); });
+    SchedulerTools Tools{
+        Io.get_executor(),
+        Clock{},
+        Settings,
+        Store.ops(),
+        {},
+        {},
+        "servers/",
+        [](std::string_view, std::string_view) -> Result<WorkerInfo> { return Error{}; },
+        Metrics};
+    Lead = std::make_unique<Leadership>(
+        Tools, *View, [this](Endpoint) -> Awaitable<bool> { co_return PeerListens; });
+  }
+
+  // Runs until \p Holds, for a few seconds at most.
+  bool runUntil(const std::function<bool()> &Holds) {
+    const TimePoint Limit = Steady::now() + 5s;
+    while (!Holds() && Steady::now() < Limit)
+      Io.run_for(5ms);
+    return Holds();
+  }
+  std::string leaderName() {
+    Result<Leader> Read = decodeLeader(Store.value(std::string(LeaderKey)));
+    return ok(Read) ? value(Read).Name : "";
+  }
+};
+
+TEST(Leadership, ClaimsACellThatNobodyHas) {
+  Bench Given("a");
+  Given.View->start();
+  Given.Lead->start();
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_EQ(Given.leaderName(), "a");
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "1");
+}
+
+TEST(Leadership, LeavesAClaimMadeMeanwhileAlone) {
+  Bench Given("b");
+  bool Raced = false;
+  // Another process claims between this one's decision and its transaction, and the watch tells.
+  Given.Store.BeforeGrant = [&]() -> Awaitable<void> {
+    if (Raced)
+      co_return;
+    Raced = true;
+    Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 1}), 0);
+    while (Given.View->picture().LeaderRevision == 0)
+      co_await sleepFor(2ms);
+  };
+  // The member's own lease is granted first and must not be taken for the claim's.
+  Given.Lead->start();
+  Given.View->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Raced && Given.leaderName() == "a"; }));
+  Given.Io.run_for(300ms);
+  EXPECT_EQ(Given.leaderName(), "a");
+  EXPECT_EQ(Given.Lead->scheduler(), nullptr);
+}
+
+TEST(Leadership, ReplacesASchedulerAtWhoseAddressNothingListens) {
+  Bench Given("b");
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.View->picture().Leader.has_value(); }));
+  spawnLater(Given.Io.get_executor(), Given.Lead->suspect());
+  Given.Io.run_for(100ms);
+  EXPECT_EQ(Given.leaderName(), "a"); // it listens
+  Given.PeerListens = false;
+  spawnLater(Given.Io.get_executor(), Given.Lead->suspect());
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_EQ(Given.leaderName(), "b");
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
+}
+
+} // namespace
+} // namespace valveshelf
--- /dev/null
+++ b/src/cell/store_path_test.cpp
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: Apache-2.0
+// The way of a call to the store: paced time outs, silence, peers.
+#include "valveshelf/store_path.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace valveshelf {
+namespace {
+using namespace std::chrono_literals;
+
+struct Bench {
+  boost::asio::io_context Io;
+  TimePoint Now = Steady::now();
+  std::deque<Result<HttpResponse>> Direct; ///< Answers of the store; the last one stays.
+  Milliseconds Takes{4};                   ///< What an answer takes, on the test's clock.
+  Result<HttpResponse> Peer = HttpResponse{200, {}, "peer"};
+  std::vector<Milliseconds> Timeouts;
+  int DirectCalls = 0;
+  int PeerCalls = 0;
+  StorePath Path{Io.get_executor(),
+                 Clock{[this] { return Now; }, [] { return WallTime(); }},
+                 HttpRequest{"GET", "/probe", {}, ""},
+                 [this](HttpRequest, Milliseconds Timeout) -> Awaitable<Result<HttpResponse>> {
+                   ++DirectCalls;
+                   Timeouts.push_back(Timeout);
+                   Result<HttpResponse> Answer = Direct.front();
+                   if (Direct.size() > 1)
+                     Direct.pop_front();
+                   Now += ok(Answer) ? Takes : Timeout;
+                   co_return Answer;
+                 },
+                 [this](Endpoint, HttpRequest, Milliseconds) -> Awaitable<Result<HttpResponse>> {
+                   ++PeerCalls;
+                   co_return Peer;
+                 },
+                 [] {
+                   return std::vector<Endpoint>{{"127.0.0.1", 9}};
+                 },
+                 [](Steady::duration) {}};
+
+  Result<HttpResponse> call() {
+    Result<HttpResponse> Answer = Error{};
+    bool Done = false;
+    Io.restart();
+    boost::asio::co_spawn(Io, Path.call({{"GET", "/x", {}, ""}, 0ms, false}),
+                          [&](std::exception_ptr, Result<HttpResponse> Value) {
+                            Answer = std::move(Value);
+                            Done = true;
+                          });
+    while (!Done)
+      Io.run_one();
+    return Answer;
+  }
+};
+
+const Result<HttpResponse> Good = HttpResponse{200, {}, "direct"};
+const Result<HttpResponse> Busy = HttpResponse{503, {}, ""};
+const Result<HttpResponse> Lost = Error{ErrorKind::UpstreamCut, "no answer"};
+
+TEST(StorePath, TimeOutsFollowThePaceOfTheStore) {
+  Bench Given;
+  Given.Direct = {Good};
+  for (int I = 0; I < 40; ++I)
+    Given.call();
+  EXPECT_EQ(Given.Timeouts.back(), 120ms); // the least
+  Given.Takes = 110ms;
+  for (int I = 0; I < 40; ++I)
+    Given.call();
+  EXPECT_GT(Given.Timeouts.back(), 500ms);
+  EXPECT_LE(Given.Timeouts.back(), 1000ms);
+}
+
+TEST(StorePath, ARefusalGoesThroughAPeerFromTheSecondOn) {
+  Bench Given;
+  Given.Direct = {Busy};
+  EXPECT_EQ(value(Given.call()).Status, 503);
+  const Result<HttpResponse> Second = Given.call();
+  EXPECT_EQ(value(Second).Body, "peer");
+  const int Before = Given.DirectCalls;
+  EXPECT_EQ(value(Given.call()).Body, "peer");
+  EXPECT_EQ(Given.DirectCalls, Before) << "a caller's work must not hang on the straight way";
+}
+
+TEST(StorePath, AnUnansweredCallIsNotSentAgainThroughAPeer) {
+  Bench Given;
+  Given.Direct = {Lost};
+  EXPECT_FALSE(ok(Given.call()));
+  EXPECT_FALSE(ok(Given.call())); // it may have been carried out: the caller decides
+  EXPECT_EQ(Given.PeerCalls, 0);
+  EXPECT_EQ(value(Given.call()).Body, "peer");
+}
+
+TEST(StorePath, IsSilentAfterFailuresWithoutAnyAnswer) {
+  Bench Given;
+  Given.Peer = Error{ErrorKind::UpstreamUnavailable, "no"};
+  Given.Direct = {Good, Lost};
+  Given.call();
+  EXPECT_FALSE(Given.Path.isSilent());
+  Given.call();
+  Given.call();
+  Given.Now += 500ms;
+  EXPECT_TRUE(Given.Path.isSilent());
+}
+
+TEST(StorePath, AProbeFindsTheStraightWayAgain) {
+  Bench Given;
+  Given.Direct = {Busy, Busy, Good};
+  Given.call();
+  Given.call();
+  Given.Io.restart();
+  Given.Io.run_for(2s);
+  EXPECT_EQ(value(Given.call()).Body, "direct");
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/valveshelf/entry_command.cpp
+++ b/src/valveshelf/entry_command.cpp
@@ -3,6 +3,7 @@
 #include "options.h"
 
 #include "valveshelf/cell_config.h"
+#include "valveshelf/cell_settings.h"
 #include "valveshelf/entry_process.h"
 #include "valveshelf/events.h"
 
@@ -33,7 +34,15 @@
     return ExitUsage;
   }
   SettingsErrors Errors;
-  if (isEntryFile(value(Text))) {
+  if (value(Text).find_first_not_of(" \t\r\n") == std::string::npos) {
+    Errors.push_back({Path, 1, 1, "file",
+                      "is empty; accepted are entry settings, settings of "
+                      "`serve` and a partner's configuration"});
+  } else if (value(Text).find("\nreadiness") != std::string::npos) {
+    auto Parsed = parseCellSettings(value(Text), Path);
+    if (auto *Wrong = std::get_if<SettingsErrors>(&Parsed))
+      Errors = *Wrong;
+  } else if (isEntryFile(value(Text))) {
     auto Parsed = parseEntrySettings(value(Text), Path);
     if (auto *Wrong = std::get_if<SettingsErrors>(&Parsed))
       Errors = *Wrong;
