The regression tests of three faults now fail when the fault is put back

Cause: tried against mutants, three of them passed: the claim's race was played on the member's lease, the stand-in's gangs outlived a dead member, and the lost answers hit submissions only. Change: the race is on the claim's lease, a worker's death breaks its gangs, answers of saves that remove keys are lost. Figures: each of Leadership.LeavesAClaimMadeMeanwhileAlone, platform-worker-gone and platform-answers-lost fails with the fault put back and passes without.

--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -69,15 +69,16 @@
   Bench Given("b");
   bool Raced = false;
   // Another process claims between this one's decision and its transaction, and the watch tells.
+  int Grants = 0;
   Given.Store.BeforeGrant = [&]() -> Awaitable<void> {
-    if (Raced)
+    // The first lease is the member's own, the second the claim's.
+    if (++Grants != 2)
       co_return;
     Raced = true;
     Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 1}), 0);
     while (Given.View->picture().LeaderRevision == 0)
       co_await sleepFor(2ms);
   };
-  // The member's own lease is granted first and must not be taken for the claim's.
   Given.Lead->start();
   Given.View->start();
   ASSERT_TRUE(Given.runUntil([&] { return Raced && Given.leaderName() == "a"; }));
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -64,6 +64,7 @@
 
   bool Down = false;       ///< Every call is refused with 503.
   int64_t LoseAnswers = 0; ///< So many transactions are done and not answered.
+  int64_t LoseRemoves = 0; ///< The same, of those that remove keys.
   int64_t Calls = 0;
 
   Awaitable<HttpResponse> handle(Call Made) {
@@ -194,6 +195,10 @@
     for (const json::value &Key : Removes)
       remove(std::string(Key.as_string()));
     InTransaction = false;
+    if (!Removes.empty() && LoseRemoves > 0) {
+      --LoseRemoves;
+      return {0, {}, ""};
+    }
     if (LoseAnswers > 0) {
       --LoseAnswers;
       return {0, {}, ""}; // no answer
@@ -263,6 +268,16 @@
   int64_t Starts = 0;
   int64_t Advised = 0;
 
+  // Everything on the worker dies; the other members of its gangs end.
+  void loseRuns(Seat &Of) {
+    std::vector<RunKey> Lost;
+    for (const auto &[Key, What] : Of.Model.Runs)
+      Lost.push_back(Key);
+    Of.Model.Runs.clear();
+    for (const RunKey &Run : Lost)
+      ended(Run, RunEnd::Broken);
+  }
+
   // A life of the worker: empty, with a new id.
   void beginLife(Seat &Of) {
     if (!Of.Model.Id.empty())
@@ -544,6 +559,8 @@
     Store.Down = Value->as_bool();
   if (Body.contains("lose_answers"))
     Store.LoseAnswers = numberOf(Body, "lose_answers");
+  if (Body.contains("lose_removes"))
+    Store.LoseRemoves = numberOf(Body, "lose_removes");
   if (Body.contains("configuration"))
     Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
   if (Body.contains("worker")) {
@@ -551,6 +568,8 @@
     const std::string What = textOf(Body, "becomes");
     Which.Dead = What == "dead";
     Which.Mute = What == "mute";
+    if (What == "dead" || What == "reborn")
+      Workers.loseRuns(Which);
     if (What == "dead")
       Store.remove("servers/" + Which.Model.Id);
     if (What == "reborn")
@@ -568,10 +587,15 @@
   for (const std::string &Break : Workers.Breaks)
     Breaks.emplace_back(Break);
   int64_t Running = 0;
-  for (const auto &One : Workers.Seats)
-    Running += One->Dead ? 0 : static_cast<int64_t>(One->Model.Runs.size());
+  json::array ByWorker;
+  for (const auto &One : Workers.Seats) {
+    const int64_t Here = One->Dead ? 0 : static_cast<int64_t>(One->Model.Runs.size());
+    Running += Here;
+    ByWorker.emplace_back(Here);
+  }
   return answer(200, json::object{{"starts", Workers.Starts},
                                   {"running", Running},
+                                  {"running_by_worker", ByWorker},
                                   {"store_calls", Store.Calls},
                                   {"breaks", Breaks}});
 }
