A planned gang that lost a member's room with its worker is planned anew

Ruled out: advice (the tickets were there). Change: what is only held of such a plan is dropped, and the gang is planned anew.

--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -407,9 +407,21 @@
   return Found != First.At->Attempts.end() && Found->second.Phase == AttemptPhase::Planned;
 }
 
+// Members whose room is only held go when others of the plan have lost theirs with their worker.
+void dropPartialPlan(Pass &In, StepState &Step) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    Worker *On = Step.Tasks[I].At;
+    const RunKey Run{{Step.Key, I}, Step.Tasks[I].Run};
+    if (On && On->Attempts.at(Run).Phase == AttemptPhase::Planned)
+      unbook(In.Cell, *On, Run);
+  }
+}
+
 bool placeGang(Pass &In, const Job &Of, StepState &Step) {
   if (isPlanned(Step))
     return launchGang(In, Of, Step);
+  if (Step.Booked > 0)
+    dropPartialPlan(In, Step);
   if (Step.Booked > 0 || !std::all_of(Step.Tasks.begin(), Step.Tasks.end(),
                                       [&](const TaskState &T) { return isPlaceable(In, T); }))
     return false;
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -665,5 +665,14 @@
   std::cout << Events << " events, " << Starts << " starts, " << Takeovers << " takeovers\n";
 }
 
+TEST(SchedulerFuzz, SeedsThatFailedOnce) {
+  // 5790: a worker died under a planned gang; the rest of the plan stayed booked for ever.
+  for (const uint64_t Seed : {5790U}) {
+    World One(Seed);
+    One.play(20000);
+    EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
