--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -34,6 +34,7 @@
 const MetricKind AdviceSeconds{
     "advice_seconds", "histogram",
     "From the wish for advice to its answer, waiting for a lane included."};
+const MetricKind PlaceSeconds{"place_seconds", "histogram", "One pass of placement."};
 const MetricKind Workers{"workers", "gauge",
                          "Workers known, while this process schedules; else 0."};
 const MetricKind LogLinesLeftOut{"log_lines_left_out", "gauge",
@@ -44,10 +45,10 @@
 
 std::span<const MetricKind *const> metricTable() {
   using namespace metrics;
-  static const std::array All{
-      &Calls,         &CallSeconds, &StoreSeconds,    &Terms, &Jobs,
-      &Waiting,       &Starts,      &StartSeconds,    &Ends,  &FirstStartSeconds,
-      &AdviceSeconds, &Workers,     &LogLinesLeftOut, &Ready};
+  static const std::array All{&Calls,   &CallSeconds,       &StoreSeconds,  &Terms,
+                              &Jobs,    &Waiting,           &Starts,        &StartSeconds,
+                              &Ends,    &FirstStartSeconds, &AdviceSeconds, &PlaceSeconds,
+                              &Workers, &LogLinesLeftOut,   &Ready};
   return All;
 }
 
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -18,8 +18,10 @@
 constexpr Milliseconds RetryPause{150};
 // Time outs are looked for this often.
 constexpr Milliseconds TickEvery{50};
-// Events that come together are placed together.
+// Events that come together are placed together. A pass that took long, because much waits, is
+// followed by a pause of so many times its length, which leaves the processor to orders and ends.
 constexpr Milliseconds PlaceDelay{2};
+constexpr int PauseForPass = 4;
 // A worker is asked again so soon while its ends wait to be saved.
 constexpr Milliseconds UnsavedPause{400};
 // Between two watches of what callers handed in. An announcement that is lost costs this time.
@@ -382,24 +384,31 @@
   co_return !Stopped && Cell.Workers.count(Id) > 0;
 }
 
+// The worker's ends are asked for again when those known are saved; without the store, now and
+// then.
+Awaitable<void> SchedulerRunner::untilSaved(Self Me, std::string Id) {
+  asio::steady_timer Wake(Me->Tools.Where, UnsavedPause);
+  Me->HoldWakes[Id] = &Wake;
+  co_await Wake.async_wait(AsTuple);
+  Me->HoldWakes.erase(Id);
+}
+
+void SchedulerRunner::wakeHold(const std::string &Id) {
+  if (const auto Found = HoldWakes.find(Id); Found != HoldWakes.end())
+    Found->second->cancel();
+}
+
 Awaitable<void> SchedulerRunner::holdLoop(Self Me, std::string Id) {
   while (!Me->Stopped) {
-    const auto Found = Me->Cell.Workers.find(Id);
+    auto Found = Me->Cell.Workers.find(Id);
+    if (Found != Me->Cell.Workers.end() && !Found->second.Unsaved.empty()) {
+      co_await untilSaved(Me, Id);
+      Found = Me->Cell.Workers.find(Id);
+    }
     if (Found == Me->Cell.Workers.end())
       break;
-    Worker &On = Found->second;
     const bool First = !Me->Clocks.count(Id);
-    const bool HasUnsaved = !On.Unsaved.empty();
-    if (HasUnsaved) {
-      // Asked again when the ends are saved; without the store, now and then.
-      const TimePoint Limit = Me->Tools.Time.Now() + UnsavedPause;
-      while (!Me->Stopped && Me->Cell.Workers.count(Id) &&
-             !Me->Cell.Workers.at(Id).Unsaved.empty() && Me->Tools.Time.Now() < Limit)
-        co_await sleepFor(Me->Tools.Settings.Timing.Gather / 2);
-      if (!Me->Cell.Workers.count(Id))
-        break;
-    }
-    const bool Waits = !First && Me->Cell.Workers.at(Id).Unsaved.empty();
+    const bool Waits = !First && Found->second.Unsaved.empty();
     const Milliseconds Wait = Waits ? Me->Tools.Settings.Timing.HoldWait : Milliseconds(0);
     if (!co_await Me->holdOnce(Id, Wait))
       break;
@@ -531,17 +540,24 @@
   if (PlaceWaits || Stopped)
     return;
   PlaceWaits = true;
-  PlaceTimer.expires_after(PlaceDelay);
+  PlaceTimer.expires_after(std::max<Steady::duration>(PlaceDelay, LastPass * PauseForPass));
   PlaceTimer.async_wait([Me = shared_from_this()](boost::system::error_code) {
     Me->PlaceWaits = false;
     if (Me->Stopped)
       return;
-    Effects Out;
-    place(Me->Cell, Me->Tools.Time.Now(), Out);
-    Me->apply(Out);
+    Me->placeNow();
   });
 }
 
+void SchedulerRunner::placeNow() {
+  const TimePoint Begun = Tools.Time.Now();
+  Effects Out;
+  place(Cell, Begun, Out);
+  LastPass = Tools.Time.Now() - Begun;
+  Tools.Metrics.observe(metrics::PlaceSeconds, LastPass);
+  apply(Out);
+}
+
 Awaitable<void> SchedulerRunner::tickLoop(Self Me) {
   while (!Me->Stopped) {
     co_await sleepFor(TickEvery);
@@ -555,8 +571,8 @@
     Me->Tools.Metrics.set(metrics::Workers, static_cast<double>(Me->Cell.Workers.size()));
     Effects Out;
     tick(Me->Cell, Me->Tools.Time.Now(), Me->Tools.Time.Wall(), Out);
-    place(Me->Cell, Me->Tools.Time.Now(), Out);
     Me->apply(Out);
+    Me->placeSoon();
   }
 }
 
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -83,6 +83,8 @@
   void holdAll();
   static Awaitable<void> holdLoop(Self Me, std::string Id);
   Awaitable<bool> holdOnce(std::string Id, Milliseconds Wait);
+  static Awaitable<void> untilSaved(Self Me, std::string Id);
+  void wakeHold(const std::string &Id);
   static Awaitable<void> look(Self Me, std::string Id);
   static Awaitable<void> sendStart(Self Me, sched::Effects::Start Order);
   static Awaitable<void> sendStop(Self Me, sched::Effects::Stop Order);
@@ -109,6 +111,7 @@
   void apply(sched::Effects &Out);
   void report(const sched::Effects &Out);
   void placeSoon();
+  void placeNow();
   void end(const char *Why);
   /// True if this process did not run for longer than its claim holds: somebody else may schedule.
   bool stoodStill() const;
@@ -118,15 +121,17 @@
   const std::function<void()> OnEnd;
   sched::CellState Cell;
   AdviceLanes Lanes;
-  std::map<std::string, ClockReading> Clocks; ///< By worker.
-  std::set<std::string> Held;                 ///< Workers with a hold loop.
-  std::set<std::string> OldRecords;           ///< Workers whose records are to be removed.
-  std::set<sched::JobId> OldCancels;          ///< Marks whose jobs have ended.
+  std::map<std::string, ClockReading> Clocks;                   ///< By worker.
+  std::set<std::string> Held;                                   ///< Workers with a hold loop.
+  std::map<std::string, boost::asio::steady_timer *> HoldWakes; ///< Loops that wait for a save.
+  std::set<std::string> OldRecords;  ///< Workers whose records are to be removed.
+  std::set<sched::JobId> OldCancels; ///< Marks whose jobs have ended.
   std::set<sched::JobId> SavingNow;
   int SavesInFlight = 0;
   boost::asio::steady_timer SaveWake;
   boost::asio::steady_timer PlaceTimer;
   bool PlaceWaits = false;
+  Steady::duration LastPass{0}; ///< How long the last pass of placement took.
   TimePoint LastTick{};
   bool Stopped = false;
 };
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -64,8 +64,9 @@
                {{"job", jobIdText(Entry.Id)},
                 {"phase", std::to_string(static_cast<int>(Found->second.Phase))}});
     const uint64_t JobRevision = Entry.Ends ? Revision : Found->second.Revision;
-    jobSaved(Cell, Entry.Id, Entry.Number, JobRevision, Entry.Ends ? 0 : Revision,
-             Tools.Time.Wall());
+    for (const std::string &Worker : jobSaved(Cell, Entry.Id, Entry.Number, JobRevision,
+                                              Entry.Ends ? 0 : Revision, Tools.Time.Wall()))
+      wakeHold(Worker);
   }
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -22,8 +22,13 @@
 // New connections are dear on both sides; one that the other side closed is noticed before use.
 constexpr std::chrono::seconds MaxIdleTime{60};
 
+// A connection that was used so recently is not looked at before it is used again.
+constexpr Milliseconds FreshTime{20};
+// Room for a usual answer, so that it is read at once.
+constexpr size_t UsualAnswer = 4096;
+
 struct Connection {
-  explicit Connection(Executor Where) : Stream(asio::make_strand(Where)) {}
+  explicit Connection(Executor Where) : Stream(std::move(Where)) { Buffer.reserve(UsualAnswer); }
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   TimePoint IdleSince{};
@@ -32,7 +37,6 @@
   bool isQuiet() {
     boost::system::error_code Failure;
     char Byte = 0;
-    Stream.socket().non_blocking(true, Failure);
     Stream.socket().receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek, Failure);
     return Failure == asio::error::would_block && Buffer.size() == 0;
   }
@@ -49,7 +53,7 @@
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
-  explicit Impl(Executor Where) : Where(Where) {}
+  Impl(Executor Where, bool OneThread) : Where(Where), OneThread(OneThread) {}
 
   ConnectionPtr takeIdle(const Endpoint &To) {
     std::lock_guard Lock(Mutex);
@@ -57,7 +61,8 @@
     while (!Kept.empty()) {
       ConnectionPtr Found = Kept.back();
       Kept.pop_back();
-      if (Steady::now() - Found->IdleSince < MaxIdleTime && Found->isQuiet())
+      const auto IdleFor = Steady::now() - Found->IdleSince;
+      if (IdleFor < FreshTime || (IdleFor < MaxIdleTime && Found->isQuiet()))
         return Found;
     }
     return nullptr;
@@ -73,7 +78,7 @@
   }
 
   Awaitable<Result<ConnectionPtr>> connect(Endpoint To, Milliseconds Timeout) {
-    auto Made = std::make_shared<Connection>(Where);
+    auto Made = std::make_shared<Connection>(OneThread ? Where : asio::make_strand(Where));
     boost::system::error_code Bad;
     const tcp::endpoint Target(asio::ip::make_address(To.Host, Bad), To.Port);
     Made->Stream.expires_after(Timeout);
@@ -84,10 +89,12 @@
                       (Refused ? "connection refused by " : "no connection to ") + toString(To)};
     }
     Made->Stream.socket().set_option(tcp::no_delay(true));
+    Made->Stream.socket().non_blocking(true, Bad);
     co_return Made;
   }
 
   const Executor Where;
+  const bool OneThread;
 
 private:
   std::mutex Mutex;
@@ -221,7 +228,8 @@
 };
 } // namespace
 
-HttpClient::HttpClient(Executor Where) : Inner(std::make_shared<Impl>(Where)) {}
+HttpClient::HttpClient(Executor Where, bool OneThread)
+    : Inner(std::make_shared<Impl>(Where, OneThread)) {}
 HttpClient::~HttpClient() = default;
 
 Awaitable<Result<std::shared_ptr<HttpCall>>> HttpClient::open(Endpoint To, CallOptions Options) {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -71,6 +71,7 @@
 /// the others.
 struct Worker {
   WorkerInfo Info;
+  uint32_t Slot = 0;   ///< Its number within this term, in `CellState::Slots`; never used again.
   bool Listed = false; ///< It stands in the platform's list.
   bool Heard = false;  ///< It has answered this scheduler; its attempts are known.
   bool Answers = true; ///< The last call to it was answered.
@@ -87,14 +88,16 @@
   TimePoint SetAsideUntil{};
 };
 
-/// What is known of advice for a step.
+/// What is known of advice for a step. Whether a worker is good for it never changes.
+/// Invariant: Good is sorted by slot, and each of its slots is marked in Answered.
 struct AdviceState {
-  struct Verdict {
-    bool Good = false;
+  struct Permit {
+    uint32_t Slot = 0; ///< Of a worker that may run the step.
     std::string Ticket;
     TimePoint ValidUntil{};
   };
-  std::map<std::string, Verdict> Verdicts; ///< By worker. Good or not never changes.
+  std::vector<Permit> Good;
+  std::vector<bool> Answered; ///< By slot: the advice service was asked about the worker.
   bool Asking = false;
   TimePoint NotBefore{};
 };
@@ -131,6 +134,7 @@
   std::vector<TaskState> Tasks;
   uint32_t Open = 0;
   uint32_t Booked = 0;              ///< Tasks that have an attempt.
+  uint32_t Planned = 0;             ///< Of them, those for which room is only held.
   std::optional<QueuePlace> Queued; ///< Its place in the placement queue, if it stands there.
   uint32_t GangRun = 0;             ///< Last run of a gang.
   std::set<uint32_t> GangFailures;
@@ -176,13 +180,16 @@
   std::unordered_map<JobId, EndedJob> Ended;          ///< Saved ends only.
   std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
   std::map<std::string, Worker> Workers;              ///< By id; nodes stay where they are.
+  std::vector<Worker *> Slots;                        ///< Workers by slot; null: gone.
   std::set<QueuePlace> Queue;                         ///< Steps with a task to place.
   std::set<std::string> Unheard; ///< Workers that an earlier scheduler may have used.
   bool Loaded = false;           ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
   std::map<uint64_t, JobId> Saves; ///< Saves not yet durable, by number.
+  std::set<uint32_t> WithUnsaved;  ///< Slots of workers with ends that wait for a save.
   WallTime Wall{};                 ///< The time of day at Now, as of the last tick.
   TimePoint WallAt{};              ///< The steady time at which Wall was read.
+  TimePoint NextStuckLook{};       ///< When runs without progress are looked for again.
 };
 
 /// What the process has to do.
@@ -246,9 +253,10 @@
 /// Call once after all jobs were added and restored.
 void finishLoading(CellState &Cell, TimePoint Now, Effects &Out);
 void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
-/// The saves up to \p Number of \p Id are durable; its keys have these revisions now.
-void jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
-              uint64_t ProgressRevision, WallTime Now);
+/// The saves up to \p Number of \p Id are durable; its keys have these revisions now. Returns the
+/// workers none of whose ends waits for a save any more.
+std::vector<std::string> jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
+                                  uint64_t ProgressRevision, WallTime Now);
 /// The state to show a caller, empty if there is no such job here.
 std::string_view shownState(const CellState &Cell, JobId Id);
 /// Jobs of the queue of which nothing has begun.
@@ -291,7 +299,12 @@
 Attempt &book(StepState &Step, uint32_t Index, Worker &On, uint32_t Run, AttemptPhase Phase,
               const Job &Of, TimePoint Now);
 void unbook(CellState &Cell, Worker &On, const RunKey &Run);
-void setPhase(Worker &On, Attempt &What, AttemptPhase Phase, TimePoint Now);
+void setPhase(CellState &Cell, Worker &On, const RunKey &Run, AttemptPhase Phase, TimePoint Now);
+/// The permit for the worker, or null if it is not known to be good for the step.
+const AdviceState::Permit *permitOn(const StepState &Step, const Worker &On);
+AdviceState::Permit *permitOn(StepState &Step, const Worker &On);
+/// True if the advice service has answered about the worker.
+bool isAnswered(const StepState &Step, const Worker &On);
 /// Orders the stop of a run, or drops it if it was only planned.
 void stopAttempt(CellState &Cell, Worker &On, const RunKey &Run, const char *Why, TimePoint Now,
                  Effects &Out);
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -155,7 +155,8 @@
 /// A client with kept connections, a bounded number idle per endpoint. Safe from any thread.
 class HttpClient {
 public:
-  explicit HttpClient(Executor Where);
+  /// \p OneThread: one thread runs \p Where, so that connections need no strands of their own.
+  explicit HttpClient(Executor Where, bool OneThread = false);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -40,8 +40,6 @@
   int64_t NoRoom = 0;
   int64_t Possible = 0;
   for (const auto &[Id, On] : Cell.Workers) {
-    const auto Verdict = Step.Advice.Verdicts.find(Id);
-    const bool Asked = Verdict != Step.Advice.Verdicts.end();
     if (On.Info.Service != Of.Spec->Service)
       ++OtherService;
     else if (!On.Heard || !On.Answers)
@@ -50,9 +48,9 @@
       ++Leaving;
     else if (On.SetAsideUntil > Now)
       ++SetAside;
-    else if (Of.Spec->Advice && !Asked)
+    else if (Of.Spec->Advice && !isAnswered(Step, On))
       ++NotAsked;
-    else if (Of.Spec->Advice && !Verdict->second.Good)
+    else if (Of.Spec->Advice && !permitOn(Step, On))
       ++AdvisedAgainst;
     else if (!fits(Step.Spec->Need, On.Info.Capacity - On.Booked - On.Planned))
       ++NoRoom;
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -227,26 +227,28 @@
 }
 
 namespace {
-// Lets workers forget the ends whose saves are durable.
-void releaseEnds(CellState &Cell) {
+// Lets workers forget the ends whose saves are durable; returns those that have no other.
+std::vector<std::string> releaseEnds(CellState &Cell) {
   const uint64_t Durable = Cell.Saves.empty() ? Cell.LastSave : Cell.Saves.begin()->first - 1;
-  for (auto &[Id, On] : Cell.Workers)
-    while (!On.Unsaved.empty() && On.Unsaved.front().second <= Durable) {
-      On.ForgetThrough = On.Unsaved.front().first;
-      On.Unsaved.pop_front();
+  std::vector<std::string> Clear;
+  std::erase_if(Cell.WithUnsaved, [&](uint32_t Slot) {
+    Worker *On = Cell.Slots[Slot];
+    if (!On)
+      return true;
+    while (!On->Unsaved.empty() && On->Unsaved.front().second <= Durable) {
+      On->ForgetThrough = On->Unsaved.front().first;
+      On->Unsaved.pop_front();
     }
+    if (On->Unsaved.empty())
+      Clear.push_back(On->Info.Id);
+    return On->Unsaved.empty();
+  });
+  return Clear;
 }
-} // namespace
 
-void jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
-              uint64_t ProgressRevision, WallTime Now) {
-  std::erase_if(Cell.Saves,
-                [&](const auto &Save) { return Save.second == Id && Save.first <= Number; });
-  releaseEnds(Cell);
-  const auto Found = Cell.Jobs.find(Id);
-  if (Found == Cell.Jobs.end())
-    return;
-  Job &Of = Found->second;
+// The job and its progress are as the store has them.
+void noteSaved(CellState &Cell, Job &Of, uint64_t Number, uint64_t Revision,
+               uint64_t ProgressRevision, WallTime Now) {
   Of.Revision = Revision;
   Of.ProgressRevision = ProgressRevision;
   if (Of.NeedsSave > Number)
@@ -254,9 +256,20 @@
   Of.NeedsSave = 0;
   if (Of.Phase == JobPhase::Live)
     return;
+  const JobId Id = Of.Spec->Id;
   Cell.Ended[Id] = {Of.Phase, Revision, Now};
   Cell.Forgettable.emplace_back(Now, Id);
-  Cell.Jobs.erase(Found);
+  Cell.Jobs.erase(Id);
+}
+} // namespace
+
+std::vector<std::string> jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
+                                  uint64_t ProgressRevision, WallTime Now) {
+  std::erase_if(Cell.Saves,
+                [&](const auto &Save) { return Save.second == Id && Save.first <= Number; });
+  if (const auto Found = Cell.Jobs.find(Id); Found != Cell.Jobs.end())
+    noteSaved(Cell, Found->second, Number, Revision, ProgressRevision, Now);
+  return releaseEnds(Cell);
 }
 
 std::string_view shownState(const CellState &Cell, JobId Id) {
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -12,6 +12,10 @@
 constexpr int MaxMissesInARow = 40;
 // Most workers named in one question for advice. (The platform's limit.)
 constexpr size_t MaxNamed = 100;
+// Workers named for a step of single tasks. Seven of ten are good for quick checks, and not all of
+// those that had room have it still when the answer comes.
+constexpr size_t NamedAtLeast = 8;
+constexpr size_t NamedPerTask = 6;
 // A question that got no answer is asked again after this time.
 constexpr Milliseconds AskAgain{50};
 // A step that could not be planned in time waits so long before the next try.
@@ -55,23 +59,24 @@
   return Need;
 }
 
-const AdviceState::Verdict *verdictOn(const StepState &Step, const Worker &On) {
-  const auto Found = Step.Advice.Verdicts.find(On.Info.Id);
-  return Found == Step.Advice.Verdicts.end() ? nullptr : &Found->second;
-}
-
-bool isAdvised(const Job &Of, const StepState &Step, const Worker &On) {
+bool hasTicket(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
   if (!Of.Spec->Advice)
     return true;
-  const AdviceState::Verdict *Known = verdictOn(Step, On);
-  return Known && Known->Good;
+  const AdviceState::Permit *Known = permitOn(Step, On);
+  return Known && Known->ValidUntil > In.Now;
 }
 
-bool hasTicket(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
-  if (!Of.Spec->Advice)
-    return true;
-  const AdviceState::Verdict *Known = verdictOn(Step, On);
-  return Known && Known->Good && Known->ValidUntil > In.Now;
+// Calls \p Visit with each worker on which advice lets the step run.
+template <class Visitor>
+void eachAdvised(Pass &In, const Job &Of, const StepState &Step, Visitor Visit) {
+  if (!Of.Spec->Advice) {
+    for (auto &[Id, On] : In.Cell.Workers)
+      Visit(On);
+    return;
+  }
+  for (const AdviceState::Permit &Known : Step.Advice.Good)
+    if (Worker *On = In.Cell.Slots[Known.Slot])
+      Visit(*On);
 }
 
 uint32_t heldOf(const StepState &Step, const Worker &On) {
@@ -125,19 +130,33 @@
                          std::chrono::duration_cast<Milliseconds>(Time)});
 }
 
+// How many workers a question names: a gang needs many at a time; for others a few for each task
+// are enough, and a short question is answered sooner.
+size_t namedFor(const StepState &Step) {
+  if (Step.Spec->Gang)
+    return MaxNamed;
+  return std::min<size_t>(MaxNamed, NamedAtLeast + NamedPerTask * Step.Spec->Count);
+}
+
 // Asks about workers of which nothing is known yet, those with the most room first.
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
-  if (!Of.Spec->Advice || Step.Advice.Asking)
+  if (!Of.Spec->Advice || Step.Advice.Asking || Step.Advice.NotBefore > In.Now)
     return;
-  std::vector<std::pair<int64_t, std::string>> Unknown;
-  for (const auto &[Id, On] : In.Cell.Workers)
-    if (isUsable(In, On, Of, Step) && !verdictOn(Step, On) && fits(needOf(Step), On.Info.Capacity))
-      Unknown.emplace_back(-roomFor(In, On, Of, Step).MilliCores, Id);
-  std::sort(Unknown.begin(), Unknown.end());
+  std::vector<std::pair<int64_t, const Worker *>> Unknown;
+  for (const Worker *On : In.Cell.Slots)
+    if (On && !isAnswered(Step, *On) && isUsable(In, *On, Of, Step) &&
+        fits(needOf(Step), On->Info.Capacity))
+      Unknown.emplace_back(-roomFor(In, *On, Of, Step).MilliCores, On);
+  const size_t Count = std::min(Unknown.size(), namedFor(Step));
+  const auto BySlot = [](const auto &A, const auto &B) {
+    return std::pair(A.first, A.second->Slot) < std::pair(B.first, B.second->Slot);
+  };
+  std::partial_sort(Unknown.begin(), Unknown.begin() + static_cast<ptrdiff_t>(Count), Unknown.end(),
+                    BySlot);
   std::vector<std::string> Names;
-  Names.reserve(Unknown.size());
-  for (auto &[Room, Id] : Unknown)
-    Names.push_back(std::move(Id));
+  Names.reserve(Count);
+  for (size_t I = 0; I < Count; ++I)
+    Names.push_back(Unknown[I].second->Info.Id);
   ask(In, Of, Step, std::move(Names));
 }
 
@@ -146,14 +165,12 @@
 }
 
 void start(Pass &In, const Job &Of, StepState &Step, uint32_t Index, Worker &On, Attempt &What) {
-  setPhase(On, What, AttemptPhase::Starting, In.Now);
+  const RunKey Run{{Step.Key, Index}, Step.Tasks[Index].Run};
+  setPhase(In.Cell, On, Run, AttemptPhase::Starting, In.Now);
   What.Sends = 1;
-  const AdviceState::Verdict *Known = verdictOn(Step, On);
-  In.Out.Starts.push_back({On.Info.Id,
-                           {{Step.Key, Index}, Step.Tasks[Index].Run},
-                           Of.Spec,
-                           checkpointOf(Step, Index),
-                           Known ? Known->Ticket : std::string()});
+  const AdviceState::Permit *Known = permitOn(Step, On);
+  In.Out.Starts.push_back(
+      {On.Info.Id, Run, Of.Spec, checkpointOf(Step, Index), Known ? Known->Ticket : std::string()});
 }
 
 // Notes for the log what was ordered for the step since \p Before starts.
@@ -206,16 +223,17 @@
 Worker *findRoom(Pass &In, const Job &Of, StepState &Step, const TaskState &Task) {
   Worker *Best = nullptr;
   Score BestScore;
-  for (auto &[Id, On] : In.Cell.Workers) {
-    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) ||
-        !fits(needOf(Step), roomFor(In, On, Of, Step)) || holdsLimit(Step, On))
-      continue;
+  const Resources Need = needOf(Step);
+  eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (!fits(Need, roomFor(In, On, Of, Step)) || !isUsable(In, On, Of, Step) ||
+        holdsLimit(Step, On))
+      return;
     const Score Value = scoreOf(In, Of, Step, Task, On);
     if (!Best || Value < BestScore) {
       Best = &On;
       BestScore = Value;
     }
-  }
+  });
   return Best;
 }
 
@@ -223,21 +241,24 @@
 Worker *findYielding(Pass &In, const Job &Of, StepState &Step) {
   Worker *Best = nullptr;
   int64_t BestRoom = 0;
-  for (auto &[Id, On] : In.Cell.Workers) {
-    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step) || holdsLimit(Step, On))
-      continue;
-    const int Priority = Of.Spec->Priority;
+  const Resources Need = needOf(Step);
+  const int Priority = Of.Spec->Priority;
+  eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (!isUsable(In, On, Of, Step) || holdsLimit(Step, On))
+      return;
     const Resources Room = roomFor(In, On, Of, Step) + yieldable(On, Priority);
-    if (fits(needOf(Step), Room) && (!Best || Room.MilliCores > BestRoom)) {
+    if (fits(Need, Room) && (!Best || Room.MilliCores > BestRoom)) {
       Best = &On;
       BestRoom = Room.MilliCores;
     }
-  }
+  });
   return Best;
 }
 
 // Starts what is planned and has its room and its ticket.
 void launchSingles(Pass &In, const Job &Of, StepState &Step) {
+  if (Step.Planned == 0)
+    return;
   std::vector<std::string> NoTicket;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
     Worker *On = Step.Tasks[I].At;
@@ -296,17 +317,18 @@
   int64_t Most = Step.Spec->Count;
   if (Step.Spec->MostPerWorker > 0)
     Most = std::min<int64_t>(Most, Step.Spec->MostPerWorker);
-  for (auto &[Id, On] : In.Cell.Workers) {
-    if (!isAdvised(Of, Step, On) || !isUsable(In, On, Of, Step))
-      continue;
+  const Resources Need = needOf(Step);
+  eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (!isUsable(In, On, Of, Step))
+      return;
     const Resources Room = roomFor(In, On, Of, Step);
-    GangSeat Seat{&On, timesFits(needOf(Step), Room, Most), 0};
+    GangSeat Seat{&On, timesFits(Need, Room, Most), 0};
     Seat.Seats = Seat.Free;
     if (Yields)
-      Seat.Seats = timesFits(needOf(Step), Room + yieldable(On, Of.Spec->Priority), Most);
+      Seat.Seats = timesFits(Need, Room + yieldable(On, Of.Spec->Priority), Most);
     if (Seat.Seats > 0)
       Found.push_back(Seat);
-  }
+  });
   return Found;
 }
 
@@ -443,31 +465,51 @@
 
 // True if the step has a task that still has to be placed or launched.
 bool hasWork(const StepState &Step) {
-  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
-    const TaskState &Task = Step.Tasks[I];
-    if (Task.Done)
-      continue;
-    if (!Task.At)
-      return true;
-    const auto Found = Task.At->Attempts.find({{Step.Key, I}, Task.Run});
-    if (Found != Task.At->Attempts.end() && Found->second.Phase == AttemptPhase::Planned)
-      return true;
-  }
-  return false;
+  return Step.Planned > 0 || std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                         [](const TaskState &T) { return !T.Done && !T.At; });
+}
+
+bool isBefore(const AdviceState::Permit &Known, uint32_t Slot) { return Known.Slot < Slot; }
+
+// Keeps the newest permit of each worker.
+void permit(AdviceState &Known, AdviceState::Permit New) {
+  const auto At = std::lower_bound(Known.Good.begin(), Known.Good.end(), New.Slot, isBefore);
+  if (At != Known.Good.end() && At->Slot == New.Slot)
+    *At = std::move(New);
+  else
+    Known.Good.insert(At, std::move(New));
 }
 } // namespace
 
+const AdviceState::Permit *permitOn(const StepState &Step, const Worker &On) {
+  const auto &Good = Step.Advice.Good;
+  const auto At = std::lower_bound(Good.begin(), Good.end(), On.Slot, isBefore);
+  return At != Good.end() && At->Slot == On.Slot ? &*At : nullptr;
+}
+
+AdviceState::Permit *permitOn(StepState &Step, const Worker &On) {
+  return const_cast<AdviceState::Permit *>(permitOn(std::as_const(Step), On));
+}
+
+bool isAnswered(const StepState &Step, const Worker &On) {
+  return On.Slot < Step.Advice.Answered.size() && Step.Advice.Answered[On.Slot];
+}
+
 void adviceAnswered(CellState &Cell, const StepKey &Key, const std::vector<std::string> &Named,
                     const std::vector<std::pair<std::string, std::string>> &Good,
                     Milliseconds Valid, TimePoint Now) {
   StepState *Step = findStep(Cell, Key);
   if (!Step)
     return;
-  Step->Advice.Asking = false;
+  AdviceState &Known = Step->Advice;
+  Known.Asking = false;
+  Known.Answered.resize(Cell.Slots.size());
   for (const std::string &Id : Named)
-    Step->Advice.Verdicts.try_emplace(Id);
+    if (const auto On = Cell.Workers.find(Id); On != Cell.Workers.end())
+      Known.Answered[On->second.Slot] = true;
   for (const auto &[Id, Ticket] : Good)
-    Step->Advice.Verdicts[Id] = {true, Ticket, Now + Valid - Cell.Limits.TicketMargin};
+    if (const auto On = Cell.Workers.find(Id); On != Cell.Workers.end())
+      permit(Known, {On->second.Slot, Ticket, Now + Valid - Cell.Limits.TicketMargin});
   queueStep(Cell, Cell.Jobs.at(Key.Job), *Step, Now);
 }
 
@@ -506,7 +548,7 @@
     }
     if (!Entry.Late && Now + Step->Spec->Estimate / 2 > Of.Objective)
       queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
-    if (Of.Spec->Advice && Step->Advice.Verdicts.empty()) {
+    if (Of.Spec->Advice && Step->Advice.Answered.empty()) {
       askUnknown(In, Of, *Step);
       continue;
     }
--- /dev/null
+++ b/src/scheduler/scheduler_bench.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// One pass of placement and one tick of a full cell, and how they grow with the workers and with
+// what waits. The mix of work is that of the users' large deployments.
+#include "valveshelf/cell_state.h"
+
+#include <benchmark/benchmark.h>
+
+#include <random>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+// A cell whose workers are full, with jobs of each kind that wait.
+class FullCell {
+public:
+  explicit FullCell(int Workers) {
+    Cell.WallAt = Now;
+    for (int I = 0; I < Workers; ++I)
+      addWorker(I);
+    Effects Out;
+    finishLoading(Cell, Now, Out);
+    for (auto &[Id, On] : Cell.Workers) {
+      On.Saved = true;
+      workerReported(Cell, Id, {}, Now, Now, Out);
+    }
+  }
+
+  // Hands jobs in, answers what is asked and confirms what is started until as many steps wait.
+  void fill(size_t Waiting) {
+    for (int I = 0; Cell.Queue.size() < Waiting && I < 100000; ++I) {
+      submit(I % 20 == 0 ? 0 : I % 20 < 4 ? 1 : 2);
+      if (I % 20 == 19)
+        settle();
+    }
+    settle();
+  }
+
+  void settle() {
+    for (int I = 0; I < 4; ++I) {
+      Effects Out;
+      Now += 2ms;
+      place(Cell, Now, Out);
+      for (const Effects::Ask &Question : Out.Asks)
+        answer(Question);
+      for (const Effects::Start &Order : Out.Starts)
+        startAnswered(Cell, Order.Worker, Order.Run, StartResult::Started, Now, Out);
+    }
+  }
+
+  CellState Cell;
+  TimePoint Now = TimePoint{} + 1000s;
+
+private:
+  void addWorker(int Number) {
+    WorkerInfo Info;
+    Info.Id = "worker-life-" + std::to_string(100000 + Number);
+    Info.Service = "pool";
+    Info.Rack = "rack-" + std::to_string(Number / 12);
+    Info.Labels = {"a", Info.Rack};
+    Info.Capacity = {64000, 131072, 0};
+    workerListed(Cell, Info, Now);
+  }
+
+  // Kinds: 0 a gang, 1 many tasks that save their progress, 2 a quick check.
+  void submit(int Kind) {
+    auto Spec = std::make_shared<JobSpec>();
+    Spec->Id = ++LastJob;
+    Spec->Queue = "queue";
+    Spec->Service = "pool";
+    Spec->Priority = Kind == 2 ? 0 : Kind + 1;
+    Spec->MaxAttempts = 3;
+    Spec->Extension = 1000;
+    Spec->Advice = AdvicePolicy{};
+    StepSpec Step;
+    Step.Count = Kind == 0 ? 20 : Kind == 1 ? 25 : 3;
+    Step.Need = Kind == 0 ? Resources{18000, 26000, 0}
+                          : (Kind == 1 ? Resources{6900, 13000, 0} : Resources{9900, 18000, 0});
+    Step.Estimate = Milliseconds(Kind == 0 ? 6200 : Kind == 1 ? 2200 : 640);
+    Step.Gang = Kind == 0;
+    Step.Checkpoints = Kind == 1;
+    Spec->Steps.push_back(Step);
+    addJob(Cell, Spec, LastJob, true, Now);
+  }
+
+  void answer(const Effects::Ask &Question) {
+    const double Share = Question.Priority == 0 ? 0.7 : Question.Priority == 1 ? 0.25 : 0.45;
+    std::vector<std::pair<std::string, std::string>> Good;
+    for (const std::string &Worker : Question.Workers)
+      if (std::uniform_real_distribution<>(0, 1)(Random) < Share)
+        Good.emplace_back(Worker, "ticket-of-some-length-" + std::to_string(Random()));
+    adviceAnswered(Cell, Question.Step, Question.Workers, Good, 1000000ms, Now);
+  }
+
+  std::mt19937_64 Random{7};
+  JobId LastJob = 0;
+};
+
+void placePass(benchmark::State &State) {
+  FullCell Of(static_cast<int>(State.range(0)));
+  Of.fill(static_cast<size_t>(State.range(1)));
+  for (auto _ : State) {
+    Effects Out;
+    Of.Now += std::chrono::microseconds(1);
+    place(Of.Cell, Of.Now, Out);
+    benchmark::DoNotOptimize(Out);
+  }
+}
+BENCHMARK(placePass)
+    ->ArgNames({"workers", "waiting"})
+    ->Args({48, 50})
+    ->Args({350, 50})
+    ->Args({350, 200})
+    ->Args({700, 200})
+    ->Unit(benchmark::kMicrosecond);
+
+void tickOnce(benchmark::State &State) {
+  FullCell Of(static_cast<int>(State.range(0)));
+  Of.fill(50);
+  for (auto _ : State) {
+    Effects Out;
+    Of.Now += std::chrono::microseconds(1);
+    tick(Of.Cell, Of.Now, WallTime(1000s), Out);
+    benchmark::DoNotOptimize(Out);
+  }
+}
+BENCHMARK(tickOnce)->ArgName("workers")->Arg(48)->Arg(350)->Arg(700)->Unit(benchmark::kMicrosecond);
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -15,6 +15,8 @@
 constexpr int MaxSends = 2;
 // A run without progress for so long stands still. Reports come every two seconds at least.
 constexpr Milliseconds StuckTime{3500};
+// Runs that stand still are looked for this often; a fraction of the time above.
+constexpr Milliseconds StuckLookEvery{500};
 // A worker that is busy or can't be reached is left alone for this time.
 constexpr Milliseconds ShortPause{500};
 
@@ -76,7 +78,7 @@
 
 void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What, TimePoint Now) {
   if (What.Phase == AttemptPhase::Starting || What.Phase == AttemptPhase::Uncertain) {
-    setPhase(On, What, AttemptPhase::Running, Now);
+    setPhase(Cell, On, Row.Run, AttemptPhase::Running, Now);
     What.StartedAt = What.PercentChanged = Now;
   }
   if (What.Percent != Row.Percent) {
@@ -113,20 +115,26 @@
     runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
     const uint64_t Save = Of == Cell.Jobs.end() ? 0 : Of->second.NeedsSave;
-    if (Save == 0 && On.Unsaved.empty())
+    if (Save == 0 && On.Unsaved.empty()) {
       On.ForgetThrough = End.Number;
-    else
+    } else {
       On.Unsaved.emplace_back(End.Number, Save);
+      Cell.WithUnsaved.insert(On.Slot);
+    }
   }
 }
 
 // Runs that were stopped without ever having begun are in no list.
-void dropNeverBegun(CellState &Cell, Worker &On, const std::set<RunKey> &Active, TimePoint AskedAt,
+void dropNeverBegun(CellState &Cell, Worker &On, const WorkerReport &Report, TimePoint AskedAt,
                     TimePoint Now, Effects &Out) {
+  const auto IsActive = [&](const RunKey &Run) {
+    return std::any_of(Report.Active.begin(), Report.Active.end(),
+                       [&](const ActiveRun &Row) { return Row.Run == Run; });
+  };
   std::vector<RunKey> Gone;
   for (const auto &[Run, What] : On.Attempts)
     if (What.Phase == AttemptPhase::Stopping && What.StopAcked && AskedAt >= What.StopAckedAt &&
-        !Active.count(Run))
+        !IsActive(Run))
       Gone.push_back(Run);
   for (const RunKey &Run : Gone) {
     unbook(Cell, On, Run);
@@ -145,8 +153,9 @@
 void refused(CellState &Cell, Worker &On, const RunKey &Run, StartResult What, TimePoint Now,
              Effects &Out) {
   StepState *Step = findStep(Cell, Run.Task.Step);
-  if (What == StartResult::RefusedTicket && Step)
-    Step->Advice.Verdicts[On.Info.Id].ValidUntil = Now;
+  if (AdviceState::Permit *Used = Step ? permitOn(*Step, On) : nullptr;
+      Used && What == StartResult::RefusedTicket)
+    Used->ValidUntil = Now;
   if (What == StartResult::RefusedBusy || What == StartResult::NotSent)
     On.SetAsideUntil = std::max(On.SetAsideUntil, Now + ShortPause);
   if (What == StartResult::RefusedRoom)
@@ -162,9 +171,10 @@
 void sendAgain(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What, Effects &Out) {
   StepState *Step = findStep(Cell, Run.Task.Step);
   const std::string &Checkpoint = Step->Tasks[Step->Spec->Gang ? 0 : Run.Task.Index].Checkpoint;
+  const AdviceState::Permit *Used = permitOn(*Step, On);
   ++What.Sends;
   Out.Starts.push_back({On.Info.Id, Run, Cell.Jobs.at(Run.Task.Step.Job).Spec, Checkpoint,
-                        Step->Advice.Verdicts[On.Info.Id].Ticket});
+                        Used ? Used->Ticket : std::string()});
 }
 } // namespace
 
@@ -182,14 +192,19 @@
   Made.MayBeStopped = Step.Spec->Checkpoints && !Step.Spec->Gang && !Step.Spec->Lasting;
   Made.Phase = Phase;
   Made.Since = Now;
-  (Phase == AttemptPhase::Planned ? On.Planned : On.Booked) += Made.Need;
+  const bool IsPlanned = Phase == AttemptPhase::Planned;
+  (IsPlanned ? On.Planned : On.Booked) += Made.Need;
+  Step.Planned += IsPlanned ? 1 : 0;
   return Made;
 }
 
-void setPhase(Worker &On, Attempt &What, AttemptPhase Phase, TimePoint Now) {
+void setPhase(CellState &Cell, Worker &On, const RunKey &Run, AttemptPhase Phase, TimePoint Now) {
+  Attempt &What = On.Attempts.at(Run);
   if (What.Phase == AttemptPhase::Planned && Phase != AttemptPhase::Planned) {
     On.Planned -= What.Need;
     On.Booked += What.Need;
+    if (StepState *Step = findStep(Cell, Run.Task.Step))
+      --Step->Planned;
   }
   What.Phase = Phase;
   What.Since = Now;
@@ -199,8 +214,8 @@
   const auto Found = On.Attempts.find(Run);
   if (Found == On.Attempts.end())
     return;
-  const Attempt &What = Found->second;
-  (What.Phase == AttemptPhase::Planned ? On.Planned : On.Booked) -= What.Need;
+  const bool WasPlanned = Found->second.Phase == AttemptPhase::Planned;
+  (WasPlanned ? On.Planned : On.Booked) -= Found->second.Need;
   On.Attempts.erase(Found);
   if (On.Full)
     On.Full = std::any_of(On.Attempts.begin(), On.Attempts.end(),
@@ -208,6 +223,7 @@
   StepState *Step = findStep(Cell, Run.Task.Step);
   if (!Step || Run.Task.Index >= Step->Tasks.size())
     return;
+  Step->Planned -= WasPlanned ? 1 : 0;
   TaskState &Task = Step->Tasks[Run.Task.Index];
   if (Task.At == &On && Task.Run == Run.Run) {
     Task.At = nullptr;
@@ -222,14 +238,24 @@
     return;
   if (Found->second.Phase == AttemptPhase::Planned)
     return unbook(Cell, On, Run);
-  setPhase(On, Found->second, AttemptPhase::Stopping, Now);
+  setPhase(Cell, On, Run, AttemptPhase::Stopping, Now);
   Found->second.StopSent = Now;
   Out.Stops.push_back({On.Info.Id, Run, Why});
 }
 
+// The worker of that id, which may be new.
+static Worker &makeWorker(CellState &Cell, const std::string &Id) {
+  const auto [Place, New] = Cell.Workers.try_emplace(Id);
+  if (New) {
+    Place->second.Slot = static_cast<uint32_t>(Cell.Slots.size());
+    Cell.Slots.push_back(&Place->second);
+  }
+  return Place->second;
+}
+
 void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now) {
   const bool New = !Cell.Workers.count(Info.Id);
-  Worker &On = Cell.Workers[Info.Id];
+  Worker &On = makeWorker(Cell, Info.Id);
   On.Info = Info;
   On.Listed = true;
   if (New)
@@ -242,7 +268,7 @@
 }
 
 void workerMayHoldRuns(CellState &Cell, const WorkerInfo &Info, TimePoint LeaseEnd) {
-  Worker &On = Cell.Workers[Info.Id];
+  Worker &On = makeWorker(Cell, Info.Id);
   if (On.Info.Id.empty())
     On.Info = Info;
   On.Saved = true;
@@ -257,16 +283,14 @@
     return;
   On->Answers = true;
   readEnds(Cell, *On, Report, Now, Out);
-  std::set<RunKey> Active;
   for (const ActiveRun &Row : Report.Active) {
-    Active.insert(Row.Run);
     const auto Found = On->Attempts.find(Row.Run);
     if (Found == On->Attempts.end())
       adopt(Cell, *On, Row, Now, Out);
     else
       noteProgress(Cell, *On, Row, Found->second, Now);
   }
-  dropNeverBegun(Cell, *On, Active, AskedAt, Now, Out);
+  dropNeverBegun(Cell, *On, Report, AskedAt, Now, Out);
   On->Heard = true;
   heard(Cell, Id, Now, Out);
 }
@@ -297,6 +321,7 @@
   if (!On)
     return;
   dropAttempts(Cell, *On, Now, Out);
+  Cell.Slots[On->Slot] = nullptr;
   Cell.Workers.erase(Id);
   heard(Cell, Id, Now, Out);
 }
@@ -318,14 +343,14 @@
   if (Which.Phase != AttemptPhase::Starting && Which.Phase != AttemptPhase::Uncertain)
     return;
   if (What == StartResult::Started) {
-    setPhase(*On, Which, AttemptPhase::Running, Now);
+    setPhase(Cell, *On, Run, AttemptPhase::Running, Now);
     Which.StartedAt = Which.PercentChanged = Now;
     if (findStep(Cell, Run.Task.Step))
       Cell.Jobs.at(Run.Task.Step.Job).Begun = true;
     return;
   }
   if (What == StartResult::Unknown && Which.Sends < MaxSends && findStep(Cell, Run.Task.Step)) {
-    setPhase(*On, Which, AttemptPhase::Uncertain, Now);
+    setPhase(Cell, *On, Run, AttemptPhase::Uncertain, Now);
     return sendAgain(Cell, *On, Run, Which, Out);
   }
   // After an order without an answer a refusal proves nothing about that order.
@@ -390,6 +415,9 @@
   Cell.WallAt = Now;
   if (!Cell.Loaded)
     return;
+  const bool LookForStuck = Now >= Cell.NextStuckLook;
+  if (LookForStuck)
+    Cell.NextStuckLook = Now + StuckLookEvery;
   std::vector<std::string> Over;
   for (auto &[Id, On] : Cell.Workers) {
     const bool Lapsed = !On.Answers && Now > On.LeaseEnd;
@@ -400,7 +428,8 @@
       heard(Cell, Id, Now, Out);
     } else if (On.Answers) {
       tickStops(Cell, On, Now, Out);
-      tickStuck(Cell, On, Now, Out);
+      if (LookForStuck)
+        tickStuck(Cell, On, Now, Out);
     }
   }
   for (const std::string &Id : Over)
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -65,13 +65,16 @@
 int serve(CellSettings Settings, const std::string &Path) {
   asio::io_context Io(static_cast<int>(Settings.Threads));
   const auto Guard = asio::make_work_guard(Io);
-  HttpClient Client(Io.get_executor());
   const unsigned Threads = Settings.Threads;
+  // With one thread the context itself is a strand, and a cheaper one.
+  const bool OneThread = Threads == 1;
+  HttpClient Client(Io.get_executor(), OneThread);
+  const Executor Where = OneThread ? Executor(Io.get_executor()) : Executor(asio::make_strand(Io));
   const std::string Addresses = "callers=" + toString(Settings.Callers) +
                                 " peers=" + toString(Settings.Peers) +
                                 " store=" + toString(Settings.Store);
   CellPlatform From = connect(Client, Settings);
-  CellProcess Process(asio::make_strand(Io), std::move(Settings), Clock{}, std::move(From));
+  CellProcess Process(Where, std::move(Settings), Clock{}, std::move(From));
   if (Result<Done> Started = Process.start(); !ok(Started)) {
     std::cerr << "valveshelf serve: " << error(Started).Detail << "\n";
     return answerFor(error(Started).Kind).ExitCode;
