The strongest process schedules, also after the scheduler was killed

Only boxes that had just announced a job knew that nothing listened at its address. Ruled out: the store (calm), loading (1.2 s there, 0.1 s on a strong box). Change: who finds the scheduler gone tells up to four stronger members, which look for themselves. A scheduler hands its term over to a member with 1.5 times its processor, or to an equal one when the store does not serve it straight for a second; it asks first whether that one could schedule, and at most once in 10 s. A process on a detour claims half a second later.

--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -120,6 +120,7 @@
   VALVESHELF_CELL_CALL(Explain);
   VALVESHELF_CELL_CALL(Announce);
   VALVESHELF_CELL_CALL(StoreCall);
+  VALVESHELF_CELL_CALL(Candidate);
 #undef VALVESHELF_CELL_CALL
   Link.Listens = [](Endpoint To, Milliseconds Timeout) { return listens(std::move(To), Timeout); };
   return Link;
@@ -161,6 +162,7 @@
   VALVESHELF_CELL_METHOD(Explain)
   VALVESHELF_CELL_METHOD(Announce)
   VALVESHELF_CELL_METHOD(StoreCall)
+  VALVESHELF_CELL_METHOD(Candidate)
 #undef VALVESHELF_CELL_METHOD
 
 private:
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -53,8 +53,7 @@
         In(
             Where, Store, Time, Settings, [this] { return Path.isSilent(); },
             [this](IntakeNews News) { announce(std::move(News)); }),
-        Lead(schedulerTools(), View,
-             [this](Endpoint To) { return Peers.Listens(std::move(To), ListenTimeout); }),
+        Lead(schedulerTools(), View, leadershipLinks()),
         Door(Settings, Time, callerCodec(), Store, Config, View, Lead, In, Peers),
         Callers(Where, Settings.Callers, serverLimits(),
                 [this](HttpExchange &E) { return serveCaller(E); }),
@@ -115,6 +114,20 @@
             Metrics};
   }
 
+  LeadershipLinks leadershipLinks() {
+    LeadershipLinks Links;
+    Links.Listens = [this](Endpoint To) { return Peers.Listens(std::move(To), ListenTimeout); };
+    Links.CouldSchedule = [this](Endpoint To, uint64_t GoneTerm) -> Awaitable<bool> {
+      cell::CandidateRequest Question;
+      Question.set_gone_term(GoneTerm);
+      Result<cell::CandidateReply> Reply =
+          co_await Peers.Candidate(std::move(To), Question, ListenTimeout);
+      co_return ok(Reply) && value(Reply).could_schedule();
+    };
+    Links.StoreIsStraight = [this] { return Path.isStraight(); };
+    return Links;
+  }
+
   CallerCodec callerCodec() const {
     return {From.DecodeSubmission, From.EncodeState, From.EncodeWaiting};
   }
@@ -197,6 +210,11 @@
     Answers.Announce = [this](cell::AnnounceRequest Asked) -> Awaitable<cell::AnnounceReply> {
       co_return announced(Asked);
     };
+    Answers.Candidate = [this](cell::CandidateRequest Asked) -> Awaitable<cell::CandidateReply> {
+      cell::CandidateReply Reply;
+      Reply.set_could_schedule(Lead.couldSchedule(Asked.gone_term()));
+      co_return Reply;
+    };
     Answers.StoreCall = [this](cell::StoreCallRequest Asked) { return passOn(std::move(Asked)); };
     return Answers;
   }
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -22,10 +22,20 @@
 constexpr int RenewalsPerLife = 4;
 // A planned stop waits so long for what has to be saved.
 constexpr Milliseconds FlushTime{600};
+// Added to the turn of a process that reaches the store only through peers.
+constexpr Milliseconds DetourTurn{500};
+// So many of the strongest processes are told that the scheduler is gone; some may be gone too.
+constexpr size_t MostTold = 4;
+// A term is given to a process with so many times the processor, or to an equal one if the store
+// does not serve this one for some time. A change costs about half a second, so it is rare.
+constexpr double MuchStronger = 1.5;
+constexpr Milliseconds DetourTime{1000};
+constexpr Milliseconds LeastTerm{2000};
+constexpr Milliseconds HandOverEvery{10000};
 } // namespace
 
-Leadership::Leadership(const SchedulerTools &Tools, CellView &View, Listens Probe)
-    : Tools(Tools), View(View), Probe(std::move(Probe)) {}
+Leadership::Leadership(const SchedulerTools &Tools, CellView &View, LeadershipLinks Links)
+    : Tools(Tools), View(View), Links(std::move(Links)) {}
 
 void Leadership::start() { spawnLater(Tools.Where, loop()); }
 
@@ -57,13 +67,76 @@
   if (Probing || Stopped || !Suspect || Suspect->Name == Tools.Settings.Member)
     co_return;
   Probing = true;
-  const bool Lives = co_await Probe(Suspect->Peers);
+  const bool Lives = co_await Links.Listens(Suspect->Peers);
   Probing = false;
   if (Lives)
     co_return;
   logEvent(events::SchedulerGone,
            {{"scheduler", Suspect->Name}, {"term", std::to_string(Suspect->Term)}});
   GoneTerm = Suspect->Term;
+  co_await tellStronger(*Suspect);
+}
+
+// The other members, the strongest first.
+std::vector<Member> Leadership::membersByPower() const {
+  std::vector<Member> Others;
+  for (const auto &[Name, Info] : View.picture().Members)
+    if (Name != Tools.Settings.Member)
+      Others.push_back(Info);
+  std::stable_sort(Others.begin(), Others.end(),
+                   [](const Member &A, const Member &B) { return A.Power > B.Power; });
+  return Others;
+}
+
+Awaitable<void> Leadership::tellStronger(Leader Gone) {
+  size_t Told = 0;
+  for (const Member &Other : membersByPower()) {
+    if (Other.Power <= Tools.Settings.Power || Told == MostTold)
+      break;
+    if (Other.Name == Gone.Name)
+      continue;
+    ++Told;
+    spawnLater(Tools.Where,
+               [](LeadershipLinks Links, Endpoint To, uint64_t Term) -> Awaitable<void> {
+                 co_await Links.CouldSchedule(To, Term);
+               }(Links, Other.Peers, Gone.Term));
+  }
+  co_return;
+}
+
+bool Leadership::couldSchedule(uint64_t GoneTermTold) {
+  const std::optional<Leader> &Known = View.picture().Leader;
+  if (GoneTermTold != 0 && Known && Known->Term == GoneTermTold && GoneTerm != GoneTermTold)
+    spawnLater(Tools.Where, suspect());
+  return !Stopped && View.picture().Known && Links.StoreIsStraight();
+}
+
+// True if another process should schedule from now on, and is ready to.
+Awaitable<bool> Leadership::someoneIsBetter(TimePoint Begun) {
+  const TimePoint Now = Tools.Time.Now();
+  if (Links.StoreIsStraight())
+    StraightAt = Now;
+  const bool Early = Now - Begun < LeastTerm ||
+                     (LastHandOver != TimePoint{} && Now - LastHandOver < HandOverEvery);
+  const bool Detours = Now - std::max(StraightAt, Begun) > DetourTime;
+  const double Least = Tools.Settings.Power * (Detours ? 1 : MuchStronger);
+  if (Early)
+    co_return false;
+  size_t Asked = 0;
+  for (const Member &Other : membersByPower()) {
+    if (Other.Power < Least || Asked++ == MostTold)
+      break;
+    if (co_await Links.CouldSchedule(Other.Peers, 0))
+      co_return true;
+  }
+  co_return false;
+}
+
+// Saves what is known and gives the claim up, so that another can claim at once.
+Awaitable<void> Leadership::handOver(std::shared_ptr<SchedulerRunner> Current) {
+  co_await Current->flush(FlushTime);
+  Current->stop();
+  co_await Tools.Store.EndLease(CurrentLease);
 }
 
 // The strongest members come first, equal ones by name.
@@ -73,7 +146,7 @@
   const auto Before = std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
     return std::pair(-Entry.second.Power, Entry.first) < Mine;
   });
-  return TurnGap * Before;
+  return TurnGap * Before + (Links.StoreIsStraight() ? Milliseconds(0) : DetourTurn);
 }
 
 Awaitable<void> Leadership::loop() {
@@ -130,6 +203,8 @@
   Runner->setMembers(memberNames());
   Runner->start();
   const auto Current = Runner;
+  const TimePoint Begun = Tools.Time.Now();
+  const char *Why = "claim-lapsed";
   while (!Over && !Stopped) {
     co_await sleepFor(Tools.Settings.Timing.LeaderLease / RenewalsPerLife);
     const auto &Seen = View.picture().Leader;
@@ -138,23 +213,25 @@
     Result<Done> Kept = co_await Tools.Store.KeepLease(Mine.Lease);
     if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
       break;
+    if (Current->loaded() && !Over && co_await someoneIsBetter(Begun)) {
+      Why = "handed-over";
+      LastHandOver = Tools.Time.Now();
+      co_await handOver(Current);
+      break;
+    }
   }
   Current->stop();
   if (Runner == Current)
     Runner.reset();
   if (!Over)
-    logEvent(events::TermEnded, {{"term", std::to_string(Mine.Term)},
-                                 {"why", Stopped ? "planned-stop" : "claim-lapsed"}});
+    logEvent(events::TermEnded,
+             {{"term", std::to_string(Mine.Term)}, {"why", Stopped ? "planned-stop" : Why}});
 }
 
 Awaitable<void> Leadership::leave() {
   Stopped = true;
-  const auto Current = Runner;
-  if (!Current)
-    co_return;
-  co_await Current->flush(FlushTime);
-  Current->stop();
-  co_await Tools.Store.EndLease(CurrentLease);
+  if (const auto Current = Runner)
+    co_await handOver(Current);
 }
 
 } // namespace valveshelf
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -10,19 +10,31 @@
 
 namespace valveshelf {
 
+/// What leadership asks of other processes, and of its own way to the store.
+struct LeadershipLinks {
+  /// Whether the process at an address listens.
+  std::function<Awaitable<bool>(Endpoint To)> Listens;
+  /// Asks whether the process could schedule, and tells it that the scheduler of \p GoneTerm seems
+  /// gone; 0: none does. Without an answer: false.
+  std::function<Awaitable<bool>(Endpoint To, uint64_t GoneTerm)> CouldSchedule;
+  /// Whether the store serves this process straight.
+  std::function<bool()> StoreIsStraight;
+};
+
 /// Claims the cell when nobody has it, and runs the scheduler while the claim holds. Lives on one
 /// strand.
 class Leadership {
 public:
-  /// Whether the process at an address listens.
-  using Listens = std::function<Awaitable<bool>(Endpoint To)>;
-  Leadership(const SchedulerTools &Tools, CellView &View, Listens Probe);
+  Leadership(const SchedulerTools &Tools, CellView &View, LeadershipLinks Links);
   void start();
   /// The picture of the cell has changed.
   void viewChanged();
   /// A call to the scheduler failed. If nothing listens at its address it is taken for gone before
   /// its lease has run out; the fence makes that safe should it live on.
+  /// Stronger processes are told, since the next scheduler should be one of them.
   Awaitable<void> suspect();
+  /// A peer asks whether this process could schedule, and says whose scheduler seems gone.
+  bool couldSchedule(uint64_t GoneTerm);
   /// Hands the cell over: saves what is known and gives the claim up at once.
   Awaitable<void> leave();
   /// The scheduler, if it runs here and has read the store; else null.
@@ -35,11 +47,17 @@
   Awaitable<Result<Claim>> claim(uint64_t Standing);
   Awaitable<void> serve(Claim Mine);
   std::set<std::string> memberNames() const;
+  Awaitable<void> tellStronger(sched::Leader Gone);
+  std::vector<sched::Member> membersByPower() const;
+  Awaitable<bool> someoneIsBetter(TimePoint Begun);
+  Awaitable<void> handOver(std::shared_ptr<SchedulerRunner> Current);
 
   const SchedulerTools Tools;
   CellView &View;
-  const Listens Probe;
-  uint64_t GoneTerm = 0; ///< The term of a scheduler that is taken for gone; 0: none.
+  const LeadershipLinks Links;
+  TimePoint LastHandOver{};
+  TimePoint StraightAt{}; ///< When the store last served this process straight.
+  uint64_t GoneTerm = 0;  ///< The term of a scheduler that is taken for gone; 0: none.
   bool Probing = false;
   std::shared_ptr<SchedulerRunner> Runner;
   uint64_t CurrentLease = 0;
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -20,6 +20,9 @@
   std::unique_ptr<CellView> View;
   std::unique_ptr<Leadership> Lead;
   bool PeerListens = true;
+  bool PeerCouldSchedule = true;
+  bool StoreIsStraight = true;
+  std::vector<std::pair<Endpoint, uint64_t>> Asked; ///< Of peers, whether they could schedule.
 
   explicit Bench(const std::string &Name) {
     Settings.Member = Name;
@@ -39,8 +42,14 @@
         "servers/",
         [](std::string_view, std::string_view) -> Result<WorkerInfo> { return Error{}; },
         Metrics};
-    Lead = std::make_unique<Leadership>(
-        Tools, *View, [this](Endpoint) -> Awaitable<bool> { co_return PeerListens; });
+    LeadershipLinks Links;
+    Links.Listens = [this](Endpoint) -> Awaitable<bool> { co_return PeerListens; };
+    Links.CouldSchedule = [this](Endpoint To, uint64_t GoneTerm) -> Awaitable<bool> {
+      Asked.emplace_back(To, GoneTerm);
+      co_return PeerCouldSchedule;
+    };
+    Links.StoreIsStraight = [this] { return StoreIsStraight; };
+    Lead = std::make_unique<Leadership>(Tools, *View, Links);
   }
 
   // Runs until \p Holds, for a few seconds at most.
@@ -50,6 +59,9 @@
       Io.run_for(5ms);
     return Holds();
   }
+  void addMember(const std::string &Name, double Power) {
+    Store.put(memberKey(Name), encodeMember({Name, {"127.0.0.1", 9}, "z", Power}), 0);
+  }
   std::string leaderName() {
     Result<Leader> Read = decodeLeader(Store.value(std::string(LeaderKey)));
     return ok(Read) ? value(Read).Name : "";
@@ -104,5 +116,69 @@
   EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
 }
 
+TEST(Leadership, TellsStrongerProcessesThatTheSchedulerIsGone) {
+  Bench Given("weak");
+  Given.Settings.Power = 0.1;
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.addMember("a", 0.5);
+  Given.addMember("strong", 0.5);
+  Given.addMember("equal", 0.1);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.View->picture().Leader.has_value(); }));
+  Given.PeerListens = false;
+  spawnLater(Given.Io.get_executor(), Given.Lead->suspect());
+  ASSERT_TRUE(Given.runUntil([&] { return !Given.Asked.empty(); }));
+  EXPECT_EQ(Given.Asked, (std::vector{std::pair(Endpoint{"127.0.0.1", 9}, uint64_t{3})}));
+}
+
+TEST(Leadership, TakesOverWhenItIsToldThatTheSchedulerIsGone) {
+  Bench Given("strong");
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.PeerListens = false;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.View->picture().Leader.has_value(); }));
+  EXPECT_TRUE(Given.Lead->couldSchedule(3));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == "strong"; }));
+}
+
+TEST(Leadership, HandsOverToAMuchStrongerProcess) {
+  Bench Given("weak");
+  Given.Settings.Power = 0.1;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.addMember("strong", 0.5);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == ""; }));
+}
+
+TEST(Leadership, KeepsTheTermIfNobodyElseCouldSchedule) {
+  Bench Given("weak");
+  Given.Settings.Power = 0.1;
+  Given.PeerCouldSchedule = false;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.addMember("strong", 0.5);
+  ASSERT_TRUE(Given.runUntil([&] { return !Given.Asked.empty(); }));
+  Given.Io.run_for(300ms);
+  EXPECT_EQ(Given.leaderName(), "weak");
+}
+
+TEST(Leadership, HandsOverWhenTheStoreDoesNotServeIt) {
+  Bench Given("a");
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.addMember("equal", Given.Settings.Power);
+  Given.Io.run_for(2500ms);
+  EXPECT_EQ(Given.leaderName(), "a");
+  Given.StoreIsStraight = false;
+  EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == ""; }));
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -26,7 +26,7 @@
 constexpr Milliseconds ProbeTimeout{400};
 // Peers tried for one call; if the store is down for all, more would only cost time.
 constexpr size_t MostPeersTried = 3;
-// A peer passes calls on only if the store has answered it within this time.
+// The store serves this process straight if it has answered it within this time.
 constexpr Milliseconds FreshEnough{2500};
 constexpr int HttpTooMany = 429;
 constexpr int HttpUnavailable = 503;
@@ -85,6 +85,10 @@
 
 bool StorePath::usesPeers() const { return FailuresInARow >= FailuresForRelay; }
 
+bool StorePath::isStraight() const {
+  return !usesPeers() && Time.Now() - LastDirectAnswer <= FreshEnough;
+}
+
 // Calls straight and notes what that says of the store.
 Awaitable<Result<HttpResponse>> StorePath::callStraight(const StoreCall &Call,
                                                         Milliseconds Timeout) {
@@ -147,7 +151,7 @@
 }
 
 Awaitable<Result<HttpResponse>> StorePath::callForPeer(HttpRequest Request, Milliseconds Timeout) {
-  if (Time.Now() - LastDirectAnswer > FreshEnough || usesPeers())
+  if (!isStraight())
     co_return Error{ErrorKind::UpstreamUnavailable, "the store does not answer here either"};
   Result<HttpResponse> Answer = co_await Straight(std::move(Request), Timeout);
   if (ok(Answer) && isTurnedAway(Answer))
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -21,6 +21,7 @@
   std::function<Awaitable<cell::ExplainReply>(cell::ExplainRequest)> Explain;
   std::function<Awaitable<cell::AnnounceReply>(cell::AnnounceRequest)> Announce;
   std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
+  std::function<Awaitable<cell::CandidateReply>(cell::CandidateRequest)> Candidate;
 };
 
 /// Calls to peers, with one kept channel an address. UpstreamUnavailable: the peer was surely not
@@ -35,6 +36,7 @@
   Call<cell::ExplainRequest, cell::ExplainReply> Explain;
   Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
+  Call<cell::CandidateRequest, cell::CandidateReply> Candidate;
   /// Whether a process listens there; a frozen one still does, a dead or cut off one does not.
   std::function<Awaitable<bool>(Endpoint To, Milliseconds Timeout)> Listens;
 };
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -47,6 +47,8 @@
   /// True while calls are out and none has been answered for longer than the store ever takes;
   /// what is written now would have no certain outcome.
   bool isSilent() const;
+  /// True if the store serves this process straight, as far as is known.
+  bool isStraight() const;
   /// When the store last answered, on either way.
   TimePoint lastAnswer() const { return LastAnswer; }
 
