Room for urgent tasks by their size, stops only where they pay, full transactions

With the store 44 times slower four transactions of six jobs could not take in 160 ends a second, so that jobs were shown as ended 2 to 3 s late. Ruled out: submission (kept within 180 ms) and placement (90 ms after that) in the slow stretch. Change: what is kept free on a worker follows the moving mean of urgent needs, up to 22 %. Work is stopped only for a step that still meets its objective after the stop, and only if it is late itself or can still meet its own elsewhere. A third of the lanes is left to short questions. Transactions are filled by rows, ended jobs first, twelve in flight; a worker's end waits for its own save only.

--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -2,14 +2,18 @@
 // Chooses a lane for each question; heavy ones never take all of them.
 #include "cell/advice_lanes.h"
 
+#include <algorithm>
+
 namespace valveshelf {
 using namespace sched;
 
 namespace {
 // Longer questions count as heavy. (Quick checks' take some 10 ms, gangs' up to a second.)
 constexpr Milliseconds Heavy{150};
-// Lanes that heavy questions leave to others.
-constexpr size_t LightLanes = 2;
+// Lanes that heavy questions leave to others: two, or a third of them. (125 short questions a
+// second keep three lanes busy on average and seven in a burst, on small boxes.)
+constexpr size_t LeastLightLanes = 2;
+constexpr size_t LightLanesOf = 3;
 // A lane that failed is left alone for this time; its question may still be served there.
 constexpr Milliseconds LanePause{700};
 // Added to the expected time of a question.
@@ -42,7 +46,8 @@
 bool AdviceLanes::isHeavy(const Effects::Ask &Question) const { return Question.Expected > Heavy; }
 
 size_t AdviceLanes::heavyLimit() const {
-  return Lanes.size() > LightLanes ? Lanes.size() - LightLanes : 1;
+  const size_t Light = std::max(LeastLightLanes, Lanes.size() / LightLanesOf);
+  return Lanes.size() > Light ? Lanes.size() - Light : 1;
 }
 
 void AdviceLanes::dispatch() {
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -98,9 +98,9 @@
     sched::JobId Id = 0;
     uint64_t Number = 0;
     bool Ends = false;
-    bool Removes = false; ///< Its progress is removed.
   };
-  static Awaitable<void> save(Self Me, std::vector<SaveEntry> Batch);
+  static Awaitable<void> save(Self Me, Transaction What, std::vector<SaveEntry> Written);
+  std::vector<SaveEntry> nextBatch(Transaction &What);
   bool addToTransaction(sched::JobId Id, Transaction &What, std::vector<SaveEntry> &Batch);
   void saved(const std::vector<SaveEntry> &Batch, uint64_t Revision);
   void notSaved(const std::vector<SaveEntry> &Batch, const std::vector<KeyValue> &Standing);
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -12,10 +12,11 @@
 
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-// Transactions in flight at a time; with fewer, a slow store would hold ends up in line.
-constexpr int MaxSaving = 4;
-// Most rows that one job adds.
-constexpr size_t RowsPerJob = 5;
+// Transactions in flight at a time. A store that takes a quarter of a second an answer, as a slow
+// one does, still has to take in the ends of 300 jobs a second.
+constexpr int MaxSaving = 12;
+// Bytes of one transaction; keeps a call short on a small link.
+constexpr size_t MaxSaveBytes = 64 * 1024;
 // After a failed call, before the next one.
 constexpr Milliseconds RetryPause{150};
 // The list of workers in use, and what can be forgotten, is looked through this often.
@@ -29,28 +30,52 @@
   return What;
 }
 
+// Adds what the job needs saved; false if there is nothing (any more) or no room for it.
 bool SchedulerRunner::addToTransaction(JobId Id, Transaction &What, std::vector<SaveEntry> &Batch) {
   const auto Found = Cell.Jobs.find(Id);
   if (Found == Cell.Jobs.end())
     return false;
   const Job &Of = Found->second;
-  SaveEntry Entry{Id, Of.NeedsSave, Of.Phase != JobPhase::Live, false};
+  const SaveEntry Entry{Id, Of.NeedsSave, Of.Phase != JobPhase::Live};
+  Transaction Rows;
   if (Of.ProgressRevision != 0 || !Entry.Ends)
-    What.Conditions.push_back({progressKey(Id), Of.ProgressRevision});
+    Rows.Conditions.push_back({progressKey(Id), Of.ProgressRevision});
   if (Entry.Ends) {
-    What.Conditions.push_back({jobKey(Id), Of.Revision});
-    What.Puts.push_back({jobKey(Id), encodeEndedJob(*Of.Spec, Of.Phase, Tools.Time.Wall()), 0, 0});
+    Rows.Conditions.push_back({jobKey(Id), Of.Revision});
+    Rows.Puts.push_back({jobKey(Id), encodeEndedJob(*Of.Spec, Of.Phase, Tools.Time.Wall()), 0, 0});
     if (Of.ProgressRevision != 0)
-      What.Removes.push_back(progressKey(Id));
+      Rows.Removes.push_back(progressKey(Id));
     if (Of.CancelWanted)
-      What.Removes.push_back(cancelKey(Id));
+      Rows.Removes.push_back(cancelKey(Id));
   } else {
-    What.Puts.push_back({progressKey(Id), encodeProgress(Of), 0, 0});
+    Rows.Puts.push_back({progressKey(Id), encodeProgress(Of), 0, 0});
   }
+  if (What.rows() + Rows.rows() > MaxTransactionRows)
+    return false;
+  What.append(std::move(Rows));
   Batch.push_back(Entry);
   return true;
 }
 
+// A batch of jobs to save: those that have ended first, since callers wait for them.
+std::vector<SchedulerRunner::SaveEntry> SchedulerRunner::nextBatch(Transaction &What) {
+  std::vector<SaveEntry> Batch;
+  size_t Bytes = 0;
+  for (const bool Ended : {true, false})
+    for (const auto &[Number, Id] : Cell.Saves) {
+      if (What.rows() >= MaxTransactionRows || Bytes > MaxSaveBytes)
+        return Batch;
+      const auto Of = Cell.Jobs.find(Id);
+      const bool Matches =
+          Of == Cell.Jobs.end() ? !Ended : Ended == (Of->second.Phase != JobPhase::Live);
+      if (!Matches || SavingNow.count(Id) || !addToTransaction(Id, What, Batch))
+        continue;
+      SavingNow.insert(Id);
+      Bytes += What.Puts.back().Value.size();
+    }
+  return Batch;
+}
+
 void SchedulerRunner::saved(const std::vector<SaveEntry> &Batch, uint64_t Revision) {
   for (const SaveEntry &Entry : Batch) {
     SavingNow.erase(Entry.Id);
@@ -88,12 +113,7 @@
   }
 }
 
-Awaitable<void> SchedulerRunner::save(Self Me, std::vector<SaveEntry> Batch) {
-  Transaction What = Me->guarded();
-  std::vector<SaveEntry> Written;
-  for (const SaveEntry &Entry : Batch)
-    if (!Me->addToTransaction(Entry.Id, What, Written))
-      Me->SavingNow.erase(Entry.Id);
+Awaitable<void> SchedulerRunner::save(Self Me, Transaction What, std::vector<SaveEntry> Written) {
   Result<TransactionResult> Answer = co_await Me->Tools.Store.Commit(std::move(What));
   --Me->SavesInFlight;
   if (Me->Stopped)
@@ -115,13 +135,10 @@
 
 Awaitable<void> SchedulerRunner::saveLoop(Self Me) {
   while (!Me->Stopped) {
+    Transaction What = Me->guarded();
     std::vector<SaveEntry> Batch;
-    for (const auto &[Number, Id] : Me->Cell.Saves) {
-      if ((Batch.size() + 1) * RowsPerJob >= MaxTransactionRows)
-        break;
-      if (Me->SavesInFlight < MaxSaving && Me->SavingNow.insert(Id).second)
-        Batch.push_back({Id, Number, false, false});
-    }
+    if (Me->SavesInFlight < MaxSaving)
+      Batch = Me->nextBatch(What);
     if (Batch.empty()) {
       Me->SaveWake.expires_at(TimePoint::max());
       co_await Me->SaveWake.async_wait(AsTuple);
@@ -130,7 +147,7 @@
       continue;
     }
     ++Me->SavesInFlight;
-    spawnLater(Me->Tools.Where, save(Me, std::move(Batch)));
+    spawnLater(Me->Tools.Where, save(Me, std::move(What), std::move(Batch)));
   }
 }
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -36,7 +36,10 @@
   Milliseconds SetAside{4000};    ///< How long a worker that fails everything gets no work.
   Milliseconds TicketMargin{120}; ///< A ticket is not used this close to its end.
   Milliseconds PlanTime{2500};    ///< A gang whose room is not free by then is planned anew.
-  double UrgentShare = 0.10;      ///< Part of each worker kept free of work that can wait.
+  double UrgentShare = 0.10;      ///< Part of each worker kept free of work that can wait; more
+                                  ///< if urgent tasks are larger, up to the next figure.
+  double MostUrgentShare = 0.22;  ///< With 80 % of the cell in use the rest still finds room.
+  Milliseconds YieldMargin{1500}; ///< Work that was stopped finds a place again within this time.
   int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
 };
 
@@ -55,6 +58,8 @@
   Resources Need;
   int Priority = 0;
   bool MayBeStopped = false; ///< It saves its progress, so that stopping it loses little.
+  TimePoint Objective{};     ///< Of its job.
+  Milliseconds Estimate{0};  ///< Of its whole run time.
   int Sends = 0;             ///< Start orders sent.
   TimePoint Since{};         ///< Of the phase.
   TimePoint StartedAt{};
@@ -189,6 +194,7 @@
   std::set<uint32_t> WithUnsaved;  ///< Slots of workers with ends that wait for a save.
   WallTime Wall{};                 ///< The time of day at Now, as of the last tick.
   TimePoint WallAt{};              ///< The steady time at which Wall was read.
+  Resources UrgentNeed;            ///< Moving average of the needs of urgent tasks.
   TimePoint NextStuckLook{};       ///< When runs without progress are looked for again.
 };
 
--- a/src/include/valveshelf/key_value_store.h
+++ b/src/include/valveshelf/key_value_store.h
@@ -7,8 +7,10 @@
 #include "valveshelf/errors.h"
 #include "valveshelf/http.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,6 +53,11 @@
   std::vector<std::string> Removes;
 
   size_t rows() const { return Conditions.size() + Puts.size() + Removes.size(); }
+  void append(Transaction More) {
+    std::move(More.Conditions.begin(), More.Conditions.end(), std::back_inserter(Conditions));
+    std::move(More.Puts.begin(), More.Puts.end(), std::back_inserter(Puts));
+    std::move(More.Removes.begin(), More.Removes.end(), std::back_inserter(Removes));
+  }
 };
 /// Most rows the store takes in one transaction. (The platform's limit.)
 inline constexpr size_t MaxTransactionRows = 32;
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -229,13 +229,12 @@
 namespace {
 // Lets workers forget the ends whose saves are durable; returns those that have no other.
 std::vector<std::string> releaseEnds(CellState &Cell) {
-  const uint64_t Durable = Cell.Saves.empty() ? Cell.LastSave : Cell.Saves.begin()->first - 1;
   std::vector<std::string> Clear;
   std::erase_if(Cell.WithUnsaved, [&](uint32_t Slot) {
     Worker *On = Cell.Slots[Slot];
     if (!On)
       return true;
-    while (!On->Unsaved.empty() && On->Unsaved.front().second <= Durable) {
+    while (!On->Unsaved.empty() && !Cell.Saves.count(On->Unsaved.front().second)) {
       On->ForgetThrough = On->Unsaved.front().first;
       On->Unsaved.pop_front();
     }
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -16,6 +16,10 @@
 // those that had room have it still when the answer comes.
 constexpr size_t NamedAtLeast = 8;
 constexpr size_t NamedPerTask = 6;
+// Room kept for an urgent task, over the mean size; three of four then fit. (Sizes spread by 0.45.)
+constexpr double UrgentSpread = 1.3;
+// Weight of the newest urgent task in their usual size.
+constexpr int64_t UrgentMemory = 64;
 // A question that got no answer is asked again after this time.
 constexpr Milliseconds AskAgain{50};
 // A step that could not be planned in time waits so long before the next try.
@@ -39,17 +43,18 @@
          hasLabel(On.Info, Step.Spec->RequiredLabel);
 }
 
-// What the step may still take. Work that can wait leaves some room for work that can't, but for
-// gangs, whose members are too large for what is left between them.
-Resources roomFor(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
-  Resources Room = On.Info.Capacity - On.Booked - On.Planned;
-  if (Of.Spec->Priority > 0 && !Step.Spec->Gang) {
-    const double Share = In.Cell.Limits.UrgentShare;
-    const Resources &Whole = On.Info.Capacity;
-    Room.MilliCores -= static_cast<int64_t>(static_cast<double>(Whole.MilliCores) * Share);
-    Room.MemoryMb -= static_cast<int64_t>(static_cast<double>(Whole.MemoryMb) * Share);
-  }
-  return Room;
+// What is kept free on the worker for urgent tasks: room for one of the usual size.
+Resources urgentReserve(const Pass &In, const Worker &On) {
+  const SchedulerLimits &Limits = In.Cell.Limits;
+  const Resources &Whole = On.Info.Capacity;
+  const auto Part = [&](int64_t Capacity, int64_t Usual) {
+    const auto Least = static_cast<int64_t>(static_cast<double>(Capacity) * Limits.UrgentShare);
+    const auto Most = static_cast<int64_t>(static_cast<double>(Capacity) * Limits.MostUrgentShare);
+    const auto Wanted = static_cast<int64_t>(static_cast<double>(Usual) * UrgentSpread);
+    return std::clamp(Wanted, Least, Most);
+  };
+  return {Part(Whole.MilliCores, In.Cell.UrgentNeed.MilliCores),
+          Part(Whole.MemoryMb, In.Cell.UrgentNeed.MemoryMb), 0};
 }
 
 Resources needOf(const StepState &Step) {
@@ -59,6 +64,16 @@
   return Need;
 }
 
+// What the step may still take. Work that can wait leaves some room for work that can't, but for
+// gangs, whose members are too large for what is left between them, and tasks that need it all.
+Resources roomFor(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+  const Resources Room = On.Info.Capacity - On.Booked - On.Planned;
+  if (Of.Spec->Priority == 0 || Step.Spec->Gang)
+    return Room;
+  const Resources Reserve = urgentReserve(In, On);
+  return fits(needOf(Step), On.Info.Capacity - Reserve) ? Room - Reserve : Room;
+}
+
 bool hasTicket(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
   if (!Of.Spec->Advice)
     return true;
@@ -84,16 +99,26 @@
       Step.Tasks.begin(), Step.Tasks.end(), [&](const TaskState &Task) { return Task.At == &On; }));
 }
 
-// What could be stopped on the worker in favour of a step of this priority.
-bool canYield(const Attempt &What, int Priority) {
-  const bool Placed = What.Phase == AttemptPhase::Running;
-  return Placed && What.MayBeStopped && What.Priority > Priority;
+// What could be stopped on the worker in favour of more urgent work: what is late already, or can
+// still meet its objective when it goes on elsewhere.
+bool canYield(const Pass &In, const Attempt &What, int Priority) {
+  if (What.Phase != AttemptPhase::Running || !What.MayBeStopped || What.Priority <= Priority)
+    return false;
+  const SchedulerLimits &Limits = In.Cell.Limits;
+  const Milliseconds Left = What.Estimate * (100 - What.Percent) / 100;
+  return In.Now > What.Objective ||
+         In.Now + Limits.StopTime + Left + Limits.YieldMargin < What.Objective;
+}
+
+// True if the step can meet its objective though others have to be stopped first.
+bool gainsByStopping(const Pass &In, const Job &Of, const StepState &Step) {
+  return In.Now + In.Cell.Limits.StopTime + Step.Spec->Estimate < Of.Objective;
 }
 
-Resources yieldable(const Worker &On, int Priority) {
+Resources yieldable(const Pass &In, const Worker &On, int Priority) {
   Resources Sum;
   for (const auto &[Run, What] : On.Attempts)
-    if (canYield(What, Priority))
+    if (canYield(In, What, Priority))
       Sum += What.Need;
   return Sum;
 }
@@ -105,7 +130,7 @@
   for (const auto &[Run, What] : On.Attempts) {
     if (What.Phase == AttemptPhase::Stopping)
       Over -= What.Need; // is being freed already
-    else if (canYield(What, Priority))
+    else if (canYield(In, What, Priority))
       Candidates.emplace_back(What.StartedAt, Run);
   }
   std::sort(Candidates.begin(), Candidates.end());
@@ -246,7 +271,7 @@
   eachAdvised(In, Of, Step, [&](Worker &On) {
     if (!isUsable(In, On, Of, Step) || holdsLimit(Step, On))
       return;
-    const Resources Room = roomFor(In, On, Of, Step) + yieldable(On, Priority);
+    const Resources Room = roomFor(In, On, Of, Step) + yieldable(In, On, Priority);
     if (fits(Need, Room) && (!Best || Room.MilliCores > BestRoom)) {
       Best = &On;
       BestRoom = Room.MilliCores;
@@ -280,6 +305,12 @@
   ask(In, Of, Step, std::move(NoTicket));
 }
 
+void noteUrgentNeed(CellState &Cell, const Resources &Need) {
+  Resources &Usual = Cell.UrgentNeed;
+  Usual.MilliCores += (Need.MilliCores - Usual.MilliCores) / UrgentMemory;
+  Usual.MemoryMb += (Need.MemoryMb - Usual.MemoryMb) / UrgentMemory;
+}
+
 bool placeSingles(Pass &In, const Job &Of, StepState &Step) {
   bool Missed = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
@@ -287,7 +318,7 @@
     if (!isPlaceable(In, Task))
       continue;
     Worker *On = findRoom(In, Of, Step, Task);
-    const bool Yields = !On && !Step.Queued->Late;
+    const bool Yields = !On && !Step.Queued->Late && gainsByStopping(In, Of, Step);
     if (Yields)
       On = findYielding(In, Of, Step);
     if (!On) {
@@ -295,6 +326,8 @@
       continue;
     }
     book(Step, I, *On, nextRun(In.Cell, Step, I), AttemptPhase::Planned, Of, In.Now);
+    if (Of.Spec->Priority == 0)
+      noteUrgentNeed(In.Cell, needOf(Step));
     if (Yields)
       makeRoom(In, *On, Of.Spec->Priority);
   }
@@ -325,7 +358,7 @@
     GangSeat Seat{&On, timesFits(Need, Room, Most), 0};
     Seat.Seats = Seat.Free;
     if (Yields)
-      Seat.Seats = timesFits(Need, Room + yieldable(On, Of.Spec->Priority), Most);
+      Seat.Seats = timesFits(Need, Room + yieldable(In, On, Of.Spec->Priority), Most);
     if (Seat.Seats > 0)
       Found.push_back(Seat);
   });
@@ -449,7 +482,7 @@
     return false;
   bool Yields = false;
   std::vector<GangSeat> Seats = gangSeats(In, Of, Step, false);
-  if (sumSeats(Seats) < Step.Spec->Count && !Step.Queued->Late) {
+  if (sumSeats(Seats) < Step.Spec->Count && !Step.Queued->Late && gainsByStopping(In, Of, Step)) {
     Yields = true;
     Seats = gangSeats(In, Of, Step, true);
   }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -189,6 +189,8 @@
   if (Step.Spec->Fills)
     Made.Need.MilliCores = 0;
   Made.Priority = Of.Spec->Priority;
+  Made.Objective = Of.Objective;
+  Made.Estimate = Step.Spec->Estimate;
   Made.MayBeStopped = Step.Spec->Checkpoints && !Step.Spec->Gang && !Step.Spec->Lasting;
   Made.Phase = Phase;
   Made.Since = Now;
