scripts/soak: seeded faults from outside over real processes

Kills, pauses, planned stops and reloads by signals; a loopback proxy that delays, resets, cuts one way and silences the connections to the store, the advice service and the callers; a store that is down or loses answers; workers that die, come back or are mute; waves of cancels. Judged while it runs from what callers and workers see.

--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -76,15 +76,15 @@
             os.path.join(BIN, "standins"), "users-platform", "--port", str(ports[0]),
             "--workers", str(workers)], "127.0.0.1:%d" % ports[0],
             os.path.join(folder, "platform.log"))
-        self.entries = {}
+        self.entries, self.settings = {}, {}
         for i in range(entries):
             mine = ports[2 + workers + i * 4:][:4]
             name = "e%d" % (i + 1)
             values = dict(zip(("callers", "readiness", "peers", "metrics"), mine), name=name,
                           store=ports[0], advice=ports[1])
             path = os.path.join(folder, name + ".toml")
-            with open(path, "w") as out:
-                out.write(SETTINGS % values)
+            self.settings[name] = values
+            self.write_settings(name)
             entry = Process(name, "entry", [os.path.join(BIN, "valveshelf"), "serve", "--config", path],
                             "127.0.0.1:%d" % mine[0], os.path.join(folder, name + ".log"))
             entry.readiness = "127.0.0.1:%d" % mine[1]
@@ -94,6 +94,15 @@
         self.lock = threading.Lock()
         self.random = random.Random(7)
 
+    def write_settings(self, name):
+        with open(os.path.join(self.folder, name + ".toml"), "w") as out:
+            out.write(SETTINGS % self.settings[name])
+
+    def point(self, name, **ports):
+        """Gives the entry other ports, as from its next start."""
+        self.settings[name].update(ports)
+        self.write_settings(name)
+
     def start(self):
         self.platform.start()
         self.wait("the platform serves", lambda: self.control({}) == 200, 10)
--- /dev/null
+++ b/testsuite/soak.py
@@ -0,0 +1,315 @@
+# SPDX-License-Identifier: Apache-2.0
+"""A seeded soak of `valveshelf serve`: real processes on the stand-in of the users' platform, with
+faults injected from outside them, in series that overlap. It checks while it runs, from what
+callers and workers see: no broken rule of a start, nothing that was refused ever runs, accepted
+jobs stay known, what is shown as ended stays so, and all jobs end once the faults are over.
+
+The same seed always gives the same plan of faults. Load runs all the while on connections that
+callers keep open.
+"""
+import argparse
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from cell import free_ports
+from platform_cell import HOST, PREFIXES, PlatformCell, job_body, step
+from proxy import Proxy, ProxyThread
+
+ENDED = ("completed", "failed", "cancelled")
+# Kinds of faults: what they strike, and how long at most, in seconds.
+FAULTS = {
+    "kill": ("entry", 1.0), "kill-scheduler": ("cell", 1.0), "pause": ("entry", 4.0),
+    "pause-scheduler": ("cell", 4.0), "planned-stop": ("entry", 0.5), "reload": ("entry", 0.1),
+    "store-delay": ("entry", 3.0), "store-reset": ("entry", 0.1), "store-silent": ("entry", 4.0),
+    "store-one-way": ("entry", 4.0), "store-refuses": ("entry", 4.0), "store-down": ("store", 4.0),
+    "store-loses-answers": ("store", 0.1), "advice-silent": ("entry", 2.0),
+    "callers-reset": ("entry", 0.1), "worker-dies": ("worker", 0.1), "worker-reborn": ("worker", 0.1),
+    "worker-mute": ("worker", 2.0), "cancel-wave": ("cell", 0.1)}
+
+
+def make_plan(seed, seconds, entries, workers):
+    """The faults as (at, kind, target, duration, amount). Half of them come within a second of the
+    one before, so that they overlap."""
+    rng = random.Random(seed)
+    plan, at = [], 1.0
+    while at < seconds - 1:
+        kind = rng.choice(sorted(FAULTS))
+        struck, longest = FAULTS[kind]
+        target = {"entry": "e%d" % rng.randint(1, entries), "worker": rng.randrange(workers)}.get(struck)
+        plan.append((round(at, 2), kind, target, round(rng.uniform(0.1, longest), 2), rng.randint(1, 6)))
+        at += rng.uniform(0, 1) if rng.random() < 0.5 else rng.uniform(1, 4)
+    return plan
+
+
+class Callers:
+    """Callers who keep connections open, ask again after answers that are missing, and note what
+    they may rely on."""
+
+    def __init__(self, cell, fronts, seed):
+        self.cell, self.fronts, self.seed = cell, fronts, seed
+        self.over, self.lock = threading.Event(), threading.Lock()
+        self.accepted, self.refused, self.cancelled, self.shown = {}, set(), set(), {}
+        self.breaks = []
+        self.threads = [threading.Thread(target=self.submit, args=(i,), daemon=True) for i in range(3)]
+        self.threads.append(threading.Thread(target=self.look, daemon=True))
+
+    def start(self):
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self):
+        self.over.set()
+        for thread in self.threads:
+            thread.join()
+
+    def ask(self, kept, front, method, target, body=None):
+        """Status and body over the connection kept to `front`; status 0: no answer."""
+        if front not in kept:
+            kept[front] = http.client.HTTPConnection("127.0.0.1", self.fronts[front].port, timeout=4)
+        try:
+            kept[front].request(method, target, body, {"Host": HOST, "Content-Type": "application/json"})
+            answer = kept[front].getresponse()
+            return answer.status, answer.read()
+        except (OSError, http.client.HTTPException):
+            kept.pop(front).close()
+            return 0, b""
+
+    def submit(self, number):
+        rng, kept = random.Random(self.seed * 31 + number), {}
+        while not self.over.is_set():
+            queue, steps = self.job(rng)
+            job, front, may_run = "%016x" % rng.getrandbits(64), rng.choice(sorted(self.fronts)), False
+            for _ in range(6):
+                status, _ = self.ask(kept, front, "POST", PREFIXES[queue] + job, job_body(steps))
+                if status == 200:
+                    with self.lock:
+                        self.accepted[job] = queue
+                    break
+                may_run = may_run or status not in (429, 503)
+                front = rng.choice(sorted(self.fronts))
+                self.over.wait(0.2)
+            else:
+                if not may_run:
+                    self.refused.add(job)
+            self.over.wait(rng.expovariate(6))
+
+    @staticmethod
+    def job(rng):
+        kind = rng.randrange(5)
+        if kind == 0:
+            return "rebuild", [step(rng.randint(2, 6), 3000, 1500, rng.choice([200, 1500]), gang=True)]
+        if kind == 1:
+            return "scan", [step(3, 1200, 600, 400, saves=True), step(2, 500, 200, 100, after=[0])]
+        return "check", [step(rng.randint(1, 3), 900, 400, rng.choice([30, 120, 500]))]
+
+    def look(self):
+        """Reads states at random boxes: an accepted job is never unknown, an end never changes."""
+        rng, kept = random.Random(self.seed * 17), {}
+        while not self.over.is_set():
+            with self.lock:
+                known = list(self.accepted.items())
+            if known:
+                job, queue = rng.choice(known[-200:])
+                status, body = self.ask(kept, rng.choice(sorted(self.fronts)), "GET", PREFIXES[queue] + job)
+                self.judge(job, status, body)
+            self.over.wait(0.02)
+
+    def judge(self, job, status, body):
+        if status == 410:
+            self.breaks.append("accepted job %s is said to be unknown" % job)
+        if status != 200:
+            return
+        state = json.loads(body)["state"]
+        if self.shown.get(job) in ENDED and state != self.shown[job]:
+            self.breaks.append("job %s was %s and is %s" % (job, self.shown[job], state))
+        if state == "cancelled" and job not in self.cancelled:
+            self.breaks.append("job %s is cancelled and nobody asked for it" % job)
+        self.shown[job] = state
+
+    def cancel_some(self, amount):
+        kept = {}
+        with self.lock:
+            chosen = list(self.accepted.items())[-amount:]
+        for job, queue in chosen:
+            self.cancelled.add(job)
+            self.ask(kept, random.choice(sorted(self.fronts)), "DELETE", PREFIXES[queue] + job)
+
+    def finish(self, seconds):
+        left, kept, limit = dict(self.accepted), {}, time.time() + seconds
+        while left and time.time() < limit:
+            for job, queue in list(left.items()):
+                status, body = self.ask(kept, sorted(self.fronts)[0], "GET", PREFIXES[queue] + job)
+                self.judge(job, status, body)
+                if self.shown.get(job) in ENDED and status == 200:
+                    del left[job]
+            time.sleep(0.05)
+        for job in left:
+            self.breaks.append("job %s does not end: %s" % (job, self.shown.get(job)))
+
+
+class Soak:
+    def __init__(self, folder, seed, entries, workers):
+        self.proxies = ProxyThread()
+        ports = free_ports(entries * 3)
+        self.cell = PlatformCell(folder, entries, workers)
+        self.stores, self.advices, self.fronts = {}, {}, {}
+        for i, (name, entry) in enumerate(self.cell.entries.items()):
+            self.stores[name] = Proxy(ports[i * 3], "127.0.0.1:%d" % self.cell.store)
+            self.advices[name] = Proxy(ports[i * 3 + 1], "127.0.0.1:%d" % (self.cell.store + 1))
+            self.fronts[name] = Proxy(ports[i * 3 + 2], entry.address)
+            self.cell.point(name, store=ports[i * 3], advice=ports[i * 3 + 1])
+        for proxy in self.all_proxies():
+            self.proxies.add(proxy)
+        self.callers = Callers(self.cell, self.fronts, seed)
+
+    def all_proxies(self):
+        return list(self.stores.values()) + list(self.advices.values()) + list(self.fronts.values())
+
+    def carry_out(self, kind, target, duration, amount):
+        if kind.endswith("-scheduler"):
+            target = self.cell.scheduler()
+        if kind.startswith("kill") or kind.startswith("pause") or kind in ("planned-stop", "reload"):
+            return self.strike_process(kind, target, duration)
+        if kind.startswith("worker"):
+            return self.strike_worker(kind, target, duration)
+        if kind == "store-down":
+            self.cell.control({"store_down": True})
+            time.sleep(duration)
+            self.cell.control({"store_down": False})
+        elif kind == "store-loses-answers":
+            self.cell.control({"lose_answers": amount})
+        elif kind == "cancel-wave":
+            self.callers.cancel_some(amount)
+        else:
+            self.strike_connections(kind, target, duration)
+
+    def strike_process(self, kind, target, duration):
+        entry = self.cell.entries[target]
+        if not entry.alive():
+            return
+        if kind.startswith("pause"):
+            entry.signal(signal.SIGSTOP)
+            time.sleep(duration)
+            return entry.signal(signal.SIGCONT)
+        if kind == "reload":
+            return entry.signal(signal.SIGHUP)
+        if kind == "planned-stop":
+            entry.signal(signal.SIGCONT)
+            self.cell.stop(target, 12)
+        else:
+            entry.kill()
+        time.sleep(duration)
+        self.cell.restart(target)
+
+    def strike_worker(self, kind, target, duration):
+        becomes = {"worker-dies": "dead", "worker-reborn": "reborn", "worker-mute": "mute"}[kind]
+        self.cell.control({"worker": target, "becomes": becomes})
+        time.sleep(duration)
+        if becomes == "dead":
+            self.cell.control({"worker": target, "becomes": "reborn"})
+        if becomes == "mute":
+            self.cell.control({"worker": target, "becomes": "well"})
+
+    def strike_connections(self, kind, target, duration):
+        proxy = {"store": self.stores, "advice": self.advices, "callers": self.fronts}[
+            kind.split("-")[0]][target]
+        what = kind.split("-", 1)[1]
+        if what == "reset":
+            return self.proxies.call(proxy.reset_all)
+        proxy.delay_s = duration / 10 if what == "delay" else 0.0
+        proxy.silent_to = what == "silent"
+        proxy.silent_back = what in ("silent", "one-way")
+        proxy.refusing = what == "refuses"
+        time.sleep(duration)
+        proxy.heal()
+        self.proxies.call(proxy.reset_all)
+
+    def run(self, plan, seconds, verbose):
+        self.cell.start()
+        self.cell.wait_ready(30)
+        self.callers.start()
+        began, busy, threads = time.time(), {}, []
+        for at, kind, target, duration, amount in plan:
+            time.sleep(max(0, began + at - time.time()))
+            key = (FAULTS[kind][0], target)
+            if key in busy and busy[key].is_alive():
+                continue
+            if verbose:
+                print("   %6.2f %s %s %s" % (at, kind, target, duration), flush=True)
+            busy[key] = threading.Thread(target=self.carry_out, daemon=True,
+                                         args=(kind, target, duration, amount))
+            busy[key].start()
+            threads.append(busy[key])
+        time.sleep(max(0, began + seconds - time.time()))
+        for thread in threads:
+            thread.join()
+        self.heal()
+        self.callers.stop()
+        self.callers.finish(60)
+        return self.verdict()
+
+    def heal(self):
+        for proxy in self.all_proxies():
+            proxy.heal()
+            self.proxies.call(proxy.reset_all)
+        self.cell.control({"store_down": False, "lose_answers": 0})
+        for name, entry in self.cell.entries.items():
+            entry.signal(signal.SIGCONT)
+            if not entry.alive():
+                self.cell.restart(name)
+
+    def verdict(self):
+        found = self.cell.verdict()
+        started = set(found["started_jobs"])
+        ran = ["job %s was refused and ran" % job for job in self.callers.refused & started]
+        return found["starts"], found["breaks"] + self.callers.breaks + ran
+
+
+def play(seed, seconds, entries, workers, keep, verbose):
+    folder = tempfile.mkdtemp(prefix="valveshelf-soak-%d-" % seed)
+    plan = make_plan(seed, seconds, entries, workers)
+    soak = Soak(folder, seed, entries, workers)
+    try:
+        starts, breaks = soak.run(plan, seconds, verbose)
+    finally:
+        soak.cell.end()
+    callers = soak.callers
+    print("seed %d: %d faults, %d jobs accepted, %d refused, %d starts, %s" % (
+        seed, len(plan), len(callers.accepted), len(callers.refused), starts,
+        "clean" if not breaks else "%d BROKEN" % len(breaks)), flush=True)
+    for line in breaks[:20]:
+        print("   " + line)
+    if breaks or keep:
+        print("   logs: " + folder)
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
+    # A soak in which nothing happened proves nothing.
+    return not breaks and starts > 0 and len(callers.accepted) > 0
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/soak", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after the other")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--keep", action="store_true", help="keep the logs of clean seeds too")
+    parser.add_argument("--verbose", action="store_true", help="print each fault")
+    given = parser.parse_args()
+    good = [play(given.seed + i, given.seconds, given.entries, given.workers, given.keep, given.verbose)
+            for i in range(given.seeds)]
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -265,6 +265,7 @@
 
   std::vector<std::shared_ptr<Seat>> Seats;
   std::vector<std::string> Breaks;
+  std::set<JobId> StartedJobs;
   int64_t Starts = 0;
   int64_t Advised = 0;
 
@@ -405,6 +406,7 @@
 
   void judge(Seat &On, const RunKey &Run) {
     ++Starts;
+    StartedJobs.insert(Run.Task.Step.Job);
     const Known *Step = knownStep(Run.Task.Step);
     if (!Step)
       return broken("unknown job", Run);
@@ -586,6 +588,9 @@
   json::array Breaks;
   for (const std::string &Break : Workers.Breaks)
     Breaks.emplace_back(Break);
+  json::array StartedJobs;
+  for (const JobId Id : Workers.StartedJobs)
+    StartedJobs.emplace_back(jobIdText(Id));
   int64_t Running = 0;
   json::array ByWorker;
   for (const auto &One : Workers.Seats) {
@@ -596,6 +601,7 @@
   return answer(200, json::object{{"starts", Workers.Starts},
                                   {"running", Running},
                                   {"running_by_worker", ByWorker},
+                                  {"started_jobs", StartedJobs},
                                   {"store_calls", Store.Calls},
                                   {"breaks", Breaks}});
 }
