--- /dev/null
+++ b/src/scheduler/placement_test.cpp
@@ -0,0 +1,188 @@
+// SPDX-License-Identifier: Apache-2.0
+// Where tasks go, what is kept free for urgent ones, and when others are stopped for them.
+#include "valveshelf/cell_state.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+constexpr Resources WorkerSize{64000, 128000, 0};
+
+// A loaded cell of equal workers, all heard.
+class Scene {
+public:
+  explicit Scene(int Workers) {
+    Cell.WallAt = Now;
+    Effects Out;
+    finishLoading(Cell, Now, Out);
+    for (int I = 0; I < Workers; ++I)
+      addWorker("w" + std::to_string(I));
+  }
+
+  void addWorker(const std::string &Id) {
+    WorkerInfo Info;
+    Info.Id = Id;
+    Info.Service = "pool";
+    Info.Capacity = WorkerSize;
+    workerListed(Cell, Info, Now);
+    Cell.Workers.at(Id).Saved = true;
+    Effects Out;
+    workerReported(Cell, Id, {}, Now, Now, Out);
+  }
+
+  // The objective is \p Extension times the estimate after now.
+  JobId submit(int Priority, StepSpec Step, double Extension, bool Advised = false) {
+    auto Spec = std::make_shared<JobSpec>();
+    Spec->Id = ++LastJob;
+    Spec->Service = "pool";
+    Spec->Priority = Priority;
+    Spec->MaxAttempts = 3;
+    Spec->Extension = Extension;
+    if (Advised)
+      Spec->Advice = AdvicePolicy{};
+    Spec->Steps.push_back(std::move(Step));
+    addJob(Cell, Spec, LastJob, true, Now);
+    return LastJob;
+  }
+
+  // One pass; all start orders are confirmed.
+  Effects pass() {
+    Effects Out;
+    Now += 1ms;
+    place(Cell, Now, Out);
+    for (const Effects::Start &Order : Out.Starts) {
+      Effects Ignored;
+      startAnswered(Cell, Order.Worker, Order.Run, StartResult::Started, Now, Ignored);
+    }
+    return Out;
+  }
+
+  CellState Cell;
+  TimePoint Now = TimePoint{} + 1000s;
+
+private:
+  JobId LastJob = 0;
+};
+
+StepSpec tasks(uint32_t Count, int64_t MilliCores, Milliseconds Estimate, bool Saves = false) {
+  StepSpec Step;
+  Step.Count = Count;
+  Step.Need = {MilliCores, 1000, 0};
+  Step.Estimate = Estimate;
+  Step.Checkpoints = Saves;
+  return Step;
+}
+
+TEST(Placement, KeepsRoomForAnUrgentTaskOfTheUsualSize) {
+  Scene Given(1);
+  // Urgent tasks of ten cores make the usual size.
+  for (int I = 0; I < 400; ++I) {
+    Given.submit(0, tasks(1, 10000, 100ms), 100);
+    for (const Effects::Start &Order : Given.pass().Starts) {
+      Effects Out;
+      WorkerReport Ended;
+      Ended.Ended.push_back({static_cast<uint64_t>(I + 1), Order.Run, RunEnd::Done, ""});
+      workerReported(Given.Cell, Order.Worker, Ended, Given.Now, Given.Now, Out);
+    }
+  }
+  Given.submit(2, tasks(100, 1000, 10000ms), 100);
+  const size_t Placed = Given.pass().Starts.size();
+  EXPECT_LE(Placed, 53u); // 64 cores less 1.3 times the usual ten, rounded
+  EXPECT_GE(Placed, 50u); // and not less than 78 % of them
+  Given.submit(0, tasks(1, 10000, 100ms), 100);
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
+TEST(Placement, ATaskThatNeedsAWholeWorkerGetsIt) {
+  Scene Given(1);
+  Given.submit(2, tasks(1, WorkerSize.MilliCores, 1000ms), 10);
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
+TEST(Placement, StopsWorkThatCanWaitForAnUrgentTask) {
+  Scene Given(1);
+  Given.submit(2, tasks(5, 10000, 2000ms, true), 10);
+  ASSERT_EQ(Given.pass().Starts.size(), 5u);
+  Given.submit(0, tasks(1, 20000, 600ms), 3);
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+}
+
+TEST(Placement, StopsNothingForATaskThatWouldBeLateAllTheSame) {
+  Scene Given(1);
+  Given.Cell.Limits.StopTime = 900ms;
+  Given.submit(2, tasks(5, 10000, 2000ms, true), 10);
+  ASSERT_EQ(Given.pass().Starts.size(), 5u);
+  Given.submit(0, tasks(1, 20000, 600ms), 1.5); // 300 ms to spare
+  EXPECT_TRUE(Given.pass().Stops.empty());
+}
+
+TEST(Placement, StopsNothingThatWouldMissItsObjectiveElsewhere) {
+  Scene Given(1);
+  Given.submit(2, tasks(5, 10000, 2000ms, true), 1.2);
+  ASSERT_EQ(Given.pass().Starts.size(), 5u);
+  Given.submit(0, tasks(1, 20000, 600ms), 3);
+  EXPECT_TRUE(Given.pass().Stops.empty());
+}
+
+TEST(Placement, StopsWhatIsLateAlready) {
+  Scene Given(1);
+  Given.submit(2, tasks(5, 10000, 2000ms, true), 1.2);
+  ASSERT_EQ(Given.pass().Starts.size(), 5u);
+  Given.Now += 3000ms;
+  Given.submit(0, tasks(1, 20000, 600ms), 10);
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+}
+
+TEST(Placement, AWorkerThatIsGoneLeavesNoPermitBehind) {
+  Scene Given(2);
+  const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100, true);
+  ASSERT_EQ(Given.pass().Asks.size(), 1u);
+  Effects Out;
+  const StepKey Step{Job, 0, 0};
+  workerOver(Given.Cell, "w0", Given.Now, Out);
+  Given.addWorker("w2"); // its slot is a new one
+  adviceAnswered(Given.Cell, Step, {"w0", "w1"}, {{"w0", "t0"}}, 1500ms, Given.Now);
+  const Effects After = Given.pass();
+  EXPECT_TRUE(After.Starts.empty());
+  ASSERT_EQ(After.Asks.size(), 1u);
+  EXPECT_EQ(After.Asks.front().Workers, std::vector<std::string>{"w2"});
+}
+
+TEST(Placement, AsksAboutFewWorkersForAQuickCheck) {
+  Scene Given(90);
+  Given.submit(0, tasks(2, 1000, 100ms), 100, true);
+  const Effects Out = Given.pass();
+  ASSERT_EQ(Out.Asks.size(), 1u);
+  EXPECT_EQ(Out.Asks.front().Workers.size(), 20u);
+}
+
+TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
+  Scene Given(1);
+  const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
+  const JobId Second = Given.submit(0, tasks(1, 1000, 100ms), 100);
+  const auto Starts = Given.pass().Starts;
+  ASSERT_EQ(Starts.size(), 3u);
+  Effects Out;
+  WorkerReport Ended;
+  for (const Effects::Start &Order : Starts)
+    if (Order.Job->Id == Second)
+      Ended.Ended.push_back({1, Order.Run, RunEnd::Done, ""});
+  for (const Effects::Start &Order : Starts)
+    if (Order.Job->Id == First)
+      Ended.Ended.push_back({Ended.Ended.size() + 1, Order.Run, RunEnd::Done, ""});
+  workerReported(Given.Cell, "w0", Ended, Given.Now, Given.Now, Out);
+  const Worker &On = Given.Cell.Workers.at("w0");
+  // The save of the first job is out when that of the second is done.
+  const uint64_t Number = Given.Cell.Jobs.at(Second).NeedsSave;
+  EXPECT_TRUE(jobSaved(Given.Cell, Second, Number, 7, 0, WallTime(1000s)).empty());
+  EXPECT_EQ(On.ForgetThrough, 1u);
+  const uint64_t Other = Given.Cell.Jobs.at(First).NeedsSave;
+  EXPECT_EQ(jobSaved(Given.Cell, First, Other, 8, 0, WallTime(1000s)),
+            std::vector<std::string>{"w0"});
+  EXPECT_EQ(On.ForgetThrough, 3u);
+}
+
+} // namespace
+} // namespace valveshelf::sched
