valveshelf report burn, and explain as text for serve

How jobs met their objectives and how fast the rest uses up the error budget, by queue, for five minutes and an hour: counted where a job's end is saved, served at /v1/burn of the metrics address, added up over the processes named, as a table, JSON or a page with plots.

--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -111,7 +111,8 @@
             },
             From.WorkerPrefix,
             From.DecodeWorker,
-            Metrics};
+            Metrics,
+            Burn};
   }
 
   LeadershipLinks leadershipLinks() {
@@ -334,6 +335,8 @@
     if (Path == "/metrics") {
       Metrics.set(metrics::LogLinesLeftOut, static_cast<double>(logLinesLeftOut()));
       Answer = {HttpOk, {{"Content-Type", "text/plain; version=0.0.4"}}, Metrics.text()};
+    } else if (Path == "/v1/burn") {
+      Answer = co_await boost::asio::co_spawn(Where, burn(), boost::asio::use_awaitable);
     } else if (Path.starts_with(JobsPath) && Path.ends_with(ExplainPath)) {
       const size_t Length = Path.size() - JobsPath.size() - ExplainPath.size();
       const auto Id = parseJobId(std::string_view(Path).substr(JobsPath.size(), Length));
@@ -343,6 +346,8 @@
     co_await sendWhole(Exchange, std::move(Answer));
   }
 
+  Awaitable<HttpResponse> burn() { co_return jsonResponse(HttpOk, encodeBurn(Burn) + "\n"); }
+
   Awaitable<HttpResponse> explain(JobId Id) {
     std::string Text;
     const auto &Leader = View.picture().Leader;
@@ -387,6 +392,7 @@
   const CellPlatform From;
   const CellLink Peers;
   CellMetrics Metrics;
+  BurnBook Burn; ///< Of what ended while this process scheduled; of the strand.
   StorePath Path;
   const KeyValueStore Store;
   CellView View;
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -17,6 +17,7 @@
   fakes::FakeKeyValueStore Store{Io};
   CellSettings Settings;
   CellMetrics Metrics;
+  BurnBook Burn;
   std::unique_ptr<CellView> View;
   std::unique_ptr<Leadership> Lead;
   bool PeerListens = true;
@@ -41,7 +42,8 @@
         {},
         "servers/",
         [](std::string_view, std::string_view) -> Result<WorkerInfo> { return Error{}; },
-        Metrics};
+        Metrics,
+        Burn};
     LeadershipLinks Links;
     Links.Listens = [this](Endpoint) -> Awaitable<bool> { co_return PeerListens; };
     Links.CouldSchedule = [this](Endpoint To, uint64_t GoneTerm) -> Awaitable<bool> {
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cell/advice_lanes.h"
+#include "valveshelf/burn.h"
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_settings.h"
@@ -32,6 +33,7 @@
   std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view Bytes)>
       DecodeWorker;
   CellMetrics &Metrics;
+  BurnBook &Burn; ///< Ends by queue; outlives the terms of this process.
 };
 
 /// The claim that a term rests on.
@@ -102,6 +104,7 @@
   static Awaitable<void> save(Self Me, Transaction What, std::vector<SaveEntry> Written);
   std::vector<SaveEntry> nextBatch(Transaction &What);
   bool addToTransaction(sched::JobId Id, Transaction &What, std::vector<SaveEntry> &Batch);
+  void countEnd(const sched::Job &Of);
   void saved(const std::vector<SaveEntry> &Batch, uint64_t Revision);
   void notSaved(const std::vector<SaveEntry> &Batch, const std::vector<KeyValue> &Standing);
   Transaction guarded() const;
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -76,6 +76,20 @@
   return Batch;
 }
 
+// Counts a job that has ended against its objective. What its caller cancelled counts for nothing.
+void SchedulerRunner::countEnd(const Job &Of) {
+  Tools.Metrics.count(metrics::Ends, std::to_string(static_cast<int>(Of.Phase)));
+  logEvent(events::JobEnded, {{"job", jobIdText(Of.Spec->Id)},
+                              {"phase", std::to_string(static_cast<int>(Of.Phase))}});
+  if (Of.Phase == JobPhase::Cancelled)
+    return;
+  const bool InTime = Tools.Time.Now() <= Of.Objective;
+  const BurnOutcome What = Of.Phase == JobPhase::Failed ? BurnOutcome::Failed
+                           : InTime                     ? BurnOutcome::Met
+                                                        : BurnOutcome::Late;
+  noteEnd(Tools.Burn, Of.Spec->Queue, What, Tools.Time.Wall());
+}
+
 void SchedulerRunner::saved(const std::vector<SaveEntry> &Batch, uint64_t Revision) {
   for (const SaveEntry &Entry : Batch) {
     SavingNow.erase(Entry.Id);
@@ -83,11 +97,7 @@
     if (Found == Cell.Jobs.end())
       continue;
     if (Entry.Ends)
-      Tools.Metrics.count(metrics::Ends, std::to_string(static_cast<int>(Found->second.Phase)));
-    if (Entry.Ends)
-      logEvent(events::JobEnded,
-               {{"job", jobIdText(Entry.Id)},
-                {"phase", std::to_string(static_cast<int>(Found->second.Phase))}});
+      countEnd(Found->second);
     const uint64_t JobRevision = Entry.Ends ? Revision : Found->second.Revision;
     for (const std::string &Worker : jobSaved(Cell, Entry.Id, Entry.Number, JobRevision,
                                               Entry.Ends ? 0 : Revision, Tools.Time.Wall()))
--- a/src/valveshelf/client_commands.cpp
+++ b/src/valveshelf/client_commands.cpp
@@ -53,6 +53,21 @@
   }
 }
 
+// A job of `valveshelf serve`, explained: a line a step, and what leaves its workers out.
+void printSteps(const json::object &Job) {
+  std::cout << std::string(Job.at("job").as_string())
+            << " queue=" << std::string(Job.at("queue").as_string())
+            << " objective_in_ms=" << json::serialize(Job.at("objective_in_ms")) << "\n";
+  for (const json::value &Item : Job.at("steps").as_array()) {
+    const json::object &Step = Item.as_object();
+    std::cout << "  " << std::string(Step.at("step").as_string())
+              << " open=" << json::serialize(Step.at("open"))
+              << " booked=" << json::serialize(Step.at("booked"))
+              << " waits_for=" << json::serialize(Step.at("waits_for"))
+              << " workers=" << json::serialize(Step.at("workers")) << "\n";
+  }
+}
+
 // Prints a job's or a list's JSON for people.
 int printJobs(const Result<HttpResponse> &Answer, const std::string &Output) {
   if (Output == "json" || !ok(Answer) || value(Answer).Status >= 300)
@@ -64,6 +79,10 @@
     return ExitDone;
   }
   const json::object &Job = Root.as_object();
+  if (Job.contains("steps")) {
+    printSteps(Job);
+    return ExitDone;
+  }
   printJobLine(Job);
   if (const json::value *Why = Job.if_contains("why"))
     std::cout << "  why: " << std::string(Why->as_string()) << "\n";
--- a/src/valveshelf/commands.h
+++ b/src/valveshelf/commands.h
@@ -26,5 +26,6 @@
 int runConfig(const Arguments &Args);
 int runDrain(const Arguments &Args);
 int runMembers(const Arguments &Args);
+int runReport(const Arguments &Args);
 
 } // namespace valveshelf
