A large fleet is not held as a whole; idle connections are bounded

The scheduler held a call open on every worker (1,670 answers a second at 1.8 s each on a quarter of a core) and kept 6,062 connections, above the descriptors that its box has. Change: workers are made ready as they are needed, 150 idle ones ahead, 64 a tick when steps find no place (noted in the store and asked only then). Nothing is said to an idle worker but once in 30 s; the age of its clock's reading counts towards its lease. The client keeps a quarter of the descriptors as idle connections and closes the one idle longest. Tests: client_test.cpp.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -24,6 +24,8 @@
 constexpr int PauseForPass = 4;
 // A worker is asked again so soon while its ends wait to be saved.
 constexpr Milliseconds UnsavedPause{400};
+// An idle worker is asked this often, which keeps its clock known well enough.
+constexpr Milliseconds IdleHold{30000};
 // Between two watches of what callers handed in. An announcement that is lost costs this time.
 constexpr Milliseconds IntakeGather{250};
 // Run numbers of one term; no task starts so often in one.
@@ -73,6 +75,8 @@
   Lanes.stop();
   SaveWake.cancel();
   PlaceTimer.cancel();
+  for (const auto &[Id, Wake] : HoldWakes)
+    Wake->cancel();
 }
 
 void SchedulerRunner::end(const char *Why) {
@@ -133,7 +137,7 @@
     const std::string Id = idOf(Item.Key, std::string(WorkerRecordPrefix));
     Result<WorkerInfo> Info = decodeWorkerRecord(Id, Item.Value);
     if (ok(Info))
-      workerMayHoldRuns(Cell, value(Info), leaseEnd());
+      workerMayHoldRuns(Cell, value(Info), leaseEnd(IdleHold));
     else
       logEvent(events::RecordUnreadable, {{"key", Item.Key}});
   }
@@ -318,11 +322,18 @@
 
 // Workers.
 
-TimePoint SchedulerRunner::leaseEnd() const {
-  const double Drift = 1 + 2 * Cell.Limits.ClockDrift;
-  const auto Lease = std::chrono::duration_cast<Milliseconds>(
-      std::chrono::duration<double, std::milli>(Tools.Settings.Timing.WorkerLease) * Drift);
-  return Tools.Time.Now() + Lease + Cell.Limits.LeaseMargin;
+// By then a lease that is given to a worker now is over. What its clock and ours may have drifted
+// apart, during the lease and since the clock was read, counts.
+TimePoint SchedulerRunner::leaseEnd(Steady::duration ClockAge) const {
+  const std::chrono::duration<double, std::milli> Lease = Tools.Settings.Timing.WorkerLease;
+  const auto Drift = (Lease + ClockAge) * (2 * Cell.Limits.ClockDrift);
+  return Tools.Time.Now() + std::chrono::duration_cast<Steady::duration>(Lease + Drift) +
+         Cell.Limits.LeaseMargin;
+}
+
+Steady::duration SchedulerRunner::clockAge(const std::string &Id) const {
+  const auto Found = Clocks.find(Id);
+  return Found == Clocks.end() ? Steady::duration(0) : Tools.Time.Now() - Found->second.At;
 }
 
 Milliseconds SchedulerRunner::workerTime(const std::string &Id) const {
@@ -335,7 +346,7 @@
 
 void SchedulerRunner::holdAll() {
   for (const auto &[Id, On] : Cell.Workers)
-    if (Held.insert(Id).second)
+    if (On.Wanted && Held.insert(Id).second)
       spawnLater(Tools.Where, holdLoop(shared_from_this(), Id));
 }
 
@@ -354,8 +365,9 @@
   // off for ever the time at which its runs are surely over.
   if (Clocks.count(Id) && Found->second.Answers) {
     Order.Until = workerTime(Id) + Tools.Settings.Timing.WorkerLease;
-    workerLeased(Cell, Id, leaseEnd());
+    workerLeased(Cell, Id, leaseEnd(clockAge(Id)));
   }
+  const uint64_t Forgotten = Order.ForgetThrough;
   const TimePoint AskedAt = Tools.Time.Now();
   Result<WorkerReport> Report = co_await Tools.Workers.Hold(std::move(Order));
   if (Stopped)
@@ -366,8 +378,10 @@
     ClockReading &Clock = Clocks[Id];
     // Answers on two connections may overtake each other; an older one says nothing new.
     if (value(Report).WorkerClock >= Clock.Worker) {
-      Clock = {value(Report).WorkerClock, Now};
+      Clock.Worker = value(Report).WorkerClock;
+      Clock.At = Now;
       workerReported(Cell, Id, value(Report), AskedAt, Now, Out);
+      Clock.ForgottenThrough = std::max(Clock.ForgottenThrough, Forgotten);
     }
   } else if (error(Report).Kind == ErrorKind::NotOwner) {
     Out.Deposed = true;
@@ -384,10 +398,9 @@
   co_return !Stopped && Cell.Workers.count(Id) > 0;
 }
 
-// The worker's ends are asked for again when those known are saved; without the store, now and
-// then.
-Awaitable<void> SchedulerRunner::untilSaved(Self Me, std::string Id) {
-  asio::steady_timer Wake(Me->Tools.Where, UnsavedPause);
+// Waits until the worker's ends are saved or something is started there, or for \p Most.
+Awaitable<void> SchedulerRunner::untilWoken(Self Me, std::string Id, Milliseconds Most) {
+  asio::steady_timer Wake(Me->Tools.Where, Most);
   Me->HoldWakes[Id] = &Wake;
   co_await Wake.async_wait(AsTuple);
   Me->HoldWakes.erase(Id);
@@ -398,17 +411,28 @@
     Found->second->cancel();
 }
 
+// True if nothing is to be told to or heard from the worker before something is started there.
+bool SchedulerRunner::restsAt(const Worker &On) const {
+  const auto Known = Clocks.find(On.Info.Id);
+  return Known != Clocks.end() && isIdle(On) && Known->second.ForgottenThrough >= On.LastEnd;
+}
+
 Awaitable<void> SchedulerRunner::holdLoop(Self Me, std::string Id) {
   while (!Me->Stopped) {
     auto Found = Me->Cell.Workers.find(Id);
     if (Found != Me->Cell.Workers.end() && !Found->second.Unsaved.empty()) {
-      co_await untilSaved(Me, Id);
+      // Asked for again when those known are saved; without the store, now and then.
+      co_await untilWoken(Me, Id, UnsavedPause);
+      Found = Me->Cell.Workers.find(Id);
+    }
+    if (Found != Me->Cell.Workers.end() && Me->restsAt(Found->second)) {
+      co_await untilWoken(Me, Id, IdleHold);
       Found = Me->Cell.Workers.find(Id);
     }
-    if (Found == Me->Cell.Workers.end())
+    if (Found == Me->Cell.Workers.end() || Me->Stopped)
       break;
     const bool First = !Me->Clocks.count(Id);
-    const bool Waits = !First && Found->second.Unsaved.empty();
+    const bool Waits = !First && Found->second.Unsaved.empty() && !isIdle(Found->second);
     const Milliseconds Wait = Waits ? Me->Tools.Settings.Timing.HoldWait : Milliseconds(0);
     if (!co_await Me->holdOnce(Id, Wait))
       break;
@@ -442,7 +466,8 @@
   Start.Fence = Me->Mine.Term;
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
-  workerLeased(Me->Cell, Order.Worker, Me->leaseEnd());
+  workerLeased(Me->Cell, Order.Worker, Me->leaseEnd(Me->clockAge(Order.Worker)));
+  Me->wakeHold(Order.Worker);
   const TimePoint SentAt = Me->Tools.Time.Now();
   const StartResult What = co_await Me->Tools.Workers.Start(std::move(Start));
   Me->Tools.Metrics.observe(metrics::StartSeconds, Me->Tools.Time.Now() - SentAt);
@@ -510,6 +535,8 @@
     spawnLater(Tools.Where, look(Me, Id));
   if (Out.Save)
     SaveWake.cancel();
+  if (Out.Wants)
+    holdAll();
   Out = {};
 }
 
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -67,6 +67,7 @@
   struct ClockReading {
     Milliseconds Worker{0};
     TimePoint At{};
+    uint64_t ForgottenThrough = 0; ///< The worker was told to forget ends up to this one.
   };
 
   // Loading and watching.
@@ -85,13 +86,15 @@
   void holdAll();
   static Awaitable<void> holdLoop(Self Me, std::string Id);
   Awaitable<bool> holdOnce(std::string Id, Milliseconds Wait);
-  static Awaitable<void> untilSaved(Self Me, std::string Id);
+  static Awaitable<void> untilWoken(Self Me, std::string Id, Milliseconds Most);
+  bool restsAt(const sched::Worker &On) const;
   void wakeHold(const std::string &Id);
   static Awaitable<void> look(Self Me, std::string Id);
   static Awaitable<void> sendStart(Self Me, sched::Effects::Start Order);
   static Awaitable<void> sendStop(Self Me, sched::Effects::Stop Order);
   Milliseconds workerTime(const std::string &Id) const;
-  TimePoint leaseEnd() const;
+  TimePoint leaseEnd(Steady::duration ClockAge) const;
+  Steady::duration clockAge(const std::string &Id) const;
 
   // Saving.
   static Awaitable<void> saveLoop(Self Me);
@@ -126,7 +129,7 @@
   AdviceLanes Lanes;
   std::map<std::string, ClockReading> Clocks;                   ///< By worker.
   std::set<std::string> Held;                                   ///< Workers with a hold loop.
-  std::map<std::string, boost::asio::steady_timer *> HoldWakes; ///< Loops that wait for a save.
+  std::map<std::string, boost::asio::steady_timer *> HoldWakes; ///< Loops that wait.
   std::set<std::string> OldRecords;  ///< Workers whose records are to be removed.
   std::set<sched::JobId> OldCancels; ///< Marks whose jobs have ended.
   std::set<sched::JobId> SavingNow;
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -173,7 +173,7 @@
     Transaction What = Me->guarded();
     std::vector<std::string> Noted;
     for (const auto &[Id, On] : Me->Cell.Workers)
-      if (!On.Saved && What.rows() < MaxTransactionRows) {
+      if (On.Wanted && !On.Saved && What.rows() < MaxTransactionRows) {
         What.Puts.push_back({workerKey(Id), encodeWorkerRecord(On.Info), 0, 0});
         Noted.push_back(Id);
       }
--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -72,6 +72,8 @@
   });
   Root.table("process", false, [&](TomlReader &T) {
     Read.Threads = static_cast<unsigned>(T.integer("threads", Read.Threads, 1, 64));
+    Read.Descriptors = static_cast<size_t>(
+        T.integer("descriptors", static_cast<int64_t>(Read.Descriptors), 64, 1 << 20));
     Read.Power = T.number("power", Read.Power, 0.001, 1024);
   });
   Root.finish();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -53,7 +53,7 @@
 
 class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
 public:
-  Impl(Executor Where, bool OneThread) : Where(Where), OneThread(OneThread) {}
+  Impl(Executor Where, HttpClientLimits Limits) : Where(Where), Limits(Limits) {}
 
   ConnectionPtr takeIdle(const Endpoint &To) {
     std::lock_guard Lock(Mutex);
@@ -61,6 +61,7 @@
     while (!Kept.empty()) {
       ConnectionPtr Found = Kept.back();
       Kept.pop_back();
+      ByAge.erase({Found->IdleSince, Found.get()});
       const auto IdleFor = Steady::now() - Found->IdleSince;
       if (IdleFor < FreshTime || (IdleFor < MaxIdleTime && Found->isQuiet()))
         return Found;
@@ -71,14 +72,19 @@
   void keep(const Endpoint &To, ConnectionPtr Used) {
     std::lock_guard Lock(Mutex);
     auto &Kept = Idle[To];
-    if (Kept.size() >= MaxIdlePerEndpoint)
+    if (Kept.size() >= MaxIdlePerEndpoint) {
+      ByAge.erase({Kept.front()->IdleSince, Kept.front().get()});
       Kept.erase(Kept.begin());
+    }
     Used->IdleSince = Steady::now();
+    ByAge[{Used->IdleSince, Used.get()}] = To;
     Kept.push_back(std::move(Used));
+    if (ByAge.size() > Limits.MaxIdle)
+      closeOldest();
   }
 
   Awaitable<Result<ConnectionPtr>> connect(Endpoint To, Milliseconds Timeout) {
-    auto Made = std::make_shared<Connection>(OneThread ? Where : asio::make_strand(Where));
+    auto Made = std::make_shared<Connection>(Limits.OneThread ? Where : asio::make_strand(Where));
     boost::system::error_code Bad;
     const tcp::endpoint Target(asio::ip::make_address(To.Host, Bad), To.Port);
     Made->Stream.expires_after(Timeout);
@@ -94,11 +100,23 @@
   }
 
   const Executor Where;
-  const bool OneThread;
+  const HttpClientLimits Limits;
 
 private:
+  // Called under Mutex. Within an endpoint the first is idle longest.
+  void closeOldest() {
+    const auto Oldest = ByAge.begin();
+    const auto Kept = Idle.find(Oldest->second);
+    ByAge.erase(Oldest);
+    Kept->second.erase(Kept->second.begin());
+    if (Kept->second.empty())
+      Idle.erase(Kept);
+  }
+
   std::mutex Mutex;
   std::map<Endpoint, std::vector<ConnectionPtr>> Idle; ///< Guarded by Mutex.
+  /// The idle connections, oldest first. Guarded by Mutex.
+  std::map<std::pair<TimePoint, const Connection *>, Endpoint> ByAge;
 };
 
 namespace {
@@ -228,8 +246,8 @@
 };
 } // namespace
 
-HttpClient::HttpClient(Executor Where, bool OneThread)
-    : Inner(std::make_shared<Impl>(Where, OneThread)) {}
+HttpClient::HttpClient(Executor Where, HttpClientLimits Limits)
+    : Inner(std::make_shared<Impl>(Where, Limits)) {}
 HttpClient::~HttpClient() = default;
 
 Awaitable<Result<std::shared_ptr<HttpCall>>> HttpClient::open(Endpoint To, CallOptions Options) {
--- /dev/null
+++ b/src/http/client_test.cpp
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+// Connections that the client keeps, against servers on loopback.
+#include "valveshelf/http.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace valveshelf {
+namespace {
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using namespace std::chrono_literals;
+
+// Answers one request after the other on each connection and counts the connections.
+class CountingServer {
+public:
+  explicit CountingServer(asio::io_context &Io)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    asio::co_spawn(Io, accept(), asio::detached);
+  }
+  Endpoint address() const { return {"127.0.0.1", Acceptor.local_endpoint().port()}; }
+  int Accepted = 0;
+  int Open = 0;
+
+private:
+  Awaitable<void> accept() {
+    while (true) {
+      tcp::socket Socket = co_await Acceptor.async_accept(asio::use_awaitable);
+      ++Accepted;
+      asio::co_spawn(Acceptor.get_executor(), serve(std::move(Socket)), asio::detached);
+    }
+  }
+  Awaitable<void> serve(tcp::socket Socket) {
+    ++Open;
+    std::string Read;
+    while (true) {
+      auto [Failure, Size] = co_await asio::async_read_until(
+          Socket, asio::dynamic_buffer(Read), "\r\n\r\n", asio::as_tuple(asio::use_awaitable));
+      if (Failure)
+        break;
+      Read.erase(0, Size);
+      static constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      co_await asio::async_write(Socket, asio::buffer(Answer), asio::as_tuple(asio::use_awaitable));
+    }
+    --Open;
+  }
+  tcp::acceptor Acceptor;
+};
+
+struct Bench {
+  asio::io_context Io;
+  HttpClient Client;
+  explicit Bench(size_t MaxIdle) : Client(Io.get_executor(), {true, MaxIdle}) {}
+
+  int send(const Endpoint &To) {
+    int Status = 0;
+    bool Over = false;
+    asio::co_spawn(Io, Client.send(To, {"GET", "/", {}, ""}),
+                   [&](std::exception_ptr, Result<HttpResponse> Answer) {
+                     Status = ok(Answer) ? value(Answer).Status : 0;
+                     Over = true;
+                   });
+    const TimePoint Limit = Steady::now() + 5s;
+    while (!Over && Steady::now() < Limit)
+      Io.run_one_for(10ms);
+    return Status;
+  }
+  void settle(const std::function<bool()> &Holds) {
+    const TimePoint Limit = Steady::now() + 5s;
+    while (!Holds() && Steady::now() < Limit)
+      Io.run_one_for(5ms);
+  }
+};
+
+TEST(HttpClient, UsesAKeptConnectionAgain) {
+  Bench Given(8);
+  CountingServer Server(Given.Io);
+  EXPECT_EQ(Given.send(Server.address()), 200);
+  EXPECT_EQ(Given.send(Server.address()), 200);
+  EXPECT_EQ(Server.Accepted, 1);
+}
+
+TEST(HttpClient, ClosesTheConnectionThatWasIdleLongest) {
+  Bench Given(2);
+  CountingServer First(Given.Io);
+  CountingServer Second(Given.Io);
+  CountingServer Third(Given.Io);
+  EXPECT_EQ(Given.send(First.address()), 200);
+  EXPECT_EQ(Given.send(Second.address()), 200);
+  EXPECT_EQ(Given.send(First.address()), 200); // now the second is the oldest
+  EXPECT_EQ(Given.send(Third.address()), 200);
+  Given.settle([&] { return Second.Open == 0; });
+  EXPECT_EQ(First.Open, 1);
+  EXPECT_EQ(Second.Open, 0);
+  EXPECT_EQ(Third.Open, 1);
+  EXPECT_EQ(Given.send(Second.address()), 200);
+  EXPECT_EQ(Second.Accepted, 2);
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -32,7 +32,8 @@
   std::string LogLevel;
   int LogLinesPerSecond = 40; ///< Of one kind of event; 0: no limit.
   unsigned Threads = 1;
-  double Power = 1; ///< Cores that the process may use.
+  double Power = 1;          ///< Cores that the process may use.
+  size_t Descriptors = 4096; ///< That the process may have open.
   CellTiming Timing;
   IntakeLimits Limits;
   sched::SchedulerLimits Scheduler;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -40,6 +40,9 @@
                                   ///< if urgent tasks are larger, up to the next figure.
   double MostUrgentShare = 0.22;  ///< With 80 % of the cell in use the rest still finds room.
   Milliseconds YieldMargin{1500}; ///< Work that was stopped finds a place again within this time.
+  uint32_t SpareWorkers = 150;    ///< Idle workers kept ready beyond those in use; a gang of the
+                                  ///< usual size finds its advised ones among them.
+  uint32_t MoreWorkers = 64;      ///< Most that are made ready in one tick.
   int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
 };
 
@@ -78,6 +81,7 @@
   WorkerInfo Info;
   uint32_t Slot = 0;   ///< Its number within this term, in `CellState::Slots`; never used again.
   bool Listed = false; ///< It stands in the platform's list.
+  bool Wanted = false; ///< It is to be used: noted in the store, then asked what it holds.
   bool Heard = false;  ///< It has answered this scheduler; its attempts are known.
   bool Answers = true; ///< The last call to it was answered.
   bool Saved = false;  ///< The store knows that it may hold runs of ours.
@@ -194,6 +198,7 @@
   std::set<uint32_t> WithUnsaved;  ///< Slots of workers with ends that wait for a save.
   WallTime Wall{};                 ///< The time of day at Now, as of the last tick.
   TimePoint WallAt{};              ///< The steady time at which Wall was read.
+  bool Starved = false;            ///< A step found no place among the workers that are ready.
   Resources UrgentNeed;            ///< Moving average of the needs of urgent tasks.
   TimePoint NextStuckLook{};       ///< When runs without progress are looked for again.
 };
@@ -241,6 +246,7 @@
   std::vector<Ask> Asks;
   std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
   bool Save = false;              ///< Something waits to be saved.
+  bool Wants = false;             ///< Workers are wanted that were not before.
   bool Deposed = false;           ///< A newer scheduler has spoken; this one must end.
 };
 
@@ -278,6 +284,8 @@
 void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
                     TimePoint AskedAt, TimePoint Now, Effects &Out);
 void workerSilent(CellState &Cell, const std::string &Id);
+/// True if nothing of ours runs there and no end of it waits for anything.
+bool isIdle(const Worker &On);
 /// Another life answers at its address, or its lease has surely run out and it is gone.
 void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out);
 /// A lease until \p End, as the process reckons it, may have reached the worker.
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -152,11 +152,16 @@
   size_t MaxResponseBytes = 16 * 1024 * 1024;
 };
 
+/// How a client keeps connections.
+struct HttpClientLimits {
+  bool OneThread = false; ///< One thread runs the executor: connections need no strands.
+  size_t MaxIdle = 1024;  ///< Idle connections kept in all; the one idle longest is closed.
+};
+
 /// A client with kept connections, a bounded number idle per endpoint. Safe from any thread.
 class HttpClient {
 public:
-  /// \p OneThread: one thread runs \p Where, so that connections need no strands of their own.
-  explicit HttpClient(Executor Where, bool OneThread = false);
+  explicit HttpClient(Executor Where, HttpClientLimits Limits = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -172,6 +172,7 @@
     if (On && !isAnswered(Step, *On) && isUsable(In, *On, Of, Step) &&
         fits(needOf(Step), On->Info.Capacity))
       Unknown.emplace_back(-roomFor(In, *On, Of, Step).MilliCores, On);
+  In.Cell.Starved = In.Cell.Starved || Unknown.empty();
   const size_t Count = std::min(Unknown.size(), namedFor(Step));
   const auto BySlot = [](const auto &A, const auto &B) {
     return std::pair(A.first, A.second->Slot) < std::pair(B.first, B.second->Slot);
@@ -185,6 +186,14 @@
   ask(In, Of, Step, std::move(Names));
 }
 
+// A step found no place among the workers known to be good for it.
+void lookFurther(Pass &In, const Job &Of, StepState &Step) {
+  if (Of.Spec->Advice)
+    askUnknown(In, Of, Step);
+  else
+    In.Cell.Starved = true;
+}
+
 const std::string &checkpointOf(const StepState &Step, uint32_t Index) {
   return Step.Tasks[Step.Spec->Gang ? 0 : Index].Checkpoint;
 }
@@ -333,7 +342,7 @@
   }
   launchSingles(In, Of, Step);
   if (Missed)
-    askUnknown(In, Of, Step);
+    lookFurther(In, Of, Step);
   Step.Waits = Missed ? "no advised worker has room" : "";
   return !Missed;
 }
@@ -488,7 +497,7 @@
   }
   if (sumSeats(Seats) < Step.Spec->Count) {
     Step.Waits = "the advised workers have no room for the whole gang";
-    askUnknown(In, Of, Step);
+    lookFurther(In, Of, Step);
     return false;
   }
   planGang(In, Of, Step, inOneRack(Step, Seats), Yields);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -273,7 +273,7 @@
   Worker &On = makeWorker(Cell, Info.Id);
   if (On.Info.Id.empty())
     On.Info = Info;
-  On.Saved = true;
+  On.Saved = On.Wanted = true;
   On.LeaseEnd = std::max(On.LeaseEnd, LeaseEnd);
   Cell.Unheard.insert(Info.Id);
 }
@@ -412,6 +412,31 @@
     On.SetAsideUntil = Now + Cell.Limits.SetAside;
 }
 
+bool isIdle(const Worker &On) {
+  return On.Answers && On.Unsaved.empty() &&
+         std::all_of(On.Attempts.begin(), On.Attempts.end(),
+                     [](const auto &Entry) { return Entry.second.Phase == AttemptPhase::Planned; });
+}
+
+// A large fleet is not used as a whole: what is idle beyond some spare costs nothing.
+static void wantWorkers(CellState &Cell, Effects &Out) {
+  uint32_t Spare = 0;
+  for (const auto &[Id, On] : Cell.Workers)
+    Spare += On.Wanted && On.Listed && !On.Info.Draining && On.Attempts.empty() ? 1 : 0;
+  uint32_t Missing = Spare < Cell.Limits.SpareWorkers ? Cell.Limits.SpareWorkers - Spare : 0;
+  if (Cell.Starved)
+    Missing = std::max(Missing, Cell.Limits.MoreWorkers);
+  Cell.Starved = false;
+  Missing = std::min(Missing, Cell.Limits.MoreWorkers);
+  for (auto At = Cell.Workers.begin(); At != Cell.Workers.end() && Missing > 0; ++At) {
+    Worker &On = At->second;
+    if (On.Wanted || !On.Listed || On.Info.Draining)
+      continue;
+    On.Wanted = Out.Wants = true;
+    --Missing;
+  }
+}
+
 void tick(CellState &Cell, TimePoint Now, WallTime Wall, Effects &Out) {
   Cell.Wall = Wall;
   Cell.WallAt = Now;
@@ -436,6 +461,7 @@
   }
   for (const std::string &Id : Over)
     workerOver(Cell, Id, Now, Out);
+  wantWorkers(Cell, Out);
   tickJobs(Cell, Now);
 }
 
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -18,6 +18,9 @@
 namespace asio = boost::asio;
 namespace {
 
+// So many times fewer idle connections are kept than the process may have descriptors.
+constexpr size_t IdleShare = 4;
+
 CellPlatform connect(HttpClient &Client, const CellSettings &Settings) {
   CellPlatform From;
   From.StoreCalls = [&Client, Address = Settings.Store](HttpRequest Request, Milliseconds Timeout) {
@@ -68,7 +71,7 @@
   const unsigned Threads = Settings.Threads;
   // With one thread the context itself is a strand, and a cheaper one.
   const bool OneThread = Threads == 1;
-  HttpClient Client(Io.get_executor(), OneThread);
+  HttpClient Client(Io.get_executor(), {OneThread, Settings.Descriptors / IdleShare});
   const Executor Where = OneThread ? Executor(Io.get_executor()) : Executor(asio::make_strand(Io));
   const std::string Addresses = "callers=" + toString(Settings.Callers) +
                                 " peers=" + toString(Settings.Peers) +
