One failure keeps gangs away from a worker; runs that stand still are seen sooner

A worker was set aside after three failures in a row, and a run that stands still was noticed after 3.5 s of a tick's clock, whether or not its worker had reported. A step that failed elsewhere speaks against the first worker only. A run stands still if two reports at least 2 s (a sixth of the estimate) apart show the same progress. Tests: SickWorkers in placement_test.cpp.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -43,7 +43,9 @@
   uint32_t SpareWorkers = 150;    ///< Idle workers kept ready beyond those in use; a gang of the
                                   ///< usual size finds its advised ones among them.
   uint32_t MoreWorkers = 64;      ///< Most that are made ready in one tick.
-  int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
+  int MaxFailuresInARow = 2;      ///< A worker that failed so many runs in a row is set aside.
+  Milliseconds Probation{6000};   ///< A worker that failed a run gets no members of gangs until
+                                  ///< it has done another, or for this time.
 };
 
 /// Where an attempt stands.
@@ -95,6 +97,8 @@
   TimePoint LeaseEnd{};                              ///< By then everything on it has been killed.
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
+  TimePoint ProbationUntil{}; ///< One sick worker is enough to break a gang.
+  TimePoint ReportedAt{};     ///< When it was asked for its last report.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -158,6 +158,84 @@
   EXPECT_EQ(Out.Asks.front().Workers.size(), 20u);
 }
 
+// Ends a run on the worker that holds it.
+void end(Scene &Given, const Effects::Start &Order, RunEnd How) {
+  Worker &On = Given.Cell.Workers.at(Order.Worker);
+  WorkerReport Report;
+  Report.Ended.push_back({On.LastEnd + 1, Order.Run, How, ""});
+  for (const auto &[Run, What] : On.Attempts)
+    if (!(Run == Order.Run))
+      Report.Active.push_back({Run, "", What.Percent});
+  Effects Out;
+  workerReported(Given.Cell, Order.Worker, Report, Given.Now, Given.Now, Out);
+}
+
+StepSpec gang(uint32_t Count, int64_t MilliCores) {
+  StepSpec Step = tasks(Count, MilliCores, 1000ms);
+  Step.Gang = true;
+  return Step;
+}
+
+TEST(SickWorkers, AWorkerThatFailedARunGetsNoMembersOfGangs) {
+  Scene Given(2);
+  Given.submit(0, tasks(1, 1000, 100ms), 100);
+  const Effects::Start First = Given.pass().Starts.at(0);
+  end(Given, First, RunEnd::Failed);
+  Given.submit(1, gang(2, 20000), 100);
+  for (const Effects::Start &Order : Given.pass().Starts)
+    if (Order.Job->Steps[0].Gang)
+      EXPECT_NE(Order.Worker, First.Worker);
+}
+
+TEST(SickWorkers, WhatItGetsDoneClearsIt) {
+  Scene Given(1);
+  Given.submit(0, tasks(2, 1000, 100ms), 100);
+  const auto Starts = Given.pass().Starts;
+  ASSERT_EQ(Starts.size(), 2u);
+  end(Given, Starts[0], RunEnd::Failed);
+  Given.submit(1, gang(2, 20000), 100);
+  const auto Before = Given.pass().Starts;
+  EXPECT_TRUE(std::none_of(Before.begin(), Before.end(),
+                           [](const auto &Order) { return Order.Job->Steps[0].Gang; }));
+  end(Given, Starts[1], RunEnd::Done);
+  EXPECT_EQ(Given.pass().Starts.size(), 2u);
+}
+
+TEST(SickWorkers, AJobThatFailsEverywhereSpeaksAgainstOneWorkerOnly) {
+  Scene Given(3);
+  Given.submit(0, tasks(1, 60000, 100ms), 100);
+  for (int I = 0; I < 2; ++I)
+    end(Given, Given.pass().Starts.at(0), RunEnd::Failed);
+  const auto Suspected =
+      std::count_if(Given.Cell.Workers.begin(), Given.Cell.Workers.end(),
+                    [&](const auto &Entry) { return Entry.second.ProbationUntil > Given.Now; });
+  EXPECT_EQ(Suspected, 1);
+}
+
+TEST(SickWorkers, ARunThatStandsStillBetweenTwoReportsIsStopped) {
+  Scene Given(1);
+  Given.submit(2, tasks(1, 1000, 5000ms), 100);
+  const Effects::Start Order = Given.pass().Starts.at(0);
+  const auto Report = [&] {
+    WorkerReport Now;
+    Now.Active.push_back({Order.Run, "", 7});
+    Effects Out;
+    workerReported(Given.Cell, Order.Worker, Now, Given.Now, Given.Now, Out);
+    tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+    return Out.Stops.size();
+  };
+  EXPECT_EQ(Report(), 0u);
+  Given.Now += 1500ms;
+  EXPECT_EQ(Report(), 0u);
+  // No report for a while is no proof.
+  Given.Now += 3000ms;
+  Effects Out;
+  tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  EXPECT_TRUE(Out.Stops.empty());
+  Given.Now += 600ms;
+  EXPECT_EQ(Report(), 1u);
+}
+
 TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
   Scene Given(1);
   const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -13,8 +13,12 @@
 constexpr Milliseconds StopAgain{500};
 // How often a start without an answer is sent before it is stopped instead.
 constexpr int MaxSends = 2;
-// A run without progress for so long stands still. Reports come every two seconds at least.
-constexpr Milliseconds StuckTime{3500};
+// A run that shows the same progress in two reports so far apart stands still: a sixth of its time,
+// which is sixteen parts in a hundred on a sound worker and two on one that is eight times slower.
+constexpr Milliseconds LeastStuckTime{2000};
+constexpr int StuckPart = 6;
+// Without an estimate.
+constexpr Milliseconds UnknownStuckTime{10000};
 // Runs that stand still are looked for this often; a fraction of the time above.
 constexpr Milliseconds StuckLookEvery{500};
 // A worker that is busy or can't be reached is left alone for this time.
@@ -93,12 +97,29 @@
     Step->Tasks[Step->Spec->Gang ? 0 : Row.Run.Task.Index].Checkpoint = Row.Checkpoint;
 }
 
-// A worker whose runs all fail is set aside for a while, so that tasks don't use up their
-// attempts on it.
-void judge(CellState &Cell, Worker &On, RunEnd How, TimePoint Now) {
-  if (How == RunEnd::Done)
+// A failure speaks against the worker, unless the step has failed elsewhere as well: some jobs can
+// never be done. One sick worker breaks any gang that it is part of, so there each failure counts.
+bool speaksAgainst(CellState &Cell, const EndedRun &End) {
+  if (End.How != RunEnd::Failed)
+    return false;
+  const StepState *Step = findStep(Cell, End.Run.Task.Step);
+  if (!Step || Step->Spec->Gang)
+    return true;
+  return std::all_of(Step->Tasks.begin(), Step->Tasks.end(),
+                     [](const TaskState &Task) { return Task.FailedRuns.empty(); });
+}
+
+// A worker that fails what it runs gets no members of gangs, and after more failures nothing for a
+// while, so that tasks don't use up their attempts on it. What it gets done clears it.
+void judge(CellState &Cell, Worker &On, const EndedRun &End, TimePoint Now) {
+  if (End.How == RunEnd::Done) {
     On.FailuresInARow = 0;
-  if (How != RunEnd::Failed || ++On.FailuresInARow < Cell.Limits.MaxFailuresInARow)
+    On.ProbationUntil = {};
+  }
+  if (!speaksAgainst(Cell, End))
+    return;
+  On.ProbationUntil = Now + Cell.Limits.Probation;
+  if (++On.FailuresInARow < Cell.Limits.MaxFailuresInARow)
     return;
   On.SetAsideUntil = Now + Cell.Limits.SetAside;
   On.FailuresInARow = Cell.Limits.MaxFailuresInARow - 1;
@@ -111,7 +132,7 @@
       continue;
     On.LastEnd = End.Number;
     unbook(Cell, On, End.Run);
-    judge(Cell, On, End.How, Now);
+    judge(Cell, On, End, Now);
     runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
     const uint64_t Save = Of == Cell.Jobs.end() ? 0 : Of->second.NeedsSave;
@@ -284,6 +305,7 @@
   if (!On)
     return;
   On->Answers = true;
+  On->ReportedAt = std::max(On->ReportedAt, AskedAt);
   readEnds(Cell, *On, Report, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
@@ -397,19 +419,28 @@
     Out.Looks.push_back(On.Info.Id);
 }
 
+static Milliseconds stuckTime(const StepSpec &Spec) {
+  if (Spec.Estimate.count() == 0)
+    return UnknownStuckTime;
+  return std::max(LeastStuckTime, Spec.Estimate / StuckPart);
+}
+
 // Runs that make no progress are stopped and go on elsewhere.
 static void tickStuck(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
   std::vector<RunKey> Stuck;
   for (const auto &[Run, What] : On.Attempts) {
     const StepState *Step = findStep(Cell, Run.Task.Step);
     const bool Watched = What.Phase == AttemptPhase::Running && Step && !Step->Spec->Lasting;
-    if (Watched && What.Percent < 100 && Now - What.PercentChanged > StuckTime)
+    if (Watched && What.Percent < 100 &&
+        On.ReportedAt - What.PercentChanged > stuckTime(*Step->Spec))
       Stuck.push_back(Run);
   }
   for (const RunKey &Run : Stuck)
     stopAttempt(Cell, On, Run, "it makes no progress", Now, Out);
-  if (!Stuck.empty())
-    On.SetAsideUntil = Now + Cell.Limits.SetAside;
+  if (Stuck.empty())
+    return;
+  On.SetAsideUntil = Now + Cell.Limits.SetAside;
+  On.ProbationUntil = Now + Cell.Limits.Probation;
 }
 
 bool isIdle(const Worker &On) {
