Members of a gang that is done get no stop

Ruled out: stops for room (a fifth of the lines in the bursts). Change: members of a gang that is done are left to end; they stay booked until they are listed, and are stopped after 1.5 s. Test: Gangs.MembersOfAGangThatIsDoneAreNotStopped.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -74,6 +74,7 @@
   TimePoint StopAckedAt{};
   int Percent = 0;
   TimePoint PercentChanged{};
+  TimePoint EndsSince{}; ///< Its gang is done; since then its own end is expected.
 };
 
 /// One life of a worker and what is booked on it.
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -49,15 +49,32 @@
   return Round;
 }
 
+Attempt *attemptOf(StepState &Step, uint32_t Index) {
+  const TaskState &Task = Step.Tasks[Index];
+  if (!Task.At)
+    return nullptr;
+  const auto Found = Task.At->Attempts.find({{Step.Key, Index}, Task.Run});
+  return Found == Task.At->Attempts.end() ? nullptr : &Found->second;
+}
+
+// The members of a gang end together; those that are not listed as ended yet need no order.
+void expectEnds(StepState &Step, uint32_t Run, TimePoint Now) {
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    if (Attempt *What = attemptOf(Step, I); What && Step.Tasks[I].Run == Run)
+      What->EndsSince = Now;
+}
+
 void stopAll(CellState &Cell, Job &Of, const char *Why, TimePoint Now, Effects &Out) {
   for (auto &[Number, Round] : Of.Rounds)
     for (StepState &Step : Round.Steps) {
       if (Step.Queued)
         Cell.Queue.erase(*Step.Queued);
       Step.Queued.reset();
-      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-        if (Worker *On = Step.Tasks[I].At)
-          stopAttempt(Cell, *On, {{Step.Key, I}, Step.Tasks[I].Run}, Why, Now, Out);
+      for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+        const Attempt *What = attemptOf(Step, I);
+        if (What && What->EndsSince == TimePoint{})
+          stopAttempt(Cell, *Step.Tasks[I].At, {{Step.Key, I}, Step.Tasks[I].Run}, Why, Now, Out);
+      }
     }
 }
 
@@ -98,6 +115,7 @@
     for (TaskState &Task : Step.Tasks)
       Task.Done = true;
     Step.Open = 0;
+    expectEnds(Step, Run.Run, Now);
   } else if (!Step.Tasks[Run.Task.Index].Done) {
     Step.Tasks[Run.Task.Index].Done = true;
     --Step.Open;
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -236,6 +236,29 @@
   EXPECT_EQ(Report(), 1u);
 }
 
+TEST(Gangs, MembersOfAGangThatIsDoneAreNotStopped) {
+  Scene Given(3);
+  Given.submit(1, gang(3, 40000), 100);
+  const auto Starts = Given.pass().Starts;
+  ASSERT_EQ(Starts.size(), 3u);
+  const auto EndOn = [&](const Effects::Start &Order) {
+    WorkerReport Report;
+    Report.Ended.push_back({1, Order.Run, RunEnd::Done, ""});
+    Effects Out;
+    workerReported(Given.Cell, Order.Worker, Report, Given.Now, Given.Now, Out);
+    return Out.Stops.size();
+  };
+  EXPECT_EQ(EndOn(Starts[0]), 0u);
+  EXPECT_EQ(Given.Cell.Workers.at(Starts[1].Worker).Attempts.size(), 1u); // still booked
+  EXPECT_EQ(EndOn(Starts[1]), 0u);
+  // The third does not end with them.
+  Given.Now += 2000ms;
+  Effects Out;
+  tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  ASSERT_EQ(Out.Stops.size(), 1u);
+  EXPECT_EQ(Out.Stops[0].Worker, Starts[2].Worker);
+}
+
 TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
   Scene Given(1);
   const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -19,6 +19,8 @@
 constexpr int StuckPart = 6;
 // Without an estimate.
 constexpr Milliseconds UnknownStuckTime{10000};
+// The members of a gang that is done end within this time, or are stopped.
+constexpr Milliseconds GangEndTime{1500};
 // Runs that stand still are looked for this often; a fraction of the time above.
 constexpr Milliseconds StuckLookEvery{500};
 // A worker that is busy or can't be reached is left alone for this time.
@@ -425,12 +427,23 @@
   return std::max(LeastStuckTime, Spec.Estimate / StuckPart);
 }
 
+// Members of gangs that are done and have not ended with the others.
+static void tickLeftOver(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+  std::vector<RunKey> Left;
+  for (const auto &[Run, What] : On.Attempts)
+    if (What.EndsSince != TimePoint{} && Now - What.EndsSince > GangEndTime)
+      Left.push_back(Run);
+  for (const RunKey &Run : Left)
+    stopAttempt(Cell, On, Run, "the others of its gang have ended", Now, Out);
+}
+
 // Runs that make no progress are stopped and go on elsewhere.
 static void tickStuck(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
   std::vector<RunKey> Stuck;
   for (const auto &[Run, What] : On.Attempts) {
     const StepState *Step = findStep(Cell, Run.Task.Step);
-    const bool Watched = What.Phase == AttemptPhase::Running && Step && !Step->Spec->Lasting;
+    const bool Watched = What.Phase == AttemptPhase::Running && Step && !Step->Spec->Lasting &&
+                         What.EndsSince == TimePoint{};
     if (Watched && What.Percent < 100 &&
         On.ReportedAt - What.PercentChanged > stuckTime(*Step->Spec))
       Stuck.push_back(Run);
@@ -486,8 +499,10 @@
       heard(Cell, Id, Now, Out);
     } else if (On.Answers) {
       tickStops(Cell, On, Now, Out);
-      if (LookForStuck)
+      if (LookForStuck) {
+        tickLeftOver(Cell, On, Now, Out);
         tickStuck(Cell, On, Now, Out);
+      }
     }
   }
   for (const std::string &Id : Over)
