Hopeless steps make no more workers ready

Change: only a step that one of the workers not ready yet could take asks for more. Tests: LargeFleets in placement_test.cpp.

--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -163,6 +163,20 @@
   return std::min<size_t>(MaxNamed, NamedAtLeast + NamedPerTask * Step.Spec->Count);
 }
 
+// Wishes for more workers, if one of those that are not ready yet could take the step.
+void noteStarved(Pass &In, const Job &Of, const StepState &Step) {
+  if (In.Cell.Starved)
+    return;
+  const Resources Need = needOf(Step);
+  In.Cell.Starved =
+      std::any_of(In.Cell.Workers.begin(), In.Cell.Workers.end(), [&](const auto &Entry) {
+        const Worker &On = Entry.second;
+        return !On.Wanted && On.Listed && !On.Info.Draining &&
+               On.Info.Service == Of.Spec->Service && fits(Need, On.Info.Capacity) &&
+               hasLabel(On.Info, Step.Spec->RequiredLabel);
+      });
+}
+
 // Asks about workers of which nothing is known yet, those with the most room first.
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || Step.Advice.Asking || Step.Advice.NotBefore > In.Now)
@@ -172,7 +186,8 @@
     if (On && !isAnswered(Step, *On) && isUsable(In, *On, Of, Step) &&
         fits(needOf(Step), On->Info.Capacity))
       Unknown.emplace_back(-roomFor(In, *On, Of, Step).MilliCores, On);
-  In.Cell.Starved = In.Cell.Starved || Unknown.empty();
+  if (Unknown.empty())
+    noteStarved(In, Of, Step);
   const size_t Count = std::min(Unknown.size(), namedFor(Step));
   const auto BySlot = [](const auto &A, const auto &B) {
     return std::pair(A.first, A.second->Slot) < std::pair(B.first, B.second->Slot);
@@ -191,7 +206,7 @@
   if (Of.Spec->Advice)
     askUnknown(In, Of, Step);
   else
-    In.Cell.Starved = true;
+    noteStarved(In, Of, Step);
 }
 
 const std::string &checkpointOf(const StepState &Step, uint32_t Index) {
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -259,6 +259,54 @@
   EXPECT_EQ(Out.Stops[0].Worker, Starts[2].Worker);
 }
 
+// Workers that are listed and not ready yet.
+void listMore(Scene &Given, int Count) {
+  for (int I = 0; I < Count; ++I) {
+    WorkerInfo Info;
+    Info.Id = "more" + std::to_string(1000 + I);
+    Info.Service = "pool";
+    Info.Capacity = WorkerSize;
+    workerListed(Given.Cell, Info, Given.Now);
+  }
+}
+
+int64_t wanted(const Scene &Given) {
+  return std::count_if(Given.Cell.Workers.begin(), Given.Cell.Workers.end(),
+                       [](const auto &Entry) { return Entry.second.Wanted; });
+}
+
+void ticks(Scene &Given, int Count) {
+  for (int I = 0; I < Count; ++I) {
+    Given.Now += 50ms;
+    Effects Out;
+    tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+    place(Given.Cell, Given.Now, Out);
+  }
+}
+
+TEST(LargeFleets, SomeSpareWorkersAreMadeReady) {
+  Scene Given(0);
+  listMore(Given, 1000);
+  ticks(Given, 40);
+  EXPECT_EQ(wanted(Given), Given.Cell.Limits.SpareWorkers);
+}
+
+TEST(LargeFleets, AStepWithoutAPlaceMakesMoreReady) {
+  Scene Given(0);
+  listMore(Given, 1000);
+  Given.submit(1, gang(3, 60000), 100);
+  ticks(Given, 40); // none of them has been heard
+  EXPECT_EQ(wanted(Given), 1000);
+}
+
+TEST(LargeFleets, AStepThatFitsNowhereMakesNoneReady) {
+  Scene Given(0);
+  listMore(Given, 1000);
+  Given.submit(2, tasks(1, WorkerSize.MilliCores + 1, 100ms), 100);
+  ticks(Given, 40);
+  EXPECT_EQ(wanted(Given), Given.Cell.Limits.SpareWorkers);
+}
+
 TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
   Scene Given(1);
   const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
