Changes of the view are gathered by the size of the fleet

Cause: at a start of 300 processes each is told of each other one: 90,000 answers of the store within seconds, above its rate.

--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -10,6 +10,9 @@
 namespace {
 // After a failed call, before the next one.
 constexpr Milliseconds RetryPause{150};
+// Between two watches, for each member: when a fleet of hundreds starts, each process would be told
+// of each other one by itself, and the store would have to answer the square of them.
+constexpr Milliseconds GatherForMember{2};
 // Renewals in one life of a lease; two may be lost.
 constexpr int RenewalsPerLife = 3;
 } // namespace
@@ -78,8 +81,10 @@
     for (const KeyChange &Change : value(Read).Changes)
       take(Change.Item, Change.Gone);
     Revision = std::max(Revision, value(Read).Revision);
-    if (!value(Read).Changes.empty())
-      Changed();
+    if (value(Read).Changes.empty())
+      continue;
+    Changed();
+    co_await sleepFor(GatherForMember * Picture.Members.size());
   }
 }
 
