A call that the store refuses everywhere is not multiplied by peers

Each box then sends the call through up to three peers, which are refused as well: four calls for one, and the longer the fleet is over the rate the more. Change: when no peer was served either, calls fail at once for 250 ms; the probe finds the straight way. Workers that are wanted and not ready yet count before more are wanted.

--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds ProbeTimeout{400};
 // Peers tried for one call; if the store is down for all, more would only cost time.
 constexpr size_t MostPeersTried = 3;
+// When none of them is served either, calls fail at once for this time. Each of hundreds of boxes
+// would otherwise turn a call that the store refuses for its rate into four.
+constexpr Milliseconds DetourPause{250};
 // The store serves this process straight if it has answered it within this time.
 constexpr Milliseconds FreshEnough{2500};
 constexpr int HttpTooMany = 429;
@@ -69,6 +72,8 @@
   const std::vector<Endpoint> Known = Peers();
   Result<HttpResponse> Answer =
       Error{ErrorKind::UpstreamUnavailable, "no peer reaches the store either"};
+  if (Time.Now() < NoDetourUntil)
+    co_return Answer;
   for (size_t Tried = 0; Tried < std::min(Known.size(), MostPeersTried); ++Tried) {
     const Endpoint &Peer = Known[NextPeer % Known.size()];
     Answer = co_await Through(Peer, Call.Request, Timeout);
@@ -80,6 +85,7 @@
     if (error(Answer).Kind == ErrorKind::UpstreamCut)
       co_return Answer; // it may have been carried out
   }
+  NoDetourUntil = Time.Now() + DetourPause;
   co_return Answer;
 }
 
--- a/src/cell/store_path_test.cpp
+++ b/src/cell/store_path_test.cpp
@@ -105,6 +105,23 @@
   EXPECT_TRUE(Given.Path.isSilent());
 }
 
+TEST(StorePath, WhatTheStoreRefusesEverywhereIsNotMultiplied) {
+  Bench Given;
+  Given.Peer = Error{ErrorKind::UpstreamUnavailable, "refused here as well"};
+  Given.Direct = {Busy};
+  Given.call();
+  Given.call();
+  EXPECT_EQ(Given.PeerCalls, 1);
+  for (int I = 0; I < 20; ++I)
+    EXPECT_FALSE(ok(Given.call()));
+  EXPECT_EQ(Given.PeerCalls, 1);
+  EXPECT_EQ(Given.DirectCalls, 2);
+  Given.Now += 300ms;
+  Given.Peer = Good;
+  EXPECT_EQ(value(Given.call()).Body, "direct"); // this peer's answer: it is served now
+  EXPECT_EQ(Given.PeerCalls, 2);
+}
+
 TEST(StorePath, AProbeFindsTheStraightWayAgain) {
   Bench Given;
   Given.Direct = {Busy, Busy, Good};
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -75,6 +75,7 @@
   bool Probing = false;              ///< While peers are used: the store is tried straight.
   std::multimap<TimePoint, int> Out; ///< Plain calls that wait for an answer, by their start.
   size_t NextPeer = 0;
+  TimePoint NoDetourUntil{}; ///< No peer was served either; calls fail at once until then.
 };
 
 } // namespace valveshelf
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -465,11 +465,15 @@
 // A large fleet is not used as a whole: what is idle beyond some spare costs nothing.
 static void wantWorkers(CellState &Cell, Effects &Out) {
   uint32_t Spare = 0;
-  for (const auto &[Id, On] : Cell.Workers)
-    Spare += On.Wanted && On.Listed && !On.Info.Draining && On.Attempts.empty() ? 1 : 0;
+  uint32_t Coming = 0; // wanted, and not ready yet
+  for (const auto &[Id, On] : Cell.Workers) {
+    const bool Usable = On.Wanted && On.Listed && !On.Info.Draining;
+    Spare += Usable && On.Attempts.empty() ? 1 : 0;
+    Coming += Usable && On.Answers && (!On.Heard || !On.Saved) ? 1 : 0;
+  }
   uint32_t Missing = Spare < Cell.Limits.SpareWorkers ? Cell.Limits.SpareWorkers - Spare : 0;
-  if (Cell.Starved)
-    Missing = std::max(Missing, Cell.Limits.MoreWorkers);
+  if (Cell.Starved && Coming < Cell.Limits.MoreWorkers)
+    Missing = std::max(Missing, Cell.Limits.MoreWorkers - Coming);
   Cell.Starved = false;
   Missing = std::min(Missing, Cell.Limits.MoreWorkers);
   for (auto At = Cell.Workers.begin(); At != Cell.Workers.end() && Missing > 0; ++At) {
