--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -4,12 +4,17 @@
 
 #include "valveshelf/events.h"
 
+#include <random>
+
 namespace valveshelf {
 using namespace sched;
 
 namespace {
 // After a failed call, before the next one.
 constexpr Milliseconds RetryPause{150};
+// A member's own entry is not urgent. When hundreds start at once the store can't take all entries
+// in, and a claim has to come through between them: the pause doubles up to this one.
+constexpr Milliseconds MostEnterPause{2400};
 // Between two watches, for each member: when a fleet of hundreds starts, each process would be told
 // of each other one by itself, and the store would have to answer the square of them.
 constexpr Milliseconds GatherForMember{2};
@@ -103,6 +108,8 @@
 }
 
 Awaitable<void> CellView::memberLoop() {
+  std::minstd_rand Random(static_cast<unsigned>(std::hash<std::string>()(Settings.Member)));
+  Milliseconds Pause = RetryPause;
   while (!Stopped) {
     Result<Done> Kept = Done{};
     if (Lease == 0)
@@ -110,12 +117,16 @@
     else
       Kept = co_await Store.KeepLease(Lease);
     if (ok(Kept)) {
+      Pause = RetryPause;
       co_await sleepFor(Settings.Timing.MemberLease / RenewalsPerLife);
       continue;
     }
     if (error(Kept).Kind == ErrorKind::NotFound)
       Lease = 0;
-    co_await sleepFor(RetryPause);
+    // A renewal has to come in time; an entry that is refused waits, each process its own time.
+    std::uniform_int_distribution<int64_t> Spread(Pause.count() / 2, Pause.count() * 3 / 2);
+    co_await sleepFor(Milliseconds(Spread(Random)));
+    Pause = Lease == 0 ? std::min(Pause * 2, MostEnterPause) : RetryPause;
   }
 }
 
