--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -414,7 +414,8 @@
 // True if nothing is to be told to or heard from the worker before something is started there.
 bool SchedulerRunner::restsAt(const Worker &On) const {
   const auto Known = Clocks.find(On.Info.Id);
-  return Known != Clocks.end() && isIdle(On) && Known->second.ForgottenThrough >= On.LastEnd;
+  return Known != Clocks.end() && isIdle(On) && Known->second.ForgottenThrough >= On.LastEnd &&
+         Tools.Time.Now() - Known->second.BusyAt > Tools.Settings.Timing.HoldWait;
 }
 
 Awaitable<void> SchedulerRunner::holdLoop(Self Me, std::string Id) {
@@ -431,8 +432,11 @@
     }
     if (Found == Me->Cell.Workers.end() || Me->Stopped)
       break;
-    const bool First = !Me->Clocks.count(Id);
-    const bool Waits = !First && Found->second.Unsaved.empty() && !isIdle(Found->second);
+    const auto Clock = Me->Clocks.find(Id);
+    const bool First = Clock == Me->Clocks.end();
+    if (!First && !isIdle(Found->second))
+      Clock->second.BusyAt = Me->Tools.Time.Now();
+    const bool Waits = !First && Found->second.Unsaved.empty() && !Me->restsAt(Found->second);
     const Milliseconds Wait = Waits ? Me->Tools.Settings.Timing.HoldWait : Milliseconds(0);
     if (!co_await Me->holdOnce(Id, Wait))
       break;
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -67,6 +67,7 @@
   struct ClockReading {
     Milliseconds Worker{0};
     TimePoint At{};
+    TimePoint BusyAt{};            ///< When something of ours was last known to be there.
     uint64_t ForgottenThrough = 0; ///< The worker was told to forget ends up to this one.
   };
 
