Revert: keeping gangs from workers that failed one run

The try: a worker that failed a run got no gang members until it had done another, and was set aside after two failures in a row instead of three. What stays of that commit is that two reports have to show the same progress before a run is taken to stand still.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -43,9 +43,7 @@
   uint32_t SpareWorkers = 150;    ///< Idle workers kept ready beyond those in use; a gang of the
                                   ///< usual size finds its advised ones among them.
   uint32_t MoreWorkers = 64;      ///< Most that are made ready in one tick.
-  int MaxFailuresInARow = 2;      ///< A worker that failed so many runs in a row is set aside.
-  Milliseconds Probation{6000};   ///< A worker that failed a run gets no members of gangs until
-                                  ///< it has done another, or for this time.
+  int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
 };
 
 /// Where an attempt stands.
@@ -98,8 +96,7 @@
   TimePoint LeaseEnd{};                              ///< By then everything on it has been killed.
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
-  TimePoint ProbationUntil{}; ///< One sick worker is enough to break a gang.
-  TimePoint ReportedAt{};     ///< When it was asked for its last report.
+  TimePoint ReportedAt{}; ///< When it was asked for its last report.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -46,7 +46,7 @@
       ++Silent;
     else if (!On.Listed || On.Info.Draining)
       ++Leaving;
-    else if (On.SetAsideUntil > Now || (Step.Spec->Gang && On.ProbationUntil > Now))
+    else if (On.SetAsideUntil > Now)
       ++SetAside;
     else if (Of.Spec->Advice && !isAnswered(Step, On))
       ++NotAsked;
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -39,8 +39,8 @@
 
 bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
   return On.Heard && On.Saved && On.Listed && On.Answers && !On.Full && !On.Info.Draining &&
-         On.SetAsideUntil <= In.Now && (!Step.Spec->Gang || On.ProbationUntil <= In.Now) &&
-         On.Info.Service == Of.Spec->Service && hasLabel(On.Info, Step.Spec->RequiredLabel);
+         On.SetAsideUntil <= In.Now && On.Info.Service == Of.Spec->Service &&
+         hasLabel(On.Info, Step.Spec->RequiredLabel);
 }
 
 // What is kept free on the worker for urgent tasks: room for one of the usual size.
@@ -258,7 +258,7 @@
   Score Value;
   const bool Far = !Step.Spec->NearRack.empty() && On.Info.Rack != Step.Spec->NearRack;
   Value.Penalty += Far ? 2 : 0;
-  Value.Penalty += Task.FailedOn == &On || On.ProbationUntil > In.Now ? 1 : 0;
+  Value.Penalty += Task.FailedOn == &On ? 1 : 0;
   // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
   const int64_t Left = roomFor(In, On, Of, Step).MilliCores;
   Value.Left = Of.Spec->Priority == 0 ? -Left : Left;
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -176,40 +176,18 @@
   return Step;
 }
 
-TEST(SickWorkers, AWorkerThatFailedARunGetsNoMembersOfGangs) {
-  Scene Given(2);
-  Given.submit(0, tasks(1, 1000, 100ms), 100);
-  const Effects::Start First = Given.pass().Starts.at(0);
-  end(Given, First, RunEnd::Failed);
-  Given.submit(1, gang(2, 20000), 100);
-  for (const Effects::Start &Order : Given.pass().Starts)
-    if (Order.Job->Steps[0].Gang)
-      EXPECT_NE(Order.Worker, First.Worker);
-}
-
-TEST(SickWorkers, WhatItGetsDoneClearsIt) {
+TEST(SickWorkers, ThreeFailuresInARowSetAWorkerAside) {
   Scene Given(1);
-  Given.submit(0, tasks(2, 1000, 100ms), 100);
+  Given.submit(0, tasks(4, 1000, 100ms), 100);
   const auto Starts = Given.pass().Starts;
-  ASSERT_EQ(Starts.size(), 2u);
+  ASSERT_EQ(Starts.size(), 4u);
   end(Given, Starts[0], RunEnd::Failed);
-  Given.submit(1, gang(2, 20000), 100);
-  const auto Before = Given.pass().Starts;
-  EXPECT_TRUE(std::none_of(Before.begin(), Before.end(),
-                           [](const auto &Order) { return Order.Job->Steps[0].Gang; }));
-  end(Given, Starts[1], RunEnd::Done);
-  EXPECT_EQ(Given.pass().Starts.size(), 2u);
-}
-
-TEST(SickWorkers, AJobThatFailsEverywhereSpeaksAgainstOneWorkerOnly) {
-  Scene Given(3);
-  Given.submit(0, tasks(1, 60000, 100ms), 100);
-  for (int I = 0; I < 2; ++I)
-    end(Given, Given.pass().Starts.at(0), RunEnd::Failed);
-  const auto Suspected =
-      std::count_if(Given.Cell.Workers.begin(), Given.Cell.Workers.end(),
-                    [&](const auto &Entry) { return Entry.second.ProbationUntil > Given.Now; });
-  EXPECT_EQ(Suspected, 1);
+  end(Given, Starts[1], RunEnd::Failed);
+  Given.submit(0, tasks(1, 1000, 100ms), 100);
+  EXPECT_FALSE(Given.pass().Starts.empty());
+  end(Given, Starts[2], RunEnd::Failed);
+  Given.submit(0, tasks(1, 1000, 100ms), 100);
+  EXPECT_TRUE(Given.pass().Starts.empty());
 }
 
 TEST(SickWorkers, ARunThatStandsStillBetweenTwoReportsIsStopped) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -99,29 +99,12 @@
     Step->Tasks[Step->Spec->Gang ? 0 : Row.Run.Task.Index].Checkpoint = Row.Checkpoint;
 }
 
-// A failure speaks against the worker, unless the step has failed elsewhere as well: some jobs can
-// never be done. One sick worker breaks any gang that it is part of, so there each failure counts.
-bool speaksAgainst(CellState &Cell, const EndedRun &End) {
-  if (End.How != RunEnd::Failed)
-    return false;
-  const StepState *Step = findStep(Cell, End.Run.Task.Step);
-  if (!Step || Step->Spec->Gang)
-    return true;
-  return std::all_of(Step->Tasks.begin(), Step->Tasks.end(),
-                     [](const TaskState &Task) { return Task.FailedRuns.empty(); });
-}
-
-// A worker that fails what it runs gets no members of gangs, and after more failures nothing for a
-// while, so that tasks don't use up their attempts on it. What it gets done clears it.
-void judge(CellState &Cell, Worker &On, const EndedRun &End, TimePoint Now) {
-  if (End.How == RunEnd::Done) {
+// A worker whose runs all fail is set aside for a while, so that tasks don't use up their
+// attempts on it.
+void judge(CellState &Cell, Worker &On, RunEnd How, TimePoint Now) {
+  if (How == RunEnd::Done)
     On.FailuresInARow = 0;
-    On.ProbationUntil = {};
-  }
-  if (!speaksAgainst(Cell, End))
-    return;
-  On.ProbationUntil = Now + Cell.Limits.Probation;
-  if (++On.FailuresInARow < Cell.Limits.MaxFailuresInARow)
+  if (How != RunEnd::Failed || ++On.FailuresInARow < Cell.Limits.MaxFailuresInARow)
     return;
   On.SetAsideUntil = Now + Cell.Limits.SetAside;
   On.FailuresInARow = Cell.Limits.MaxFailuresInARow - 1;
@@ -134,7 +117,7 @@
       continue;
     On.LastEnd = End.Number;
     unbook(Cell, On, End.Run);
-    judge(Cell, On, End, Now);
+    judge(Cell, On, End.How, Now);
     runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
     const uint64_t Save = Of == Cell.Jobs.end() ? 0 : Of->second.NeedsSave;
@@ -450,10 +433,8 @@
   }
   for (const RunKey &Run : Stuck)
     stopAttempt(Cell, On, Run, "it makes no progress", Now, Out);
-  if (Stuck.empty())
-    return;
-  On.SetAsideUntil = Now + Cell.Limits.SetAside;
-  On.ProbationUntil = Now + Cell.Limits.Probation;
+  if (!Stuck.empty())
+    On.SetAsideUntil = Now + Cell.Limits.SetAside;
 }
 
 bool isIdle(const Worker &On) {
