--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -74,7 +74,7 @@
   logEvent(events::SchedulerGone,
            {{"scheduler", Suspect->Name}, {"term", std::to_string(Suspect->Term)}});
   GoneTerm = Suspect->Term;
-  co_await tellStronger(*Suspect);
+  tellStronger(*Suspect);
 }
 
 // The other members, the strongest first.
@@ -88,7 +88,7 @@
   return Others;
 }
 
-Awaitable<void> Leadership::tellStronger(Leader Gone) {
+void Leadership::tellStronger(const Leader &Gone) {
   size_t Told = 0;
   for (const Member &Other : membersByPower()) {
     if (Other.Power <= Tools.Settings.Power || Told == MostTold)
@@ -101,12 +101,11 @@
                  co_await Links.CouldSchedule(To, Term);
                }(Links, Other.Peers, Gone.Term));
   }
-  co_return;
 }
 
-bool Leadership::couldSchedule(uint64_t GoneTermTold) {
+bool Leadership::couldSchedule(uint64_t ToldGone) {
   const std::optional<Leader> &Known = View.picture().Leader;
-  if (GoneTermTold != 0 && Known && Known->Term == GoneTermTold && GoneTerm != GoneTermTold)
+  if (ToldGone != 0 && Known && Known->Term == ToldGone && GoneTerm != ToldGone)
     spawnLater(Tools.Where, suspect());
   return !Stopped && View.picture().Known && Links.StoreIsStraight();
 }
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -34,7 +34,7 @@
   /// Stronger processes are told, since the next scheduler should be one of them.
   Awaitable<void> suspect();
   /// A peer asks whether this process could schedule, and says whose scheduler seems gone.
-  bool couldSchedule(uint64_t GoneTerm);
+  bool couldSchedule(uint64_t ToldGone);
   /// Hands the cell over: saves what is known and gives the claim up at once.
   Awaitable<void> leave();
   /// The scheduler, if it runs here and has read the store; else null.
@@ -47,7 +47,7 @@
   Awaitable<Result<Claim>> claim(uint64_t Standing);
   Awaitable<void> serve(Claim Mine);
   std::set<std::string> memberNames() const;
-  Awaitable<void> tellStronger(sched::Leader Gone);
+  void tellStronger(const sched::Leader &Gone);
   std::vector<sched::Member> membersByPower() const;
   Awaitable<bool> someoneIsBetter(TimePoint Begun);
   Awaitable<void> handOver(std::shared_ptr<SchedulerRunner> Current);
