A cancellation that comes before its job holds

The scheduler's list of what callers handed in is read again after a cut watch, in the order of keys, cancellations before jobs; announcements of two boxes overtake each other as well. A cancellation of a job not known yet was taken for that of an ended job, and its mark was removed from the store. Change: such a cancellation is kept until its job comes; a mark is removed only if its job is known to have ended. Test: Cancels.ACancellationThatComesBeforeItsJobHolds.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -180,7 +180,7 @@
   const TimePoint Now = Tools.Time.Now();
   Effects Out;
   if (const auto Cancelled = jobOfKey(Item.Key, CancelPrefix)) {
-    if (!Cell.Jobs.count(*Cancelled))
+    if (Cell.Ended.count(*Cancelled))
       OldCancels.insert(*Cancelled);
     cancelJob(Cell, *Cancelled, Now, Out);
     apply(Out);
@@ -211,6 +211,8 @@
                                 {"new", Fresh ? "yes" : "no"}});
   addJob(Cell, std::make_shared<const JobSpec>(std::move(Read.Spec)), Item.Revision,
          Fresh && Item.Revision > Mine.LeaderRevision, Now);
+  cancelIfAsked(Cell, *Id, Now, Out);
+  apply(Out);
 }
 
 void SchedulerRunner::announceJob(const std::string &Bytes, uint64_t Revision) {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -193,6 +193,7 @@
   std::map<std::string, Worker> Workers;              ///< By id; nodes stay where they are.
   std::vector<Worker *> Slots;                        ///< Workers by slot; null: gone.
   std::set<QueuePlace> Queue;                         ///< Steps with a task to place.
+  std::set<JobId> EarlyCancels;                       ///< Cancelled jobs that are not known yet.
   std::set<std::string> Unheard; ///< Workers that an earlier scheduler may have used.
   bool Loaded = false;           ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
@@ -266,7 +267,10 @@
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
 /// Call once after all jobs were added and restored.
 void finishLoading(CellState &Cell, TimePoint Now, Effects &Out);
+/// A cancellation of a job that is not known yet is kept until the job comes.
 void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
+/// Call after `addJob`: carries out a cancellation that came before the job.
+void cancelIfAsked(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
 /// The saves up to \p Number of \p Id are durable; its keys have these revisions now. Returns the
 /// workers none of whose ends waits for a save any more.
 std::vector<std::string> jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -232,12 +232,20 @@
 
 void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out) {
   const auto Found = Cell.Jobs.find(Id);
-  if (Found == Cell.Jobs.end())
+  if (Found == Cell.Jobs.end()) {
+    if (!Cell.Ended.count(Id))
+      Cell.EarlyCancels.insert(Id);
     return;
+  }
   Found->second.CancelWanted = true;
   endJob(Cell, Found->second, JobPhase::Cancelled, "the job was cancelled", Now, Out);
 }
 
+void cancelIfAsked(CellState &Cell, JobId Id, TimePoint Now, Effects &Out) {
+  if (Cell.EarlyCancels.erase(Id) > 0)
+    cancelJob(Cell, Id, Now, Out);
+}
+
 void needSave(CellState &Cell, Job &Of, Effects &Out) {
   Of.NeedsSave = ++Cell.LastSave;
   Cell.Saves.emplace(Of.NeedsSave, Of.Spec->Id);
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -292,6 +292,18 @@
   EXPECT_EQ(wanted(Given), Given.Cell.Limits.SpareWorkers);
 }
 
+TEST(Cancels, ACancellationThatComesBeforeItsJobHolds) {
+  Scene Given(1);
+  Effects Out;
+  cancelJob(Given.Cell, 1, Given.Now, Out); // the id of the next job
+  const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100);
+  ASSERT_EQ(Job, 1u);
+  cancelIfAsked(Given.Cell, Job, Given.Now, Out);
+  EXPECT_TRUE(Out.Save);
+  EXPECT_EQ(Given.Cell.Jobs.at(Job).Phase, JobPhase::Cancelled);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+}
+
 TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
   Scene Given(1);
   const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
