--- a/testsuite/proxy.py
+++ b/testsuite/proxy.py
@@ -12,10 +12,11 @@
 
 
 class Proxy:
-    """Listens on `port` and passes on to `target`. The fields may change at any time."""
+    """Listens on `port` and passes on to `target`, IP:PORT, which is set before the first
+    connection. The fields may change at any time."""
 
-    def __init__(self, port, target):
-        self.port, self.target = port, target
+    def __init__(self, port):
+        self.port, self.target = port, ""
         self.delay_s = 0.0
         self.silent_to = False    # Bytes towards the target are held up,
         self.silent_back = False  # and those on the way back.
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -159,16 +159,19 @@
 class Soak:
     def __init__(self, folder, seed, entries, workers):
         self.proxies = ProxyThread()
-        ports = free_ports(entries * 3)
-        self.cell = PlatformCell(folder, entries, workers)
         self.stores, self.advices, self.fronts = {}, {}, {}
-        for i, (name, entry) in enumerate(self.cell.entries.items()):
-            self.stores[name] = Proxy(ports[i * 3], "127.0.0.1:%d" % self.cell.store)
-            self.advices[name] = Proxy(ports[i * 3 + 1], "127.0.0.1:%d" % (self.cell.store + 1))
-            self.fronts[name] = Proxy(ports[i * 3 + 2], entry.address)
-            self.cell.point(name, store=ports[i * 3], advice=ports[i * 3 + 1])
-        for proxy in self.all_proxies():
-            self.proxies.add(proxy)
+        # The proxies listen before the cell looks for free ports, so that it takes others.
+        ports = iter(free_ports(entries * 3))
+        for name in ("e%d" % (i + 1) for i in range(entries)):
+            for proxies in (self.stores, self.advices, self.fronts):
+                proxies[name] = Proxy(next(ports))
+                self.proxies.add(proxies[name])
+        self.cell = PlatformCell(folder, entries, workers)
+        for name, entry in self.cell.entries.items():
+            self.stores[name].target = "127.0.0.1:%d" % self.cell.store
+            self.advices[name].target = "127.0.0.1:%d" % (self.cell.store + 1)
+            self.fronts[name].target = entry.address
+            self.cell.point(name, store=self.stores[name].port, advice=self.advices[name].port)
         self.callers = Callers(self.cell, self.fronts, seed)
 
     def all_proxies(self):
