A job accepted after a takeover waits until the workers have heard of it

The store was silent for 3.5 s and leases lapsed; the old scheduler lived, was told of jobs for some 300 ms more and started them on workers that had not heard the new fence. The new one took jobs accepted after its claim for untouched. Change: such a job is placed once each worker that the scheduler before may have used has answered or failed to answer, some 100 to 700 ms; advice is asked meanwhile. What stays: an old scheduler that reaches a worker which does not answer the new one, for the 375 ms until it sees that its claim is gone (docs/FINDINGS.md). Test: Takeover.ANewJobWaitsUntilTheWorkersHaveHeardOfTheTakeover.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -120,6 +120,8 @@
   std::string Checkpoint;
   std::set<uint32_t> FailedRuns;
   bool MayRunElsewhere = false; ///< An earlier scheduler may have it on a worker not heard yet.
+  bool MayRunMeanwhile = false; ///< The scheduler before may still start it where nobody has
+                                ///< heard of this one yet.
   TimePoint NotBefore{};
   const Worker *FailedOn = nullptr; ///< Compared only.
 };
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -183,7 +183,7 @@
   RoundState &Round = makeRound(Cell, Of, 0, Now);
   for (StepState &Step : Round.Steps)
     for (TaskState &Task : Step.Tasks)
-      Task.MayRunElsewhere = !Fresh;
+      (Fresh ? Task.MayRunMeanwhile : Task.MayRunElsewhere) = !Fresh || !Cell.Unheard.empty();
 }
 
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks) {
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -30,8 +30,16 @@
   CellState &Cell;
   TimePoint Now;
   Effects &Out;
+  bool IsHearing = false; ///< A worker of the scheduler before has neither answered nor failed to.
 };
 
+bool isHearing(const CellState &Cell) {
+  return std::any_of(Cell.Unheard.begin(), Cell.Unheard.end(), [&](const std::string &Id) {
+    const auto Found = Cell.Workers.find(Id);
+    return Found != Cell.Workers.end() && Found->second.Answers && !Found->second.Heard;
+  });
+}
+
 bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
   return Label.empty() ||
          std::find(Info.Labels.begin(), Info.Labels.end(), Label) != Info.Labels.end();
@@ -240,7 +248,8 @@
 }
 
 bool isPlaceable(const Pass &In, const TaskState &Task) {
-  const bool MayRun = Task.MayRunElsewhere && !In.Cell.Unheard.empty();
+  const bool MayRun =
+      (Task.MayRunElsewhere && !In.Cell.Unheard.empty()) || (Task.MayRunMeanwhile && In.IsHearing);
   return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now;
 }
 
@@ -581,7 +590,7 @@
 void place(CellState &Cell, TimePoint Now, Effects &Out) {
   if (!Cell.Loaded)
     return;
-  Pass In{Cell, Now, Out};
+  Pass In{Cell, Now, Out, isHearing(Cell)};
   int Misses = 0;
   std::pair<bool, int> Group{false, 0};
   bool Skipping = false;
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -292,6 +292,20 @@
   EXPECT_EQ(wanted(Given), Given.Cell.Limits.SpareWorkers);
 }
 
+// The scheduler before is alive and does not know yet that it was replaced.
+TEST(Takeover, ANewJobWaitsUntilTheWorkersHaveHeardOfTheTakeover) {
+  Scene Given(1);
+  WorkerInfo Used;
+  Used.Id = "used";
+  Used.Service = "pool";
+  Used.Capacity = WorkerSize;
+  workerMayHoldRuns(Given.Cell, Used, Given.Now + 6s);
+  Given.submit(0, tasks(1, 1000, 100ms), 100);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  workerSilent(Given.Cell, "used"); // it was asked in vain
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
 TEST(Cancels, ACancellationThatComesBeforeItsJobHolds) {
   Scene Given(1);
   Effects Out;
