A takeover waits only for workers that may hold the work

Cause: a worker that was drained and idle rests for 30 s between two looks, so nobody noticed that it had gone; its record stayed in the store, and the next scheduler waited for its lease (6.8 s) before it placed any old task, of whatever service. Ruled out: the claim (0.15 s after the first start), the reading of the store (42 ms).

Change: a worker that is not listed any more and is known to hold nothing is let go of at the next tick, and its record removed; unlisting wakes its hold loop; old tasks wait for unheard workers of their own service only; no advice is asked for old steps before the workers have answered (a gang's question waited 1.6 s in line behind 64 others). Records are removed on the condition of their revision: a removal that is carried out late could otherwise have taken the record of a worker that had come back (found by reading; no run showed it). A hold whose worker was dropped meanwhile read freed memory (found by reading).

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -135,6 +135,7 @@
     if (!Item.Key.starts_with(WorkerRecordPrefix))
       continue;
     const std::string Id = idOf(Item.Key, std::string(WorkerRecordPrefix));
+    Records[Id] = Item.Revision;
     Result<WorkerInfo> Info = decodeWorkerRecord(Id, Item.Value);
     if (ok(Info))
       workerMayHoldRuns(Cell, value(Info), leaseEnd(IdleHold));
@@ -273,8 +274,10 @@
 void SchedulerRunner::takeWorker(const KeyValue &Item, bool Gone) {
   const TimePoint Now = Tools.Time.Now();
   const std::string Id = idOf(Item.Key, Tools.WorkerPrefix);
-  if (Gone)
-    return workerUnlisted(Cell, Id, Now);
+  if (Gone) {
+    workerUnlisted(Cell, Id, Now);
+    return wakeHold(Id); // what it holds is asked at once: it may be gone
+  }
   Result<WorkerInfo> Read = Tools.DecodeWorker(Id, Item.Value);
   if (!ok(Read)) {
     logEvent(events::RecordUnreadable, {{"key", Item.Key}, {"why", error(Read).Detail}});
@@ -292,9 +295,11 @@
     Seen.insert(idOf(Item.Key, Tools.WorkerPrefix));
     takeWorker(Item, false);
   }
-  for (auto &[Id, On] : Cell.Workers)
-    if (!Seen.count(Id))
+  for (const auto &[Id, On] : Cell.Workers)
+    if (!Seen.count(Id)) {
       workerUnlisted(Cell, Id, Tools.Time.Now());
+      wakeHold(Id);
+    }
   holdAll();
   placeSoon();
   co_return value(Read).Revision;
@@ -347,14 +352,19 @@
 }
 
 void SchedulerRunner::holdAll() {
-  for (const auto &[Id, On] : Cell.Workers)
-    if (On.Wanted && Held.insert(Id).second)
+  for (const auto &[Id, On] : Cell.Workers) {
+    if (!On.Wanted)
+      continue;
+    if (Held.insert(Id).second)
       spawnLater(Tools.Where, holdLoop(shared_from_this(), Id));
+    else if (!On.Heard)
+      wakeHold(Id); // it was let go of and has come back; its loop may still rest
+  }
 }
 
 // Returns false if the worker is over or this term is.
 Awaitable<bool> SchedulerRunner::holdOnce(std::string Id, Milliseconds Wait) {
-  const auto Found = Cell.Workers.find(Id);
+  auto Found = Cell.Workers.find(Id);
   if (Found == Cell.Workers.end())
     co_return false;
   HoldWorker Order;
@@ -374,6 +384,9 @@
   Result<WorkerReport> Report = co_await Tools.Workers.Hold(std::move(Order));
   if (Stopped)
     co_return false;
+  Found = Cell.Workers.find(Id); // it may have been let go of meanwhile
+  if (Found == Cell.Workers.end())
+    co_return false;
   const TimePoint Now = Tools.Time.Now();
   Effects Out;
   if (ok(Report)) {
@@ -416,7 +429,8 @@
 // True if nothing is to be told to or heard from the worker before something is started there.
 bool SchedulerRunner::restsAt(const Worker &On) const {
   const auto Known = Clocks.find(On.Info.Id);
-  return Known != Clocks.end() && isIdle(On) && Known->second.ForgottenThrough >= On.LastEnd &&
+  return Known != Clocks.end() && On.Heard && isIdle(On) &&
+         Known->second.ForgottenThrough >= On.LastEnd &&
          Tools.Time.Now() - Known->second.BusyAt > Tools.Settings.Timing.HoldWait;
 }
 
@@ -451,8 +465,6 @@
   }
   Me->Held.erase(Id);
   Me->Clocks.erase(Id);
-  if (!Me->Stopped && !Me->Cell.Workers.count(Id))
-    Me->OldRecords.insert(Id);
 }
 
 Awaitable<void> SchedulerRunner::look(Self Me, std::string Id) {
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -90,6 +90,9 @@
   static Awaitable<void> untilWoken(Self Me, std::string Id, Milliseconds Most);
   bool restsAt(const sched::Worker &On) const;
   void wakeHold(const std::string &Id);
+  void noteRecords(const std::vector<std::string> &Noted, uint64_t Revision);
+  void dropRecords(const std::vector<std::string> &Removed);
+  void rereadRecords(const std::vector<std::string> &Asked, const std::vector<KeyValue> &Standing);
   static Awaitable<void> look(Self Me, std::string Id);
   static Awaitable<void> sendStart(Self Me, sched::Effects::Start Order);
   static Awaitable<void> sendStop(Self Me, sched::Effects::Stop Order);
@@ -112,6 +115,7 @@
   void saved(const std::vector<SaveEntry> &Batch, uint64_t Revision);
   void notSaved(const std::vector<SaveEntry> &Batch, const std::vector<KeyValue> &Standing);
   Transaction guarded() const;
+  bool hasOtherLeader(const std::vector<KeyValue> &Standing) const;
 
   // Decisions.
   static Awaitable<void> tickLoop(Self Me);
@@ -131,8 +135,8 @@
   std::map<std::string, ClockReading> Clocks;                   ///< By worker.
   std::set<std::string> Held;                                   ///< Workers with a hold loop.
   std::map<std::string, boost::asio::steady_timer *> HoldWakes; ///< Loops that wait.
-  std::set<std::string> OldRecords;  ///< Workers whose records are to be removed.
-  std::set<sched::JobId> OldCancels; ///< Marks whose jobs have ended.
+  std::map<std::string, uint64_t> Records; ///< Workers noted in the store, and the revisions.
+  std::set<sched::JobId> OldCancels;       ///< Marks whose jobs have ended.
   std::set<sched::JobId> SavingNow;
   int SavesInFlight = 0;
   boost::asio::steady_timer SaveWake;
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -131,9 +131,8 @@
   if (ok(Answer) && value(Answer).Applied) {
     Me->saved(Written, value(Answer).Revision);
   } else if (ok(Answer)) {
-    for (const KeyValue &Item : value(Answer).Standing)
-      if (Item.Key == LeaderKey && Item.Revision != Me->Mine.LeaderRevision)
-        co_return Me->end("the store has another scheduler");
+    if (Me->hasOtherLeader(value(Answer).Standing))
+      co_return Me->end("the store has another scheduler");
     Me->notSaved(Written, value(Answer).Standing);
   } else {
     co_await sleepFor(RetryPause);
@@ -167,6 +166,37 @@
     co_await sleepFor(Tools.Settings.Timing.Gather / 2);
 }
 
+// After a write whose conditions do not hold: the leader's key is another's, or gone.
+bool SchedulerRunner::hasOtherLeader(const std::vector<KeyValue> &Standing) const {
+  return std::none_of(Standing.begin(), Standing.end(), [&](const KeyValue &Item) {
+    return Item.Key == LeaderKey && Item.Revision == Mine.LeaderRevision;
+  });
+}
+
+// The workers of the list may be used from now on.
+void SchedulerRunner::noteRecords(const std::vector<std::string> &Noted, uint64_t Revision) {
+  for (const std::string &Id : Noted) {
+    Records[Id] = Revision;
+    if (const auto Found = Cell.Workers.find(Id); Found != Cell.Workers.end())
+      Found->second.Saved = true;
+  }
+}
+
+void SchedulerRunner::dropRecords(const std::vector<std::string> &Removed) {
+  for (const std::string &Id : Removed)
+    Records.erase(Id);
+}
+
+// An earlier removal or note was carried out though its answer was lost.
+void SchedulerRunner::rereadRecords(const std::vector<std::string> &Asked,
+                                    const std::vector<KeyValue> &Standing) {
+  dropRecords(Asked);
+  for (const KeyValue &Item : Standing)
+    for (const std::string &Id : Asked)
+      if (Item.Key == workerKey(Id) && Item.Revision != 0)
+        Records[Id] = Item.Revision;
+}
+
 // Notes workers before their first use, and removes what is no longer needed.
 Awaitable<void> SchedulerRunner::rosterLoop(Self Me) {
   while (!Me->Stopped) {
@@ -177,9 +207,15 @@
         What.Puts.push_back({workerKey(Id), encodeWorkerRecord(On.Info), 0, 0});
         Noted.push_back(Id);
       }
-    for (const std::string &Id : Me->OldRecords)
-      if (What.rows() < MaxTransactionRows)
+    // On the condition that the record is the one that was noted: a removal that the store carries
+    // out late must not take the record of a worker that has come back and is in use again.
+    std::vector<std::string> Left;
+    for (const auto &[Id, Revision] : Me->Records)
+      if (!Me->Cell.Workers.count(Id) && What.rows() + 2 <= MaxTransactionRows) {
+        What.Conditions.push_back({workerKey(Id), Revision});
         What.Removes.push_back(workerKey(Id));
+        Left.push_back(Id);
+      }
     for (const JobId Id : Me->OldCancels)
       if (What.rows() < MaxTransactionRows)
         What.Removes.push_back(cancelKey(Id));
@@ -202,15 +238,16 @@
       co_await sleepFor(RetryPause);
       continue;
     }
-    if (!value(Answer).Applied)
+    if (!value(Answer).Applied && Me->hasOtherLeader(value(Answer).Standing))
       co_return Me->end("the store has another scheduler");
-    for (const std::string &Id : Noted)
-      if (const auto Found = Me->Cell.Workers.find(Id); Found != Me->Cell.Workers.end())
-        Found->second.Saved = true;
-    for (const std::string &Key : Removed) {
-      std::erase_if(Me->OldRecords, [&](const std::string &Id) { return workerKey(Id) == Key; });
-      std::erase_if(Me->OldCancels, [&](JobId Id) { return cancelKey(Id) == Key; });
+    if (!value(Answer).Applied) {
+      Me->rereadRecords(Left, value(Answer).Standing);
+      continue;
     }
+    Me->noteRecords(Noted, value(Answer).Revision);
+    Me->dropRecords(Left);
+    for (const std::string &Key : Removed)
+      std::erase_if(Me->OldCancels, [&](JobId Id) { return cancelKey(Id) == Key; });
     Me->placeSoon();
   }
 }
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -196,8 +196,9 @@
   std::vector<Worker *> Slots;                        ///< Workers by slot; null: gone.
   std::set<QueuePlace> Queue;                         ///< Steps with a task to place.
   std::set<JobId> EarlyCancels;                       ///< Cancelled jobs that are not known yet.
-  std::set<std::string> Unheard; ///< Workers that an earlier scheduler may have used.
-  bool Loaded = false;           ///< The store was read; nothing is placed before.
+  std::map<std::string, std::string> Unheard; ///< Workers that an earlier scheduler may have used,
+                                              ///< with their services.
+  bool Loaded = false;                        ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
   std::map<uint64_t, JobId> Saves; ///< Saves not yet durable, by number.
   std::set<uint32_t> WithUnsaved;  ///< Slots of workers with ends that wait for a save.
@@ -294,6 +295,8 @@
 void workerSilent(CellState &Cell, const std::string &Id);
 /// True if nothing of ours runs there and no end of it waits for anything.
 bool isIdle(const Worker &On);
+/// True if a worker of the service may hold runs of an earlier scheduler that are not known yet.
+bool isAwaited(const CellState &Cell, const std::string &Service);
 /// Another life answers at its address, or its lease has surely run out and it is gone.
 void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out);
 /// A lease until \p End, as the process reckons it, may have reached the worker.
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -30,14 +30,20 @@
   CellState &Cell;
   TimePoint Now;
   Effects &Out;
-  bool IsHearing = false; ///< A worker of the scheduler before has neither answered nor failed to.
+  std::set<std::string> Awaited; ///< Services with a worker of the scheduler before that was not
+                                 ///< heard yet,
+  std::set<std::string> Asked;   ///< and with one that has neither answered nor failed to.
 };
 
-bool isHearing(const CellState &Cell) {
-  return std::any_of(Cell.Unheard.begin(), Cell.Unheard.end(), [&](const std::string &Id) {
+Pass beginPass(CellState &Cell, TimePoint Now, Effects &Out) {
+  Pass In{Cell, Now, Out, {}, {}};
+  for (const auto &[Id, Service] : Cell.Unheard) {
+    In.Awaited.insert(Service);
     const auto Found = Cell.Workers.find(Id);
-    return Found != Cell.Workers.end() && Found->second.Answers && !Found->second.Heard;
-  });
+    if (Found != Cell.Workers.end() && Found->second.Answers && !Found->second.Heard)
+      In.Asked.insert(Service);
+  }
+  return In;
 }
 
 bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
@@ -247,12 +253,21 @@
   return std::max(Cell.FirstRun, Step.Tasks[Index].Run + 1);
 }
 
-bool isPlaceable(const Pass &In, const TaskState &Task) {
-  const bool MayRun =
-      (Task.MayRunElsewhere && !In.Cell.Unheard.empty()) || (Task.MayRunMeanwhile && In.IsHearing);
+bool isPlaceable(const Pass &In, const Job &Of, const TaskState &Task) {
+  const std::string &Service = Of.Spec->Service;
+  const bool MayRun = (Task.MayRunElsewhere && In.Awaited.count(Service) > 0) ||
+                      (Task.MayRunMeanwhile && In.Asked.count(Service) > 0);
   return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now;
 }
 
+// Just after a takeover most steps turn out to be running. To ask for advice on all of them before
+// the workers have answered would hold up those that need it (a gang's question: 1.6 s for 0.6 s).
+bool mayAsk(const Pass &In, const Job &Of, const StepState &Step) {
+  return In.Asked.count(Of.Spec->Service) == 0 ||
+         std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                     [](const TaskState &Task) { return !Task.At && !Task.MayRunElsewhere; });
+}
+
 // Smaller is better.
 struct Score {
   int Penalty = 0;
@@ -348,7 +363,7 @@
   bool Missed = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
     TaskState &Task = Step.Tasks[I];
-    if (!isPlaceable(In, Task))
+    if (!isPlaceable(In, Of, Task))
       continue;
     Worker *On = findRoom(In, Of, Step, Task);
     const bool Yields = !On && !Step.Queued->Late && gainsByStopping(In, Of, Step);
@@ -511,7 +526,7 @@
   if (Step.Booked > 0)
     dropPartialPlan(In, Step);
   if (Step.Booked > 0 || !std::all_of(Step.Tasks.begin(), Step.Tasks.end(),
-                                      [&](const TaskState &T) { return isPlaceable(In, T); }))
+                                      [&](const TaskState &T) { return isPlaceable(In, Of, T); }))
     return false;
   bool Yields = false;
   std::vector<GangSeat> Seats = gangSeats(In, Of, Step, false);
@@ -590,7 +605,7 @@
 void place(CellState &Cell, TimePoint Now, Effects &Out) {
   if (!Cell.Loaded)
     return;
-  Pass In{Cell, Now, Out, isHearing(Cell)};
+  Pass In = beginPass(Cell, Now, Out);
   int Misses = 0;
   std::pair<bool, int> Group{false, 0};
   bool Skipping = false;
@@ -615,7 +630,8 @@
     if (!Entry.Late && Now + Step->Spec->Estimate / 2 > Of.Objective)
       queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
     if (Of.Spec->Advice && Step->Advice.Answered.empty()) {
-      askUnknown(In, Of, *Step);
+      if (mayAsk(In, Of, *Step))
+        askUnknown(In, Of, *Step);
       continue;
     }
     const size_t Before = Out.Starts.size();
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -306,6 +306,79 @@
   EXPECT_EQ(Given.pass().Starts.size(), 1u);
 }
 
+WorkerInfo workerOf(const std::string &Id, const std::string &Service) {
+  WorkerInfo Info;
+  Info.Id = Id;
+  Info.Service = Service;
+  Info.Capacity = WorkerSize;
+  return Info;
+}
+
+// A silent worker holds back only what may run there.
+TEST(Takeover, OldWorkWaitsForWorkersOfItsOwnServiceOnly) {
+  Scene Given(1);
+  auto Spec = std::make_shared<JobSpec>();
+  Spec->Id = 7;
+  Spec->Service = "pool";
+  Spec->MaxAttempts = 3;
+  Spec->Extension = 100;
+  Spec->Steps.push_back(tasks(1, 1000, 100ms));
+  workerMayHoldRuns(Given.Cell, workerOf("silent", "other"), Given.Now + 6s);
+  workerSilent(Given.Cell, "silent");
+  addJob(Given.Cell, Spec, 1, false, Given.Now);
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
+TEST(Takeover, OldWorkWaitsForASilentWorkerOfItsService) {
+  Scene Given(1);
+  auto Spec = std::make_shared<JobSpec>();
+  Spec->Id = 7;
+  Spec->Service = "pool";
+  Spec->MaxAttempts = 3;
+  Spec->Extension = 100;
+  Spec->Steps.push_back(tasks(1, 1000, 100ms));
+  workerMayHoldRuns(Given.Cell, workerOf("silent", "pool"), Given.Now + 6s);
+  workerSilent(Given.Cell, "silent");
+  addJob(Given.Cell, Spec, 1, false, Given.Now);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  Effects Out;
+  Given.Now += 7s;
+  tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
+// Advice on what may turn out to be running would be asked for in vain.
+TEST(Takeover, AsksForNoAdviceOnOldWorkBeforeTheWorkersHaveAnswered) {
+  Scene Given(1);
+  auto Spec = std::make_shared<JobSpec>();
+  Spec->Id = 7;
+  Spec->Service = "pool";
+  Spec->MaxAttempts = 3;
+  Spec->Extension = 100;
+  Spec->Advice = AdvicePolicy{};
+  Spec->Steps.push_back(tasks(1, 1000, 100ms));
+  workerMayHoldRuns(Given.Cell, workerOf("used", "pool"), Given.Now + 6s);
+  addJob(Given.Cell, Spec, 1, false, Given.Now);
+  EXPECT_TRUE(Given.pass().Asks.empty());
+  Effects Out;
+  workerReported(Given.Cell, "used", {}, Given.Now, Given.Now, Out);
+  EXPECT_EQ(Given.pass().Asks.size(), 1u);
+}
+
+// What has left and holds nothing is let go of at once, so that no later scheduler waits for it.
+TEST(Fleet, AnIdleWorkerThatHasLeftIsLetGoOf) {
+  Scene Given(2);
+  Given.submit(0, tasks(1, 1000, 100ms), 100);
+  const auto Starts = Given.pass().Starts;
+  ASSERT_EQ(Starts.size(), 1u);
+  workerUnlisted(Given.Cell, "w0", Given.Now);
+  workerUnlisted(Given.Cell, "w1", Given.Now);
+  Effects Out;
+  tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  EXPECT_EQ(Given.Cell.Workers.size(), 1u);
+  EXPECT_EQ(Given.Cell.Workers.count(Starts.front().Worker), 1u); // its run may still be there
+}
+
 TEST(Cancels, ACancellationThatComesBeforeItsJobHolds) {
   Scene Given(1);
   Effects Out;
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -70,7 +70,8 @@
     for (int I = 0; I < 400000 && Breaks.empty() && unfinished() > 0; ++I) {
       // Now and then a new box: advice may have been against all the others.
       if (I % 20000 == 0)
-        addBox("r0");
+        for (int Pool = 0; Pool < 3; ++Pool)
+          addBox("r0");
       step(false);
     }
     if (Breaks.empty() && unfinished() > 0)
@@ -90,7 +91,7 @@
     auto Made = std::make_shared<Box>();
     const std::string Id = "i-" + std::to_string(++LastBox);
     Made->Info.Id = Id;
-    Made->Info.Service = "pool";
+    Made->Info.Service = LastBox % 3 ? "pool" : "other";
     Made->Info.Rack = Rack;
     Made->Info.Labels = {LastBox % 2 ? "a" : "b", Rack};
     Made->Info.Capacity = {8000, 8000, 0};
@@ -459,7 +460,8 @@
     for (const auto &[Id, Entry] : Boxes) {
       if (!Entry->Dead && !chance(0.2))
         workerListed(Cell, Entry->Info, steady());
-      workerMayHoldRuns(Cell, Entry->Info, leaseEnd() + 4000ms);
+      if (Records.count(Id))
+        workerMayHoldRuns(Cell, Entry->Info, leaseEnd() + 4000ms);
     }
     for (const auto &[Id, Row] : Store)
       if (Row.Phase == JobPhase::Live) {
@@ -481,7 +483,7 @@
     auto Spec = std::make_shared<JobSpec>();
     Spec->Id = ++LastJob;
     Spec->Queue = "q";
-    Spec->Service = "pool";
+    Spec->Service = chance(0.7) ? "pool" : "other";
     Spec->Priority = static_cast<int>(upTo(2));
     Spec->MaxAttempts = 2 + static_cast<int>(upTo(1));
     Spec->Extension = 2;
@@ -551,6 +553,8 @@
         cancelOne();
       if (chance(0.0008))
         hurtBox();
+      if (chance(0.0008))
+        unlistOne();
       if (chance(0.00015))
         takeOver();
     }
@@ -579,6 +583,30 @@
       regular();
   }
 
+  // Workers are noted before their first use; the records of those let go of are removed.
+  void keepRecords(Process &Of) {
+    if (StoreTerm != Of.Cell.Fence)
+      return;
+    for (auto &[Id, On] : Of.Cell.Workers) {
+      On.Saved = true;
+      Records.insert(Id);
+    }
+    std::erase_if(Records, [&](const std::string &Id) { return !Of.Cell.Workers.count(Id); });
+  }
+
+  // The entry of a worker that lives lapses for a while.
+  void unlistOne() {
+    const auto Which =
+        std::next(Boxes.begin(), upTo(static_cast<int64_t>(Boxes.size()) - 1))->second;
+    if (Which->Dead || Current->Over)
+      return;
+    workerUnlisted(Current->Cell, Which->Info.Id, steady());
+    after(Milliseconds(upTo(3000)), [this, Which] {
+      if (!Which->Dead && !Current->Over)
+        workerListed(Current->Cell, Which->Info, steady());
+    });
+  }
+
   // What each scheduler does by itself: tick, place, holds.
   void regular() {
     for (const ProcessPtr &Of : {Current, Previous}) {
@@ -588,8 +616,7 @@
         Of->Over = true;
         continue;
       }
-      for (auto &[Id, On] : Of->Cell.Workers)
-        On.Saved = true;
+      keepRecords(*Of);
       Effects Out;
       tick(Of->Cell, steady(), wall(), Out);
       place(Of->Cell, steady(), Out);
@@ -632,6 +659,7 @@
   std::multimap<Milliseconds, std::function<void()>> Calendar;
   std::map<std::string, std::shared_ptr<Box>> Boxes;
   std::map<JobId, Kept> Store;
+  std::set<std::string> Records; ///< Workers that the store says may be in use.
   uint64_t StoreTerm = 0;
   uint64_t Revision = 0;
   uint64_t LastJob = 0;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -31,11 +31,18 @@
   return Found == Cell.Workers.end() ? nullptr : &Found->second;
 }
 
-// Unheard workers keep old tasks back; with the last one heard they are free.
+// Unheard workers keep the old tasks of their service back; with the last one heard they are free.
 void heard(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out) {
-  if (Cell.Unheard.erase(Id) == 0 || !Cell.Unheard.empty())
+  const auto Found = Cell.Unheard.find(Id);
+  if (Found == Cell.Unheard.end())
     return;
-  for (auto &[JobNumber, Of] : Cell.Jobs)
+  const std::string Service = std::move(Found->second);
+  Cell.Unheard.erase(Found);
+  if (isAwaited(Cell, Service))
+    return;
+  for (auto &[JobNumber, Of] : Cell.Jobs) {
+    if (Of.Spec->Service != Service)
+      continue;
     for (auto &[Number, Round] : Of.Rounds)
       for (StepState &Step : Round.Steps) {
         // A gang that an earlier scheduler began in part can't be completed any more.
@@ -46,6 +53,7 @@
                         "the gang is not whole", Now, Out);
         queueStep(Cell, Of, Step, Now);
       }
+  }
 }
 
 // A run that this scheduler did not start: taken over if the task needs one, else stopped.
@@ -281,7 +289,7 @@
     On.Info = Info;
   On.Saved = On.Wanted = true;
   On.LeaseEnd = std::max(On.LeaseEnd, LeaseEnd);
-  Cell.Unheard.insert(Info.Id);
+  Cell.Unheard.emplace(Info.Id, On.Info.Service);
 }
 
 void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
@@ -437,6 +445,17 @@
     On.SetAsideUntil = Now + Cell.Limits.SetAside;
 }
 
+bool isAwaited(const CellState &Cell, const std::string &Service) {
+  return std::any_of(Cell.Unheard.begin(), Cell.Unheard.end(),
+                     [&](const auto &Entry) { return Entry.second == Service; });
+}
+
+// A worker that has left and is known to hold nothing. Kept, its record would make the scheduler
+// after this one wait for its lease before it places anything that was accepted earlier (6.8 s).
+static bool mayBeLetGo(const Worker &On) {
+  return !On.Listed && On.Heard && On.Attempts.empty() && On.Unsaved.empty();
+}
+
 bool isIdle(const Worker &On) {
   return On.Answers && On.Unsaved.empty() &&
          std::all_of(On.Attempts.begin(), On.Attempts.end(),
@@ -477,7 +496,7 @@
   std::vector<std::string> Over;
   for (auto &[Id, On] : Cell.Workers) {
     const bool Lapsed = !On.Answers && Now > On.LeaseEnd;
-    if (Lapsed && !On.Listed)
+    if ((Lapsed && !On.Listed) || mayBeLetGo(On))
       Over.push_back(Id);
     else if (Lapsed) {
       dropAttempts(Cell, On, Now, Out);
