A lasting step is never late

Cause: a lasting step counted as late from its job's objective on, so a task of it that failed or lost its worker stood behind everything else and could make no room, though it earns from when it is at work. Change: only work that ends can be late. Test: Placement.ALastingTaskIsNeverLate.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -336,6 +336,9 @@
 /// Orders the stop of a run, or drops it if it was only planned.
 void stopAttempt(CellState &Cell, Worker &On, const RunKey &Run, const char *Why, TimePoint Now,
                  Effects &Out);
+/// True if the step can't end by its job's objective any more. A step that lasts has no end to be
+/// late with: it serves from when it is at work.
+bool isLate(const Job &Of, const StepState &Step, TimePoint Now);
 /// Puts the step into the placement queue if one of its tasks can be placed.
 void queueStep(CellState &Cell, Job &Of, StepState &Step, TimePoint Now);
 void needSave(CellState &Cell, Job &Of, Effects &Out);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -155,6 +155,10 @@
   return &Round->second.Steps[Key.Step];
 }
 
+bool isLate(const Job &Of, const StepState &Step, TimePoint Now) {
+  return !Step.Spec->Lasting && Now + Step.Spec->Estimate / 2 > Of.Objective;
+}
+
 void queueStep(CellState &Cell, Job &Of, StepState &Step, TimePoint Now) {
   if (Step.Queued)
     Cell.Queue.erase(*Step.Queued);
@@ -165,8 +169,7 @@
   if (Step.RunnableSince == TimePoint{})
     Step.RunnableSince = Now;
   // A step whose work would end after the objective earns little; it goes behind the others.
-  const bool Late = Now + Step.Spec->Estimate / 2 > Of.Objective;
-  Step.Queued = QueuePlace{Late, Of.Spec->Priority, Of.Objective, Step.Key};
+  Step.Queued = QueuePlace{isLate(Of, Step, Now), Of.Spec->Priority, Of.Objective, Step.Key};
   Cell.Queue.insert(*Step.Queued);
 }
 
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -133,7 +133,8 @@
 
 // True if the step can meet its objective though others have to be stopped first.
 bool gainsByStopping(const Pass &In, const Job &Of, const StepState &Step) {
-  return In.Now + In.Cell.Limits.StopTime + Step.Spec->Estimate < Of.Objective;
+  return Step.Spec->Lasting ||
+         In.Now + In.Cell.Limits.StopTime + Step.Spec->Estimate < Of.Objective;
 }
 
 Resources yieldable(const Pass &In, const Worker &On, int Priority) {
@@ -664,7 +665,7 @@
       Step->Queued.reset();
       continue;
     }
-    if (!Entry.Late && Now + Step->Spec->Estimate / 2 > Of.Objective)
+    if (!Entry.Late && isLate(Of, *Step, Now))
       queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
     if (Of.Spec->Advice && Step->Advice.Answered.empty()) {
       if (mayAsk(In, Of, *Step))
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -135,6 +135,18 @@
   EXPECT_EQ(Given.pass().Stops.size(), 1u);
 }
 
+// A lasting task that lost its place serves again from when it is at work, whenever its job came.
+TEST(Placement, ALastingTaskIsNeverLate) {
+  Scene Given(1);
+  StepSpec Lasting = tasks(1, 20000, 1000ms);
+  Lasting.Lasting = true;
+  Given.submit(2, tasks(5, 10000, 2000ms, true), 1000);
+  ASSERT_EQ(Given.pass().Starts.size(), 5u);
+  Given.submit(1, Lasting, 1);
+  Given.Now += 10s; // its job's objective is long over
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+}
+
 TEST(Placement, AWorkerThatIsGoneLeavesNoPermitBehind) {
   Scene Given(2);
   const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100, true);
