Work moves away from workers that leave

Cause: a worker that said it leaves got nothing new, but what lasts or would not end there stayed until it was gone; then it was away until the worker's lease was over (5 s), and a takeover meanwhile made all old work of the service wait 6.8 s. Some workers leave without a word: their entry goes and they run on.

Change: ten times a second, runs on workers that drain, or that answer but have been missing in the list for 2.5 s, are looked at: what lasts (within what its step may miss) and what saves its progress and would not end in time is stopped as soon as another worker has room and a valid ticket for it. After a takeover advice is asked for such steps first.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -97,6 +97,8 @@
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
   TimePoint ReportedAt{}; ///< When it was asked for its last report.
+  TimePoint LeavesAt{};   ///< While it drains: it does not leave before.
+  TimePoint UnlistedAt{}; ///< When it was found missing in the platform's list.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
@@ -209,6 +211,7 @@
   Resources UrgentNeed;            ///< Moving average of the needs of urgent tasks.
   uint32_t AdviceLanes = 0;        ///< Questions for advice that can be asked at the same time.
   std::set<StepKey> Renewing;      ///< Steps whose question under way only renews tickets.
+  TimePoint NextLeaveLook{};       ///< When work on leaving workers is looked for again.
   TimePoint NextStuckLook{};       ///< When runs without progress are looked for again.
 };
 
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -162,7 +162,8 @@
   std::string Rack;
   std::vector<std::string> Labels;
   Resources Capacity;
-  bool Draining = false; ///< It leaves soon and takes nothing new.
+  bool Draining = false;    ///< It leaves soon and takes nothing new,
+  Milliseconds TimeLeft{0}; ///< though not before this time from when it was read.
 };
 
 /// A run that a worker holds.
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -424,6 +424,89 @@
   EXPECT_EQ(Given.Cell.Workers.count(Starts.front().Worker), 1u); // its run may still be there
 }
 
+// Two workers, one of which leaves in two seconds, and a step on it.
+struct LeavingWorker : Scene {
+  explicit LeavingWorker(StepSpec Step) : Scene(1) {
+    submit(1, std::move(Step), 1000);
+    pass();
+    addWorker("w1");
+    Now += 200ms; // until it is looked for again
+    WorkerInfo Leaving = workerOf("w0", "pool");
+    Leaving.Draining = true;
+    Leaving.TimeLeft = 2s;
+    workerListed(Cell, Leaving, Now);
+  }
+};
+
+TEST(Leaving, ALastingTaskIsMoved) {
+  StepSpec Lasting = tasks(1, 20000, 500ms);
+  Lasting.Lasting = true;
+  LeavingWorker Given(Lasting);
+  const auto Stops = Given.pass().Stops;
+  ASSERT_EQ(Stops.size(), 1u);
+  EXPECT_EQ(Stops.front().Worker, "w0");
+}
+
+TEST(Leaving, WorkThatWouldNotEndThereIsMovedIfItSaves) {
+  EXPECT_EQ(LeavingWorker(tasks(1, 20000, 5s, true)).pass().Stops.size(), 1u);
+  EXPECT_TRUE(LeavingWorker(tasks(1, 20000, 1s, true)).pass().Stops.empty());
+  EXPECT_TRUE(LeavingWorker(tasks(1, 20000, 5s, false)).pass().Stops.empty());
+}
+
+// Nothing is known of advice for a step that an earlier scheduler started.
+TEST(Leaving, AdviceIsAskedForWhatWasTakenOver) {
+  Scene Given(1);
+  StepSpec Lasting = tasks(1, 20000, 500ms);
+  Lasting.Lasting = true;
+  const StepKey Step{Given.submit(1, Lasting, 1000, true), 0, 0};
+  Effects Out;
+  WorkerReport Report;
+  Report.Active.push_back({{{Step, 0}, 7}, "", 100});
+  workerReported(Given.Cell, "w0", Report, Given.Now, Given.Now, Out);
+  Given.addWorker("w1");
+  WorkerInfo Leaving = workerOf("w0", "pool");
+  Leaving.Draining = true;
+  workerListed(Given.Cell, Leaving, Given.Now);
+  const auto Asks = Given.pass().Asks;
+  ASSERT_EQ(Asks.size(), 1u);
+  EXPECT_EQ(Asks.front().Workers, std::vector<std::string>{"w1"});
+  adviceAnswered(Given.Cell, Step, {"w1"}, {{"w1", "t"}}, 2s, Given.Now);
+  Given.Now += 200ms;
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+}
+
+TEST(Leaving, AWorkerThatIsMissingInTheListLeavesToo) {
+  Scene Given(1);
+  StepSpec Lasting = tasks(1, 20000, 500ms);
+  Lasting.Lasting = true;
+  Given.submit(1, Lasting, 1000);
+  ASSERT_EQ(Given.pass().Starts.size(), 1u);
+  Given.addWorker("w1");
+  workerUnlisted(Given.Cell, "w0", Given.Now);
+  Given.Now += 2s; // the store may have been away
+  EXPECT_TRUE(Given.pass().Stops.empty());
+  Given.Now += 1s;
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+}
+
+TEST(Leaving, NothingIsStoppedWithoutAPlaceForIt) {
+  LeavingWorker Given(tasks(1, 20000, 5s, true));
+  WorkerInfo Other = workerOf("w1", "pool");
+  Other.Draining = true;
+  workerListed(Given.Cell, Other, Given.Now);
+  EXPECT_TRUE(Given.pass().Stops.empty());
+}
+
+TEST(Leaving, NoMoreTasksAreAwayThanTheStepMayMiss) {
+  StepSpec Lasting = tasks(3, 10000, 500ms);
+  Lasting.Lasting = true;
+  Lasting.MayMiss = 1;
+  LeavingWorker Given(Lasting);
+  EXPECT_EQ(Given.pass().Stops.size(), 1u);
+  Given.Now += 1s;
+  EXPECT_TRUE(Given.pass().Stops.empty());
+}
+
 TEST(Cancels, ACancellationThatComesBeforeItsJobHolds) {
   Scene Given(1);
   Effects Out;
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -543,11 +543,25 @@
     }
     if (Which->Dead)
       return;
-    Which->Dead = true;
-    Which->Model.Runs.clear();
+    if (chance(0.5))
+      return loseBox(*Which);
+    // It says that it leaves, and does.
+    Which->Info.Draining = true;
+    Which->Info.TimeLeft = Milliseconds(upTo(2000));
     if (!Current->Over)
-      workerUnlisted(Current->Cell, Which->Info.Id, steady());
-    addBox(Which->Info.Rack);
+      workerListed(Current->Cell, Which->Info, steady());
+    after(Which->Info.TimeLeft, [this, Which] {
+      if (!Which->Dead)
+        loseBox(*Which);
+    });
+  }
+
+  void loseBox(Box &Which) {
+    Which.Dead = true;
+    Which.Model.Runs.clear();
+    if (!Current->Over)
+      workerUnlisted(Current->Cell, Which.Info.Id, steady());
+    addBox(Which.Info.Rack);
   }
 
   void step(bool Trouble) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -274,13 +274,17 @@
   Worker &On = makeWorker(Cell, Info.Id);
   On.Info = Info;
   On.Listed = true;
+  On.LeavesAt = Now + Info.TimeLeft;
   if (New)
     On.LeaseEnd = Now;
 }
 
-void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint) {
-  if (Worker *On = findWorker(Cell, Id))
-    On->Listed = false;
+void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint Now) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On || !On->Listed)
+    return;
+  On->Listed = false;
+  On->UnlistedAt = Now;
 }
 
 void workerMayHoldRuns(CellState &Cell, const WorkerInfo &Info, TimePoint LeaseEnd) {
