--- /dev/null
+++ b/src/cell/scheduler_runner_test.cpp
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: Apache-2.0
+// The process around the decisions, against a store and workers in memory: calls that get lost,
+// saves that overlap, records of workers that are gone.
+#include "cell/scheduler_runner.h"
+
+#include "fakes/fake_key_value_store.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+using namespace sched;
+using namespace std::chrono_literals;
+
+constexpr std::string_view WorkerPrefix = "servers/";
+
+/// A worker whose runs end when the test says so.
+struct FakeWorker {
+  std::vector<ActiveRun> Active;
+  std::vector<EndedRun> Ended;
+  int StartsToLose = 0;   ///< Answers of so many starts are lost; they are carried out.
+  bool LosesHeld = false; ///< Calls that are held get no answer.
+  bool IsGone = false;    ///< Another life answers at its address.
+
+  void end(uint32_t Index) {
+    for (size_t I = 0; I < Active.size(); ++I)
+      if (Active[I].Run.Task.Index == Index) {
+        Ended.push_back({Ended.size() + 1, Active[I].Run, RunEnd::Done, ""});
+        Active.erase(Active.begin() + static_cast<ptrdiff_t>(I));
+        return;
+      }
+  }
+};
+
+struct Bench {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store{Io};
+  Milliseconds CommitTime{0};    ///< From a commit's call to its effect.
+  std::vector<Transaction> Sent; ///< All commits.
+  std::map<std::string, FakeWorker> Workers;
+  CellSettings Settings;
+  CellMetrics Metrics;
+  BurnBook Burn;
+  std::shared_ptr<SchedulerRunner> Runner;
+
+  Bench() {
+    Settings.Member = "a";
+    Store.put(std::string(LeaderKey), "me", 0);
+    for (const char *Id : {"w0", "w1"}) {
+      Workers[Id];
+      Store.put(std::string(WorkerPrefix) + Id, "listed", 0);
+    }
+  }
+
+  ~Bench() {
+    if (Runner)
+      Runner->stop();
+    Io.restart();
+    Io.run_for(20ms);
+  }
+
+  KeyValueStore storeOps() {
+    KeyValueStore Ops = Store.ops();
+    Ops.Commit = [this,
+                  Inner = Ops.Commit](Transaction What) -> Awaitable<Result<TransactionResult>> {
+      Sent.push_back(What);
+      co_await sleepFor(CommitTime);
+      co_return co_await Inner(std::move(What));
+    };
+    return Ops;
+  }
+
+  WorkerLink workerLink() {
+    WorkerLink Link;
+    Link.Start = [this](StartRun Order) -> Awaitable<StartResult> {
+      FakeWorker &To = Workers.at(Order.To.Id);
+      const auto Has = [&](const ActiveRun &Row) { return Row.Run == Order.Run; };
+      if (std::none_of(To.Active.begin(), To.Active.end(), Has))
+        To.Active.push_back({Order.Run, "", 0});
+      if (To.StartsToLose > 0) {
+        --To.StartsToLose;
+        co_return StartResult::Unknown;
+      }
+      co_return StartResult::Started;
+    };
+    Link.Stop = [](StopRun) -> Awaitable<Result<Done>> { co_return Done{}; };
+    Link.Hold = [this](HoldWorker Order) { return hold(std::move(Order)); };
+    return Link;
+  }
+
+  Awaitable<Result<WorkerReport>> hold(HoldWorker Order) {
+    FakeWorker &To = Workers.at(Order.To.Id);
+    if (To.IsGone)
+      co_return Error{ErrorKind::NotFound, "another life"};
+    if (To.LosesHeld && Order.Wait.count() > 0) {
+      co_await sleepFor(Order.Wait + Order.Timeout);
+      co_return Error{ErrorKind::UpstreamCut, "no answer"};
+    }
+    std::erase_if(To.Ended, [&](const EndedRun &End) { return End.Number <= Order.ForgetThrough; });
+    const TimePoint Until = Steady::now() + Order.Wait;
+    while (To.Ended.empty() && Steady::now() < Until)
+      co_await sleepFor(1ms);
+    const auto Clock = std::chrono::duration_cast<Milliseconds>(Steady::now().time_since_epoch());
+    co_return WorkerReport{Clock, To.Active, To.Ended};
+  }
+
+  void submit(JobId Id, uint32_t Tasks) {
+    JobSpec Spec;
+    Spec.Id = Id;
+    Spec.Queue = "q";
+    Spec.Service = "pool";
+    Spec.MaxAttempts = 3;
+    Spec.AcceptedAt = Clock{}.Wall();
+    Spec.Target = 60s;
+    StepSpec Step;
+    Step.Count = Tasks;
+    Step.Need = {1000, 100, 0};
+    Step.Estimate = 1s;
+    Spec.Steps.push_back(Step);
+    Store.put(jobKey(Id), encodeJob(Spec), 0);
+  }
+
+  void start() {
+    constexpr uint64_t LeaderRevision = 2; // the first key that the constructor wrote
+    SchedulerTools Tools{Io.get_executor(),
+                         Clock{},
+                         Settings,
+                         storeOps(),
+                         workerLink(),
+                         {},
+                         std::string(WorkerPrefix),
+                         [](std::string_view Id, std::string_view) -> Result<WorkerInfo> {
+                           WorkerInfo Info;
+                           Info.Id = Id;
+                           Info.Service = "pool";
+                           Info.Capacity = {64000, 64000, 0};
+                           return Info;
+                         },
+                         Metrics,
+                         Burn};
+    Runner = std::make_shared<SchedulerRunner>(Tools, Claim{1, LeaderRevision, 0}, [] {});
+    Runner->start();
+  }
+
+  bool runUntil(const std::function<bool()> &Holds, Milliseconds Most = 5s) {
+    const TimePoint Limit = Steady::now() + Most;
+    while (!Holds() && Steady::now() < Limit) {
+      Io.restart();
+      Io.run_for(2ms);
+    }
+    return Holds();
+  }
+
+  size_t running() const {
+    size_t Sum = 0;
+    for (const auto &[Id, On] : Workers)
+      Sum += On.Active.size();
+    return Sum;
+  }
+  bool isComplete(JobId Id) const {
+    Result<StoredJob> Read = decodeJob(Store.value(jobKey(Id)));
+    return ok(Read) && value(Read).Phase == JobPhase::Completed;
+  }
+};
+
+// The ends on a worker whose held call was lost are seen long before that call is given up.
+TEST(SchedulerRunner, LooksAtBusyWorkersWhileCallsGetLost) {
+  Bench Given;
+  for (auto &[Id, On] : Given.Workers) {
+    On.StartsToLose = 1;
+    On.LosesHeld = true;
+  }
+  Given.submit(1, 20);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 20; }));
+  // Tasks of priority 0 are spread, so both workers have lost an answer.
+  for (auto &[Id, On] : Given.Workers) {
+    ASSERT_FALSE(On.Active.empty());
+    while (!On.Active.empty())
+      On.end(On.Active.front().Run.Task.Index);
+  }
+  EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }, 1500ms));
+}
+
+TEST(SchedulerRunner, AnEndIsWrittenBesideProgressUnderWay) {
+  Bench Given;
+  Given.submit(1, 2);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  Given.CommitTime = 700ms;
+  // Of two workers, so that both ends are seen at once.
+  ASSERT_EQ(Given.Workers.at("w0").Active.size(), 1u);
+  const auto Saves = [&] {
+    return std::count_if(Given.Sent.begin(), Given.Sent.end(), [](const Transaction &What) {
+      return !What.Puts.empty() &&
+             (What.Puts[0].Key == progressKey(1) || What.Puts[0].Key == jobKey(1));
+    });
+  };
+  Given.Workers.at("w0").end(Given.Workers.at("w0").Active.front().Run.Task.Index);
+  ASSERT_TRUE(Given.runUntil([&] { return Saves() == 1; }));
+  Given.Workers.at("w1").end(Given.Workers.at("w1").Active.front().Run.Task.Index);
+  EXPECT_TRUE(Given.runUntil([&] { return Saves() == 2; }, 400ms));
+  EXPECT_FALSE(Given.isComplete(1));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Store.value(progressKey(1)).empty(); }));
+}
+
+// A removal that is carried out late must not take the record of a worker that is in use again.
+TEST(SchedulerRunner, ARecordIsRemovedOnlyAsItWasRead) {
+  Bench Given;
+  WorkerInfo Gone;
+  Gone.Id = "gone";
+  Gone.Service = "pool";
+  Gone.Address = {"127.0.0.1", 5};
+  Given.Store.put(workerKey("gone"), encodeWorkerRecord(Gone), 0);
+  Given.Workers["gone"].IsGone = true;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Store.value(workerKey("gone")).empty(); }));
+  for (const Transaction &What : Given.Sent)
+    if (std::count(What.Removes.begin(), What.Removes.end(), workerKey("gone")) > 0) {
+      const auto Guards = [&](const Transaction::Condition &Row) {
+        return Row.Key == workerKey("gone") && Row.Revision != 0;
+      };
+      EXPECT_TRUE(std::any_of(What.Conditions.begin(), What.Conditions.end(), Guards));
+    }
+}
+
+} // namespace
+} // namespace valveshelf
