A process that starts looks at once whether the scheduler is there

Change: the first scheduler that a process reads of is probed. Test: Leadership.AProcessThatStartsLooksWhetherTheSchedulerIsThere; the test of being told that the scheduler is gone now lets it vanish only after that first look, which is what it means to test.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -51,6 +51,12 @@
 }
 
 void Leadership::viewChanged() {
+  // A process that has just started looks at once whether the scheduler that it reads of is there.
+  // When all lost power, the claim waited up to 0.4 s for that one's box or the end of its lease.
+  if (!HasLooked && View.picture().Leader) {
+    HasLooked = true;
+    spawnLater(Tools.Where, suspect());
+  }
   if (Runner)
     Runner->setMembers(memberNames());
 }
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -59,6 +59,7 @@
   TimePoint StraightAt{}; ///< When the store last served this process straight.
   uint64_t GoneTerm = 0;  ///< The term of a scheduler that is taken for gone; 0: none.
   bool Probing = false;
+  bool HasLooked = false; ///< Whether the first scheduler that was read of is there.
   std::shared_ptr<SchedulerRunner> Runner;
   uint64_t CurrentLease = 0;
   bool Stopped = false;
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -139,14 +139,25 @@
   Bench Given("strong");
   Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
   Given.Store.put(std::string(TermKey), "3", 0);
-  Given.PeerListens = false;
   Given.View->start();
   Given.Lead->start();
   ASSERT_TRUE(Given.runUntil([&] { return Given.View->picture().Leader.has_value(); }));
+  Given.Io.run_for(20ms);
+  Given.PeerListens = false;
   EXPECT_TRUE(Given.Lead->couldSchedule(3));
   EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == "strong"; }));
 }
 
+TEST(Leadership, AProcessThatStartsLooksWhetherTheSchedulerIsThere) {
+  Bench Given("b");
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.PeerListens = false;
+  Given.View->start();
+  Given.Lead->start();
+  EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == "b"; }));
+}
+
 TEST(Leadership, HandsOverToAMuchStrongerProcess) {
   Bench Given("weak");
   Given.Settings.Power = 0.1;
