--- /dev/null
+++ b/src/scheduler/leaving.cpp
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+// Work on workers that leave goes on elsewhere, if there is a place for it.
+#include "scheduler/pass.h"
+
+#include <algorithm>
+
+namespace valveshelf::sched {
+namespace {
+// Work on workers that leave is looked for this often; they announce it two seconds before or more.
+constexpr Milliseconds LeaveLookEvery{100};
+// Some leave without a word: a worker that answers and is missing in the list for so long is taken
+// to leave. Entries that lapsed with the store's outage are back within two seconds of its end.
+constexpr Milliseconds MissingTime{2500};
+
+uint32_t notAtWork(const StepState &Step) {
+  return static_cast<uint32_t>(
+      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [&](const TaskState &Task) {
+        if (!Task.At)
+          return true;
+        const auto Found = Task.At->Attempts.find(
+            {{Step.Key, static_cast<uint32_t>(&Task - Step.Tasks.data())}, Task.Run});
+        return Found == Task.At->Attempts.end() || Found->second.Phase != AttemptPhase::Running;
+      }));
+}
+
+// True if the run would be lost with its worker and can go on elsewhere.
+bool shouldMove(const Pass &In, const StepState &Step, const Worker &On, const Attempt &What) {
+  const StepSpec &Spec = *Step.Spec;
+  if (What.Phase != AttemptPhase::Running || Spec.Gang)
+    return false;
+  if (Spec.Lasting)
+    return Spec.MayMiss == 0 || notAtWork(Step) < Spec.MayMiss;
+  const Milliseconds Left = What.Estimate * (100 - What.Percent) / 100;
+  return Spec.Checkpoints && In.Now + Left > On.LeavesAt;
+}
+
+// A place for a run that is to be moved, ready to be taken. Advice and tickets that are missing are
+// asked for.
+bool hasPlaceElsewhere(Pass &In, const Job &Of, StepState &Step, const TaskState &Task) {
+  const Worker *To = findRoom(In, Of, Step, Task);
+  if (!To)
+    askUnknown(In, Of, Step); // after a takeover nothing is known of steps that run
+  else if (hasTicket(In, Of, Step, *To))
+    return true;
+  else
+    askAdvice(In, Of, Step, {To->Info.Id});
+  return false;
+}
+
+bool isLeaving(const Pass &In, const Worker &On) {
+  const bool Missing = !On.Listed && In.Now - On.UnlistedAt > MissingTime;
+  return On.Heard && On.Answers && (On.Info.Draining || Missing);
+}
+
+void moveIfNeeded(Pass &In, Worker &On, const RunKey &Run) {
+  StepState *Step = findStep(In.Cell, Run.Task.Step);
+  if (!Step || Run.Task.Index >= Step->Tasks.size() ||
+      !shouldMove(In, *Step, On, On.Attempts.at(Run)))
+    return;
+  const Job &Of = In.Cell.Jobs.at(Step->Key.Job);
+  if (Of.Phase == JobPhase::Live && hasPlaceElsewhere(In, Of, *Step, Step->Tasks[Run.Task.Index]))
+    stopAttempt(In.Cell, On, Run, "its worker leaves", In.Now, In.Out);
+}
+} // namespace
+
+// Work that a leaving worker would take with it is stopped as soon as there is a place for it.
+// Otherwise a lasting task is away until the worker's lease is over (5 s), and a takeover meanwhile
+// holds all old work of the service back for as long.
+void moveFromLeaving(Pass &In) {
+  if (In.Now < In.Cell.NextLeaveLook)
+    return;
+  In.Cell.NextLeaveLook = In.Now + LeaveLookEvery;
+  for (auto &[Id, On] : In.Cell.Workers) {
+    if (!isLeaving(In, On))
+      continue;
+    std::vector<RunKey> Runs;
+    for (const auto &[Run, What] : On.Attempts)
+      Runs.push_back(Run);
+    for (const RunKey &Run : Runs)
+      moveIfNeeded(In, On, Run);
+  }
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/pass.h
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+// One pass of placement, shared by its parts: rooms, advice, gangs and work that moves. Only the
+// files of this folder include it.
+#pragma once
+
+#include "valveshelf/cell_state.h"
+
+namespace valveshelf::sched {
+
+/// One pass of placement over the queue.
+struct Pass {
+  CellState &Cell;
+  TimePoint Now;
+  Effects &Out;
+  std::set<std::string> Awaited; ///< Services with a worker of the scheduler before that was not
+                                 ///< heard yet,
+  std::set<std::string> Asked;   ///< and with one that has neither answered nor failed to.
+};
+
+// Rooms (rooms.cpp).
+
+bool hasLabel(const WorkerInfo &Info, const std::string &Label);
+/// True if the step may be started on the worker now, as far as the worker goes.
+bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step);
+/// What one task of the step takes of a worker.
+Resources needOf(const StepState &Step);
+/// What the step may still take of the worker.
+Resources roomFor(const Pass &In, const Worker &On, const Job &Of, const StepState &Step);
+uint32_t heldOf(const StepState &Step, const Worker &On);
+/// True if the worker holds as many tasks of the step as it may.
+bool holdsLimit(const StepState &Step, const Worker &On);
+/// True if the step can meet its objective though others have to be stopped first.
+bool gainsByStopping(const Pass &In, const Job &Of, const StepState &Step);
+/// What stopping work less urgent than \p Priority would free.
+Resources yieldable(const Pass &In, const Worker &On, int Priority);
+/// Stops the work that loses least until what is planned on the worker has its room.
+void makeRoom(Pass &In, Worker &On, int Priority);
+/// The best worker with free room for the task; null: none.
+Worker *findRoom(Pass &In, const Job &Of, StepState &Step, const TaskState &Task);
+/// A worker where stopping less urgent work makes room; null: none.
+Worker *findYielding(Pass &In, const Job &Of, StepState &Step);
+
+// Advice (advice.cpp).
+
+/// True if the step needs no ticket there or has a valid one.
+bool hasTicket(const Pass &In, const Job &Of, const StepState &Step, const Worker &On);
+/// Asks about the workers, unless the step's last question is still under way.
+void askAdvice(Pass &In, const Job &Of, StepState &Step, std::vector<std::string> Workers);
+/// Asks about workers of which nothing is known yet, those with the most room first.
+void askUnknown(Pass &In, const Job &Of, StepState &Step);
+/// Keeps tickets valid for a step that waits for room.
+void renewTickets(Pass &In, const Job &Of, StepState &Step);
+/// A step found no place among the workers known to be good for it.
+void lookFurther(Pass &In, const Job &Of, StepState &Step);
+/// True if the step is worth a question now.
+bool mayAsk(const Pass &In, const Job &Of, const StepState &Step);
+
+/// Calls \p Visit with each worker on which advice lets the step run.
+template <class Visitor>
+void eachAdvised(Pass &In, const Job &Of, const StepState &Step, Visitor Visit) {
+  if (!Of.Spec->Advice) {
+    for (auto &[Id, On] : In.Cell.Workers)
+      Visit(On);
+    return;
+  }
+  for (const AdviceState::Permit &Known : Step.Advice.Good)
+    if (Worker *On = In.Cell.Slots[Known.Slot])
+      Visit(*On);
+}
+
+// Single tasks and gangs (placement.cpp, gangs.cpp).
+
+bool isPlaceable(const Pass &In, const Job &Of, const TaskState &Task);
+uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index);
+/// Orders the start of a task that is planned on the worker.
+void orderStart(Pass &In, const Job &Of, StepState &Step, uint32_t Index, Worker &On,
+                Attempt &What);
+/// Plans or launches a gang; false if it found no room.
+bool placeGang(Pass &In, const Job &Of, StepState &Step);
+
+// Workers that leave (leaving.cpp).
+
+/// Stops work that a leaving worker would take with it, where there is a place for it elsewhere.
+void moveFromLeaving(Pass &In);
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/rooms.cpp
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: Apache-2.0
+// What workers have free for a step, and what could be stopped to make room for it.
+#include "scheduler/pass.h"
+
+#include <algorithm>
+
+namespace valveshelf::sched {
+namespace {
+// Room kept for an urgent task, over the mean size; three of four then fit. (Sizes spread by 0.45.)
+constexpr double UrgentSpread = 1.3;
+} // namespace
+
+bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
+  return Label.empty() ||
+         std::find(Info.Labels.begin(), Info.Labels.end(), Label) != Info.Labels.end();
+}
+
+bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+  return On.Heard && On.Saved && On.Listed && On.Answers && !On.Full && !On.Info.Draining &&
+         On.SetAsideUntil <= In.Now && On.Info.Service == Of.Spec->Service &&
+         hasLabel(On.Info, Step.Spec->RequiredLabel);
+}
+
+namespace {
+// What is kept free on the worker for urgent tasks: room for one of the usual size.
+Resources urgentReserve(const Pass &In, const Worker &On) {
+  const SchedulerLimits &Limits = In.Cell.Limits;
+  const Resources &Whole = On.Info.Capacity;
+  const auto Part = [&](int64_t Capacity, int64_t Usual) {
+    const auto Least = static_cast<int64_t>(static_cast<double>(Capacity) * Limits.UrgentShare);
+    const auto Most = static_cast<int64_t>(static_cast<double>(Capacity) * Limits.MostUrgentShare);
+    const auto Wanted = static_cast<int64_t>(static_cast<double>(Usual) * UrgentSpread);
+    return std::clamp(Wanted, Least, Most);
+  };
+  return {Part(Whole.MilliCores, In.Cell.UrgentNeed.MilliCores),
+          Part(Whole.MemoryMb, In.Cell.UrgentNeed.MemoryMb), 0};
+}
+} // namespace
+
+Resources needOf(const StepState &Step) {
+  Resources Need = Step.Spec->Need;
+  if (Step.Spec->Fills)
+    Need.MilliCores = 0;
+  return Need;
+}
+
+// What the step may still take. Work that can wait leaves some room for work that can't, but for
+// gangs, whose members are too large for what is left between them, and tasks that need it all.
+Resources roomFor(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+  const Resources Room = On.Info.Capacity - On.Booked - On.Planned;
+  if (Of.Spec->Priority == 0 || Step.Spec->Gang)
+    return Room;
+  const Resources Reserve = urgentReserve(In, On);
+  return fits(needOf(Step), On.Info.Capacity - Reserve) ? Room - Reserve : Room;
+}
+
+uint32_t heldOf(const StepState &Step, const Worker &On) {
+  return static_cast<uint32_t>(std::count_if(
+      Step.Tasks.begin(), Step.Tasks.end(), [&](const TaskState &Task) { return Task.At == &On; }));
+}
+
+bool holdsLimit(const StepState &Step, const Worker &On) {
+  return Step.Spec->MostPerWorker > 0 && heldOf(Step, On) >= Step.Spec->MostPerWorker;
+}
+
+namespace {
+// What could be stopped on the worker in favour of more urgent work: what is late already, or can
+// still meet its objective when it goes on elsewhere.
+bool canYield(const Pass &In, const Attempt &What, int Priority) {
+  if (What.Phase != AttemptPhase::Running || !What.MayBeStopped || What.Priority <= Priority)
+    return false;
+  const SchedulerLimits &Limits = In.Cell.Limits;
+  const Milliseconds Left = What.Estimate * (100 - What.Percent) / 100;
+  return In.Now > What.Objective ||
+         In.Now + Limits.StopTime + Left + Limits.YieldMargin < What.Objective;
+}
+} // namespace
+
+// True if the step can meet its objective though others have to be stopped first.
+bool gainsByStopping(const Pass &In, const Job &Of, const StepState &Step) {
+  return Step.Spec->Lasting ||
+         In.Now + In.Cell.Limits.StopTime + Step.Spec->Estimate < Of.Objective;
+}
+
+Resources yieldable(const Pass &In, const Worker &On, int Priority) {
+  Resources Sum;
+  for (const auto &[Run, What] : On.Attempts)
+    if (canYield(In, What, Priority))
+      Sum += What.Need;
+  return Sum;
+}
+
+// Stops the work that loses least until \p Missing would be free.
+void makeRoom(Pass &In, Worker &On, int Priority) {
+  Resources Over = On.Booked + On.Planned - On.Info.Capacity;
+  std::vector<std::pair<TimePoint, RunKey>> Candidates;
+  for (const auto &[Run, What] : On.Attempts) {
+    if (What.Phase == AttemptPhase::Stopping)
+      Over -= What.Need; // is being freed already
+    else if (canYield(In, What, Priority))
+      Candidates.emplace_back(What.StartedAt, Run);
+  }
+  std::sort(Candidates.begin(), Candidates.end());
+  while (!Candidates.empty() &&
+         (Over.MilliCores > 0 || Over.MemoryMb > 0 || Over.Accelerators > 0)) {
+    const RunKey Run = Candidates.back().second; // the newest has the least to save
+    Candidates.pop_back();
+    Over -= On.Attempts.at(Run).Need;
+    On.Attempts.at(Run).StopsPlan = true;
+    stopAttempt(In.Cell, On, Run, "its room is needed by more urgent work", In.Now, In.Out);
+  }
+}
+
+namespace {
+// Smaller is better.
+struct Score {
+  int Penalty = 0;
+  int64_t Left = 0;
+  friend bool operator<(const Score &A, const Score &B) {
+    return std::tie(A.Penalty, A.Left) < std::tie(B.Penalty, B.Left);
+  }
+};
+
+Score scoreOf(const Pass &In, const Job &Of, const StepState &Step, const TaskState &Task,
+              const Worker &On) {
+  Score Value;
+  const bool Far = !Step.Spec->NearRack.empty() && On.Info.Rack != Step.Spec->NearRack;
+  Value.Penalty += Far ? 2 : 0;
+  Value.Penalty += Task.FailedOn == &On ? 1 : 0;
+  // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
+  const int64_t Left = roomFor(In, On, Of, Step).MilliCores;
+  Value.Left = Of.Spec->Priority == 0 ? -Left : Left;
+  return Value;
+}
+} // namespace
+
+Worker *findRoom(Pass &In, const Job &Of, StepState &Step, const TaskState &Task) {
+  Worker *Best = nullptr;
+  Score BestScore;
+  const Resources Need = needOf(Step);
+  eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (!fits(Need, roomFor(In, On, Of, Step)) || !isUsable(In, On, Of, Step) ||
+        holdsLimit(Step, On))
+      return;
+    const Score Value = scoreOf(In, Of, Step, Task, On);
+    if (!Best || Value < BestScore) {
+      Best = &On;
+      BestScore = Value;
+    }
+  });
+  return Best;
+}
+
+// A worker where stopping less urgent work makes room; the one with most of it.
+Worker *findYielding(Pass &In, const Job &Of, StepState &Step) {
+  Worker *Best = nullptr;
+  int64_t BestRoom = 0;
+  const Resources Need = needOf(Step);
+  const int Priority = Of.Spec->Priority;
+  eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (!isUsable(In, On, Of, Step) || holdsLimit(Step, On))
+      return;
+    const Resources Room = roomFor(In, On, Of, Step) + yieldable(In, On, Priority);
+    if (fits(Need, Room) && (!Best || Room.MilliCores > BestRoom)) {
+      Best = &On;
+      BestRoom = Room.MilliCores;
+    }
+  });
+  return Best;
+}
+
+} // namespace valveshelf::sched
