A kept job that is handed in again during an outage is not refused

Cause: without the store every submission got 503, also of a job that was accepted before; 503 says that it will never run. Change: before such a refusal the scheduler is asked, 100 ms at most; it knows only jobs that are kept, and those get 200.

--- a/src/cell/front_door.cpp
+++ b/src/cell/front_door.cpp
@@ -10,6 +10,8 @@
 namespace {
 // The scheduler answers from memory; without an answer by then the store is asked.
 constexpr Milliseconds SchedulerTimeout{300};
+// Before a refusal, which is to come at once; an answer takes 2 ms.
+constexpr Milliseconds RefusalTimeout{100};
 constexpr int HttpOk = 200;
 constexpr int HttpGone = 410;
 
@@ -84,6 +86,11 @@
   Spec.AcceptedAt = Time.Wall();
   const TimePoint Came = Time.Now();
   Result<Done> Kept = co_await In.submit(std::move(Spec));
+  // "It will never run" would be untrue of a job that was handed in before and is handed in again
+  // while the store is away. The scheduler knows only jobs that are kept.
+  if (!ok(Kept) && error(Kept).Kind == ErrorKind::StoreUnavailable &&
+      !(co_await askScheduler(Id, RefusalTimeout)).empty())
+    Kept = Done{};
   if (!ok(Kept))
     co_return refusal(error(Kept), jobIdText(Id));
   const auto Took = std::chrono::duration_cast<Milliseconds>(Time.Now() - Came);
@@ -91,7 +98,7 @@
   co_return jsonResponse(HttpOk, "{}");
 }
 
-Awaitable<std::string> FrontDoor::askScheduler(JobId Id) {
+Awaitable<std::string> FrontDoor::askScheduler(JobId Id, Milliseconds Timeout) {
   if (const auto Here = Lead.scheduler())
     co_return std::string(Here->state(Id));
   const auto &Leader = View.picture().Leader;
@@ -99,8 +106,7 @@
     co_return "";
   cell::JobStateRequest Question;
   Question.set_id(Id);
-  Result<cell::JobStateReply> Reply =
-      co_await Peers.JobState(Leader->Peers, Question, SchedulerTimeout);
+  Result<cell::JobStateReply> Reply = co_await Peers.JobState(Leader->Peers, Question, Timeout);
   if (!ok(Reply) || value(Reply).error() != 0)
     co_return "";
   co_return value(Reply).state();
@@ -119,7 +125,7 @@
 }
 
 Awaitable<HttpResponse> FrontDoor::state(JobId Id) {
-  std::string Known = co_await askScheduler(Id);
+  std::string Known = co_await askScheduler(Id, SchedulerTimeout);
   if (!Known.empty())
     co_return jsonResponse(HttpOk, Codec.EncodeState(Known));
   Result<std::string> Read = co_await readState(Id);
--- a/src/cell/front_door.h
+++ b/src/cell/front_door.h
@@ -40,7 +40,7 @@
   Awaitable<HttpResponse> cancel(sched::JobId Id);
   Awaitable<HttpResponse> countWaiting(std::string Queue);
   /// Empty if the scheduler can't be asked or does not know the job.
-  Awaitable<std::string> askScheduler(sched::JobId Id);
+  Awaitable<std::string> askScheduler(sched::JobId Id, Milliseconds Timeout);
   Awaitable<Result<std::string>> readState(sched::JobId Id);
 
   const CellSettings &Settings;
--- a/testsuite/platform-store-outage/run.py
+++ b/testsuite/platform-store-outage/run.py
@@ -14,6 +14,8 @@
     begun = time.time()
     status, refused = cell.submit("e2", "check", [step(1)])
     say("a job without the store: %d, at once: %s" % (status, time.time() - begun < 1.0))
+    again, _ = cell.submit("e3", "scan", [step(2, 1000, 500, 2500)], job=long)
+    say("a kept job handed in again: %d" % again)
     time.sleep(3)
     cell.control({"store_down": False})
     cell.wait("the store is used again", lambda: cell.submit("e2", "check", [step(1)])[0] == 200, 10)
