Callers refused for want of the store are told to come again after as long as it has been away

It was always 5 s, longer than a caller's budget of 3 s. Now 1 to 5 s, as long as the outage has lasted so far. Test: StorePath.CallersComeAgainAfterAsLongAsTheStoreHasBeenAway.

--- a/src/cell/front_door.cpp
+++ b/src/cell/front_door.cpp
@@ -31,19 +31,24 @@
   return "queued";
 }
 
-HttpResponse refusal(const Error &Why, const std::string &Job) {
+} // namespace
+
+HttpResponse FrontDoor::refusal(const Error &Why, const std::string &Job) const {
   logEvent(events::CallRefused, {{"job", Job},
                                  {"kind", std::string(answerFor(Why.Kind).Name)},
                                  {"why", "\"" + Why.Detail + "\""}});
+  if (Why.Kind == ErrorKind::StoreUnavailable)
+    return errorResponse(Why, RetryAfterOutage());
   return errorResponse(Why);
 }
-} // namespace
 
 FrontDoor::FrontDoor(const CellSettings &Settings, Clock Time, CallerCodec Codec,
                      KeyValueStore Store, const ConfigWatch &Config, const CellView &View,
-                     const Leadership &Lead, Intake &In, const CellLink &Peers)
+                     const Leadership &Lead, Intake &In, const CellLink &Peers,
+                     std::function<std::chrono::seconds()> RetryAfterOutage)
     : Settings(Settings), Time(std::move(Time)), Codec(std::move(Codec)), Store(std::move(Store)),
-      Config(Config), View(View), Lead(Lead), In(In), Peers(Peers) {}
+      Config(Config), View(View), Lead(Lead), In(In), Peers(Peers),
+      RetryAfterOutage(std::move(RetryAfterOutage)) {}
 
 Awaitable<HttpResponse> FrontDoor::answer(std::string Method, std::string Target, std::string Host,
                                           std::string Body) {
--- a/src/cell/front_door.h
+++ b/src/cell/front_door.h
@@ -26,7 +26,7 @@
 public:
   FrontDoor(const CellSettings &Settings, Clock Time, CallerCodec Codec, KeyValueStore Store,
             const ConfigWatch &Config, const CellView &View, const Leadership &Lead, Intake &In,
-            const CellLink &Peers);
+            const CellLink &Peers, std::function<std::chrono::seconds()> RetryAfterOutage);
 
   Awaitable<HttpResponse> answer(std::string Method, std::string Target, std::string Host,
                                  std::string Body);
@@ -35,6 +35,7 @@
   cell::WaitingReply waiting(const cell::WaitingRequest &Asked) const;
 
 private:
+  HttpResponse refusal(const Error &Why, const std::string &Job) const;
   Awaitable<HttpResponse> submit(const sched::Queue &To, sched::JobId Id, std::string Body);
   Awaitable<HttpResponse> state(sched::JobId Id);
   Awaitable<HttpResponse> cancel(sched::JobId Id);
@@ -52,6 +53,7 @@
   const Leadership &Lead;
   Intake &In;
   const CellLink &Peers;
+  const std::function<std::chrono::seconds()> RetryAfterOutage;
 };
 
 } // namespace valveshelf
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -36,6 +36,9 @@
 constexpr Milliseconds DetourPause{250};
 // The store serves this process straight if it has answered it within this time.
 constexpr Milliseconds FreshEnough{2500};
+// Callers' budgets are a few seconds: one that is told a longer time does not come again.
+constexpr std::chrono::seconds LeastRetryAfter{1};
+constexpr std::chrono::seconds MostRetryAfter{5};
 constexpr int HttpTooMany = 429;
 constexpr int HttpUnavailable = 503;
 } // namespace
@@ -66,6 +69,11 @@
   return Fails || (!Out.empty() && Now - Out.begin()->first > Silence);
 }
 
+std::chrono::seconds StorePath::retryAfter() const {
+  const auto Away = std::chrono::round<std::chrono::seconds>(Time.Now() - LastAnswer);
+  return std::clamp(Away, LeastRetryAfter, MostRetryAfter);
+}
+
 bool StorePath::isTurnedAway(const Result<HttpResponse> &Answer) const {
   if (!ok(Answer))
     return true;
--- a/src/cell/store_path_test.cpp
+++ b/src/cell/store_path_test.cpp
@@ -138,6 +138,18 @@
   EXPECT_EQ(value(Given.call()).Body, "direct");
 }
 
+TEST(StorePath, CallersComeAgainAfterAsLongAsTheStoreHasBeenAway) {
+  Bench Given;
+  Given.Direct = {Good};
+  Given.call();
+  Given.Now += 300ms;
+  EXPECT_EQ(Given.Path.retryAfter(), 1s);
+  Given.Now += 2700ms;
+  EXPECT_EQ(Given.Path.retryAfter(), 3s);
+  Given.Now += 60s;
+  EXPECT_EQ(Given.Path.retryAfter(), 5s);
+}
+
 TEST(StorePath, AProbeWithoutAnAnswerHoldsUpNoOther) {
   Bench Given;
   Given.Direct = {Busy, Busy, Good};
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -58,15 +58,19 @@
 }
 
 HttpResponse errorResponse(const Error &Failure) {
+  return errorResponse(Failure, answerFor(Failure.Kind).RetryAfter);
+}
+
+HttpResponse errorResponse(const Error &Failure, std::chrono::seconds RetryAfter) {
   const ErrorAnswer &Answer = answerFor(Failure.Kind);
   const boost::json::object Body{{"error", Answer.Name},
                                  {"detail", Failure.Detail},
                                  {"outcome", outcomeName(Answer.Outcome)},
-                                 {"retry_after_s", Answer.RetryAfter.count()}};
+                                 {"retry_after_s", RetryAfter.count()}};
   HttpResponse Response = jsonResponse(Answer.HttpStatus, boost::json::serialize(Body) + "\n");
   Response.Headers.emplace_back("Valveshelf-Outcome", outcomeName(Answer.Outcome));
-  if (Answer.RetryAfter.count() > 0)
-    Response.Headers.emplace_back("Retry-After", std::to_string(Answer.RetryAfter.count()));
+  if (RetryAfter.count() > 0)
+    Response.Headers.emplace_back("Retry-After", std::to_string(RetryAfter.count()));
   return Response;
 }
 
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -55,6 +55,8 @@
 /// The answer that belongs to \p Failure: status, `Valveshelf-Outcome`, `Retry-After`, and a
 /// JSON body with the kind and the detail.
 HttpResponse errorResponse(const Error &Failure);
+/// The same with another `Retry-After`; zero: none.
+HttpResponse errorResponse(const Error &Failure, std::chrono::seconds RetryAfter);
 
 /// The value of query parameter \p Name in \p Target, if it is there.
 std::optional<std::string> queryParameter(std::string_view Target, std::string_view Name);
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -49,6 +49,9 @@
   bool isSilent() const;
   /// True if the store serves this process straight, as far as is known.
   bool isStraight() const;
+  /// When a caller that was refused for want of the store should come again: after as long as the
+  /// store has been away, since an outage of unknown length has about half of it left; 1 to 5 s.
+  std::chrono::seconds retryAfter() const;
   /// When the store last answered, on either way.
   TimePoint lastAnswer() const { return LastAnswer; }
 
