--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -152,12 +152,14 @@
     if (!Item.Key.starts_with(WorkerRecordPrefix))
       continue;
     const std::string Id = idOf(Item.Key, std::string(WorkerRecordPrefix));
-    Records[Id] = Item.Revision;
     Result<WorkerInfo> Info = decodeWorkerRecord(Id, Item.Value);
-    if (ok(Info))
-      workerMayHoldRuns(Cell, value(Info), leaseEnd(IdleHold));
-    else
-      logEvent(events::RecordUnreadable, {{"key", Item.Key}});
+    if (!ok(Info)) {
+      logEvent(events::RecordUnreadable,
+               {{"key", Item.Key}}); // it stays: somebody else may read it
+      continue;
+    }
+    Records[Id] = Item.Revision;
+    workerMayHoldRuns(Cell, value(Info), leaseEnd(IdleHold));
   }
 }
 
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -226,5 +226,14 @@
     }
 }
 
+TEST(SchedulerRunner, ARecordThatCannotBeReadStays) {
+  Bench Given;
+  Given.Store.put(workerKey("strange"), "\xff\xff", 0);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  Given.runUntil([] { return false; }, 400ms);
+  EXPECT_FALSE(Given.Store.value(workerKey("strange")).empty());
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -245,6 +245,7 @@
       co_return Me->end("the store has another scheduler");
     if (!value(Answer).Applied) {
       Me->rereadRecords(Left, value(Answer).Standing);
+      co_await sleepFor(RetryPause);
       continue;
     }
     Me->noteRecords(Noted, value(Answer).Revision);
