A lasting task counts as away until it says that it is at work

What may be missed of a lasting step is counted from tasks at work, which a started one is only after a while. Found by reading; Leaving.NoMoreTasksAreAwayThanTheStepMayMiss now begins with tasks that were only started and expects no stop then, which is stricter. attemptOf() is shared in place of a search of its own.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -326,6 +326,8 @@
 // Shared by the parts of the scheduler.
 
 StepState *findStep(CellState &Cell, const StepKey &Key);
+/// The attempt of a task; null: it has none.
+Attempt *attemptOf(const StepState &Step, uint32_t Index);
 /// Books an attempt of the task; removes it again.
 Attempt &book(StepState &Step, uint32_t Index, Worker &On, uint32_t Run, AttemptPhase Phase,
               const Job &Of, TimePoint Now);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -49,14 +49,6 @@
   return Round;
 }
 
-Attempt *attemptOf(StepState &Step, uint32_t Index) {
-  const TaskState &Task = Step.Tasks[Index];
-  if (!Task.At)
-    return nullptr;
-  const auto Found = Task.At->Attempts.find({{Step.Key, Index}, Task.Run});
-  return Found == Task.At->Attempts.end() ? nullptr : &Found->second;
-}
-
 // The members of a gang end together; those that are not listed as ended yet need no order.
 void expectEnds(StepState &Step, uint32_t Run, TimePoint Now) {
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
@@ -145,6 +137,14 @@
 }
 } // namespace
 
+Attempt *attemptOf(const StepState &Step, uint32_t Index) {
+  const TaskState &Task = Step.Tasks[Index];
+  if (!Task.At)
+    return nullptr;
+  const auto Found = Task.At->Attempts.find({{Step.Key, Index}, Task.Run});
+  return Found == Task.At->Attempts.end() ? nullptr : &Found->second;
+}
+
 StepState *findStep(CellState &Cell, const StepKey &Key) {
   const auto Of = Cell.Jobs.find(Key.Job);
   if (Of == Cell.Jobs.end())
--- a/src/scheduler/leaving.cpp
+++ b/src/scheduler/leaving.cpp
@@ -12,15 +12,19 @@
 // to leave. Entries that lapsed with the store's outage are back within two seconds of its end.
 constexpr Milliseconds MissingTime{2500};
 
+// A lasting task that was started is at work from when it says so.
+constexpr int AtWorkPercent = 100;
+
+// Tasks of a lasting step that do not serve just now.
 uint32_t notAtWork(const StepState &Step) {
-  return static_cast<uint32_t>(
-      std::count_if(Step.Tasks.begin(), Step.Tasks.end(), [&](const TaskState &Task) {
-        if (!Task.At)
-          return true;
-        const auto Found = Task.At->Attempts.find(
-            {{Step.Key, static_cast<uint32_t>(&Task - Step.Tasks.data())}, Task.Run});
-        return Found == Task.At->Attempts.end() || Found->second.Phase != AttemptPhase::Running;
-      }));
+  uint32_t Away = 0;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+    const Attempt *What = attemptOf(Step, I);
+    const bool Serves =
+        What && What->Phase == AttemptPhase::Running && What->Percent >= AtWorkPercent;
+    Away += Serves ? 0 : 1;
+  }
+  return Away;
 }
 
 // True if the run would be lost with its worker and can go on elsewhere.
@@ -73,7 +77,8 @@
   for (auto &[Id, On] : In.Cell.Workers) {
     if (!isLeaving(In, On))
       continue;
-    std::vector<RunKey> Runs;
+    std::vector<RunKey> Runs; // a stop may remove entries of the map
+    Runs.reserve(On.Attempts.size());
     for (const auto &[Run, What] : On.Attempts)
       Runs.push_back(Run);
     for (const RunKey &Run : Runs)
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -502,6 +502,10 @@
   Lasting.Lasting = true;
   Lasting.MayMiss = 1;
   LeavingWorker Given(Lasting);
+  EXPECT_TRUE(Given.pass().Stops.empty()) << "none is at work yet";
+  for (auto &[Run, What] : Given.Cell.Workers.at("w0").Attempts)
+    What.Percent = 100;
+  Given.Now += 1s;
   EXPECT_EQ(Given.pass().Stops.size(), 1u);
   Given.Now += 1s;
   EXPECT_TRUE(Given.pass().Stops.empty());
