A run of a job that is heard of later is gone before another starts

Ruled out: a lost record (the worker was asked and answered).

Change: runs of unknown jobs are remembered until they are gone; a task with one is not placed. Test: Takeover.ARunOf- AJobThatIsHeardOfLaterIsGoneBeforeAnother, which fails without the check.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -201,7 +201,8 @@
   std::set<JobId> EarlyCancels;                       ///< Cancelled jobs that are not known yet.
   std::map<std::string, std::string> Unheard; ///< Workers that an earlier scheduler may have used,
                                               ///< with their services.
-  bool Loaded = false;                        ///< The store was read; nothing is placed before.
+  std::set<RunKey> Strays; ///< Runs on workers whose job was not known when they were seen.
+  bool Loaded = false;     ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
   std::map<uint64_t, JobId> Saves; ///< Saves not yet durable, by number.
   std::set<uint32_t> WithUnsaved;  ///< Slots of workers with ends that wait for a save.
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -149,8 +149,10 @@
     return launchGang(In, Of, Step);
   if (Step.Booked > 0)
     dropPartialPlan(In, Step);
-  if (Step.Booked > 0 || !std::all_of(Step.Tasks.begin(), Step.Tasks.end(),
-                                      [&](const TaskState &T) { return isPlaceable(In, Of, T); }))
+  uint32_t Placeable = 0;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    Placeable += isPlaceable(In, Of, Step, I) ? 1 : 0;
+  if (Step.Booked > 0 || Placeable < Step.Tasks.size())
     return false;
   bool Yields = false;
   std::vector<GangSeat> Seats = gangSeats(In, Of, Step, false);
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -70,7 +70,7 @@
 
 // Single tasks and gangs (placement.cpp, gangs.cpp).
 
-bool isPlaceable(const Pass &In, const Job &Of, const TaskState &Task);
+bool isPlaceable(const Pass &In, const Job &Of, const StepState &Step, uint32_t Index);
 uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index);
 /// Orders the start of a task that is planned on the worker.
 void orderStart(Pass &In, const Job &Of, StepState &Step, uint32_t Index, Worker &On,
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -58,11 +58,20 @@
   return std::max(Cell.FirstRun, Step.Tasks[Index].Run + 1);
 }
 
-bool isPlaceable(const Pass &In, const Job &Of, const TaskState &Task) {
+// A scheduler that was replaced may have started a job that this one hears of only later; its runs
+// are being stopped by then.
+static bool hasStray(const CellState &Cell, const TaskKey &Task) {
+  const auto At = Cell.Strays.lower_bound({Task, 0});
+  return At != Cell.Strays.end() && At->Task == Task;
+}
+
+bool isPlaceable(const Pass &In, const Job &Of, const StepState &Step, uint32_t Index) {
+  const TaskState &Task = Step.Tasks[Index];
   const std::string &Service = Of.Spec->Service;
   const bool MayRun = (Task.MayRunElsewhere && In.Awaited.count(Service) > 0) ||
                       (Task.MayRunMeanwhile && In.Asked.count(Service) > 0);
-  return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now;
+  return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now &&
+         !hasStray(In.Cell, {Step.Key, Index});
 }
 
 namespace {
@@ -101,7 +110,7 @@
   bool Missed = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
     TaskState &Task = Step.Tasks[I];
-    if (!isPlaceable(In, Of, Task))
+    if (!isPlaceable(In, Of, Step, I))
       continue;
     Worker *On = findRoom(In, Of, Step, Task);
     const bool Yields = !On && !Step.Queued->Late && gainsByStopping(In, Of, Step);
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -359,6 +359,24 @@
   return Info;
 }
 
+// The scheduler before started a job that was accepted after the takeover, and this one sees the
+// run before it hears of the job.
+TEST(Takeover, ARunOfAJobThatIsHeardOfLaterIsGoneBeforeAnother) {
+  Scene Given(2);
+  Effects Out;
+  const RunKey Early{{{1, 0, 0}, 0}, 7}; // of the next job
+  WorkerReport Report;
+  Report.Active.push_back({Early, "", 10});
+  workerReported(Given.Cell, "w0", Report, Given.Now, Given.Now, Out);
+  ASSERT_EQ(Out.Stops.size(), 1u);
+  ASSERT_EQ(Given.submit(0, tasks(1, 1000, 100ms), 100), 1u);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  WorkerReport Stopped;
+  Stopped.Ended.push_back({1, Early, RunEnd::Stopped, ""});
+  workerReported(Given.Cell, "w0", Stopped, Given.Now, Given.Now, Out);
+  EXPECT_EQ(Given.pass().Starts.size(), 1u);
+}
+
 // A silent worker holds back only what may run there.
 TEST(Takeover, OldWorkWaitsForWorkersOfItsOwnServiceOnly) {
   Scene Given(1);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -63,6 +63,7 @@
   if (!Known) {
     // Its job has ended, or was never ours. Its size is unknown until it is gone.
     On.Full = true;
+    Cell.Strays.insert(Row.Run);
     Attempt &Stray = On.Attempts[Row.Run];
     Stray.Phase = AttemptPhase::Running;
     Stray.StartedAt = Stray.Since = Now;
@@ -233,6 +234,7 @@
   const bool WasPlanned = Found->second.Phase == AttemptPhase::Planned;
   (WasPlanned ? On.Planned : On.Booked) -= Found->second.Need;
   On.Attempts.erase(Found);
+  Cell.Strays.erase(Run);
   if (On.Full)
     On.Full = std::any_of(On.Attempts.begin(), On.Attempts.end(),
                           [](const auto &Entry) { return Entry.second.Need == Resources{}; });
