--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -377,15 +377,21 @@
   EXPECT_EQ(Given.pass().Starts.size(), 1u);
 }
 
-// A silent worker holds back only what may run there.
-TEST(Takeover, OldWorkWaitsForWorkersOfItsOwnServiceOnly) {
-  Scene Given(1);
+// A job of one task that an earlier scheduler may have started.
+std::shared_ptr<JobSpec> oldJob() {
   auto Spec = std::make_shared<JobSpec>();
   Spec->Id = 7;
   Spec->Service = "pool";
   Spec->MaxAttempts = 3;
   Spec->Extension = 100;
   Spec->Steps.push_back(tasks(1, 1000, 100ms));
+  return Spec;
+}
+
+// A silent worker holds back only what may run there.
+TEST(Takeover, OldWorkWaitsForWorkersOfItsOwnServiceOnly) {
+  Scene Given(1);
+  auto Spec = oldJob();
   workerMayHoldRuns(Given.Cell, workerOf("silent", "other"), Given.Now + 6s);
   workerSilent(Given.Cell, "silent");
   addJob(Given.Cell, Spec, 1, false, Given.Now);
@@ -394,12 +400,7 @@
 
 TEST(Takeover, OldWorkWaitsForASilentWorkerOfItsService) {
   Scene Given(1);
-  auto Spec = std::make_shared<JobSpec>();
-  Spec->Id = 7;
-  Spec->Service = "pool";
-  Spec->MaxAttempts = 3;
-  Spec->Extension = 100;
-  Spec->Steps.push_back(tasks(1, 1000, 100ms));
+  auto Spec = oldJob();
   workerMayHoldRuns(Given.Cell, workerOf("silent", "pool"), Given.Now + 6s);
   workerSilent(Given.Cell, "silent");
   addJob(Given.Cell, Spec, 1, false, Given.Now);
@@ -413,13 +414,8 @@
 // Advice on what may turn out to be running would be asked for in vain.
 TEST(Takeover, AsksForNoAdviceOnOldWorkBeforeTheWorkersHaveAnswered) {
   Scene Given(1);
-  auto Spec = std::make_shared<JobSpec>();
-  Spec->Id = 7;
-  Spec->Service = "pool";
-  Spec->MaxAttempts = 3;
-  Spec->Extension = 100;
+  auto Spec = oldJob();
   Spec->Advice = AdvicePolicy{};
-  Spec->Steps.push_back(tasks(1, 1000, 100ms));
   workerMayHoldRuns(Given.Cell, workerOf("used", "pool"), Given.Now + 6s);
   addJob(Given.Cell, Spec, 1, false, Given.Now);
   EXPECT_TRUE(Given.pass().Asks.empty());
