Waiting steps are looked at less often; whether a lane is free is asked first

Ruled out: the bounds on stopping (5 %). Change: a step that can wait and found no place is looked at again after 80 ms (gangs) or 40 ms, or at once when something of its own changes; the lanes are asked before the workers are sorted.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -160,8 +160,9 @@
   AdviceState Advice;
   TimePoint RunnableSince{};
   TimePoint PlannedAt{};
-  bool Ordered = false; ///< A start of it was ordered.
-  std::string Waits;    ///< Why nothing is placed just now, for people.
+  TimePoint LookAgainAt{}; ///< It found no place; looked at again then, or when something changes.
+  bool Ordered = false;    ///< A start of it was ordered.
+  std::string Waits;       ///< Why nothing is placed just now, for people.
 };
 
 struct RoundState {
--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -204,7 +204,8 @@
 
 // Asks about workers of which nothing is known yet, those with the most room first.
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
-  if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Advice.NotBefore > In.Now)
+  if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Advice.NotBefore > In.Now ||
+      !maySpendLane(In.Cell, Of, Step))
     return;
   std::vector<Candidate> Unknown;
   for (const Worker *On : In.Cell.Slots)
@@ -233,6 +234,7 @@
 // until they have been asked for again: 0.5 s before each run of 3.6 s on accelerators.
 void renewTickets(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Queued->Late ||
+      !maySpendLane(In.Cell, Of, Step) ||
       In.Cell.Renewing.size() >= In.Cell.AdviceLanes / RenewalLanesOf)
     return;
   std::vector<std::pair<int64_t, const AdviceState::Permit *>> Usable;
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -169,6 +169,7 @@
     return;
   if (Step.RunnableSince == TimePoint{})
     Step.RunnableSince = Now;
+  Step.LookAgainAt = Now;
   // A step whose work would end after the objective earns little; it goes behind the others.
   Step.Queued = QueuePlace{isLate(Of, Step, Now), Of.Spec->Priority, Of.Objective, Step.Key};
   Cell.Queue.insert(*Step.Queued);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -10,6 +10,12 @@
 // After so many steps of one priority in a row that found no place, the pass leaves the rest of
 // that priority for the next one; keeps a pass short when much waits.
 constexpr int MaxMissesInARow = 40;
+// A step that can wait and found no place is left alone for this time, unless it has news of its
+// own. A pass over a full cell of 1,100 workers takes 0.5 ms in the mean instead of 1.5 ms
+// (placePass, 200 steps waiting, a pass each 10 ms); less than its share of a task's time is lost
+// by it.
+constexpr Milliseconds GangLookEvery{80};
+constexpr Milliseconds SingleLookEvery{40};
 // Weight of the newest urgent task in their usual size.
 constexpr int64_t UrgentMemory = 64;
 
@@ -133,6 +139,11 @@
   return !Missed;
 }
 
+void lookLater(const Job &Of, StepState &Step, TimePoint Now) {
+  if (Of.Spec->Priority > 0 && Step.Planned == 0)
+    Step.LookAgainAt = Now + (Step.Spec->Gang ? GangLookEvery : SingleLookEvery);
+}
+
 // True if the step has a task that still has to be placed or launched.
 bool hasWork(const StepState &Step) {
   return Step.Planned > 0 || std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
@@ -172,11 +183,15 @@
         askUnknown(In, Of, *Step);
       continue;
     }
+    if (Now < Step->LookAgainAt)
+      continue;
     const size_t Before = Out.Starts.size();
     const bool Placed = Step->Spec->Gang ? placeGang(In, Of, *Step) : placeSingles(In, Of, *Step);
     notePlaced(In, Of, *Step, Before);
-    if (!Placed && Step->Queued)
+    if (!Placed && Step->Queued) {
       renewTickets(In, Of, *Step);
+      lookLater(Of, *Step, Now);
+    }
     Misses = Placed ? 0 : Misses + 1;
     Skipping = Misses >= MaxMissesInARow;
   }
--- a/src/scheduler/scheduler_bench.cpp
+++ b/src/scheduler/scheduler_bench.cpp
@@ -96,12 +96,15 @@
   JobId LastJob = 0;
 };
 
+// Between two passes on a busy box.
+constexpr auto PassEvery = 10ms;
+
 void placePass(benchmark::State &State) {
   FullCell Of(static_cast<int>(State.range(0)));
   Of.fill(static_cast<size_t>(State.range(1)));
   for (auto _ : State) {
     Effects Out;
-    Of.Now += std::chrono::microseconds(1);
+    Of.Now += PassEvery;
     place(Of.Cell, Of.Now, Out);
     benchmark::DoNotOptimize(Out);
   }
@@ -112,6 +115,7 @@
     ->Args({350, 50})
     ->Args({350, 200})
     ->Args({700, 200})
+    ->Args({1100, 200})
     ->Unit(benchmark::kMicrosecond);
 
 void tickOnce(benchmark::State &State) {
