Soak: connections that go silent for good; comments

The proxy passes nothing on any more over what is open and lets new connections through; the soak draws it for the way to the store and to advice.

--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -185,9 +185,7 @@
     Missing -= static_cast<double>(seatsOn(In, Of, Step, *Sorted[Count].On)) * Share;
   return std::max(Count, std::min(Least, Most));
 }
-} // namespace
 
-namespace {
 // A gang needs all its tickets at the same time: those of workers that are known to be good are
 // renewed together with questions about others.
 void addExpiring(const Pass &In, const Job &Of, const StepState &Step,
--- a/testsuite/proxy.py
+++ b/testsuite/proxy.py
@@ -21,6 +21,8 @@
         self.silent_to = False    # Bytes towards the target are held up,
         self.silent_back = False  # and those on the way back.
         self.refusing = False     # New connections are reset.
+        self.opened = 0           # Connections so far,
+        self.deaf_through = 0     # and how many of the first are silent for good, without a reset.
         self.writers = set()
 
     async def serve(self):
@@ -36,11 +38,17 @@
             return reset(writer)
         pair = (writer, to_writer)
         self.writers.update(pair)
-        await asyncio.gather(self.pump(reader, to_writer, "silent_to"),
-                             self.pump(to_reader, writer, "silent_back"))
+        self.opened += 1
+        number = self.opened
+        await asyncio.gather(self.pump(number, reader, to_writer, "silent_to"),
+                             self.pump(number, to_reader, writer, "silent_back"))
         self.writers.difference_update(pair)
 
-    async def pump(self, reader, writer, silence):
+    def deafen(self):
+        """What is open now stays open and passes nothing on any more; new connections work."""
+        self.deaf_through = self.opened
+
+    async def pump(self, number, reader, writer, silence):
         try:
             while True:
                 data = await reader.read(CHUNK)
@@ -50,6 +58,8 @@
                     await asyncio.sleep(LOOK_S)
                 if not data:
                     break
+                if number <= self.deaf_through:
+                    continue
                 writer.write(data)
                 await writer.drain()
         except (OSError, RuntimeError):
--- a/testsuite/replay/load_replay_test.cpp
+++ b/testsuite/replay/load_replay_test.cpp
@@ -85,7 +85,6 @@
   for (const uint64_t Seed : {1, 2, 3, 4})
     Failed += failedBesideSickWorkers(Seed);
   EXPECT_LE(Failed, 5u);
-  
 }
 
 // For 15 s half as much again is asked for as the fleet can do, and only one question in a third of
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -30,7 +30,8 @@
     "kill": ("entry", 1.0), "kill-scheduler": ("cell", 1.0), "pause": ("entry", 4.0),
     "pause-scheduler": ("cell", 4.0), "planned-stop": ("entry", 0.5), "reload": ("entry", 0.1),
     "store-delay": ("entry", 3.0), "store-reset": ("entry", 0.1), "store-silent": ("entry", 4.0),
-    "store-one-way": ("entry", 4.0), "store-refuses": ("entry", 4.0), "store-down": ("store", 4.0),
+    "store-one-way": ("entry", 4.0), "store-refuses": ("entry", 4.0), "store-deaf": ("entry", 0.1),
+    "advice-deaf": ("entry", 0.1), "store-down": ("store", 4.0),
     "store-loses-answers": ("store", 0.1), "advice-silent": ("entry", 2.0),
     "callers-reset": ("entry", 0.1), "worker-dies": ("worker", 0.1), "worker-reborn": ("worker", 0.1),
     "worker-mute": ("worker", 2.0), "cancel-wave": ("cell", 0.1)}
@@ -228,6 +229,8 @@
         what = kind.split("-", 1)[1]
         if what == "reset":
             return self.proxies.call(proxy.reset_all)
+        if what == "deaf":
+            return self.proxies.call(proxy.deafen)
         proxy.delay_s = duration / 10 if what == "delay" else 0.0
         proxy.silent_to = what == "silent"
         proxy.silent_back = what in ("silent", "one-way")
