--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -69,7 +69,7 @@
 // of it (orderStarts of the benchmarks).
 class Deadlines : public std::enable_shared_from_this<Deadlines> {
 public:
-  explicit Deadlines(Executor Where) : Timer(std::move(Where)) {}
+  explicit Deadlines(const Executor &Where) : Timer(Where) {}
 
   using Place = std::pair<TimePoint, uint64_t>;
   struct Entry {
--- a/testsuite/replay/load_replay.cpp
+++ b/testsuite/replay/load_replay.cpp
@@ -11,7 +11,7 @@
 constexpr Milliseconds TickEvery{50};
 } // namespace
 
-LoadReplay::LoadReplay(ReplaySetting Given) : Setting(std::move(Given)) {
+LoadReplay::LoadReplay(ReplaySetting Given) : Setting(Given) {
   Cell.WallAt = Now;
   Cell.AdviceLanes = Setting.Lanes;
   Cell.Limits.SpareWorkers = static_cast<uint32_t>(Setting.Workers);
