--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -9,7 +9,7 @@
 using std::chrono::seconds;
 
 // One row a kind, in the order of the enumeration.
-constexpr std::array<ErrorAnswer, 17> Answers{{
+constexpr std::array<ErrorAnswer, 18> Answers{{
     {"none", 200, Outcome::Ran, seconds(0), 0},
     {"bad-request", 400, Outcome::NotRun, seconds(0), 2},
     {"bad-settings", 422, Outcome::NotRun, seconds(0), 2},
@@ -27,6 +27,7 @@
     {"outcome-unknown", 504, Outcome::Unknown, seconds(0), 3},
     {"stopping", 503, Outcome::NotRun, seconds(1), 1},
     {"internal", 500, Outcome::Unknown, seconds(0), 3},
+    {"unknown-key", 401, Outcome::NotRun, seconds(0), 1},
 }};
 } // namespace
 
--- a/src/base/workload.cpp
+++ b/src/base/workload.cpp
@@ -2,6 +2,7 @@
 // Names of jobs, steps and tasks, and the choice of a queue.
 #include "valveshelf/workload.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -84,4 +85,18 @@
   return Best;
 }
 
+const Organisation *findOrganisation(const CellConfiguration &Config, std::string_view Name) {
+  if (!Config.Organisations)
+    return nullptr;
+  const auto Found = std::find_if(Config.Organisations->begin(), Config.Organisations->end(),
+                                  [&](const Organisation &One) { return One.Name == Name; });
+  return Found == Config.Organisations->end() ? nullptr : &*Found;
+}
+
+bool isWithin(const Resources &Need, const Resources &Maximum) {
+  const auto Holds = [](int64_t Amount, int64_t Most) { return Most == 0 || Amount <= Most; };
+  return Holds(Need.MilliCores, Maximum.MilliCores) && Holds(Need.MemoryMb, Maximum.MemoryMb) &&
+         Holds(Need.Accelerators, Maximum.Accelerators);
+}
+
 } // namespace valveshelf::sched
--- /dev/null
+++ b/src/cell/caller_keys_test.cpp
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+// Keys of callers: what is read from a request and whose it is.
+#include "cell/caller_keys.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+using namespace sched;
+
+ConfigurationPtr twoOrganisations() {
+  CellConfiguration Config;
+  Config.Organisations = {{"north", {"n-first", "n-second"}, 5, {}}, {"south", {}, 5, {}}};
+  return std::make_shared<const CellConfiguration>(Config);
+}
+
+TEST(CallerKeys, EachKeyOfAnOrganisationIsItsOwn) {
+  const KeyIndex Index = indexKeys(twoOrganisations(), 17);
+  ASSERT_NE(organisationOf(Index, "n-first"), nullptr);
+  EXPECT_EQ(organisationOf(Index, "n-first")->Name, "north");
+  EXPECT_EQ(organisationOf(Index, "n-second")->Name, "north");
+}
+
+TEST(CallerKeys, WhatIsNotInForceIsNobodys) {
+  const KeyIndex Index = indexKeys(twoOrganisations(), 17);
+  for (const char *Key : {"", "n-firs", "n-first ", "N-first", "north", "south"})
+    EXPECT_EQ(organisationOf(Index, Key), nullptr) << Key;
+  EXPECT_EQ(organisationOf(indexKeys(nullptr, 1), "n-first"), nullptr);
+}
+
+TEST(CallerKeys, AFieldThatStandsTwiceOrCantBeAKeyIsNone) {
+  const std::string Name = "Key";
+  EXPECT_EQ(callerKey({{"key", "abc"}}, Name), "abc");
+  EXPECT_EQ(callerKey({{"Other", "abc"}}, Name), std::nullopt);
+  EXPECT_EQ(callerKey({{"Key", "abc"}, {"KEY", "abc"}}, Name), std::nullopt);
+  EXPECT_EQ(callerKey({{"Key", ""}}, Name), std::nullopt);
+  EXPECT_EQ(callerKey({{"Key", std::string(201, 'x')}}, Name), std::nullopt);
+  EXPECT_EQ(callerKey({{"Key", std::string(200, 'x')}}, Name), std::string(200, 'x'));
+  EXPECT_EQ(callerKey({{"Key", "a\tb"}}, Name), std::nullopt);
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -77,6 +77,7 @@
   VALVESHELF_CELL_CALL(Announce);
   VALVESHELF_CELL_CALL(StoreCall);
   VALVESHELF_CELL_CALL(Candidate);
+  VALVESHELF_CELL_CALL(Configuration);
 #undef VALVESHELF_CELL_CALL
   Link.Listens = [](Endpoint To, Milliseconds Timeout) { return listens(std::move(To), Timeout); };
   return Link;
@@ -96,6 +97,7 @@
     VALVESHELF_CELL_METHOD(Announce);
     VALVESHELF_CELL_METHOD(StoreCall);
     VALVESHELF_CELL_METHOD(Candidate);
+    VALVESHELF_CELL_METHOD(Configuration);
 #undef VALVESHELF_CELL_METHOD
   }
 
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -34,6 +34,8 @@
 constexpr Milliseconds RelaySlack{100};
 // For asking the scheduler to explain a job.
 constexpr Milliseconds ExplainTimeout{2000};
+// For asking a peer for its configuration, some kilobytes.
+constexpr Milliseconds ConfigurationTimeout{300};
 constexpr int HttpOk = 200;
 } // namespace
 
@@ -51,7 +53,8 @@
             [this](Steady::duration Took) { Metrics.observe(metrics::StoreSeconds, Took); }),
         Store(this->From.OpenStore([this](StoreCall Call) { return Path.call(std::move(Call)); })),
         View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
-        Config(Where, Store, Settings, this->From.ConfigurationKey, this->From.DecodeConfiguration),
+        Config(Where, Time, Store, Settings, this->From.ConfigurationKey,
+               this->From.DecodeConfiguration, configLinks()),
         In(
             Where, Store, Time, Settings, [this] { return Path.isSilent(); },
             [this](IntakeNews News) { announce(std::move(News)); }),
@@ -132,6 +135,36 @@
     return Links;
   }
 
+  ConfigLinks configLinks() {
+    ConfigLinks Links;
+    Links.AskPeer = [this](Endpoint Peer, uint64_t Have) -> Awaitable<Result<PeerConfiguration>> {
+      cell::ConfigurationRequest Question;
+      Question.set_have_version(Have);
+      Result<cell::ConfigurationReply> Reply =
+          co_await Peers.Configuration(std::move(Peer), Question, ConfigurationTimeout);
+      if (!ok(Reply))
+        co_return error(Reply);
+      const cell::ConfigurationReply &Got = value(Reply);
+      co_return PeerConfiguration{Got.configuration(), Got.version(),
+                                  Milliseconds(Got.confirmed_ms_ago())};
+    };
+    Links.Peers = [this] { return schedulerFirst(); };
+    Links.Schedules = [this] { return Lead.scheduler() != nullptr; };
+    Links.Changed = [this] { Lead.configurationChanged(Config.current()); };
+    return Links;
+  }
+
+  // The other processes, the scheduler's before the others.
+  std::vector<Endpoint> schedulerFirst() const {
+    std::vector<Endpoint> Found = otherPeers();
+    const auto &Leader = View.picture().Leader;
+    if (!Leader || Leader->Name == Settings.Member)
+      return Found;
+    std::erase(Found, Leader->Peers);
+    Found.insert(Found.begin(), Leader->Peers);
+    return Found;
+  }
+
   CallerCodec callerCodec() const {
     return {From.DecodeSubmission, From.EncodeState, From.EncodeWaiting};
   }
@@ -159,6 +192,7 @@
     Question.set_round(Step.Round);
     Question.set_step(Step.Step);
     Question.set_timeout_ms(Timeout.count());
+    Question.set_config_version(Config.version());
     for (std::string &Worker : Workers)
       Question.add_worker(std::move(Worker));
     Result<cell::AdviseReply> Reply =
@@ -176,6 +210,8 @@
   }
 
   Awaitable<cell::AdviseReply> advise(cell::AdviseRequest Asked) {
+    if (const auto &Leader = View.picture().Leader; Leader && Leader->Name != Settings.Member)
+      Config.peerHas(Leader->Peers, Asked.config_version());
     const StepKey Step{Asked.job(), Asked.round(), Asked.step()};
     std::vector<std::string> Workers(Asked.worker().begin(), Asked.worker().end());
     Result<Advice> Answer =
@@ -219,6 +255,15 @@
       Reply.set_could_schedule(Lead.couldSchedule(Asked.gone_term()));
       co_return Reply;
     };
+    Answers.Configuration =
+        [this](cell::ConfigurationRequest Asked) -> Awaitable<cell::ConfigurationReply> {
+      const PeerConfiguration Known = Config.tell(Asked.have_version());
+      cell::ConfigurationReply Reply;
+      Reply.set_configuration(Known.Newer);
+      Reply.set_version(Known.Version);
+      Reply.set_confirmed_ms_ago(Known.ConfirmedAge.count());
+      co_return Reply;
+    };
     Answers.StoreCall = [this](cell::StoreCallRequest Asked) { return passOn(std::move(Asked)); };
     return Answers;
   }
@@ -240,6 +285,7 @@
   Awaitable<void> tell(Endpoint To, IntakeNews News) {
     cell::AnnounceRequest Message;
     Message.set_revision(News.Revision);
+    Message.set_config_version(Config.version());
     for (std::string &Job : News.Jobs)
       Message.add_job(std::move(Job));
     for (const JobId Id : News.Cancelled)
@@ -248,11 +294,13 @@
     Result<cell::AnnounceReply> Told =
         co_await Peers.Announce(To, std::move(Message), AnnounceTimeout);
     if (!ok(Told))
-      co_await Lead.suspect();
+      co_return co_await Lead.suspect();
+    Config.peerHas(To, value(Told).config_version());
   }
 
   cell::AnnounceReply announced(const cell::AnnounceRequest &News) {
     cell::AnnounceReply Reply;
+    Reply.set_config_version(Config.version());
     const auto Here = Lead.scheduler();
     if (!Here) {
       Reply.set_error(static_cast<int>(ErrorKind::NotOwner));
@@ -319,13 +367,13 @@
       co_await sendWhole(Exchange, std::move(Refusal));
       co_return;
     }
-    std::string Host(findHeader(Exchange.headers(), "Host"));
+    CallerRequest Asked{
+        Exchange.method(), Exchange.target(), std::string(findHeader(Exchange.headers(), "Host")),
+        callerKey(Exchange.headers(), From.CallerKeyHeader), std::move(value(Body))};
     // On the strand of this process, where all state lives.
     const TimePoint Came = Time.Now();
-    HttpResponse Answer = co_await boost::asio::co_spawn(
-        Where,
-        Door.answer(Exchange.method(), Exchange.target(), std::move(Host), std::move(value(Body))),
-        boost::asio::use_awaitable);
+    HttpResponse Answer = co_await boost::asio::co_spawn(Where, Door.answer(std::move(Asked)),
+                                                         boost::asio::use_awaitable);
     Metrics.observe(metrics::CallSeconds, Time.Now() - Came);
     Metrics.count(metrics::Calls, Exchange.method() + " " + std::to_string(Answer.Status));
     co_await sendWhole(Exchange, std::move(Answer));
--- a/src/cell/config_watch.h
+++ b/src/cell/config_watch.h
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-// The operators' configuration as the store has it. A version once seen is never left for an older
-// one.
+// The operators' configuration as the store has it, or as a peer has it where the store can't be
+// heard. A version once seen is never left for an older one.
 #pragma once
 
+#include "cell/caller_keys.h"
+#include "valveshelf/cell_link.h"
 #include "valveshelf/cell_settings.h"
 #include "valveshelf/coroutines.h"
 #include "valveshelf/key_value_store.h"
@@ -10,33 +12,74 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace valveshelf {
 
+/// What a peer knows of the configuration.
+struct PeerConfiguration {
+  std::string Newer;            ///< As the store has it; empty: the peer has none newer.
+  uint64_t Version = 0;         ///< That the peer has.
+  Milliseconds ConfirmedAge{0}; ///< Since the store last told it that there is none newer.
+};
+
+/// How a process hears of configurations from others, and whom it tells.
+struct ConfigLinks {
+  /// Asks a peer for what it has beyond \p Have.
+  std::function<Awaitable<Result<PeerConfiguration>>(Endpoint Peer, uint64_t Have)> AskPeer;
+  std::function<std::vector<Endpoint>()> Peers; ///< The scheduler's first, if it is another one.
+  std::function<bool()> Schedules;              ///< Whether this process does.
+  std::function<void()> Changed;                ///< Another version is in force here.
+};
+
 /// Lives on one strand; all calls come from there.
 class ConfigWatch {
 public:
   using Decoder = std::function<Result<sched::CellConfiguration>(std::string_view Bytes)>;
   /// \p Key holds the configuration; \p Decode reads it.
-  ConfigWatch(Executor Where, KeyValueStore Store, const CellSettings &Settings, std::string Key,
-              Decoder Decode);
+  ConfigWatch(Executor Where, Clock Time, KeyValueStore Store, const CellSettings &Settings,
+              std::string Key, Decoder Decode, ConfigLinks Links);
   void start();
   void stop() { Stopped = true; }
   /// Null until the first version was read.
-  sched::ConfigurationPtr current() const { return Current; }
+  sched::ConfigurationPtr current() const { return Keys.Config; }
+  /// The keys of the current version.
+  const KeyIndex &keys() const { return Keys; }
+  /// 0: none yet.
+  uint64_t version() const { return Keys.Config ? Keys.Config->Version : 0; }
+  /// What a peer that has version \p Have is told.
+  PeerConfiguration tell(uint64_t Have) const;
+  /// True if neither the store nor a peer that hears it has confirmed the version in force for so
+  /// long that callers' keys must not be relied on any more, where the settings ask for that.
+  bool isTooOld() const;
+  /// A peer has said which version it has; a newer one is asked for there.
+  void peerHas(const Endpoint &Peer, uint64_t Version);
 
 private:
   Awaitable<void> watchLoop();
+  Awaitable<void> doubtLoop();
+  Awaitable<void> askPeer(Endpoint Peer);
   Awaitable<Result<Done>> readAll();
+  Awaitable<void> readOnce();
+  /// True if the store has not confirmed the version in force within the time of a watch.
+  bool isDoubtful() const;
   void take(const KeyValue &Item);
+  void takeBytes(const std::string &Read, const std::string &From);
 
   const Executor Where;
+  const Clock Time;
   const KeyValueStore Store;
   const CellSettings &Settings;
   const std::string Key;
   const Decoder Decode;
-  sched::ConfigurationPtr Current;
+  const ConfigLinks Links;
+  KeyIndex Keys;         ///< Of the version in force; its configuration is null before the first.
+  std::string Bytes;     ///< That version as it was read.
   uint64_t Revision = 0; ///< The watch goes on from here; 0: the key has to be read.
+  TimePoint Confirmed{}; ///< When the store last had nothing newer, told here or to a peer.
+  TimePoint HeardPeer{}; ///< When a peer last said which version it has.
+  size_t NextPeer = 0;
+  bool Asking = false; ///< A peer is being asked.
   bool Stopped = false;
 };
 
--- /dev/null
+++ b/src/cell/config_watch_test.cpp
@@ -0,0 +1,146 @@
+// SPDX-License-Identifier: Apache-2.0
+// The configuration where the store can't be heard, or says nothing though it answers.
+#include "cell/config_watch.h"
+
+#include "fakes/fake_key_value_store.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+using namespace sched;
+using namespace std::chrono_literals;
+
+// A configuration here is the text of its version; organisation "north" has key "k" and the
+// version.
+Result<CellConfiguration> decode(std::string_view Bytes) {
+  if (Bytes == "bad")
+    return Error{ErrorKind::BadRequest, "bad"};
+  CellConfiguration Config;
+  Config.Version = std::stoull(std::string(Bytes));
+  Config.Organisations = {{"north", {"k" + std::string(Bytes)}, 1, {}}};
+  return Config;
+}
+
+struct Bench {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store{Io};
+  CellSettings Settings;
+  bool IsBlind = false;   ///< Watches are answered and tell of no change.
+  bool Schedules = false; ///< This process.
+  PeerConfiguration PeerHas;
+  bool PeerAnswers = true;
+  int PeersAsked = 0;
+  int Changes = 0;
+  std::unique_ptr<ConfigWatch> Config;
+
+  void start() {
+    Settings.Timing.WatchTime = 100ms;
+    KeyValueStore Ops = Store.ops();
+    Ops.Watch = [this, Inner = Ops.Watch](std::string Prefix, uint64_t After,
+                                          Milliseconds Wait) -> Awaitable<Result<KeyChanges>> {
+      if (!IsBlind)
+        co_return co_await Inner(Prefix, After, Wait);
+      co_await sleepFor(Wait);
+      co_return KeyChanges{{}, After};
+    };
+    ConfigLinks Links;
+    Links.AskPeer = [this](Endpoint, uint64_t) -> Awaitable<Result<PeerConfiguration>> {
+      ++PeersAsked;
+      if (!PeerAnswers)
+        co_return Error{ErrorKind::UpstreamCut, "silent"};
+      co_return PeerHas;
+    };
+    Links.Peers = [] { return std::vector<Endpoint>{{"127.0.0.1", 7}}; };
+    Links.Schedules = [this] { return Schedules; };
+    Links.Changed = [this] { ++Changes; };
+    Config = std::make_unique<ConfigWatch>(Io.get_executor(), Clock{}, Ops, Settings, "op/config",
+                                           decode, Links);
+    Config->start();
+  }
+  void play(Milliseconds Time) {
+    Io.restart();
+    Io.run_for(Time);
+  }
+  ~Bench() {
+    Config->stop();
+    Io.restart();
+    Io.run_for(700ms);
+  }
+};
+
+TEST(ConfigWatch, APeersNewerVersionIsTakenAtOnce) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.start();
+  Given.play(50ms);
+  ASSERT_EQ(Given.Config->version(), 3u);
+  Given.Store.Down = true;
+  Given.PeerHas = {"5", 5, 0ms};
+  Given.Config->peerHas({"127.0.0.1", 7}, 5);
+  Given.play(20ms);
+  EXPECT_EQ(Given.Config->version(), 5u);
+  EXPECT_EQ(organisationOf(Given.Config->keys(), "k3"), nullptr) << "the key was taken away";
+  EXPECT_NE(organisationOf(Given.Config->keys(), "k5"), nullptr);
+  EXPECT_EQ(Given.Changes, 2);
+  Given.Store.Down = false; // it still shows the older one
+  Given.play(400ms);
+  EXPECT_EQ(Given.Config->version(), 5u) << "never back within a life";
+}
+
+TEST(ConfigWatch, WhoHearsNeitherAsksAPeerByItself) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.start();
+  Given.play(50ms);
+  Given.Store.Down = true;
+  Given.PeerHas = {"4", 4, 0ms};
+  Given.play(1600ms);
+  EXPECT_EQ(Given.Config->version(), 4u);
+}
+
+TEST(ConfigWatch, TheSchedulerReadsWhereItsWatchIsSilent) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.Schedules = true;
+  Given.start();
+  Given.play(50ms);
+  Given.IsBlind = true;
+  Given.PeerAnswers = false;
+  Given.Store.put("op/config", "4", 0);
+  Given.play(800ms);
+  EXPECT_EQ(Given.Config->version(), 4u);
+}
+
+TEST(ConfigWatch, ABadVersionLeavesTheOneBeforeInForce) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.start();
+  Given.play(50ms);
+  Given.Store.put("op/config", "bad", 0);
+  Given.play(50ms);
+  EXPECT_EQ(Given.Config->version(), 3u);
+}
+
+TEST(ConfigWatch, WithoutWordKeysHoldOnOrEndAsTheSettingsSay) {
+  for (const bool Strict : {false, true}) {
+    Bench Given;
+    if (Strict)
+      Given.Settings.Timing.KeysWithoutWord = 600ms;
+    Given.Store.put("op/config", "3", 0);
+    Given.start();
+    Given.play(200ms);
+    EXPECT_FALSE(Given.Config->isTooOld());
+    Given.Store.Down = true;
+    Given.PeerHas = {"", 3, 0ms}; // a peer that hears the store confirms
+    Given.play(1500ms);
+    EXPECT_FALSE(Given.Config->isTooOld());
+    Given.PeerAnswers = false;
+    Given.play(1500ms);
+    EXPECT_EQ(Given.Config->isTooOld(), Strict);
+  }
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/cell/front_door.cpp
+++ b/src/cell/front_door.cpp
@@ -31,6 +31,23 @@
   return "queued";
 }
 
+// A task, or a gang as a whole, that its organisation's maximum could never hold would wait for
+// ever: its caller is told at once, and it has not run.
+std::optional<Error> neverFits(const CellConfiguration &Config, const JobSpec &Spec) {
+  const Organisation *Of = findOrganisation(Config, Spec.Organisation);
+  if (!Of)
+    return std::nullopt;
+  for (size_t I = 0; I < Spec.Steps.size(); ++I) {
+    const StepSpec &Step = Spec.Steps[I];
+    const Resources Least = Step.Gang ? Step.Need * Step.Count : Step.Need;
+    if (!isWithin(Least, Of->Maximum))
+      return Error{ErrorKind::Impossible,
+                   "step " + std::to_string(I) +
+                       " needs more at a time than the organisation may have"};
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 HttpResponse FrontDoor::refusal(const Error &Why, const std::string &Job) const {
@@ -50,37 +67,56 @@
       Config(Config), View(View), Lead(Lead), In(In), Peers(Peers),
       RetryAfterOutage(std::move(RetryAfterOutage)) {}
 
-Awaitable<HttpResponse> FrontDoor::answer(std::string Method, std::string Target, std::string Host,
-                                          std::string Body) {
+Result<std::string> FrontDoor::identify(const Queue &To, const CallerRequest &Asked) const {
+  if (To.Public || !Config.current()->Organisations)
+    return std::string();
+  if (Config.isTooOld())
+    return Error{ErrorKind::StoreUnavailable, "keys can't be confirmed just now"};
+  const Organisation *Of = Asked.Key ? organisationOf(Config.keys(), *Asked.Key) : nullptr;
+  if (!Of)
+    return Error{ErrorKind::UnknownKey, Asked.Key ? "the key is not in force"
+                                                  : "a key is needed here, one and well formed"};
+  return Of->Name;
+}
+
+Awaitable<HttpResponse> FrontDoor::answer(CallerRequest Asked) {
   const ConfigurationPtr Now = Config.current();
   if (!Now)
     co_return refusal({ErrorKind::StoreUnavailable, "no configuration has been read yet"}, "-");
-  const std::string_view Path = pathOf(Target);
-  const Queue *To = findQueue(*Now, withoutPort(Host), Path);
+  const std::string_view Path = pathOf(Asked.Target);
+  const Queue *To = findQueue(*Now, withoutPort(Asked.Host), Path);
   if (!To)
-    co_return errorResponse({ErrorKind::NotFound, "there is no queue at " + Host + Target});
-  const std::string_view Rest = Path.substr(To->PathPrefix.size());
-  if (Rest.empty() && Method == "GET")
+    co_return errorResponse(
+        {ErrorKind::NotFound, "there is no queue at " + Asked.Host + Asked.Target});
+  const std::string Rest(Path.substr(To->PathPrefix.size()));
+  Result<std::string> Caller = identify(*To, Asked);
+  if (!ok(Caller))
+    co_return refusal(error(Caller), Rest);
+  if (Rest.empty() && Asked.Method == "GET")
     co_return co_await countWaiting(To->Name);
   const auto Id = parseJobId(Rest);
   if (!Id)
     co_return errorResponse(
         {ErrorKind::BadRequest, "the path does not end in 16 hexadecimal digits"});
-  if (Method == "POST")
-    co_return co_await submit(*To, *Id, std::move(Body));
-  if (Method == "GET")
-    co_return co_await state(*Id);
-  if (Method == "DELETE")
-    co_return co_await cancel(*Id);
-  co_return errorResponse({ErrorKind::BadRequest, "there is no method " + Method + " here"});
+  if (Asked.Method == "POST")
+    co_return co_await submit(*To, *Id, std::move(value(Caller)), std::move(Asked.Body));
+  if (Asked.Method == "GET")
+    co_return co_await state(*Id, std::move(value(Caller)));
+  if (Asked.Method == "DELETE")
+    co_return co_await cancel(*Id, std::move(value(Caller)));
+  co_return errorResponse({ErrorKind::BadRequest, "there is no method " + Asked.Method + " here"});
 }
 
-Awaitable<HttpResponse> FrontDoor::submit(const Queue &To, JobId Id, std::string Body) {
+Awaitable<HttpResponse> FrontDoor::submit(const Queue &To, JobId Id, std::string Caller,
+                                          std::string Body) {
   Result<JobSpec> Read = Codec.DecodeSubmission(Body);
   if (!ok(Read))
     co_return refusal(error(Read), jobIdText(Id));
   JobSpec &Spec = value(Read);
   Spec.Id = Id;
+  Spec.Organisation = std::move(Caller);
+  if (std::optional<Error> Never = neverFits(*Config.current(), Spec))
+    co_return refusal(*Never, jobIdText(Id));
   Spec.Queue = To.Name;
   Spec.Service = To.Service;
   Spec.Priority = To.Priority;
@@ -90,12 +126,15 @@
   Spec.Advice = To.Advice;
   Spec.AcceptedAt = Time.Wall();
   const TimePoint Came = Time.Now();
+  const std::string Mine = Spec.Organisation;
   Result<Done> Kept = co_await In.submit(std::move(Spec));
   // "It will never run" would be untrue of a job that was handed in before and is handed in again
   // while the store is away. The scheduler knows only jobs that are kept.
-  if (!ok(Kept) && error(Kept).Kind == ErrorKind::StoreUnavailable &&
-      !(co_await askScheduler(Id, RefusalTimeout)).empty())
-    Kept = Done{};
+  if (!ok(Kept) && error(Kept).Kind == ErrorKind::StoreUnavailable) {
+    const Known There = co_await askScheduler(Id, RefusalTimeout);
+    if (!There.State.empty() && mayUse(Mine, There.Organisation))
+      Kept = Done{};
+  }
   if (!ok(Kept))
     co_return refusal(error(Kept), jobIdText(Id));
   const auto Took = std::chrono::duration_cast<Milliseconds>(Time.Now() - Came);
@@ -103,21 +142,21 @@
   co_return jsonResponse(HttpOk, "{}");
 }
 
-Awaitable<std::string> FrontDoor::askScheduler(JobId Id, Milliseconds Timeout) {
+Awaitable<FrontDoor::Known> FrontDoor::askScheduler(JobId Id, Milliseconds Timeout) {
   if (const auto Here = Lead.scheduler())
-    co_return std::string(Here->state(Id));
+    co_return Known{std::string(Here->state(Id)), Here->owner(Id)};
   const auto &Leader = View.picture().Leader;
   if (!Leader || Leader->Name == Settings.Member)
-    co_return "";
+    co_return Known{};
   cell::JobStateRequest Question;
   Question.set_id(Id);
   Result<cell::JobStateReply> Reply = co_await Peers.JobState(Leader->Peers, Question, Timeout);
   if (!ok(Reply) || value(Reply).error() != 0)
-    co_return "";
-  co_return value(Reply).state();
+    co_return Known{};
+  co_return Known{value(Reply).state(), value(Reply).organisation()};
 }
 
-Awaitable<Result<std::string>> FrontDoor::readState(JobId Id) {
+Awaitable<Result<FrontDoor::Known>> FrontDoor::readState(JobId Id) {
   Result<KeyValue> Read = co_await Store.Get(jobKey(Id));
   if (!ok(Read))
     co_return error(Read);
@@ -126,25 +165,26 @@
   Result<StoredJob> Stored = decodeJob(value(Read).Value);
   if (!ok(Stored))
     co_return error(Stored);
-  co_return std::string(phaseName(value(Stored).Phase));
+  co_return Known{std::string(phaseName(value(Stored).Phase)), value(Stored).Spec.Organisation};
 }
 
-Awaitable<HttpResponse> FrontDoor::state(JobId Id) {
-  std::string Known = co_await askScheduler(Id, SchedulerTimeout);
-  if (!Known.empty())
-    co_return jsonResponse(HttpOk, Codec.EncodeState(Known));
-  Result<std::string> Read = co_await readState(Id);
-  if (ok(Read))
-    co_return jsonResponse(HttpOk, Codec.EncodeState(value(Read)));
-  if (error(Read).Kind != ErrorKind::NotFound)
-    co_return refusal(error(Read), jobIdText(Id));
-  HttpResponse Gone = errorResponse(error(Read));
+Awaitable<HttpResponse> FrontDoor::state(JobId Id, std::string Caller) {
+  Result<Known> Found = co_await askScheduler(Id, SchedulerTimeout);
+  if (value(Found).State.empty())
+    Found = co_await readState(Id);
+  if (ok(Found) && !mayUse(Caller, value(Found).Organisation))
+    co_return refusal({ErrorKind::Forbidden, "the job is another organisation's"}, jobIdText(Id));
+  if (ok(Found))
+    co_return jsonResponse(HttpOk, Codec.EncodeState(value(Found).State));
+  if (error(Found).Kind != ErrorKind::NotFound)
+    co_return refusal(error(Found), jobIdText(Id));
+  HttpResponse Gone = errorResponse(error(Found));
   Gone.Status = HttpGone;
   co_return Gone;
 }
 
-Awaitable<HttpResponse> FrontDoor::cancel(JobId Id) {
-  Result<Done> Marked = co_await In.cancel(Id);
+Awaitable<HttpResponse> FrontDoor::cancel(JobId Id, std::string Caller) {
+  Result<Done> Marked = co_await In.cancel(Id, std::move(Caller));
   if (ok(Marked)) {
     logEvent(events::JobCancelled, {{"job", jobIdText(Id)}});
     co_return jsonResponse(HttpOk, "{}");
@@ -174,9 +214,10 @@
 cell::JobStateReply FrontDoor::jobState(const cell::JobStateRequest &Asked) const {
   cell::JobStateReply Reply;
   const auto Here = Lead.scheduler();
-  if (Here)
+  if (Here) {
     Reply.set_state(std::string(Here->state(Asked.id())));
-  else
+    Reply.set_organisation(Here->owner(Asked.id()));
+  } else
     Reply.set_error(static_cast<int>(ErrorKind::NotOwner));
   return Reply;
 }
--- a/src/cell/front_door.h
+++ b/src/cell/front_door.h
@@ -21,6 +21,15 @@
   std::function<std::string(uint64_t Count)> EncodeWaiting;
 };
 
+/// A request of a caller, read whole.
+struct CallerRequest {
+  std::string Method;
+  std::string Target;
+  std::string Host;
+  std::optional<std::string> Key; ///< Empty: none that could be one.
+  std::string Body;
+};
+
 /// Lives on one strand.
 class FrontDoor {
 public:
@@ -28,21 +37,27 @@
             const ConfigWatch &Config, const CellView &View, const Leadership &Lead, Intake &In,
             const CellLink &Peers, std::function<std::chrono::seconds()> RetryAfterOutage);
 
-  Awaitable<HttpResponse> answer(std::string Method, std::string Target, std::string Host,
-                                 std::string Body);
+  Awaitable<HttpResponse> answer(CallerRequest Asked);
   /// This process's answers to its peers, if it schedules.
   cell::JobStateReply jobState(const cell::JobStateRequest &Asked) const;
   cell::WaitingReply waiting(const cell::WaitingRequest &Asked) const;
 
 private:
+  /// What the scheduler says of a job; an empty state: it can't be asked or does not know the job.
+  struct Known {
+    std::string State;
+    std::string Organisation;
+  };
   HttpResponse refusal(const Error &Why, const std::string &Job) const;
-  Awaitable<HttpResponse> submit(const sched::Queue &To, sched::JobId Id, std::string Body);
-  Awaitable<HttpResponse> state(sched::JobId Id);
-  Awaitable<HttpResponse> cancel(sched::JobId Id);
+  /// Whom the caller speaks for; empty where no key is needed.
+  Result<std::string> identify(const sched::Queue &To, const CallerRequest &Asked) const;
+  Awaitable<HttpResponse> submit(const sched::Queue &To, sched::JobId Id, std::string Caller,
+                                 std::string Body);
+  Awaitable<HttpResponse> state(sched::JobId Id, std::string Caller);
+  Awaitable<HttpResponse> cancel(sched::JobId Id, std::string Caller);
   Awaitable<HttpResponse> countWaiting(std::string Queue);
-  /// Empty if the scheduler can't be asked or does not know the job.
-  Awaitable<std::string> askScheduler(sched::JobId Id, Milliseconds Timeout);
-  Awaitable<Result<std::string>> readState(sched::JobId Id);
+  Awaitable<Known> askScheduler(sched::JobId Id, Milliseconds Timeout);
+  Awaitable<Result<Known>> readState(sched::JobId Id);
 
   const CellSettings &Settings;
   const Clock Time;
--- a/src/cell/intake.cpp
+++ b/src/cell/intake.cpp
@@ -18,6 +18,7 @@
 constexpr size_t MaxBatchBytes = 64 * 1024;
 // After a write without an answer, before it is tried again.
 constexpr Milliseconds RetryPause{40};
+const Error NotYours{ErrorKind::Forbidden, "another organisation's job has this id"};
 } // namespace
 
 Intake::Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
@@ -31,6 +32,7 @@
     co_return Error{ErrorKind::StoreUnavailable, "the store does not answer"};
   auto Mine = std::make_shared<Pending>(Where);
   Mine->Id = Spec.Id;
+  Mine->Organisation = Spec.Organisation;
   Mine->Bytes = encodeJob(Spec);
   Mine->Deadline = Time.Now() + Settings.Timing.SubmitLimit;
   Waiting.push_back(Mine);
@@ -93,15 +95,21 @@
     Announce(std::move(News));
   } else {
     // Jobs that stand there already were handed in before; the others are tried again.
-    std::map<std::string, uint64_t> Standing;
-    for (const KeyValue &Item : value(Written).Standing)
-      Standing[Item.Key] = Item.Revision;
+    std::map<std::string, KeyValue> Standing;
+    for (KeyValue &Item : value(Written).Standing)
+      Standing[Item.Key] = Item;
     for (const PendingPtr &Which : Batch) {
-      const uint64_t Revision = Standing[jobKey(Which->Id)];
+      const KeyValue &There = Standing[jobKey(Which->Id)];
+      const uint64_t Revision = There.Revision;
       if (Revision == 0) {
         Waiting.push_back(Which);
         continue;
       }
+      if (Result<StoredJob> Stored = decodeJob(There.Value);
+          ok(Stored) && !mayUse(Which->Organisation, value(Stored).Spec.Organisation)) {
+        decide(Which, NotYours);
+        continue;
+      }
       decide(Which, Done{});
       // This process's own write, whose answer was lost: nobody has told the scheduler yet.
       if (Which->MayBeWritten)
@@ -112,7 +120,11 @@
   dispatch();
 }
 
-Awaitable<Result<Done>> Intake::cancel(JobId Id) {
+bool mayUse(const std::string &Caller, const std::string &Owner) {
+  return Owner.empty() || Caller == Owner;
+}
+
+Awaitable<Result<Done>> Intake::cancel(JobId Id, std::string Organisation) {
   const TimePoint Deadline = Time.Now() + Settings.Timing.SubmitLimit;
   bool MayBeWritten = false;
   Error Last;
@@ -124,6 +136,8 @@
       Result<StoredJob> Stored = decodeJob(value(Read).Value);
       if (!ok(Stored))
         co_return error(Stored);
+      if (!mayUse(Organisation, value(Stored).Spec.Organisation))
+        co_return NotYours;
       if (value(Stored).Phase == JobPhase::Cancelled)
         co_return Done{};
       if (value(Stored).Phase != JobPhase::Live)
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -22,6 +22,10 @@
   std::vector<sched::JobId> Cancelled;
 };
 
+/// True if a caller of organisation \p Caller may see and change work of \p Owner. Work that was
+/// accepted without a key is anybody's.
+bool mayUse(const std::string &Caller, const std::string &Owner);
+
 /// Lives on one strand; all calls come from there.
 class Intake {
 public:
@@ -30,14 +34,17 @@
          std::function<bool()> IsSilent, std::function<void(IntakeNews)> Announce);
 
   /// Returns once the job is durable. StoreUnavailable: it surely is not and never will be.
-  /// OutcomeUnknown: it may be, or may still become so.
+  /// OutcomeUnknown: it may be, or may still become so. Forbidden: another organisation's job has
+  /// the id.
   Awaitable<Result<Done>> submit(sched::JobSpec Spec);
   /// Returns once the mark is durable. NotFound: there is no such job, or it has ended otherwise.
-  Awaitable<Result<Done>> cancel(sched::JobId Id);
+  /// Forbidden: it is not \p Organisation's.
+  Awaitable<Result<Done>> cancel(sched::JobId Id, std::string Organisation);
 
 private:
   struct Pending {
     sched::JobId Id = 0;
+    std::string Organisation;
     std::string Bytes;
     TimePoint Deadline{};
     bool MayBeWritten = false; ///< A write of it got no answer.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -63,6 +63,12 @@
     Runner->setMembers(memberNames());
 }
 
+void Leadership::configurationChanged(ConfigurationPtr Now) {
+  Config = std::move(Now);
+  if (Runner)
+    Runner->setConfiguration(*Config);
+}
+
 bool Leadership::mayClaim() const {
   const CellPicture &Now = View.picture();
   const bool Own = Now.Leader && Now.Leader->Name == Tools.Settings.Member;
@@ -211,6 +217,8 @@
   Runner = std::make_shared<SchedulerRunner>(Tools, Mine, [&Over] { Over = true; });
   CurrentLease = Mine.Lease;
   Runner->setMembers(memberNames());
+  if (Config)
+    Runner->setConfiguration(*Config);
   Runner->start();
   const auto Current = Runner;
   const TimePoint Begun = Tools.Time.Now();
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -31,6 +31,8 @@
   void start();
   /// The picture of the cell has changed.
   void viewChanged();
+  /// Another configuration is in force here.
+  void configurationChanged(sched::ConfigurationPtr Now);
   /// A call to the scheduler failed. If nothing listens at its address it is taken for gone before
   /// its lease has run out; the fence makes that safe should it live on.
   /// Stronger processes are told, since the next scheduler should be one of them.
@@ -64,6 +66,7 @@
   bool Probing = false;
   bool HasLooked = false; ///< Whether the first scheduler that was read of is there.
   std::shared_ptr<SchedulerRunner> Runner;
+  sched::ConfigurationPtr Config; ///< In force here; null before the first.
   uint64_t CurrentLease = 0;
   bool Stopped = false;
 };
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -109,6 +109,11 @@
   Lanes.setLanes(Names);
 }
 
+void SchedulerRunner::setConfiguration(const CellConfiguration &Config) {
+  configured(Cell, Config);
+  placeSoon();
+}
+
 // Loading.
 
 Awaitable<void> SchedulerRunner::run(Self Me) {
@@ -220,7 +225,7 @@
   if (Read.Phase != JobPhase::Live) {
     if (Cell.Jobs.count(*Id) || Cell.Ended.count(*Id))
       return; // our own writing
-    Cell.Ended[*Id] = {Read.Phase, Item.Revision, Read.EndedAt};
+    Cell.Ended[*Id] = {Read.Phase, Item.Revision, Read.EndedAt, Read.Spec.Organisation};
     Cell.Forgettable.emplace_back(Read.EndedAt, *Id);
     return;
   }
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -64,6 +64,9 @@
   bool loaded() const { return Cell.Loaded; }
   std::string_view state(sched::JobId Id) const { return shownState(Cell, Id); }
   uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
+  /// What organisations may have running, from now on.
+  void setConfiguration(const sched::CellConfiguration &Config);
+  std::string owner(sched::JobId Id) const { return ownerOf(Cell, Id); }
   std::string explain(sched::JobId Id) const { return explainJob(Cell, Id, Tools.Time.Now()); }
 
 private:
--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -56,6 +56,10 @@
   Limits.EarlyTime = Table.duration("early_time", Limits.EarlyTime, 0ms, 1min);
   const double Kept = Table.number("state_kept_seconds", 120, 1, 1e6);
   Limits.StateKept = fromSeconds(Kept) + 30s;
+  const bool Strict = Table.boolean("refuse_unconfirmed_keys", false);
+  const Milliseconds Time = Table.duration("unconfirmed_keys_time", 5s, 100ms, 10min);
+  if (Strict)
+    Read.Timing.KeysWithoutWord = Time;
   Read.Timing.StopGrace = fromSeconds(Table.number("stop_grace_seconds", 6, 0.1, 3600));
 }
 
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -29,6 +29,7 @@
   std::function<Awaitable<cell::AnnounceReply>(cell::AnnounceRequest)> Announce;
   std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
   std::function<Awaitable<cell::CandidateReply>(cell::CandidateRequest)> Candidate;
+  std::function<Awaitable<cell::ConfigurationReply>(cell::ConfigurationRequest)> Configuration;
 };
 
 /// Calls to peers, over connections that are kept. UpstreamUnavailable: the peer was surely not
@@ -44,6 +45,7 @@
   Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
   Call<cell::CandidateRequest, cell::CandidateReply> Candidate;
+  Call<cell::ConfigurationRequest, cell::ConfigurationReply> Configuration;
   /// Whether a process listens there; a frozen one still does, a dead or cut off one does not.
   std::function<Awaitable<Presence>(Endpoint To, Milliseconds Timeout)> Listens;
 };
--- a/src/include/valveshelf/cell_process.h
+++ b/src/include/valveshelf/cell_process.h
@@ -26,6 +26,7 @@
   std::function<KeyValueStore(StoreTransport)> OpenStore;
   WorkerLink Workers;
   AdviceLink Advice;
+  std::string CallerKeyHeader; ///< The header field with a caller's key.
   std::string ConfigurationKey;
   std::string WorkerPrefix;
   std::function<Result<sched::CellConfiguration>(std::string_view)> DecodeConfiguration;
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -22,6 +22,9 @@
   Milliseconds Gather{20};         ///< Ends are gathered so long before they are saved.
   Milliseconds SubmitLimit{800};   ///< A submission is decided by then.
   Milliseconds StopGrace{6000};    ///< From SIGTERM to SIGKILL.
+  /// Callers' keys are refused when the configuration was not confirmed for so long; empty: a
+  /// process that hears neither the store nor its peers goes on with the keys that it knows.
+  std::optional<Milliseconds> KeysWithoutWord;
 };
 
 /// Everything in the file.
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -24,6 +24,19 @@
 
 struct Worker;
 
+/// An organisation and what it has running, on all workers of the cell together.
+/// Invariant: Running is the sum of `Charge` over all attempts of its jobs, in every phase: what is
+/// planned, what may still start after an order without an answer, and what is being stopped count
+/// until they are surely gone. Only `book`, `unbook` and `adopt` change it.
+struct OrganisationState {
+  std::string Name;
+  Resources Maximum; ///< Of the newest configuration; 0 in a dimension: no limit.
+  double Weight = 0; ///< Its share in jobs a second once the cell is full; 0: none.
+  Resources Running;
+  /// What it may have running on workers that this scheduler has not heard yet. (beginPass)
+  Resources Unheard;
+};
+
 /// Figures that the decisions need, from the platform's bounds and from settings.
 struct SchedulerLimits {
   Milliseconds WorkerLease{6000}; ///< Longest time a worker runs on without word of us.
@@ -60,7 +73,9 @@
 /// A run on a worker, or one that may be there.
 struct Attempt {
   AttemptPhase Phase = AttemptPhase::Planned;
-  Resources Need;
+  Resources Need;                     ///< Of the worker's room.
+  Resources Charge;                   ///< Of its organisation's maximum.
+  OrganisationState *Owner = nullptr; ///< Null: nobody's.
   int Priority = 0;
   bool MayBeStopped = false; ///< It saves its progress, so that stopping it loses little.
   TimePoint Objective{};     ///< Of its job.
@@ -173,9 +188,10 @@
 
 struct Job {
   JobSpecPtr Spec;
-  uint64_t Revision = 0;         ///< Of its key in the store.
-  uint64_t ProgressRevision = 0; ///< Of its progress; 0: none is known to be kept.
-  bool ProgressSent = false;     ///< A write of its progress may have been carried out.
+  OrganisationState *Owner = nullptr; ///< Null: it came without a key.
+  uint64_t Revision = 0;              ///< Of its key in the store.
+  uint64_t ProgressRevision = 0;      ///< Of its progress; 0: none is known to be kept.
+  bool ProgressSent = false;          ///< A write of its progress may have been carried out.
   JobPhase Phase = JobPhase::Live;
   bool Begun = false;
   bool CancelWanted = false;
@@ -191,12 +207,16 @@
   JobPhase Phase = JobPhase::Completed;
   uint64_t Revision = 0;
   WallTime EndedAt{};
+  std::string Organisation; ///< Whose it was; empty: anybody's.
 };
 
 struct CellState {
   SchedulerLimits Limits;
   uint64_t Fence = 0;
   uint32_t FirstRun = 1; ///< Run numbers of this scheduler begin here.
+  /// By name; nodes stay where they are. One that has left the configuration keeps its maximum.
+  std::map<std::string, OrganisationState> Organisations;
+  bool Configured = false; ///< The maxima of organisations are known.
   std::unordered_map<JobId, Job> Jobs;
   std::unordered_map<JobId, EndedJob> Ended;          ///< Saved ends only.
   std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
@@ -296,9 +316,22 @@
                                   uint64_t ProgressRevision, WallTime Now);
 /// The state to show a caller, empty if there is no such job here.
 std::string_view shownState(const CellState &Cell, JobId Id);
+/// Whose the job is; empty: anybody's, or there is no such job here.
+std::string ownerOf(const CellState &Cell, JobId Id);
 /// Jobs of the queue of which nothing has begun.
 uint32_t waitingJobs(const CellState &Cell, const std::string &Queue);
 
+// Organisations.
+
+/// The operators' configuration says what organisations may have running, from now on. What runs
+/// beyond a lowered maximum runs on.
+void configured(CellState &Cell, const CellConfiguration &Config);
+/// The organisation of that name; null for the empty one.
+OrganisationState *organisationNamed(CellState &Cell, const std::string &Name);
+/// True if the organisation may have \p More running. Without \p Of there is no limit; until the
+/// configuration is known no organisation may have anything started.
+bool isWithinQuota(const CellState &Cell, const OrganisationState *Of, const Resources &More);
+
 // Workers.
 
 void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now);
--- a/src/include/valveshelf/errors.h
+++ b/src/include/valveshelf/errors.h
@@ -19,7 +19,7 @@
   BadRequest,          ///< The caller's input can't be understood.
   BadSettings,         ///< A settings file or a configuration is wrong.
   NotFound,            ///< There is no such job, service or path.
-  Forbidden,           ///< The operator may not do this to the other partner's work.
+  Forbidden,           ///< Nobody may do this to another organisation's work.
   Conflict,            ///< Somebody else's change won the race.
   Impossible,          ///< No box of the cell could ever hold the task.
   QuotaExceeded,       ///< The team or partner has no quota left.
@@ -32,6 +32,7 @@
   OutcomeUnknown,      ///< The operation may or may not have taken effect.
   Stopping,            ///< This process is in a planned stop.
   Internal,            ///< A fault of valveshelf itself.
+  UnknownKey,          ///< The caller has no key, or one that is not in force.
 };
 
 /// What a caller can rely on about work that ended in an error.
--- a/src/include/valveshelf/resources.h
+++ b/src/include/valveshelf/resources.h
@@ -27,6 +27,9 @@
     Accelerators -= Other.Accelerators;
     return *this;
   }
+  friend Resources operator*(Resources A, int64_t Times) {
+    return {A.MilliCores * Times, A.MemoryMb * Times, A.Accelerators * Times};
+  }
   friend Resources operator+(Resources A, const Resources &B) { return A += B; }
   friend Resources operator-(Resources A, const Resources &B) { return A -= B; }
 };
@@ -43,6 +46,12 @@
           std::max(A.Accelerators, B.Accelerators)};
 }
 
+/// The smaller amount in each dimension.
+inline Resources smallest(const Resources &A, const Resources &B) {
+  return {std::min(A.MilliCores, B.MilliCores), std::min(A.MemoryMb, B.MemoryMb),
+          std::min(A.Accelerators, B.Accelerators)};
+}
+
 /// How many times \p Need fits into \p Room, at most \p Most.
 inline int64_t timesFits(const Resources &Need, const Resources &Room, int64_t Most) {
   int64_t Times = Most;
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -78,9 +78,18 @@
   int MaxAttempts = 1;   ///< Failed runs of a task before its job fails.
   double Extension = 1;  ///< Part of the objective: a multiple of the longest chain of work.
   Milliseconds Target{}; ///< Part of the objective: added to it.
+  bool Public = false;   ///< Its callers need no key.
   std::optional<AdvicePolicy> Advice;
 };
 
+/// An organisation whose callers hand work in, as the operators' configuration has it.
+struct Organisation {
+  std::string Name;
+  std::vector<std::string> Keys; ///< Secrets of its callers; none: nobody may call for it.
+  double Weight = 0;             ///< Its share once the cell is full, in jobs a second; 0: none.
+  Resources Maximum; ///< What it may have running across all workers; 0 in a dimension: no limit.
+};
+
 /// A pool of workers in the operators' configuration.
 struct Service {
   std::string Name;
@@ -92,6 +101,8 @@
   uint64_t Version = 0;
   std::vector<Queue> Queues;
   std::vector<Service> Services;
+  /// Absent: the cell knows no organisations, and callers need no keys.
+  std::optional<std::vector<Organisation>> Organisations;
   int64_t MaxHeaderBytes = 16 * 1024;
   int64_t MaxBodyBytes = 256 * 1024;
 };
@@ -101,6 +112,12 @@
 const Queue *findQueue(const CellConfiguration &Config, std::string_view Host,
                        std::string_view Path);
 
+/// The organisation of that name, or null.
+const Organisation *findOrganisation(const CellConfiguration &Config, std::string_view Name);
+
+/// True if \p Need stays within \p Maximum, in which 0 means no limit.
+bool isWithin(const Resources &Need, const Resources &Maximum);
+
 /// A step as its caller asked for it.
 struct StepSpec {
   uint32_t Count = 1;
@@ -126,6 +143,7 @@
   JobId Id = 0;
   std::string Queue;
   std::string Service;
+  std::string Organisation; ///< Whose key it came with; empty: none was needed.
   int Priority = 0;
   int MaxAttempts = 1;
   double Extension = 1;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -15,11 +15,19 @@
 
 Result<Endpoint> readEndpoint(const std::string &Text) { return parseEndpoint(Text); }
 
+void writeSize(const Resources &From, cell::SizeRecord &To) {
+  To.set_milli_cores(From.MilliCores);
+  To.set_memory_mb(From.MemoryMb);
+  To.set_accelerators(From.Accelerators);
+}
+
+Resources readSize(const cell::SizeRecord &From) {
+  return {From.milli_cores(), From.memory_mb(), From.accelerators()};
+}
+
 void writeStep(const StepSpec &From, cell::StepRecord &To) {
   To.set_count(From.Count);
-  To.mutable_need()->set_milli_cores(From.Need.MilliCores);
-  To.mutable_need()->set_memory_mb(From.Need.MemoryMb);
-  To.mutable_need()->set_accelerators(From.Need.Accelerators);
+  writeSize(From.Need, *To.mutable_need());
   To.set_estimate_ms(From.Estimate.count());
   for (const uint32_t Earlier : From.After)
     To.add_after(Earlier);
@@ -40,7 +48,7 @@
 StepSpec readStep(const cell::StepRecord &From) {
   StepSpec Step;
   Step.Count = From.count();
-  Step.Need = {From.need().milli_cores(), From.need().memory_mb(), From.need().accelerators()};
+  Step.Need = readSize(From.need());
   Step.Estimate = Milliseconds(From.estimate_ms());
   Step.After.assign(From.after().begin(), From.after().end());
   Step.Checkpoints = From.checkpoints();
@@ -146,6 +154,7 @@
   Record.set_first_due_ms(Spec.FirstDue.time_since_epoch().count());
   Record.set_interval_ms(Spec.Interval.count());
   Record.set_accepted_ms(Spec.AcceptedAt.time_since_epoch().count());
+  Record.set_organisation(Spec.Organisation);
   return Record.SerializeAsString();
 }
 
@@ -153,6 +162,7 @@
   cell::JobRecord Record;
   Record.set_id(Spec.Id);
   Record.set_queue(Spec.Queue);
+  Record.set_organisation(Spec.Organisation);
   Record.set_phase(phaseToRecord(Phase));
   Record.set_ended_ms(EndedAt.time_since_epoch().count());
   return Record.SerializeAsString();
@@ -184,6 +194,7 @@
   Spec.FirstDue = wallTime(Record.first_due_ms());
   Spec.Interval = Milliseconds(Record.interval_ms());
   Spec.AcceptedAt = wallTime(Record.accepted_ms());
+  Spec.Organisation = Record.organisation();
   Read.Phase = static_cast<JobPhase>(Record.phase());
   Read.EndedAt = wallTime(Record.ended_ms());
   return Read;
@@ -249,6 +260,7 @@
   Record.set_address(toString(Info.Address));
   Record.set_service(Info.Service);
   Record.set_machine(Info.Machine);
+  writeSize(Info.Capacity, *Record.mutable_capacity());
   return Record.SerializeAsString();
 }
 
@@ -264,6 +276,7 @@
   Info.Address = value(Address);
   Info.Service = Record.service();
   Info.Machine = Record.machine();
+  Info.Capacity = readSize(Record.capacity()); // zero in records of earlier versions
   return Info;
 }
 
--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -232,6 +232,7 @@
 // until they have been asked for again: 0.5 s before each run of 3.6 s on accelerators.
 void renewTickets(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Queued->Late ||
+      !isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step.Spec)) ||
       !maySpendLane(In.Cell, Of, Step) ||
       In.Cell.Renewing.size() >= In.Cell.AdviceLanes / RenewalLanesOf)
     return;
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -163,6 +163,10 @@
     Placeable += isPlaceable(In, Of, Step, I) ? 1 : 0;
   if (Step.Booked > 0 || Placeable < Step.Tasks.size())
     return false;
+  if (!isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step.Spec))) {
+    Step.Waits = WaitsForQuota;
+    return false;
+  }
   bool Yields = false;
   std::vector<GangSeat> Seats = gangSeats(In, Of, Step, false);
   if (sumSeats(Seats) < Step.Spec->Count && !Step.Queued->Late && gainsByStopping(In, Of, Step)) {
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -181,6 +181,7 @@
     return;
   Job &Of = Cell.Jobs[Id];
   Of.Spec = Spec;
+  Of.Owner = organisationNamed(Cell, Spec->Organisation);
   Of.Revision = Revision;
   Of.Objective = objectiveOf(Cell, *Spec, Spec->Repetitions ? Spec->FirstDue : Spec->AcceptedAt);
   if (Spec->Repetitions > 0)
@@ -287,7 +288,7 @@
   if (Of.Phase == JobPhase::Live)
     return;
   const JobId Id = Of.Spec->Id;
-  Cell.Ended[Id] = {Of.Phase, Revision, Now};
+  Cell.Ended[Id] = {Of.Phase, Revision, Now, Of.Spec->Organisation};
   Cell.Forgettable.emplace_back(Now, Id);
   Cell.Jobs.erase(Id);
 }
@@ -320,6 +321,13 @@
   return Found->second.Begun ? "running" : "queued";
 }
 
+std::string ownerOf(const CellState &Cell, JobId Id) {
+  if (const auto Ended = Cell.Ended.find(Id); Ended != Cell.Ended.end())
+    return Ended->second.Organisation;
+  const auto Found = Cell.Jobs.find(Id);
+  return Found == Cell.Jobs.end() ? std::string() : Found->second.Spec->Organisation;
+}
+
 uint32_t waitingJobs(const CellState &Cell, const std::string &Queue) {
   return static_cast<uint32_t>(
       std::count_if(Cell.Jobs.begin(), Cell.Jobs.end(), [&](const auto &Entry) {
--- /dev/null
+++ b/src/scheduler/organisations_test.cpp
@@ -0,0 +1,228 @@
+// SPDX-License-Identifier: Apache-2.0
+// What organisations may have running: never above their maximum, whatever the moment.
+#include "valveshelf/cell_records.h"
+#include "valveshelf/cell_state.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+constexpr Resources WorkerSize{16000, 32000, 0};
+
+WorkerInfo workerOf(const std::string &Id) {
+  WorkerInfo Info;
+  Info.Id = Id;
+  Info.Service = "pool";
+  Info.Capacity = WorkerSize;
+  return Info;
+}
+
+CellConfiguration northMayHave(int64_t MilliCores) {
+  CellConfiguration Config;
+  Config.Organisations = {{"north", {"key"}, 1, {MilliCores, 0, 0}}};
+  return Config;
+}
+
+class Scene {
+public:
+  explicit Scene(int Workers, int64_t MilliCores) {
+    Cell.WallAt = Now;
+    configured(Cell, northMayHave(MilliCores));
+    for (int I = 0; I < Workers; ++I)
+      workerListed(Cell, workerOf("w" + std::to_string(I)), Now);
+  }
+
+  void hearAll() {
+    for (auto &[Id, On] : Cell.Workers)
+      hear(Id, {});
+  }
+  void hearAllBut(const std::string &Silent) {
+    for (auto &[Id, On] : Cell.Workers)
+      if (Id != Silent)
+        hear(Id, {});
+  }
+  void hear(const std::string &Id, const WorkerReport &Report) {
+    Cell.Workers.at(Id).Saved = true;
+    Effects Out;
+    workerReported(Cell, Id, Report, Now, Now, Out);
+  }
+  void load() {
+    Effects Out;
+    finishLoading(Cell, Now, Out);
+  }
+
+  JobId submit(const std::string &Owner, uint32_t Count, int64_t MilliCores, bool Gang = false,
+               bool Fresh = true, const std::string &Service = "pool") {
+    auto Spec = std::make_shared<JobSpec>();
+    Spec->Id = ++LastJob;
+    Spec->Organisation = Owner;
+    Spec->Service = Service;
+    Spec->Priority = 1;
+    Spec->MaxAttempts = 3;
+    Spec->Extension = 10;
+    StepSpec Step;
+    Step.Count = Count;
+    Step.Need = {MilliCores, 100, 0};
+    Step.Estimate = 4s;
+    Step.Gang = Gang;
+    Spec->Steps.push_back(Step);
+    addJob(Cell, Spec, LastJob, Fresh, Now);
+    return LastJob;
+  }
+
+  std::vector<Effects::Start> pass() {
+    Effects Out;
+    Now += 100ms;
+    place(Cell, Now, Out);
+    return Out.Starts;
+  }
+  void answer(const std::vector<Effects::Start> &Orders, StartResult What) {
+    Effects Out;
+    for (const Effects::Start &Order : Orders)
+      startAnswered(Cell, Order.Worker, Order.Run, What, Now, Out);
+  }
+
+  CellState Cell;
+  TimePoint Now = TimePoint{} + 1000s;
+  JobId LastJob = 0;
+};
+
+TEST(Organisations, StartsStayWithinTheMaximumOverAllWorkers) {
+  Scene Given(4, 5000);
+  Given.load();
+  Given.hearAll();
+  const JobId Held = Given.submit("north", 10, 1000);
+  Given.submit("", 10, 1000);
+  EXPECT_EQ(Given.pass().size(), 15u);
+  EXPECT_EQ(Given.pass().size(), 0u);
+  EXPECT_NE(explainJob(Given.Cell, Held, Given.Now).find("its organisation's quota"),
+            std::string::npos);
+}
+
+TEST(Organisations, AGangStartsWholeOrNotAtAll) {
+  Scene Given(4, 5000);
+  Given.load();
+  Given.hearAll();
+  Given.submit("north", 2, 1000);
+  EXPECT_EQ(Given.pass().size(), 2u);
+  Given.submit("north", 4, 1000, true);
+  EXPECT_EQ(Given.pass().size(), 0u);
+  Given.submit("north", 3, 1000, true);
+  EXPECT_EQ(Given.pass().size(), 3u);
+}
+
+TEST(Organisations, WhatGotNoAnswerOrIsBeingStoppedStillCounts) {
+  Scene Given(4, 3000);
+  Given.load();
+  Given.hearAll();
+  const JobId First = Given.submit("north", 3, 1000);
+  const auto Orders = Given.pass();
+  ASSERT_EQ(Orders.size(), 3u);
+  Given.answer(Orders, StartResult::Unknown);
+  Given.submit("north", 3, 1000);
+  EXPECT_EQ(Given.pass().size(), 0u);
+  Effects Out;
+  cancelJob(Given.Cell, First, Given.Now, Out);
+  EXPECT_EQ(Out.Stops.size(), 3u);
+  EXPECT_EQ(Given.pass().size(), 0u);
+}
+
+TEST(Organisations, ALoweredMaximumHoldsForWhatIsNew) {
+  Scene Given(4, 6000);
+  Given.load();
+  Given.hearAll();
+  Given.submit("north", 4, 1000);
+  EXPECT_EQ(Given.pass().size(), 4u);
+  configured(Given.Cell, northMayHave(4000));
+  Given.submit("north", 2, 1000);
+  EXPECT_EQ(Given.pass().size(), 0u);
+  configured(Given.Cell, northMayHave(5000));
+  EXPECT_EQ(Given.pass().size(), 1u);
+}
+
+TEST(Organisations, NothingOfThemStartsBeforeTheConfigurationIsKnown) {
+  Scene Given(4, 6000);
+  Given.load();
+  Given.hearAll();
+  Given.Cell.Configured = false;
+  Given.submit("north", 2, 1000);
+  EXPECT_EQ(Given.pass().size(), 0u);
+}
+
+// The scheduler before may have had all of the maximum running on the worker that is not heard yet.
+TEST(Organisations, AfterATakeoverOldTasksCountUntilTheirWorkersAreHeard) {
+  Scene Given(3, 4000);
+  workerMayHoldRuns(Given.Cell, workerOf("w0"), Given.Now + 5s);
+  workerSilent(Given.Cell, "w0");
+  Given.submit("north", 3, 1000, false, false);
+  Given.load();
+  Given.hear("w1", {});
+  Given.hear("w2", {});
+  Given.submit("north", 3, 1000);
+  EXPECT_EQ(Given.pass().size(), 1u) << "three of four may run unheard";
+  Given.hear("w0", {});
+  EXPECT_EQ(Given.pass().size(), 3u);
+}
+
+// The scheduler before may still start what was accepted since, where nobody has heard of this one;
+// work in another pool must leave room for it.
+TEST(Organisations, WhatMayBeStartedMeanwhileCountsInOtherPoolsToo) {
+  Scene Given(2, 4000);
+  WorkerInfo Elsewhere = workerOf("x0");
+  Elsewhere.Service = "other";
+  workerMayHoldRuns(Given.Cell, Elsewhere, Given.Now + 5s); // asked, and has not answered yet
+  Given.load();
+  Given.hearAllBut("x0");
+  Given.submit("north", 3, 1000, false, true, "other");
+  Given.submit("north", 3, 1000);
+  EXPECT_EQ(Given.pass().size(), 1u);
+}
+
+// A run that the task does not need is there until its end is heard.
+TEST(Organisations, ARunThatIsNotNeededCountsUntilItIsGone) {
+  Scene Given(2, 2000);
+  const JobId Old = Given.submit("north", 1, 1000, false, false);
+  Given.load();
+  WorkerReport Report;
+  Report.Active.push_back({{{{Old, 0, 0}, 0}, 7}, "", 10});
+  Given.hear("w0", Report);
+  Report.Active[0].Run.Run = 6;
+  Given.hear("w1", Report);
+  Given.submit("north", 2, 1000);
+  EXPECT_EQ(Given.pass().size(), 0u);
+}
+
+// Its size is not known any more; it may be as large as its worker.
+TEST(Organisations, ARunOfAnEndedJobCountsUntilItIsGone) {
+  Scene Given(2, 20000);
+  Given.Cell.Ended[77] = {JobPhase::Cancelled, 1, {}, "north"};
+  Given.load();
+  WorkerReport Report;
+  Report.Active.push_back({{{{77, 0, 0}, 0}, 7}, "", 10});
+  Given.hear("w0", Report);
+  Given.hear("w1", {});
+  Given.submit("north", 10, 1000);
+  EXPECT_EQ(Given.pass().size(), 4u);
+  WorkerReport End;
+  End.Ended.push_back({1, {{{77, 0, 0}, 0}, 7}, RunEnd::Stopped, ""});
+  Given.hear("w0", End);
+  EXPECT_EQ(Given.pass().size(), 6u);
+}
+
+// A backlog of hundreds of tasks can't all run on the one worker that is silent.
+TEST(Organisations, UnheardWorkersHoldNoMoreThanTheirRoom) {
+  Scene Given(3, 30000);
+  workerMayHoldRuns(Given.Cell, workerOf("w0"), Given.Now + 5s);
+  workerSilent(Given.Cell, "w0");
+  Given.submit("north", 200, 1000, false, false);
+  Given.load();
+  Given.hear("w1", {});
+  Given.hear("w2", {});
+  Given.submit("north", 20, 1000);
+  EXPECT_EQ(Given.pass().size(), 14u) << "30 cores less the 16 of the worker";
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -17,6 +17,15 @@
   std::set<std::string> Asked;   ///< and with one that has neither answered nor failed to.
 };
 
+// Organisations (organisations.cpp).
+
+/// Why a step waits whose organisation has as much running as it may.
+inline constexpr const char *WaitsForQuota = "its organisation's quota";
+/// The least that can start of the step at a time: one task, or a whole gang.
+Resources leastCharge(const StepSpec &Step);
+/// Notes what organisations may have running on workers that were not heard yet.
+void chargeUnheard(Pass &In);
+
 // Rooms (rooms.cpp).
 
 bool hasLabel(const WorkerInfo &Info, const std::string &Label);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -26,6 +26,7 @@
     if (Found != Cell.Workers.end() && Found->second.Answers && !Found->second.Heard)
       In.Asked.insert(Service);
   }
+  chargeUnheard(In);
   return In;
 }
 
@@ -113,10 +114,16 @@
 
 bool placeSingles(Pass &In, const Job &Of, StepState &Step) {
   bool Missed = false;
+  bool OverQuota = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
     TaskState &Task = Step.Tasks[I];
     if (!isPlaceable(In, Of, Step, I))
       continue;
+    OverQuota = !isWithinQuota(In.Cell, Of.Owner, Step.Spec->Need);
+    if (OverQuota) {
+      Missed = true;
+      continue;
+    }
     Worker *On = findRoom(In, Of, Step, Task);
     const bool Yields = !On && !Step.Queued->Late && gainsByStopping(In, Of, Step);
     if (Yields)
@@ -132,9 +139,9 @@
       makeRoom(In, *On, Of.Spec->Priority);
   }
   launchSingles(In, Of, Step);
-  if (Missed)
+  if (Missed && !OverQuota)
     lookFurther(In, Of, Step);
-  Step.Waits = Missed ? "no advised worker has room" : "";
+  Step.Waits = OverQuota ? WaitsForQuota : Missed ? "no advised worker has room" : "";
   return !Missed;
 }
 
@@ -178,7 +185,9 @@
     if (!Entry.Late && isLate(Of, *Step, Now))
       queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
     if (Of.Spec->Advice && Step->Advice.Answered.empty()) {
-      if (mayAsk(In, Of, *Step))
+      const bool MayStart = isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step->Spec));
+      Step->Waits = MayStart ? "" : WaitsForQuota;
+      if (MayStart && mayAsk(In, Of, *Step))
         askUnknown(In, Of, *Step);
       continue;
     }
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -54,6 +54,7 @@
   explicit World(uint64_t Seed) : Random(Seed), StopTime(Seed % 2 ? 50 : 900) {
     for (int I = 0; I < 6; ++I)
       addBox("r" + std::to_string(I / 3));
+    changeQuota();
     takeOver();
   }
 
@@ -135,6 +136,7 @@
     }
     if (!fits(Sum, On.Info.Capacity))
       broken("LIMIT", Run);
+    judgeQuota(*Of.Spec, Run);
     if (Step.MostPerWorker > 0 && OfStep > Step.MostPerWorker)
       broken("ROUTE (too many of a step)", Run);
     if (!Step.RequiredLabel.empty() && On.Info.Labels[0] != Step.RequiredLabel)
@@ -157,6 +159,49 @@
       wakeGang(Run);
   }
 
+  // What an organisation has running on all boxes that live, against the highest maximum that some
+  // scheduler may still go by. No allowance.
+  void judgeQuota(const JobSpec &Spec, const RunKey &Run) {
+    if (Spec.Organisation.empty())
+      return;
+    Resources Sum;
+    for (const auto &[Id, Other] : Boxes)
+      for (const auto &[Key, What] : Other->Model.Runs)
+        if (!Other->Dead && Store.at(Key.Task.Step.Job).Spec->Organisation == Spec.Organisation)
+          Sum += specOf(Key.Task.Step).Need;
+    int64_t Most = 0;
+    for (const auto &[Until, Maximum] : Maxima[Spec.Organisation])
+      if (Until >= Now)
+        Most = std::max(Most, Maximum);
+    if (Sum.MilliCores > Most || Sum.MemoryMb > Most)
+      broken("QUOTA", Run);
+  }
+
+  // Another configuration, which the scheduler reads a little later. A deposed one does not.
+  void changeQuota() {
+    for (const char *Name : {"north", "south"}) {
+      auto &Known = Maxima[Name];
+      if (!Known.empty())
+        Known.back().first = Now + 5000ms;
+      Known.emplace_back(Milliseconds::max(), 7000 + 4000 * upTo(3));
+    }
+    ++ConfigVersion;
+    if (Current)
+      after(Milliseconds(upTo(500)), [this, To = Current, Config = configuration()] {
+        if (To == Current && Config.Version == ConfigVersion) // versions never go back
+          configured(To->Cell, Config);
+      });
+  }
+
+  CellConfiguration configuration() {
+    CellConfiguration Config;
+    Config.Version = ConfigVersion;
+    Config.Organisations.emplace();
+    for (const auto &[Name, Known] : Maxima)
+      Config.Organisations->push_back({Name, {}, 1, {Known.back().second, Known.back().second, 0}});
+    return Config;
+  }
+
   // A gang works from the moment when all its members are there.
   void wakeGang(const RunKey &Run) {
     std::vector<WorkerModel::Run *> Members;
@@ -466,8 +511,11 @@
     for (const auto &[Id, Entry] : Boxes) {
       if (!Entry->Dead && !chance(0.2))
         workerListed(Cell, Entry->Info, steady());
+      WorkerInfo Noted = Entry->Info;
+      if (chance(0.2))
+        Noted.Capacity = {}; // a record of an earlier version
       if (Records.count(Id))
-        workerMayHoldRuns(Cell, Entry->Info, leaseEnd() + 4000ms);
+        workerMayHoldRuns(Cell, Noted, leaseEnd() + 4000ms);
     }
     for (const auto &[Id, Row] : Store)
       if (Row.Phase == JobPhase::Live) {
@@ -476,6 +524,7 @@
         for (const auto &[Key, Tasks] : value(Saved))
           restoreStep(Cell, Key, Tasks);
       }
+    configured(Cell, configuration());
     Effects Out;
     finishLoading(Cell, steady(), Out);
     for (const auto &[Id, Row] : Store)
@@ -490,6 +539,7 @@
     Spec->Id = ++LastJob;
     Spec->Queue = "q";
     Spec->Service = chance(0.7) ? "pool" : "other";
+    Spec->Organisation = chance(0.3) ? "" : chance(0.5) ? "north" : "south";
     Spec->Priority = static_cast<int>(upTo(2));
     Spec->MaxAttempts = 2 + static_cast<int>(upTo(1));
     Spec->Extension = 2;
@@ -575,6 +625,8 @@
         hurtBox();
       if (chance(0.0008))
         unlistOne();
+      if (chance(0.0005))
+        changeQuota();
       if (chance(0.00015))
         takeOver();
     }
@@ -686,6 +738,10 @@
   int LastBox = 0;
   ProcessPtr Current;
   ProcessPtr Previous;
+  /// By organisation: what it may have running of each kind, and until when a scheduler may go by
+  /// it.
+  std::map<std::string, std::vector<std::pair<Milliseconds, int64_t>>> Maxima;
+  uint64_t ConfigVersion = 0;
   std::set<TaskKey> ReallyDone;
   std::set<TaskKey> NotedDone;
   std::map<TaskKey, std::set<uint32_t>> NotedFailures;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -65,6 +65,14 @@
   }
 }
 
+// Counts the attempt against what its organisation may have running.
+void charge(Attempt &What, OrganisationState *Owner, const Resources &Amount) {
+  What.Owner = Owner;
+  What.Charge = Amount;
+  if (Owner)
+    Owner->Running += Amount;
+}
+
 // A run that this scheduler did not start: taken over if the task needs one, else stopped.
 void adopt(CellState &Cell, Worker &On, const ActiveRun &Row, TimePoint Now, Effects &Out) {
   StepState *Step = findStep(Cell, Row.Run.Task.Step);
@@ -76,6 +84,9 @@
     Attempt &Stray = On.Attempts[Row.Run];
     Stray.Phase = AttemptPhase::Running;
     Stray.StartedAt = Stray.Since = Now;
+    // It may be as large as the worker.
+    if (const auto Was = Cell.Ended.find(Row.Run.Task.Step.Job); Was != Cell.Ended.end())
+      charge(Stray, organisationNamed(Cell, Was->second.Organisation), On.Info.Capacity);
     stopAttempt(Cell, On, Row.Run, "its job has ended", Now, Out);
     return;
   }
@@ -97,6 +108,7 @@
   Extra.Need = Step->Spec->Need;
   Extra.StartedAt = Extra.Since = Now;
   On.Booked += Extra.Need;
+  charge(Extra, Of.Owner, Step->Spec->Need);
   stopAttempt(Cell, On, Row.Run, "the task does not need it", Now, Out);
 }
 
@@ -230,6 +242,7 @@
   Made.Need = Step.Spec->Need;
   if (Step.Spec->Fills)
     Made.Need.MilliCores = 0;
+  charge(Made, Of.Owner, Step.Spec->Need);
   Made.Priority = Of.Spec->Priority;
   Made.Objective = Of.Objective;
   Made.Estimate = Step.Spec->Estimate;
@@ -264,6 +277,8 @@
   (WasPlanned ? On.Planned : On.Booked) -= Found->second.Need;
   if (Found->second.MayBeStopped)
     On.Stoppable -= Found->second.Need;
+  if (Found->second.Owner)
+    Found->second.Owner->Running -= Found->second.Charge;
   On.Attempts.erase(Found);
   Cell.Strays.erase(Run);
   if (On.Full)
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -34,6 +34,7 @@
   From.OpenStore = platform::openStore;
   From.Workers = platform::openWorkers(Client);
   From.Advice = platform::openAdvice(Client, Settings.Advice);
+  From.CallerKeyHeader = platform::CallerKeyHeader;
   From.ConfigurationKey = platform::ConfigurationKey;
   From.WorkerPrefix = platform::WorkerPrefix;
   From.DecodeConfiguration = platform::decodeConfiguration;
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -133,9 +133,12 @@
     def alive(self):
         return [e for e in self.entries.values() if e.alive()]
 
-    def ask(self, entry, method, queue, job="", body=None, timeout=4.0):
+    def ask(self, entry, method, queue, job="", body=None, timeout=4.0, key=None):
+        fields = {"Host": HOST, "Content-Type": "application/json"}
+        if key is not None:
+            fields["Valveshelf-Credential"] = key
         status, headers, answer = call(self.entries[entry].address, method, PREFIXES[queue] + job, body,
-                                       {"Host": HOST, "Content-Type": "application/json"}, timeout)
+                                       fields, timeout)
         return status, headers, answer
 
     def submit(self, entry, queue, steps, job=None):
