Room is planned without a ticket only where one can be asked for

Ruled out before by trials: the limit of misses in a row, more questions in line.

Change: a worker without a valid ticket is considered only if its question would be asked now.

--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -118,6 +118,20 @@
   return Of.Spec->Priority == 0 || Cell.AdviceLanes == 0 || Cell.QuestionsOut < Most;
 }
 
+} // namespace
+
+bool canAsk(const Pass &In, const Job &Of, const StepState &Step) {
+  return Step.Advice.Asking == 0 && Step.Advice.NotBefore <= In.Now &&
+         maySpendLane(In.Cell, Of, Step);
+}
+
+// Room that is planned without a ticket is held until one has come. Where no question could be
+// asked it stood empty for the whole time of a plan.
+bool canPlan(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
+  return hasTicket(In, Of, Step, On) || canAsk(In, Of, Step);
+}
+
+namespace {
 Milliseconds questionTime(const AdvicePolicy &Policy, size_t Workers) {
   return std::chrono::duration_cast<Milliseconds>(Policy.Decide + Policy.EachWorker * Workers);
 }
@@ -135,8 +149,7 @@
 // it was handed in, now 2.0 s (middle of six at a time, the replay of large gangs), while the
 // tickets of the first answers ran out.
 void askAdvice(Pass &In, const Job &Of, StepState &Step, std::vector<std::string> Workers) {
-  if (Step.Advice.Asking > 0 || Workers.empty() || Step.Advice.NotBefore > In.Now ||
-      !maySpendLane(In.Cell, Of, Step))
+  if (Workers.empty() || !canAsk(In, Of, Step))
     return;
   const size_t Each = namedInEach(In.Cell, Step, Workers.size());
   const size_t Most = mostQuestions(In.Cell) * Each;
@@ -202,8 +215,7 @@
 
 // Asks about workers of which nothing is known yet, those with the most room first.
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
-  if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Advice.NotBefore > In.Now ||
-      !maySpendLane(In.Cell, Of, Step))
+  if (!Of.Spec->Advice || !canAsk(In, Of, Step))
     return;
   std::vector<Candidate> Unknown;
   for (const Worker *On : In.Cell.Slots)
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -27,7 +27,7 @@
     if (Task.FailedOn && hasJustFailedOn(In, Task, *Task.FailedOn))
       Avoided.insert(Task.FailedOn);
   eachAdvised(In, Of, Step, [&](Worker &On) {
-    if (!isUsable(In, On, Of, Step) || Avoided.count(&On))
+    if (!isUsable(In, On, Of, Step) || Avoided.count(&On) || !canPlan(In, Of, Step, On))
       return;
     const Resources Room = roomFor(In, On, Of, Step);
     GangSeat Seat{&On, timesFits(Need, Room, Most), 0};
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -58,6 +58,10 @@
                Milliseconds Time = Milliseconds(0));
 /// From asking about so many workers until the answers can be used, when no lane is waited for.
 Milliseconds askTime(const Pass &In, const Job &Of, const StepState &Step, size_t Workers);
+/// True if a question of the step would be asked at once.
+bool canAsk(const Pass &In, const Job &Of, const StepState &Step);
+/// True if the step may be planned on the worker: it has a ticket, or one can be asked for now.
+bool canPlan(const Pass &In, const Job &Of, const StepState &Step, const Worker &On);
 /// Asks about the workers, unless the step's last question is still under way.
 void askAdvice(Pass &In, const Job &Of, StepState &Step, std::vector<std::string> Workers);
 /// Asks about workers of which nothing is known yet, those with the most room first.
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -188,6 +188,20 @@
   EXPECT_EQ(Given.pass().Asks.size(), 1u) << "the other step's turn";
 }
 
+// The room is left to others until a ticket can be asked for.
+TEST(Tickets, NoRoomIsHeldWhereNoneCanBeAskedFor) {
+  Scene Given(1);
+  Given.Cell.AdviceLanes = 1;
+  const StepKey Step{Given.submit(1, tasks(4, 10000, 1s, true), 100, true), 0, 0};
+  ASSERT_EQ(Given.pass().Asks.size(), 1u);
+  adviceAnswered(Given.Cell, Step, {"w0"}, {{"w0", "old"}}, 200ms, Given.Now);
+  Given.Now += 1s; // the ticket is over, and all lanes are taken by others
+  Given.Cell.QuestionsOut = 5;
+  EXPECT_TRUE(Given.pass().Asks.empty());
+  Given.submit(2, tasks(5, 10000, 1s), 100);
+  EXPECT_EQ(Given.pass().Starts.size(), 5u);
+}
+
 TEST(Tickets, AreNotRenewedWithoutLanesToSpare) {
   FullWorker Given;
   Given.Cell.AdviceLanes = 2;
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -149,7 +149,7 @@
   const Resources Need = needOf(Step);
   eachAdvised(In, Of, Step, [&](Worker &On) {
     if (!fits(Need, roomFor(In, On, Of, Step)) || !isUsable(In, On, Of, Step) ||
-        holdsLimit(Step, On) || hasJustFailedOn(In, Task, On))
+        holdsLimit(Step, On) || hasJustFailedOn(In, Task, On) || !canPlan(In, Of, Step, On))
       return;
     const Score Value = scoreOf(In, Of, Step, Task, On);
     if (!Best || Value < BestScore) {
@@ -172,7 +172,8 @@
     // Most workers are passed over by this bound alone, without a look at each run there.
     if (!fits(Need, Most) || (Best && Most.MilliCores <= BestRoom))
       return;
-    if (!isUsable(In, On, Of, Step) || holdsLimit(Step, On) || hasJustFailedOn(In, Task, On))
+    if (!isUsable(In, On, Of, Step) || holdsLimit(Step, On) || hasJustFailedOn(In, Task, On) ||
+        !canPlan(In, Of, Step, On))
       return;
     const Resources Room = Free + yieldable(In, On, Priority);
     if (fits(Need, Room) && (!Best || Room.MilliCores > BestRoom)) {
--- a/testsuite/replay/load_replay.cpp
+++ b/testsuite/replay/load_replay.cpp
@@ -115,7 +115,7 @@
     });
   }
   for (Effects::Ask &Question : Out.Asks)
-    Questions.emplace_back(Question.Priority, std::move(Question));
+    Questions.emplace_back(std::pair(Question.Late, Question.Priority), std::move(Question));
   dispatchQuestions();
   placeSoon();
 }
@@ -186,7 +186,7 @@
 
 // The most urgent question first, and of those the oldest.
 void LoadReplay::dispatchQuestions() {
-  while (LanesInUse < Setting.Lanes && !Questions.empty()) {
+  while (LanesInUse + Setting.DeadLanes < Setting.Lanes && !Questions.empty()) {
     const auto Next =
         std::min_element(Questions.begin(), Questions.end(),
                          [](const auto &A, const auto &B) { return A.first < B.first; });
--- a/testsuite/replay/load_replay.h
+++ b/testsuite/replay/load_replay.h
@@ -19,7 +19,8 @@
 struct ReplaySetting {
   int Workers = 100;
   Resources WorkerSize{64000, 262144, 0};
-  uint32_t Lanes = 100;          ///< Questions that the advice service takes at a time.
+  uint32_t Lanes = 100;          ///< Questions that can be asked at a time, as the cell knows it;
+  uint32_t DeadLanes = 0;        ///< so many of them get no answer any more and are left out.
   Milliseconds OrderTime{2};     ///< From an order to its answer.
   Milliseconds TicketTime{1500}; ///< How long a ticket holds.
   Milliseconds SickFailure{20};  ///< A run on a sick worker fails after this time.
@@ -93,7 +94,8 @@
   std::map<std::string, uint64_t> LastEnds; ///< By worker.
   std::map<JobId, ReplayKind> Kinds;
   std::map<JobId, ReplayedJob> Results;
-  std::vector<std::pair<int, Effects::Ask>> Questions; ///< Waiting, with priorities.
+  /// Waiting, each with what decides which is asked first: whether it is late, and its priority.
+  std::vector<std::pair<std::pair<bool, int>, Effects::Ask>> Questions;
   uint32_t LanesInUse = 0;
   std::map<std::string, std::pair<TimePoint, TimePoint>> Sick;
   bool PassWaits = false;
--- a/testsuite/replay/load_replay_test.cpp
+++ b/testsuite/replay/load_replay_test.cpp
@@ -110,5 +110,50 @@
   EXPECT_GE(inTime(Given.jobs("old-scan")), 28u);
 }
 
+// Wide scans and rebuilds that were handed in while the fleet was full, all late, on a fleet of
+// small workers that is empty now, with 30 questions at a time. Returns when the last one ended.
+Milliseconds timeToEmpty(uint32_t DeadLanes, int Scans, int Rebuilds) {
+  ReplaySetting Setting;
+  Setting.Workers = 350;
+  Setting.WorkerSize = {16000, 32768, 0};
+  Setting.Lanes = 30;
+  Setting.DeadLanes = DeadLanes;
+  LoadReplay Given(Setting);
+  ReplayKind Scan{2, {}, 0.1, 0ms, 0.45, 156ms, 2.34};
+  Scan.Step.Count = 25;
+  Scan.Step.Need = {1700, 2500, 0};
+  Scan.Step.Estimate = 3400ms;
+  Scan.Step.Checkpoints = true;
+  ReplayKind Rebuild{1, {}, 0.1, 0ms, 0.25, 455ms, 6.5};
+  Rebuild.Step.Count = 20;
+  Rebuild.Step.Need = {4500, 4500, 0};
+  Rebuild.Step.Estimate = 4000ms;
+  Rebuild.Step.Gang = true;
+  for (int I = 0; I < Scans; ++I)
+    Given.handIn(Milliseconds(2 * I), "scan", Scan);
+  for (int I = 0; I < Rebuilds; ++I)
+    Given.handIn(Milliseconds(5 * I), "rebuild", Rebuild);
+  Given.play(120s);
+  TimePoint First = TimePoint::max();
+  TimePoint Last{};
+  for (const char *Kind : {"scan", "rebuild"})
+    for (const ReplayedJob &Of : Given.jobs(Kind)) {
+      EXPECT_EQ(Of.Phase, JobPhase::Completed);
+      First = std::min(First, Of.HandedIn);
+      Last = std::max(Last, Of.Ended);
+    }
+  return std::chrono::duration_cast<Milliseconds>(Last - First);
+}
+
+// Room alone would take 8 s: 43,300 core-seconds on 5,600 cores.
+TEST(LoadReplay, ABacklogOnAnEmptyFleetIsDoneInTwiceWhatItsRoomTakes) {
+  EXPECT_LT(timeToEmpty(0, 150, 60), 16s);
+}
+
+// Two thirds of the boxes are cut off from the advice service, and nobody has noticed yet.
+TEST(LoadReplay, ABacklogIsDoneThroughTheLanesThatAnswer) {
+  EXPECT_LT(timeToEmpty(20, 60, 20), 12s);
+}
+
 } // namespace
 } // namespace valveshelf::sched
