Cheaper passes: no list of candidates where nothing has room, first questions in common looks

Change: singles that can wait make no list if no worker has the room in any dimension; what a gang could have stopped is reckoned only for the workers that it would name; a first question that could not be asked waits for the next common look.

--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -180,14 +180,22 @@
   Worker *On = nullptr;
 };
 
+int64_t mostSeats(const StepState &Step) {
+  const int64_t Count = Step.Spec->Count;
+  return Step.Spec->MostPerWorker > 0 ? std::min<int64_t>(Count, Step.Spec->MostPerWorker) : Count;
+}
+
+// In the room that is free.
+int64_t freeSeatsOn(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
+  return timesFits(needOf(Step), roomFor(In, On, Of, Step) - On.Claimed, mostSeats(Step));
+}
+
+// With what a gang may have stopped for it.
 int64_t seatsOn(const Pass &In, const Job &Of, const StepState &Step, const Worker &On) {
-  Resources Room = roomFor(In, On, Of, Step) - On.Claimed;
-  if (!isQueuedLate(Step) && gainsByStopping(In, Of, Step))
-    Room += yieldable(In, On, Of.Spec->Priority);
-  int64_t Most = Step.Spec->Count;
-  if (Step.Spec->MostPerWorker > 0)
-    Most = std::min<int64_t>(Most, Step.Spec->MostPerWorker);
-  return timesFits(needOf(Step), Room, Most);
+  if (!Step.Spec->Gang || isQueuedLate(Step) || !gainsByStopping(In, Of, Step))
+    return freeSeatsOn(In, Of, Step, On);
+  const Resources Room = roomFor(In, On, Of, Step) - On.Claimed;
+  return timesFits(needOf(Step), Room + yieldable(In, On, Of.Spec->Priority), mostSeats(Step));
 }
 
 double goodShare(const CellState &Cell, const Job &Of) {
@@ -219,7 +227,7 @@
 // How many of the candidates to ask about: so many that the good ones among them should have seats
 // for what the step lacks; none if hardly any has room, unless lanes stand idle.
 size_t askedAbout(const Pass &In, const Job &Of, const StepState &Step,
-                  const std::vector<Candidate> &Sorted) {
+                  std::vector<Candidate> &Sorted) {
   const size_t Most = std::min(Sorted.size(), MaxNamed * mostQuestions(In.Cell));
   if (Of.Spec->Priority == 0)
     return std::min(Most, namedFor(Step));
@@ -227,8 +235,13 @@
   double Missing = missingSeats(In, Of, Step);
   size_t Count = 0;
   double Found = 0;
-  for (; Count < Most && Found < Missing && Sorted[Count].Seats > 0; ++Count)
-    Found += static_cast<double>(Sorted[Count].Seats) * Share;
+  for (; Count < Most && Found < Missing; ++Count) {
+    Candidate &Next = Sorted[Count];
+    Next.Seats = seatsOn(In, Of, Step, *Next.On);
+    if (Next.Seats == 0)
+      break;
+    Found += static_cast<double>(Next.Seats) * Share;
+  }
   // A gang that waits for room learns meanwhile on which workers it may use it.
   if (Step.Spec->Gang && Found < Missing)
     return Most;
@@ -280,16 +293,25 @@
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || !canAsk(In, Of, Step))
     return;
+  // In a full cell most steps that wait come no further (a pass over 1,100 workers with 200 steps
+  // waiting takes 1.1 ms; 4.0 ms without this and without common looks at first questions).
+  const bool IsSingle = !Step.Spec->Gang && Of.Spec->Priority > 0;
+  if (IsSingle && !hasFreeLanes(In.Cell) && !fits(needOf(Step), In.MostFree))
+    return;
   std::vector<Candidate> Unknown;
   for (Worker *On : In.Cell.Slots)
     if (On && !isAnswered(Step, *On) && isUsable(In, *On, Of, Step) &&
         fits(needOf(Step), On->Info.Capacity))
-      Unknown.push_back({seatsOn(In, Of, Step, *On), roomFor(In, *On, Of, Step).MilliCores, On});
+      Unknown.push_back(
+          {freeSeatsOn(In, Of, Step, *On), roomFor(In, *On, Of, Step).MilliCores, On});
   if (Unknown.empty())
     noteStarved(In, Of, Step);
-  std::sort(Unknown.begin(), Unknown.end(), [](const Candidate &A, const Candidate &B) {
-    return std::tuple(-A.Seats, -A.Room, A.On->Slot) < std::tuple(-B.Seats, -B.Room, B.On->Slot);
-  });
+  const size_t Sorted = std::min(Unknown.size(), MaxNamed * mostQuestions(In.Cell));
+  std::partial_sort(Unknown.begin(), Unknown.begin() + static_cast<ptrdiff_t>(Sorted),
+                    Unknown.end(), [](const Candidate &A, const Candidate &B) {
+                      return std::tuple(-A.Seats, -A.Room, A.On->Slot) <
+                             std::tuple(-B.Seats, -B.Room, B.On->Slot);
+                    });
   Unknown.resize(askedAbout(In, Of, Step, Unknown));
   if (Unknown.empty())
     return;
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -16,6 +16,7 @@
                                  ///< heard yet,
   std::set<std::string> Asked;   ///< and with one that has neither answered nor failed to.
   bool KeepsUrgentRoom = false;  ///< Room for urgent tasks is scarce in the cell.
+  Resources MostFree;            ///< In each dimension, the most that any worker had free.
 };
 
 // Organisations (organisations.cpp).
@@ -31,6 +32,8 @@
 
 /// True if little of the cell's free room is left to urgent tasks.
 bool isUrgentRoomScarce(const CellState &Cell);
+/// In each dimension, the most that any worker has free and no question under way claims.
+Resources mostFree(const CellState &Cell);
 bool hasLabel(const WorkerInfo &Info, const std::string &Label);
 /// True if the step may be started on the worker now, as far as the worker goes.
 bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -21,7 +21,7 @@
 constexpr int64_t UrgentMemory = 64;
 
 Pass beginPass(CellState &Cell, TimePoint Now, Effects &Out) {
-  Pass In{Cell, Now, Out, {}, {}, false};
+  Pass In{Cell, Now, Out, {}, {}, false, mostFree(Cell)};
   for (const auto &[Id, Service] : Cell.Unheard) {
     In.Awaited.insert(Service);
     const auto Found = Cell.Workers.find(Id);
@@ -158,6 +158,19 @@
   return true;
 }
 
+void noteMissed(CellState &Cell, const QueuePlace &Entry) {
+  if (!Cell.FirstMissed || Entry < *Cell.FirstMissed)
+    Cell.FirstMissed = Entry;
+}
+
+// The first question of a step, unless nothing of it could start anyway.
+void askFirst(Pass &In, const Job &Of, StepState &Step) {
+  const bool MayStart = isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step.Spec));
+  Step.Waits = MayStart ? "" : WaitsForQuota;
+  if (MayStart && mayAsk(In, Of, Step))
+    askUnknown(In, Of, Step);
+}
+
 // True if the step is left to the next common look: a step before it waits for room.
 bool leavesItsTurn(const Pass &In, const QueuePlace &Entry, const StepState &Step, bool IsCommon) {
   if (Entry.Priority == 0 || Step.Planned > 0 || Step.Advice.IsFresh)
@@ -202,15 +215,15 @@
     }
     if (!Entry.Late && isLate(Of, *Step, Now))
       queueStep(Cell, Of, *Step, Now); // behind those that can still meet theirs
+    if (leavesItsTurn(In, Entry, *Step, IsCommon))
+      continue;
     if (Of.Spec->Advice && Step->Advice.Answered.empty()) {
-      const bool MayStart = isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step->Spec));
-      Step->Waits = MayStart ? "" : WaitsForQuota;
-      if (MayStart && mayAsk(In, Of, *Step))
-        askUnknown(In, Of, *Step);
+      askFirst(In, Of, *Step);
+      Step->HasMissed = Step->Advice.Asking == 0;
+      if (Step->HasMissed)
+        noteMissed(Cell, Entry);
       continue;
     }
-    if (leavesItsTurn(In, Entry, *Step, IsCommon))
-      continue;
     Step->Advice.IsFresh = false;
     const size_t Before = Out.Starts.size();
     const bool Placed = Step->Spec->Gang ? placeGang(In, Of, *Step) : placeSingles(In, Of, *Step);
@@ -218,8 +231,7 @@
     Step->HasMissed = !Placed;
     if (!Placed && Step->Queued) {
       renewTickets(In, Of, *Step);
-      if (!Cell.FirstMissed || Entry < *Cell.FirstMissed)
-        Cell.FirstMissed = Entry;
+      noteMissed(Cell, Entry);
     }
     Misses = Placed ? 0 : Misses + 1;
     Skipping = Misses >= MaxMissesInARow;
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -53,6 +53,14 @@
   return true;
 }
 
+Resources mostFree(const CellState &Cell) {
+  Resources Most;
+  for (const Worker *On : Cell.Slots)
+    if (On && On->Heard)
+      Most = largest(Most, On->Info.Capacity - On->Booked - On->Planned - On->Claimed);
+  return Most;
+}
+
 namespace {
 // What is kept free on the worker for urgent tasks: room for one of the usual size.
 Resources urgentReserve(const Pass &In, const Worker &On) {
