--- /dev/null
+++ b/src/losses/losses_test.cpp
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+// One cause a job, from lines as processes write them.
+#include "valveshelf/losses.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+
+constexpr std::string_view Id = "8b6e4f1b4f0a3c11";
+
+// Lines of one job, each with its second within a minute.
+struct Log {
+  LossBook Book;
+  Log &at(const std::string &Second, const std::string &Event) {
+    readLogLine(Book, "2026-09-28T10:55:" + Second + " INFO box-1 " + Event);
+    return *this;
+  }
+  Log &taken(const std::string &Second) {
+    return at(Second, "VS-2203 job-taken job=" + std::string(Id) + " steps=1 queue=q new=yes");
+  }
+  Log &advised(const std::string &Second) {
+    return at(Second, "VS-2304 advice-given step=" + std::string(Id) + ".0.0 asked=8 good=5 ms=9");
+  }
+  Log &placed(const std::string &Second, const std::string &Left) {
+    return at(Second, "VS-2303 step-placed step=" + std::string(Id) +
+                          ".0.0 tasks=2 workers=1 waited_ms=21 objective_in_ms=" + Left);
+  }
+  Log &ended(const std::string &Second, const std::string &Phase = "1") {
+    return at(Second, "VS-1403 job-ended job=" + std::string(Id) + " phase=" + Phase);
+  }
+  std::string cause() const {
+    return std::string(causeOf(Book.Jobs.at(std::string(Id)), Book.Newest));
+  }
+};
+
+TEST(Losses, WhatIsInTimeOrCancelledIsNone) {
+  EXPECT_EQ(Log().taken("01.000").advised("01.020").placed("01.030", "900").ended("01.900").cause(),
+            "");
+  EXPECT_EQ(Log().taken("01.000").placed("01.030", "900").ended("09.900", "3").cause(), "");
+  EXPECT_EQ(Log().taken("01.000").placed("01.030", "9000").cause(), "") << "it may still be";
+}
+
+TEST(Losses, EachLossHasItsCause) {
+  EXPECT_EQ(Log().taken("01.000").advised("01.020").placed("03.500", "500").ended("05.000").cause(),
+            "waited for room");
+  EXPECT_EQ(Log().taken("01.000").advised("03.400").placed("03.500", "500").ended("05.000").cause(),
+            "waited for advice");
+  EXPECT_EQ(Log().taken("01.000").advised("01.020").placed("01.030", "900").ended("05.000").cause(),
+            "worked longer than was guessed");
+  EXPECT_EQ(Log().taken("01.000").advised("01.020").ended("05.000", "2").cause(),
+            "its runs failed");
+  EXPECT_EQ(Log().taken("01.000").advised("01.020").cause(), "no room on advised workers");
+  Log Stopped;
+  Stopped.taken("01.000").placed("01.030", "900").ended("05.000");
+  Stopped.at("02.000", "VS-2301 run-stopped task=" + std::string(Id) +
+                           ".0.0.1 run=1 worker=w why=\"its room is needed by more urgent work\"");
+  EXPECT_EQ(Stopped.cause(), "runs were stopped");
+  Stopped.at("02.000", "VS-2305 task-failed task=" + std::string(Id) + ".0.0.1 run=1 worker=w");
+  EXPECT_EQ(Stopped.cause(), "runs failed and went on elsewhere");
+}
+
+TEST(Losses, ARefusalCountsUnlessItsCallerCameAgain) {
+  Log Given;
+  Given.at("01.000", "VS-2202 call-refused job=" + std::string(Id) +
+                         " kind=store-unavailable why=\"the store does not answer\" left_out=7");
+  EXPECT_EQ(Given.cause(), "store-unavailable");
+  EXPECT_EQ(Given.Book.LinesLeftOut, 7u);
+  Given.at("02.000", "VS-2201 job-kept job=" + std::string(Id) + " ms=4");
+  EXPECT_EQ(Given.cause(), "");
+}
+
+TEST(Losses, OtherLinesArePassedOver) {
+  LossBook Book;
+  for (const char *Line : {"", "no event", "2026-13-41Tnonsense VS-2203 job-taken job=1",
+                           "2026-09-28T10:55:01.000 INFO box-1 VS-1302 store-up failures=2"})
+    readLogLine(Book, Line);
+  EXPECT_TRUE(Book.Jobs.empty());
+}
+
+TEST(Losses, TheTableIsByQueueAndNumber) {
+  Log Given;
+  Given.taken("01.000").advised("01.020").placed("03.500", "500").ended("05.000");
+  const auto Lines = lossLines(Given.Book);
+  EXPECT_EQ(lossTable(Given.Book, Lines),
+            "q  1  waited for room\n1 jobs seen, 0 lines held back by the log's limit\n");
+  EXPECT_NE(lossJson(Given.Book, Lines).find(R"("cause":"waited for room")"), std::string::npos);
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/valveshelf/report_command.cpp
+++ b/src/valveshelf/report_command.cpp
@@ -1,8 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-// `valveshelf report burn`: the error budget of each queue, from the processes of a cell.
+// `valveshelf report`: the error budget of each queue, from the processes of a cell; and why jobs
+// were lost, from their logs.
 #include "options.h"
 
 #include "valveshelf/burn.h"
+#include "valveshelf/losses.h"
 
 #include <fstream>
 #include <iostream>
@@ -41,13 +43,31 @@
   std::cerr << "valveshelf: " << File << ": can't be written\n";
   return ExitFailed;
 }
+
+int reportLosses(const std::vector<std::string> &Files, bool AsJson) {
+  LossBook Book;
+  for (const std::string &File : Files) {
+    std::ifstream In(File);
+    if (!In) {
+      std::cerr << "valveshelf: " << File << ": can't be read\n";
+      return ExitFailed;
+    }
+    for (std::string Line; std::getline(In, Line);)
+      readLogLine(Book, Line);
+  }
+  const std::vector<LossLine> Lines = lossLines(Book);
+  std::cout << (AsJson ? lossJson(Book, Lines) : lossTable(Book, Lines));
+  return ExitDone;
+}
 } // namespace
 
 int runReport(const Arguments &Args) {
   cxxopts::Options Options(Args[0], "Reports how jobs met their objectives, and what burned the "
                                     "error budget. Each process counts what it ended as the "
                                     "scheduler; name all of the cell.");
-  Options.add_options()("kind", "burn", cxxopts::value<std::string>());
+  Options.add_options()("kind", "burn or losses", cxxopts::value<std::string>());
+  Options.add_options()("log", "for losses: log files of the cell's processes, separated by commas",
+                        cxxopts::value<std::vector<std::string>>());
   Options.add_options()("entry", "metrics addresses, IP:PORT, separated by commas",
                         cxxopts::value<std::vector<std::string>>());
   Options.add_options()("target", "share of jobs that has to meet its objective",
@@ -56,15 +76,19 @@
   Options.add_options()("html", "write a page with plots to this file",
                         cxxopts::value<std::string>());
   Options.parse_positional({"kind"});
-  Options.positional_help("burn");
+  Options.positional_help("burn|losses");
   int Exit = 0;
   const auto Parsed = parseOptions(Options, Args, Exit);
   if (!Parsed)
     return Exit;
+  const std::string Kind = Parsed->count("kind") ? (*Parsed)["kind"].as<std::string>() : "";
+  if (Kind == "losses" && Parsed->count("log"))
+    return reportLosses((*Parsed)["log"].as<std::vector<std::string>>(), Parsed->count("json") > 0);
   const double Target = (*Parsed)["target"].as<double>();
-  const bool IsBurn = Parsed->count("kind") && (*Parsed)["kind"].as<std::string>() == "burn";
-  if (!IsBurn || !Parsed->count("entry") || Target <= 0 || Target >= 1) {
-    std::cerr << Args[0] << ": 'burn', --entry and a --target between 0 and 1 are needed\n";
+  if (Kind != "burn" || !Parsed->count("entry") || Target <= 0 || Target >= 1) {
+    std::cerr
+        << Args[0]
+        << ": 'burn', --entry and a --target between 0 and 1, or 'losses' and --log, are needed\n";
     return ExitUsage;
   }
   BurnBook Book;
