--- a/src/losses/losses.cpp
+++ b/src/losses/losses.cpp
@@ -164,6 +164,7 @@
     if (const std::string_view Cause = causeOf(Job, Book.Newest); !Cause.empty())
       ++Counts[{Job.Queue.empty() ? "-" : Job.Queue, std::string(Cause)}];
   std::vector<LossLine> Lines;
+  Lines.reserve(Counts.size());
   for (const auto &[Of, Count] : Counts)
     Lines.push_back({Of.first, Of.second, Count});
   std::stable_sort(Lines.begin(), Lines.end(), [](const LossLine &A, const LossLine &B) {
