Runs that are lost with their worker are told: run-lost, runs_lost_total

Cause: nothing in logs or metrics tells which runs a worker took with it, how long they had run, nor how often in a row that happened to a task, so that the hypotheses of the incident could not be told apart by the product's own output. The losses of a task are counted for the log only; no decision reads them.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -129,6 +129,9 @@
                             "after how long."};
 const EventKind TaskFailed{2305, "info", "task-failed",
                            "A run failed; how often the task may still be tried."};
+const EventKind RunLost{2306, "warn", "run-lost",
+                        "A run ended with its worker: how that was found, how long the run had "
+                        "been there, how often in a row that happened to its task."};
 const EventKind WorkerSilent{2401, "warn", "worker-silent",
                              "The worker does not answer; nothing new is placed there."};
 const EventKind WorkerReplaced{2402, "info", "worker-replaced",
@@ -137,18 +140,25 @@
 
 std::span<const EventKind *const> allEvents() {
   using namespace events;
-  static const std::array All{
-      &Started,          &Stopping,       &Stopped,       &SettingsRefused,    &InternalFault,
-      &LeaseGranted,     &LeaseLost,      &AuthorityLost, &AuthorityByPromise, &Fenced,
-      &ShardClaimed,     &ShardReleased,  &ClaimLost,     &JournalSealed,      &StepDownConfirmed,
-      &StoreDown,        &StoreUp,        &JobAccepted,   &JobRefused,         &JobEnded,
-      &JobCancelled,     &TaskStarted,    &TaskEnded,     &TaskUnknown,        &TaskRequeued,
-      &TaskUncertain,    &WorkerLost,     &WorkerBack,    &WorkerSuspected,    &WorkerCleared,
-      &TaskContained,    &ConfigInForce,  &ConfigRefused, &ConfigFromPeer,     &UpstreamFailed,
-      &RequestRefused,   &RequestRetried, &SettingsRead,  &BecameReady,        &BecameUnready,
-      &RecordUnreadable, &ClaimMade,      &TermBegun,     &TermEnded,          &SchedulerGone,
-      &JobKept,          &CallRefused,    &JobTaken,      &RunStopped,         &StartNotConfirmed,
-      &StepPlaced,       &AdviceGiven,    &TaskFailed,    &WorkerSilent,       &WorkerReplaced};
+  static const std::array All{&Started,         &Stopping,          &Stopped,
+                              &SettingsRefused, &InternalFault,     &LeaseGranted,
+                              &LeaseLost,       &AuthorityLost,     &AuthorityByPromise,
+                              &Fenced,          &ShardClaimed,      &ShardReleased,
+                              &ClaimLost,       &JournalSealed,     &StepDownConfirmed,
+                              &StoreDown,       &StoreUp,           &JobAccepted,
+                              &JobRefused,      &JobEnded,          &JobCancelled,
+                              &TaskStarted,     &TaskEnded,         &TaskUnknown,
+                              &TaskRequeued,    &TaskUncertain,     &WorkerLost,
+                              &WorkerBack,      &WorkerSuspected,   &WorkerCleared,
+                              &TaskContained,   &ConfigInForce,     &ConfigRefused,
+                              &ConfigFromPeer,  &UpstreamFailed,    &RequestRefused,
+                              &RequestRetried,  &SettingsRead,      &BecameReady,
+                              &BecameUnready,   &RecordUnreadable,  &ClaimMade,
+                              &TermBegun,       &TermEnded,         &SchedulerGone,
+                              &JobKept,         &CallRefused,       &JobTaken,
+                              &RunStopped,      &StartNotConfirmed, &StepPlaced,
+                              &AdviceGiven,     &TaskFailed,        &RunLost,
+                              &WorkerSilent,    &WorkerReplaced};
   return All;
 }
 
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -28,6 +28,8 @@
                         "Start orders answered, by `case`: the result as numbered in workload.h."};
 const MetricKind StartSeconds{"start_seconds", "histogram", "From a start order to its answer."};
 const MetricKind Ends{"ends_total", "counter", "Jobs ended and saved, by `case`: the phase."};
+const MetricKind RunsLost{"runs_lost_total", "counter",
+                          "Runs that ended with their worker, by `case`: how that was found."};
 const MetricKind FirstStartSeconds{
     "first_start_seconds", "histogram",
     "From the time at which a step could run to the first start of one of its tasks."};
@@ -45,10 +47,22 @@
 
 std::span<const MetricKind *const> metricTable() {
   using namespace metrics;
-  static const std::array All{&Calls,   &CallSeconds,       &StoreSeconds,  &Terms,
-                              &Jobs,    &Waiting,           &Starts,        &StartSeconds,
-                              &Ends,    &FirstStartSeconds, &AdviceSeconds, &PlaceSeconds,
-                              &Workers, &LogLinesLeftOut,   &Ready};
+  static const std::array All{&Calls,
+                              &CallSeconds,
+                              &StoreSeconds,
+                              &Terms,
+                              &Jobs,
+                              &Waiting,
+                              &Starts,
+                              &StartSeconds,
+                              &Ends,
+                              &RunsLost,
+                              &FirstStartSeconds,
+                              &AdviceSeconds,
+                              &PlaceSeconds,
+                              &Workers,
+                              &LogLinesLeftOut,
+                              &Ready};
   return All;
 }
 
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -655,6 +655,15 @@
                                   {"worker", What.Worker},
                                   {"failures", std::to_string(What.Failures)},
                                   {"allowed", std::to_string(What.MaxAttempts)}});
+  for (const Effects::Loss &What : Out.Losses) {
+    Tools.Metrics.count(metrics::RunsLost, std::string(toString(What.How)));
+    logEvent(events::RunLost, {{"task", toString(What.Run.Task)},
+                               {"run", std::to_string(What.Run.Run)},
+                               {"worker", What.Worker},
+                               {"how", std::string(toString(What.How))},
+                               {"ran_ms", std::to_string(What.Ran.count())},
+                               {"in_a_row", std::to_string(What.Losses)}});
+  }
 }
 
 void SchedulerRunner::placeSoon() {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -75,6 +75,14 @@
   Stopping, ///< A stop was ordered; the run may still be there.
 };
 
+/// How a worker's runs were found to be over without its word.
+enum class LifeEnd {
+  Replaced, ///< Another life answers at its address.
+  Gone,     ///< It is off the platform's list, silent, and its lease is over.
+  Lapsed,   ///< It is listed, silent, and its lease is over; it may be heard again.
+};
+std::string_view toString(LifeEnd How);
+
 /// Behind all priorities that a queue can have.
 inline constexpr int ExcessPriority = 1'000'000;
 
@@ -154,6 +162,7 @@
   bool MayRunMeanwhile = false; ///< The scheduler before may still start it where nobody has
                                 ///< heard of this one yet.
   TimePoint NotBefore{};
+  uint32_t Losses = 0;              ///< Workers in a row that were lost while they held it.
   const Worker *FailedOn = nullptr; ///< Compared only.
   TimePoint FailedAt{};             ///< Its last failure.
 };
@@ -302,9 +311,18 @@
     size_t Failures = 0;
     int MaxAttempts = 0;
   };
+  /// For the log: a run that ended with its worker, which nobody can list any more.
+  struct Loss {
+    RunKey Run;
+    std::string Worker;
+    LifeEnd How = LifeEnd::Lapsed;
+    Milliseconds Ran{0}; ///< From the order, or its answer, to when the worker was last heard.
+    uint32_t Losses = 0; ///< Of the task, in a row.
+  };
   std::vector<Start> Starts;
   std::vector<Placed> Placements;
   std::vector<Failure> Failures;
+  std::vector<Loss> Losses;
   std::vector<Stop> Stops;
   std::vector<Ask> Asks;
   std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
@@ -371,7 +389,8 @@
 /// True if a worker of the service may hold runs of an earlier scheduler that are not known yet.
 bool isAwaited(const CellState &Cell, const std::string &Service);
 /// Another life answers at its address, or its lease has surely run out and it is gone.
-void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out);
+void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out,
+                LifeEnd How = LifeEnd::Replaced);
 /// A lease until \p End, as the process reckons it, may have reached the worker.
 void workerLeased(CellState &Cell, const std::string &Id, TimePoint End);
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult What,
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -395,22 +395,48 @@
   }
 }
 
+std::string_view toString(LifeEnd How) {
+  switch (How) {
+  case LifeEnd::Replaced:
+    return "replaced";
+  case LifeEnd::Gone:
+    return "gone";
+  case LifeEnd::Lapsed:
+    return "lapsed";
+  }
+  return "";
+}
+
+// Tells the log of a run that ends with its worker.
+static void noteLoss(CellState &Cell, const Worker &On, const RunKey &Run, LifeEnd How,
+                     Effects &Out) {
+  const Attempt &What = On.Attempts.at(Run);
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (What.Phase == AttemptPhase::Planned || !Step || Run.Task.Index >= Step->Tasks.size())
+    return;
+  const TimePoint Began = What.StartedAt == TimePoint{} ? What.Since : What.StartedAt;
+  const auto Ran = std::chrono::duration_cast<Milliseconds>(On.ReportedAt - Began);
+  const uint32_t Losses = ++Step->Tasks[Run.Task.Index].Losses;
+  Out.Losses.push_back({Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)), Losses});
+}
+
 // All runs of the worker are over.
-static void dropAttempts(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+static void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out) {
   std::vector<RunKey> Lost;
   for (const auto &[Run, What] : On.Attempts)
     Lost.push_back(Run);
   for (const RunKey &Run : Lost) {
+    noteLoss(Cell, On, Run, How, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
   }
 }
 
-void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out) {
+void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out, LifeEnd How) {
   Worker *On = findWorker(Cell, Id);
   if (!On)
     return;
-  dropAttempts(Cell, *On, Now, Out);
+  dropAttempts(Cell, *On, How, Now, Out);
   Cell.Slots[On->Slot] = nullptr;
   Cell.Workers.erase(Id);
   heard(Cell, Id, Now, Out);
@@ -573,7 +599,7 @@
       Over.push_back(Id);
     else if (Lapsed) {
       holdBackWhatMayBeDone(Cell, On, Now);
-      dropAttempts(Cell, On, Now, Out);
+      dropAttempts(Cell, On, LifeEnd::Lapsed, Now, Out);
       heard(Cell, Id, Now, Out);
     } else if (On.Answers) {
       tickStops(Cell, On, Now, Out);
@@ -584,7 +610,7 @@
     }
   }
   for (const std::string &Id : Over)
-    workerOver(Cell, Id, Now, Out);
+    workerOver(Cell, Id, Now, Out, LifeEnd::Gone);
   wantWorkers(Cell, Out);
   tickJobs(Cell, Now);
 }
