A task that crashes its workers: the failing test

Reproduces the incident with the decisions alone: 48 workers, one task under which each worker falls silent and another life answers at its address 3 s later.

--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -188,6 +188,30 @@
   int LastLife = 0;
 };
 
+// On a cell of 48 workers one job of one task took a worker every 3.3 seconds, and with it all that
+// ran there, until the day was over; four such jobs took 253. The worker was gone 11 ms after each
+// start, and the scheduler heard of it only when another life answered at its address. What it
+// wrote of it was, each time:
+//   22.950 worker-replaced worker=...
+//   22.966 step-placed step=....0.0 tasks=1 workers=1 waited_ms=13360
+//   22.977 worker-silent worker=... why="the answer of 10.4.64.38:8062 is lost: End of file"
+//   26.290 worker-replaced worker=...
+//   26.304 step-placed step=....0.0 tasks=1 workers=1 waited_ms=16698
+// The run counted as lapsed, as if a lease had run out, and lapsed runs count for nothing.
+TEST(Crashes, ATaskThatCrashesItsWorkersIsGivenUp) {
+  Scene Given(48);
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  for (int Cycle = 0; Cycle < 12; ++Cycle) {
+    Given.pass(1500ms);
+    const std::string Where = Given.at(Crasher);
+    if (Where.empty())
+      break;
+    Given.crash(Where);
+  }
+  EXPECT_EQ(Given.startsOf(Crasher), 3u);
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+}
+
 TEST(Crashes, TellsWhichRunsAWorkerTookWithIt) {
   Scene Given(1);
   const JobId Old = Given.submit(tasks(1, 4000, 60s));
