A task that crashes its workers is given up after three of them

Cause: the end of a worker's life left no trace in its tasks. dropAttempts ended its runs as lapsed, which counts for nothing, and put the tasks back into the queue at once; nothing ever compared how often a task's worker had gone. Class: a failure that is charged to the place (the worker) and never to its possible cause (the work). Ruled out: a takeover that loses a count (there was none, and no term changed between the runs); one order that reached several workers (each run had its own number and its own step-placed). Change: src/scheduler/crashes counts workers that crash as a task begins (Crashes) and while they hold it (Losses). A silence counts at once and is saved before the task is started again; it is taken back when the worker answers, was leaving, or its lease merely lapsed, and counted after all when another life shows up in its place. What has stood half a second counts as sound. A counted task begins apart from others. Given up at 3 in a row (4 as inherited by a takeover; 5 of Losses). Moved there: what workers.cpp had on lost runs.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -130,8 +130,11 @@
 const EventKind TaskFailed{2305, "info", "task-failed",
                            "A run failed; how often the task may still be tried."};
 const EventKind RunLost{2306, "warn", "run-lost",
-                        "A run ended with its worker: how that was found, how long the run had "
-                        "been there, how often in a row that happened to its task."};
+                        "A run ended with its worker: how that was found, how long it had been "
+                        "there, and how many workers in a row crashed as its task began "
+                        "(`crashes`) or while they held it (`losses`)."};
+const EventKind TaskGivenUp{2307, "warn", "task-given-up",
+                            "Workers crash under the task again and again; its job has failed."};
 const EventKind WorkerSilent{2401, "warn", "worker-silent",
                              "The worker does not answer; nothing new is placed there."};
 const EventKind WorkerReplaced{2402, "info", "worker-replaced",
@@ -158,7 +161,7 @@
                               &JobKept,         &CallRefused,       &JobTaken,
                               &RunStopped,      &StartNotConfirmed, &StepPlaced,
                               &AdviceGiven,     &TaskFailed,        &RunLost,
-                              &WorkerSilent,    &WorkerReplaced};
+                              &TaskGivenUp,     &WorkerSilent,      &WorkerReplaced};
   return All;
 }
 
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -30,6 +30,8 @@
 const MetricKind Ends{"ends_total", "counter", "Jobs ended and saved, by `case`: the phase."};
 const MetricKind RunsLost{"runs_lost_total", "counter",
                           "Runs that ended with their worker, by `case`: how that was found."};
+const MetricKind TasksGivenUp{"tasks_given_up_total", "counter",
+                              "Tasks given up with their jobs because they crash their workers."};
 const MetricKind FirstStartSeconds{
     "first_start_seconds", "histogram",
     "From the time at which a step could run to the first start of one of its tasks."};
@@ -47,21 +49,10 @@
 
 std::span<const MetricKind *const> metricTable() {
   using namespace metrics;
-  static const std::array All{&Calls,
-                              &CallSeconds,
-                              &StoreSeconds,
-                              &Terms,
-                              &Jobs,
-                              &Waiting,
-                              &Starts,
-                              &StartSeconds,
-                              &Ends,
-                              &RunsLost,
-                              &FirstStartSeconds,
-                              &AdviceSeconds,
-                              &PlaceSeconds,
-                              &Workers,
-                              &LogLinesLeftOut,
+  static const std::array All{&Calls,         &CallSeconds,  &StoreSeconds, &Terms,
+                              &Jobs,          &Waiting,      &Starts,       &StartSeconds,
+                              &Ends,          &RunsLost,     &TasksGivenUp, &FirstStartSeconds,
+                              &AdviceSeconds, &PlaceSeconds, &Workers,      &LogLinesLeftOut,
                               &Ready};
   return All;
 }
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -662,7 +662,14 @@
                                {"worker", What.Worker},
                                {"how", std::string(toString(What.How))},
                                {"ran_ms", std::to_string(What.Ran.count())},
-                               {"in_a_row", std::to_string(What.Losses)}});
+                               {"crashes", std::to_string(What.Crashes)},
+                               {"losses", std::to_string(What.Losses)}});
+  }
+  for (const Effects::GivenUp &What : Out.TasksGivenUp) {
+    Tools.Metrics.count(metrics::TasksGivenUp);
+    logEvent(events::TaskGivenUp, {{"task", toString(What.Task)},
+                                   {"crashes", std::to_string(What.Crashes)},
+                                   {"losses", std::to_string(What.Losses)}});
   }
 }
 
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -21,8 +21,8 @@
 
 namespace metrics {
 extern const MetricKind Calls, CallSeconds, StoreSeconds, Terms, Jobs, Waiting, Starts,
-    StartSeconds, Ends, RunsLost, FirstStartSeconds, AdviceSeconds, PlaceSeconds, Workers,
-    LogLinesLeftOut, Ready;
+    StartSeconds, Ends, RunsLost, TasksGivenUp, FirstStartSeconds, AdviceSeconds, PlaceSeconds,
+    Workers, LogLinesLeftOut, Ready;
 } // namespace metrics
 
 /// All metrics, for the catalogue.
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -64,6 +64,16 @@
   Milliseconds NotBackTime{1000}; ///< A task that failed goes elsewhere for so long; a worker that
                                   ///< fails everything is set aside by then.
   int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
+  uint32_t MaxCrashes = 3; ///< A task that crashed so many workers in a row as it began is given
+                           ///< up. Operators allow it from the second on.
+  uint32_t MaxInheritedCrashes = 4; ///< The same as an earlier scheduler left it: one of them may
+                                    ///< have been a silence only.
+  uint32_t MaxLosses = 5;      ///< The same for `TaskState::Losses`: a sound task that runs beside
+                               ///< others is on a worker that crashes often enough.
+  Milliseconds BeginTime{500}; ///< So long after its start a run counts as beginning. Tasks that
+                               ///< crash their workers were seen to do it within 10 ms.
+  Milliseconds VanishedKept{30000}; ///< How long another life is waited for where one vanished; a
+                                    ///< worker that crashed is back within seconds.
 };
 
 /// Where an attempt stands.
@@ -107,11 +117,14 @@
   int Percent = 0;
   TimePoint PercentChanged{};
   TimePoint EndsSince{}; ///< Its gang is done; since then its own end is expected.
+  bool Stands = false;   ///< Its worker has lived through its beginning.
+  bool OnTrial = false;  ///< It begins apart from others; it is counted in `Worker::Trials`.
+  bool Blamed = false;   ///< The silence of its worker is counted in its task's `Crashes`.
 };
 
 /// One life of a worker and what is booked on it.
 /// Invariant: Booked is the sum of the needs of all attempts that are not Planned, Planned that of
-/// the others, Stoppable that of those that may be stopped.
+/// the others, Stoppable that of those that may be stopped; Trials counts those on trial.
 struct Worker {
   WorkerInfo Info;
   uint32_t Slot = 0;   ///< Its number within this term, in `CellState::Slots`; never used again.
@@ -132,9 +145,13 @@
   TimePoint LeaseEnd{};                              ///< By then everything on it has been killed.
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
-  TimePoint ReportedAt{}; ///< When it was asked for its last report.
-  TimePoint LeavesAt{};   ///< While it drains: it does not leave before.
-  TimePoint UnlistedAt{}; ///< When it was found missing in the platform's list.
+  TimePoint ReportedAt{};         ///< When it was asked for its last report.
+  TimePoint LeavesAt{};           ///< While it drains: it does not leave before.
+  TimePoint UnlistedAt{};         ///< When it was found missing in the platform's list.
+  uint32_t Trials = 0;            ///< While there is one, nothing else begins here.
+  bool FellSilent = false;        ///< Its silence has still to be counted against what began here.
+  std::vector<TaskKey> LostUnder; ///< Tasks that began here before their runs were given up in its
+                                  ///< silence: it crashed under them if another life shows up.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
@@ -162,7 +179,10 @@
   bool MayRunMeanwhile = false; ///< The scheduler before may still start it where nobody has
                                 ///< heard of this one yet.
   TimePoint NotBefore{};
-  uint32_t Losses = 0;              ///< Workers in a row that were lost while they held it.
+  uint32_t Crashes = 0;   ///< Workers in a row that crashed, or fell silent, as it began.
+  uint32_t Losses = 0;    ///< Workers in a row that crashed while they held it; those that held
+                          ///< nothing else count twice.
+  uint64_t CrashSave = 0; ///< The save that has to be durable before it is started again.
   const Worker *FailedOn = nullptr; ///< Compared only.
   TimePoint FailedAt{};             ///< Its last failure.
 };
@@ -225,6 +245,14 @@
   uint64_t NeedsSave = 0; ///< Number of the newest save it needs; 0: saved.
 };
 
+/// A worker that is gone, silent to the end, and the tasks that had begun there last.
+struct VanishedWorker {
+  std::string Id;
+  std::vector<TaskKey> Tasks;
+  TimePoint At{};
+  bool IsReplaced = false; ///< Another life is listed at its address: it crashed.
+};
+
 /// The durable end of a job.
 struct EndedJob {
   JobPhase Phase = JobPhase::Completed;
@@ -270,6 +298,7 @@
   std::set<StepKey> Renewing; ///< Steps whose question under way only renews tickets.
   /// By queue: the part of the workers asked about that turned out good, a moving average.
   std::map<std::string, double> GoodShares;
+  std::map<std::string, VanishedWorker> Vanished; ///< By address.
   TimePoint NextLeaveLook{}; ///< When work on leaving workers is looked for again.
   TimePoint NextStuckLook{}; ///< When runs without progress are looked for again.
 };
@@ -316,13 +345,21 @@
     RunKey Run;
     std::string Worker;
     LifeEnd How = LifeEnd::Lapsed;
-    Milliseconds Ran{0}; ///< From the order, or its answer, to when the worker was last heard.
-    uint32_t Losses = 0; ///< Of the task, in a row.
+    Milliseconds Ran{0};  ///< From the order, or its answer, to when the worker was last heard.
+    uint32_t Crashes = 0; ///< Of the task, as in `TaskState`.
+    uint32_t Losses = 0;
+  };
+  /// For the log: a task that is given up with its job, because it crashes its workers.
+  struct GivenUp {
+    TaskKey Task;
+    uint32_t Crashes = 0;
+    uint32_t Losses = 0;
   };
   std::vector<Start> Starts;
   std::vector<Placed> Placements;
   std::vector<Failure> Failures;
   std::vector<Loss> Losses;
+  std::vector<GivenUp> TasksGivenUp;
   std::vector<Stop> Stops;
   std::vector<Ask> Asks;
   std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
@@ -341,6 +378,8 @@
   bool Done = false;
   std::vector<uint32_t> FailedRuns;
   std::string Checkpoint;
+  uint32_t Crashes = 0;
+  uint32_t Losses = 0;
 };
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
 /// Call once after all jobs were added and restored.
@@ -433,6 +472,8 @@
 /// Puts the step into the placement queue if one of its tasks can be placed.
 void queueStep(CellState &Cell, Job &Of, StepState &Step, TimePoint Now);
 void needSave(CellState &Cell, Job &Of, Effects &Out);
+/// Ends the job, unless it has ended: what runs of it is stopped, and its end is saved.
+void endJob(CellState &Cell, Job &Of, JobPhase Phase, const char *Why, TimePoint Now, Effects &Out);
 /// Notes the end of a run in the task and the job.
 void runEnded(CellState &Cell, const RunKey &Run, RunEnd How, const std::string &Checkpoint,
               Worker *On, TimePoint Now, Effects &Out);
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -75,7 +75,8 @@
   const std::set<uint32_t> &Failures =
       Step.Spec->Gang && First ? Step.GangFailures : Task.FailedRuns;
   const bool KeepsCheckpoint = !Task.Done && !Task.Checkpoint.empty();
-  if (Failures.empty() && !KeepsCheckpoint)
+  const bool WasLost = !Task.Done && (Task.Crashes > 0 || Task.Losses > 0);
+  if (Failures.empty() && !KeepsCheckpoint && !WasLost)
     return;
   cell::TaskNote &Note = *To.add_note();
   Note.set_index(Index);
@@ -83,6 +84,10 @@
     Note.add_failed_run(Run);
   if (KeepsCheckpoint)
     Note.set_checkpoint(Task.Checkpoint);
+  if (WasLost) {
+    Note.set_crashes(Task.Crashes);
+    Note.set_losses(Task.Losses);
+  }
 }
 
 void writeStepProgress(const StepState &Step, cell::ProgressRecord &To) {
@@ -111,6 +116,8 @@
     SavedTask &Task = Tasks[Note.index()];
     Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
     Task.Checkpoint = Note.checkpoint();
+    Task.Crashes = Note.crashes();
+    Task.Losses = Note.losses();
   }
   std::vector<SavedTask> Read;
   for (auto &[Index, Task] : Tasks) {
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -15,6 +15,10 @@
   json::object Text{{"task", Index}, {"done", Task.Done}};
   if (!Task.FailedRuns.empty())
     Text["failed_runs"] = Task.FailedRuns.size();
+  if (Task.Crashes > 0 || Task.Losses > 0) {
+    Text["crashes_of_workers_as_it_began"] = Task.Crashes;
+    Text["crashes_of_workers_under_it"] = Task.Losses;
+  }
   if (!Task.At)
     return Text;
   Text["worker"] = Task.At->Info.Id;
@@ -35,6 +39,7 @@
   int64_t Silent = 0;
   int64_t Leaving = 0;
   int64_t SetAside = 0;
+  int64_t OnTrial = 0;
   int64_t AdvisedAgainst = 0;
   int64_t NotAsked = 0;
   int64_t NoRoom = 0;
@@ -48,6 +53,8 @@
       ++Leaving;
     else if (On.SetAsideUntil > Now)
       ++SetAside;
+    else if (On.Trials > 0)
+      ++OnTrial;
     else if (Of.Spec->Advice && !isAnswered(Step, On))
       ++NotAsked;
     else if (Of.Spec->Advice && !permitOn(Step, On))
@@ -61,6 +68,7 @@
           {"silent", Silent},
           {"leaving", Leaving},
           {"set_aside", SetAside},
+          {"with_a_run_that_begins_apart", OnTrial},
           {"advice_not_asked", NotAsked},
           {"advised_against", AdvisedAgainst},
           {"without_room", NoRoom},
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -72,7 +72,7 @@
       Report.Ended.push_back({++LastEnd[Id], Run, How, ""});
     }
     for (const RunKey &Run : Here[Id])
-      Report.Active.push_back({Run, "", 50});
+      Report.Active.push_back({Run, "", Percent});
     Effects Out;
     workerLeased(Cell, Id, Now + Lease);
     workerReported(Cell, Id, Report, Now, Now, Out);
@@ -83,6 +83,8 @@
   void pass(Milliseconds Time) {
     for (Milliseconds T{0}; T < Time; T += 10ms) {
       Now += 10ms;
+      while (!Later.empty() && Later.begin()->first <= Now)
+        Later.extract(Later.begin()).mapped()();
       Effects Out;
       tick(Cell, Now, WallTime(std::chrono::duration_cast<Milliseconds>(Now.time_since_epoch())),
            Out);
@@ -104,6 +106,8 @@
       workerLeased(Cell, Order.Worker, Now + Lease);
       if (!Silent.count(Order.Worker)) {
         Here[Order.Worker].insert(Order.Run);
+        if (Crashers.count(Order.Run.Task.Step.Job))
+          crashSoon(Order.Worker);
         Effects Next;
         startAnswered(Cell, Order.Worker, Order.Run, StartResult::Started, Now, Next);
       }
@@ -117,6 +121,19 @@
     Losses.insert(Losses.end(), Out.Losses.begin(), Out.Losses.end());
   }
 
+  // The worker crashes 10 ms from now; its entry lapses, and another life begins in its place.
+  void crashSoon(const std::string &Id) {
+    Later.emplace(Now + 10ms, [this, Id] { fallSilent(Id); });
+    Later.emplace(Now + EntryKept, [this, Id] { workerUnlisted(Cell, Id, Now); });
+    Later.emplace(Now + BackAfter, [this, Id] {
+      if (Cell.Workers.count(Id))
+        return replace(Id);
+      const uint16_t Port = Ports.at(Id);
+      forget(Id);
+      addWorker(Id + "+", Port);
+    });
+  }
+
   void fallSilent(const std::string &Id) {
     Silent.insert(Id);
     workerSilent(Cell, Id);
@@ -139,6 +156,55 @@
     replace(Id);
   }
 
+  // Until the job's first task runs; false: it does not.
+  bool passUntilRuns(JobId Id, Milliseconds Most = 3s) {
+    for (Milliseconds T{0}; T < Most && at(Id).empty(); T += 10ms)
+      pass(10ms);
+    return !at(Id).empty();
+  }
+
+  // The members of a gang that is not whole any more end.
+  void breakRuns(const std::string &Id) {
+    std::vector<std::pair<RunKey, RunEnd>> Ends;
+    for (const RunKey &Run : Here[Id])
+      Ends.emplace_back(Run, RunEnd::Broken);
+    report(Id, Ends);
+  }
+
+  // Another scheduler goes on from what the store has; workers that answer are asked at once.
+  void takeOver() {
+    CellState Next;
+    Next.WallAt = Now;
+    Next.Wall = Cell.Wall;
+    Next.Fence = Cell.Fence + 1;
+    Next.FirstRun = Cell.FirstRun + 1000;
+    Cell = std::move(Next);
+    for (const auto &[Id, Port] : std::map(Ports)) {
+      list(Id, Port);
+      workerMayHoldRuns(Cell, Cell.Workers.at(Id).Info, Now + Lease);
+    }
+    for (const auto &[Id, Phase] : Ended)
+      Cell.Ended[Id] = {Phase, 1, Cell.Wall, ""};
+    for (const auto &[Id, Spec] : Specs) {
+      addJob(Cell, Spec, Id, false, Now);
+      const Result<SavedSteps> Saved = decodeProgress(Id, Progress[Id]);
+      for (const auto &[Key, Tasks] : value(Saved))
+        restoreStep(Cell, Key, Tasks);
+    }
+    Effects Out;
+    finishLoading(Cell, Now, Out);
+    take(Out);
+    for (const auto &[Id, Port] : std::map(Ports))
+      if (Silent.count(Id))
+        workerSilent(Cell, Id);
+      else
+        report(Id);
+  }
+
+  const TaskState &taskOf(JobId Id) const {
+    return Cell.Jobs.at(Id).Rounds.at(0).Steps[0].Tasks[0];
+  }
+
   void forget(const std::string &Id) {
     Ports.erase(Id);
     Here.erase(Id);
@@ -150,6 +216,8 @@
       const auto Found = Cell.Jobs.find(Id);
       if (Found != Cell.Jobs.end() && Found->second.Phase == JobPhase::Live)
         Progress[Id] = encodeProgress(Found->second);
+      else if (Found != Cell.Jobs.end())
+        Ended[Id] = Found->second.Phase;
       const uint64_t Newest = Found == Cell.Jobs.end() ? Number : Found->second.NeedsSave;
       jobSaved(Cell, Id, std::max(Number, Newest), 1, 1, Cell.Wall);
     }
@@ -177,9 +245,15 @@
   std::vector<Effects::Loss> Losses;
   std::map<JobId, JobSpecPtr> Specs;
   std::map<JobId, std::string> Progress; ///< As the store has it.
+  std::map<JobId, JobPhase> Ended;
   std::map<std::string, uint16_t> Ports; ///< Of the workers that are there.
   std::map<std::string, std::set<RunKey>> Here;
   std::set<std::string> Silent;
+  std::set<JobId> Crashers; ///< Jobs whose tasks crash their workers as they begin.
+  Milliseconds EntryKept{4500};
+  Milliseconds BackAfter{3000};
+  std::multimap<TimePoint, std::function<void()>> Later;
+  int Percent = 50;   ///< Of each run, as its worker says.
   bool Stores = true; ///< The store takes saves.
 
 private:
@@ -228,5 +302,224 @@
   EXPECT_EQ(Given.Losses[1].Worker, "w0");
 }
 
+// As in the account above, to the millisecond, with other work on all workers.
+TEST(Crashes, ATaskThatCrashesItsWorkersAsItBeginsIsGivenUpBesideOthers) {
+  Scene Given(12);
+  std::vector<JobId> Others;
+  for (int I = 0; I < 24; ++I)
+    Others.push_back(Given.submit(tasks(2, 4000, 60s)));
+  Given.pass(2s);
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  int Crashes = 0;
+  for (; Crashes < 12 && Given.passUntilRuns(Crasher); ++Crashes) {
+    Given.pass(10ms);
+    Given.crash(Given.at(Crasher));
+  }
+  EXPECT_EQ(Crashes, 3);
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+  for (const JobId Id : Others)
+    EXPECT_EQ(Given.Cell.Jobs.at(Id).Phase, JobPhase::Live) << "what ran beside it is not to blame";
+}
+
+// Two of them at a time, both waiting for a place at the same moment. Together on one worker they
+// would hide each other, and others would seem as guilty.
+TEST(Crashes, WhatMayCrashItsWorkerBeginsApart) {
+  Scene Given(4);
+  const JobId First = Given.submit(tasks(1, 4000, 600ms));
+  const JobId Second = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.passUntilRuns(First));
+  ASSERT_EQ(Given.at(First), Given.at(Second)) << "packed while nothing is known";
+  Given.crash(Given.at(First));
+  const JobId Third = Given.submit(tasks(6, 2000, 600ms));
+  Given.pass(100ms);
+  ASSERT_FALSE(Given.at(First).empty());
+  ASSERT_FALSE(Given.at(Second).empty());
+  EXPECT_NE(Given.at(First), Given.at(Second));
+  for (uint32_t I = 0; I < 6; ++I) {
+    EXPECT_NE(Given.at(Third, I), Given.at(First));
+    EXPECT_NE(Given.at(Third, I), Given.at(Second));
+  }
+  Given.pass(1500ms); // they have stood their beginning: the workers are everybody's again
+  for (const auto &[Id, On] : Given.Cell.Workers)
+    EXPECT_EQ(On.Trials, 0u) << Id;
+}
+
+TEST(Crashes, ATaskThatWaitsForAQuietWorkerGetsOneWhileOthersComeAllTheTime) {
+  Scene Given(2);
+  const JobId Suspect = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.passUntilRuns(Suspect));
+  Given.crash(Given.at(Suspect));
+  Milliseconds Waited{0};
+  while (Given.at(Suspect).empty() && Waited < 3s) {
+    Given.submit(tasks(2, 2000, 60s)); // begins somewhere at once
+    Given.pass(40ms);
+    Waited += 40ms;
+  }
+  EXPECT_LT(Waited, 1500ms);
+}
+
+TEST(Crashes, ARunThatHasStoodItsBeginningIsNotToBlame) {
+  Scene Given(6);
+  const JobId Bystander = Given.submit(tasks(1, 4000, 60s));
+  for (int I = 0; I < 4; ++I) {
+    ASSERT_TRUE(Given.passUntilRuns(Bystander));
+    Given.pass(1s);
+    Given.submit(tasks(1, 60000, 100ms)); // it is not alone there
+    Given.pass(20ms);
+    Given.crash(Given.at(Bystander));
+  }
+  EXPECT_EQ(Given.Cell.Jobs.at(Bystander).Phase, JobPhase::Live);
+  EXPECT_EQ(Given.Cell.Jobs.at(Bystander).Rounds.at(0).Steps[0].Tasks[0].Crashes, 0u);
+}
+
+// Such a task is given up as well, later: who crashed the worker is less sure.
+TEST(Crashes, ATaskThatIsAlwaysThereWhenItsWorkerCrashesIsGivenUp) {
+  Scene Given(12);
+  for (int I = 0; I < 24; ++I)
+    Given.submit(tasks(2, 4000, 600s));
+  Given.pass(2s);
+  const JobId Late = Given.submit(tasks(1, 4000, 60s));
+  int Crashes = 0;
+  for (; Crashes < 12 && Given.passUntilRuns(Late); ++Crashes) {
+    Given.pass(2s);
+    Given.crash(Given.at(Late));
+  }
+  EXPECT_EQ(Crashes, 5);
+  EXPECT_EQ(shownState(Given.Cell, Late), "failed");
+}
+
+TEST(Crashes, AWorkerThatIsCutOffAndComesBackHasNotCrashed) {
+  Scene Given(3);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  for (int I = 0; I < 5; ++I) {
+    ASSERT_TRUE(Given.passUntilRuns(Id));
+    const std::string Where = Given.at(Id);
+    Given.fallSilent(Where);
+    Given.pass(8s); // its lease is over
+    EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
+    Given.Silent.erase(Where);
+    Given.Here[Where].clear();
+    Given.report(Where);
+  }
+  EXPECT_EQ(Given.Cell.Jobs.at(Id).Phase, JobPhase::Live);
+}
+
+TEST(Crashes, ASilenceIsCountedAtOnceAndTakenBackWhenTheWorkerAnswers) {
+  Scene Given(1);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.fallSilent("w0");
+  Given.pass(100ms);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+  EXPECT_EQ(value(decodeProgress(Id, Given.Progress.at(Id)))[0].second[0].Crashes, 1u);
+  Given.Silent.clear();
+  Given.pass(200ms);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
+}
+
+TEST(Crashes, AWorkerThatSaidThatItLeavesHasNotCrashed) {
+  Scene Given(6);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  for (int I = 0; I < 5; ++I) {
+    ASSERT_TRUE(Given.passUntilRuns(Id));
+    const std::string Where = Given.at(Id);
+    if (I % 2 == 0) {
+      Given.list(Where, Given.Ports.at(Where), true);
+    } else { // or left the list without a word, and served on
+      workerUnlisted(Given.Cell, Where, Given.Now);
+      Given.pass(200ms);
+    }
+    Given.crash(Where, 100ms);
+    EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
+  }
+  EXPECT_EQ(Given.Cell.Jobs.at(Id).Phase, JobPhase::Live);
+}
+
+// It is back after the lease and after its entry has lapsed, so that nothing answers for the old
+// life any more.
+TEST(Crashes, AWorkerThatIsBackLateAsAnotherLifeHasCrashed) {
+  Scene Given(12);
+  Given.BackAfter = 9s;
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  Given.Crashers = {Crasher};
+  Given.pass(120s);
+  EXPECT_LE(Given.startsOf(Crasher), 5u) << "two more than three may be started";
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+}
+
+// Each scheduler ends as soon as it has seen the silence.
+TEST(Crashes, TheCountOutlivesTheScheduler) {
+  Scene Given(12);
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  Given.Crashers = {Crasher};
+  for (int Terms = 0; Terms < 12; ++Terms) {
+    const size_t Before = Given.startsOf(Crasher);
+    for (Milliseconds T{0}; T < 10s && Given.startsOf(Crasher) == Before; T += 10ms)
+      Given.pass(10ms);
+    Given.pass(100ms);
+    Given.takeOver();
+  }
+  EXPECT_LE(Given.startsOf(Crasher), 5u);
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+}
+
+TEST(Crashes, WhatIsNotSavedYetIsNotStartedAgain) {
+  Scene Given(6);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.Stores = false;
+  Given.crash(Given.at(Id));
+  Given.pass(2s);
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+  Given.Stores = true;
+  Given.pass(1s);
+  EXPECT_EQ(Given.startsOf(Id), 2u);
+}
+
+// The members begin together; one of them crashes its worker each time the gang is whole.
+TEST(Crashes, AMemberOfAGangThatCrashesItsWorkersEndsTheGang) {
+  Scene Given(12);
+  StepSpec Gang = tasks(4, 30000, 2s);
+  Gang.Gang = true;
+  const JobId Id = Given.submit(Gang);
+  int Crashes = 0;
+  for (; Crashes < 12 && Given.passUntilRuns(Id); ++Crashes) {
+    const std::string Where = Given.at(Id);
+    const std::string Other = Given.at(Id, 3);
+    ASSERT_NE(Where, Other);
+    Given.crash(Where);
+    Given.breakRuns(Other);
+  }
+  EXPECT_EQ(Crashes, 3);
+  EXPECT_EQ(shownState(Given.Cell, Id), "failed");
+}
+
+// A member that waits for the others has not begun, however long it waits.
+TEST(Crashes, AMemberThatWaitsForItsGangHasNotStoodItsBeginning) {
+  Scene Given(4);
+  StepSpec Gang = tasks(2, 40000, 2s);
+  Gang.Gang = true;
+  const JobId Id = Given.submit(Gang);
+  Given.Percent = 0;
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.pass(2s);
+  Given.fallSilent(Given.at(Id));
+  Given.pass(100ms);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+}
+
+TEST(Crashes, ALastingTaskIsNotGivenUpForCrashesFarApart) {
+  Scene Given(12);
+  StepSpec Lasts = tasks(1, 4000, 0ms);
+  Lasts.Lasting = true;
+  const JobId Id = Given.submit(Lasts);
+  for (int I = 0; I < 8; ++I) {
+    ASSERT_TRUE(Given.passUntilRuns(Id));
+    Given.pass(2s);
+    Given.crash(Given.at(Id));
+  }
+  EXPECT_EQ(Given.Cell.Jobs.at(Id).Phase, JobPhase::Live);
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // The life of a job: rounds, steps and tasks, from acceptance to its saved end.
-#include "valveshelf/cell_state.h"
+#include "scheduler/crashes.h"
 
 #include <algorithm>
 
@@ -70,15 +70,6 @@
     }
 }
 
-void endJob(CellState &Cell, Job &Of, JobPhase Phase, const char *Why, TimePoint Now,
-            Effects &Out) {
-  if (Of.Phase != JobPhase::Live)
-    return;
-  Of.Phase = Phase;
-  stopAll(Cell, Of, Why, Now, Out);
-  needSave(Cell, Of, Out);
-}
-
 // Stops what other runs of a task that is done may still be there.
 void stopLeftOver(CellState &Cell, StepState &Step, const RunKey &Ended, TimePoint Now,
                   Effects &Out) {
@@ -138,6 +129,15 @@
 }
 } // namespace
 
+void endJob(CellState &Cell, Job &Of, JobPhase Phase, const char *Why, TimePoint Now,
+            Effects &Out) {
+  if (Of.Phase != JobPhase::Live)
+    return;
+  Of.Phase = Phase;
+  stopAll(Cell, Of, Why, Now, Out);
+  needSave(Cell, Of, Out);
+}
+
 Attempt *attemptOf(const StepState &Step, uint32_t Index) {
   const TaskState &Task = Step.Tasks[Index];
   if (!Task.At)
@@ -218,6 +218,8 @@
       --Step->Open;
     }
     Task.Checkpoint = Saved.Checkpoint;
+    Task.Crashes = Saved.Crashes;
+    Task.Losses = Saved.Losses;
     (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
         .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
   }
@@ -251,6 +253,7 @@
     if (Of.Phase == JobPhase::Live && Of.RoundsDone >= std::max<uint32_t>(Of.Spec->Repetitions, 1))
       endJob(Cell, Of, JobPhase::Completed, "the job is complete", Now, Out);
   }
+  giveUpInherited(Cell, Now, Out);
 }
 
 void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out) {
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -35,7 +35,9 @@
 /// In each dimension, the most that any worker has free and no question under way claims.
 Resources mostFree(const CellState &Cell);
 bool hasLabel(const WorkerInfo &Info, const std::string &Label);
-/// True if the step may be started on the worker now, as far as the worker goes.
+/// True if the worker is there and fit for the step.
+bool isSound(const Pass &In, const Worker &On, const Job &Of, const StepState &Step);
+/// The same, and nothing begins there that has to begin apart.
 bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step);
 /// What one task of the step takes of a worker.
 Resources needOf(const StepState &Step);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Where waiting tasks go: free room first, then room made by stopping work that can wait and saves
 // its progress; the order of the queue.
+#include "scheduler/crashes.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -80,7 +81,7 @@
   const bool MayRun = (Task.MayRunElsewhere && In.Awaited.count(Service) > 0) ||
                       (Task.MayRunMeanwhile && In.Asked.count(Service) > 0);
   return !Task.Done && !Task.At && !MayRun && Task.NotBefore <= In.Now &&
-         !hasStray(In.Cell, {Step.Key, Index});
+         !waitsForCrashSave(In.Cell, Task) && !hasStray(In.Cell, {Step.Key, Index});
 }
 
 namespace {
@@ -97,11 +98,13 @@
     Attempt &What = On->Attempts.at(Run);
     if (What.Phase != AttemptPhase::Planned)
       continue;
-    if (!isUsable(In, *On, Of, Step) || In.Now - What.Since > In.Cell.Limits.PlanTime)
+    const bool Usable = What.OnTrial ? isSound(In, *On, Of, Step) : isUsable(In, *On, Of, Step);
+    if (!Usable || In.Now - What.Since > In.Cell.Limits.PlanTime)
       unbook(In.Cell, *On, Run);
     else if (!hasTicket(In, Of, Step, *On))
       NoTicket.push_back(On->Info.Id);
-    else if (fits(What.Need, On->Info.Capacity - On->Booked))
+    else if (fits(What.Need, On->Info.Capacity - On->Booked) &&
+             (!What.OnTrial || isQuiet(*On, &Run)))
       orderStart(In, Of, Step, I, *On, What);
   }
   std::sort(NoTicket.begin(), NoTicket.end());
@@ -128,7 +131,8 @@
       continue;
     }
     Worker *On = findRoom(In, Of, Step, Task);
-    const bool Yields = !On && !Step.Queued->Late && gainsByStopping(In, Of, Step);
+    const bool Yields =
+        !On && !beginsApart(Step, Task) && !Step.Queued->Late && gainsByStopping(In, Of, Step);
     if (Yields)
       On = findYielding(In, Of, Step, Task);
     if (!On) {
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // What workers have free for a step, and what could be stopped to make room for it.
+#include "scheduler/crashes.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -17,12 +18,16 @@
          std::find(Info.Labels.begin(), Info.Labels.end(), Label) != Info.Labels.end();
 }
 
-bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+bool isSound(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
   return On.Heard && On.Saved && On.Listed && On.Answers && !On.Full && !On.Info.Draining &&
          On.SetAsideUntil <= In.Now && On.Info.Service == Of.Spec->Service &&
          hasLabel(On.Info, Step.Spec->RequiredLabel);
 }
 
+bool isUsable(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
+  return On.Trials == 0 && isSound(In, On, Of, Step);
+}
+
 namespace {
 // The usual size of an urgent task, and somewhat more.
 Resources usualUrgentNeed(const CellState &Cell) {
@@ -177,9 +182,12 @@
   const bool Far = !Step.Spec->NearRack.empty() && On.Info.Rack != Step.Spec->NearRack;
   Value.Penalty += Far ? 2 : 0;
   Value.Penalty += Task.FailedOn == &On ? 1 : 0;
+  // What may crash its worker goes where it can begin at once and takes least with it.
+  const bool Apart = beginsApart(Step, Task);
+  Value.Penalty += Apart && !isQuiet(On) ? 4 : 0;
   // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
   const int64_t Left = roomFor(In, On, Of, Step).MilliCores;
-  Value.Left = Of.Spec->Priority == 0 ? -Left : Left;
+  Value.Left = Of.Spec->Priority == 0 || Apart ? -Left : Left;
   return Value;
 }
 } // namespace
@@ -188,7 +196,10 @@
   Worker *Best = nullptr;
   Score BestScore;
   const Resources Need = needOf(Step);
+  const bool Apart = beginsApart(Step, Task);
   eachAdvised(In, Of, Step, [&](Worker &On) {
+    if (Apart && On.Planned != Resources{})
+      return;
     if (!fits(Need, roomFor(In, On, Of, Step)) || !isUsable(In, On, Of, Step) ||
         holdsLimit(Step, On) || hasJustFailedOn(In, Task, On) || !canPlan(In, Of, Step, On))
       return;
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Workers and the attempts on them: what their reports, answers and silences mean.
-#include "valveshelf/cell_state.h"
+#include "scheduler/crashes.h"
 
 #include <algorithm>
 
@@ -26,12 +26,6 @@
 // A run that fails within a tenth of its estimate failed at once. Those that fail by their own
 // fault do so somewhere in their work, those on a worker that is broken within some 20 ms.
 constexpr int AtOncePart = 10;
-// A run that its worker's lease has ended may have been done if so much of its estimate has passed;
-// estimates are off by half.
-constexpr double LeastDonePart = 0.5;
-// What may be done is not started elsewhere for this time after the lease: cut links come back
-// within it, and a worker that is gone is off the platform's list by then.
-constexpr Milliseconds DoneWait{3000};
 // A worker that is busy or can't be reached is left alone for this time.
 constexpr Milliseconds ShortPause{500};
 
@@ -112,7 +106,8 @@
   stopAttempt(Cell, On, Row.Run, "the task does not need it", Now, Out);
 }
 
-void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What, TimePoint Now) {
+void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What, TimePoint Now,
+                  Effects &Out) {
   if (What.Phase == AttemptPhase::Starting || What.Phase == AttemptPhase::Uncertain) {
     setPhase(Cell, On, Row.Run, AttemptPhase::Running, Now);
     What.StartedAt = What.PercentChanged = Now;
@@ -121,6 +116,7 @@
     What.Percent = Row.Percent;
     What.PercentChanged = Now;
   }
+  noteBeginning(Cell, On, Row.Run, What, Now, Out);
   StepState *Step = findStep(Cell, Row.Run.Task.Step);
   if (!Step || Row.Run.Task.Index >= Step->Tasks.size())
     return;
@@ -165,6 +161,7 @@
       continue;
     On.LastEnd = End.Number;
     judge(Cell, On, End, Now);
+    noteListedEnd(Cell, End);
     unbook(Cell, On, End.Run);
     runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
@@ -248,6 +245,8 @@
   Cell.UrgentAttempts += Made.IsUrgent ? 1 : 0;
   Made.Objective = Of.Objective;
   Made.Estimate = Step.Spec->Estimate;
+  Made.OnTrial = beginsApart(Step, Task);
+  On.Trials += Made.OnTrial ? 1 : 0;
   Made.MayBeStopped = Step.Spec->Checkpoints && !Step.Spec->Gang && !Step.Spec->Lasting;
   Made.Phase = Phase;
   Made.Since = Now;
@@ -280,6 +279,7 @@
   if (Found->second.MayBeStopped)
     On.Stoppable -= Found->second.Need;
   Cell.UrgentAttempts -= Found->second.IsUrgent ? 1 : 0;
+  On.Trials -= Found->second.OnTrial ? 1 : 0;
   if (Found->second.Owner)
     Found->second.Owner->Running -= Found->second.Charge;
   On.Attempts.erase(Found);
@@ -326,6 +326,7 @@
   On.Info = Info;
   On.Listed = true;
   On.LeavesAt = Now + Info.TimeLeft;
+  noteLifeAt(Cell, Info);
   if (New)
     On.LeaseEnd = Now;
 }
@@ -354,13 +355,14 @@
     return;
   On->Answers = true;
   On->ReportedAt = std::max(On->ReportedAt, AskedAt);
+  takeBackBlame(Cell, *On, Out);
   readEnds(Cell, *On, Report, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
     if (Found == On->Attempts.end())
       adopt(Cell, *On, Row, Now, Out);
     else
-      noteProgress(Cell, *On, Row, Found->second, Now);
+      noteProgress(Cell, *On, Row, Found->second, Now, Out);
   }
   dropNeverBegun(Cell, *On, Report, AskedAt, Now, Out);
   On->Heard = true;
@@ -368,8 +370,10 @@
 }
 
 void workerSilent(CellState &Cell, const std::string &Id) {
-  if (Worker *On = findWorker(Cell, Id))
+  if (Worker *On = findWorker(Cell, Id)) {
     On->Answers = false;
+    On->FellSilent = true;
+  }
 }
 
 void workerLeased(CellState &Cell, const std::string &Id, TimePoint End) {
@@ -377,66 +381,13 @@
     On->LeaseEnd = std::max(On->LeaseEnd, End);
 }
 
-// True if the run, which its worker's lease has ended, may have been done before.
-static bool mayBeDone(const Attempt &What, TimePoint Now) {
-  return What.StartedAt != TimePoint{} && Now - What.StartedAt >= What.Estimate * LeastDonePart;
-}
-
-// A silent worker that the platform still lists is alive, and lists its ends when it can be reached
-// again. Work that may be among them waits a little before it is started elsewhere; on full links
-// it was done twice (up to 15 of 4,400 runs, cell of 120 workers behind links of 2 Mbit/s).
-static void holdBackWhatMayBeDone(CellState &Cell, const Worker &On, TimePoint Now) {
-  if (!On.Listed)
-    return;
-  for (const auto &[Run, What] : On.Attempts) {
-    StepState *Step = findStep(Cell, Run.Task.Step);
-    if (Step && Run.Task.Index < Step->Tasks.size() && mayBeDone(What, Now))
-      Step->Tasks[Run.Task.Index].NotBefore = Now + DoneWait;
-  }
-}
-
-std::string_view toString(LifeEnd How) {
-  switch (How) {
-  case LifeEnd::Replaced:
-    return "replaced";
-  case LifeEnd::Gone:
-    return "gone";
-  case LifeEnd::Lapsed:
-    return "lapsed";
-  }
-  return "";
-}
-
-// Tells the log of a run that ends with its worker.
-static void noteLoss(CellState &Cell, const Worker &On, const RunKey &Run, LifeEnd How,
-                     Effects &Out) {
-  const Attempt &What = On.Attempts.at(Run);
-  StepState *Step = findStep(Cell, Run.Task.Step);
-  if (What.Phase == AttemptPhase::Planned || !Step || Run.Task.Index >= Step->Tasks.size())
-    return;
-  const TimePoint Began = What.StartedAt == TimePoint{} ? What.Since : What.StartedAt;
-  const auto Ran = std::chrono::duration_cast<Milliseconds>(On.ReportedAt - Began);
-  const uint32_t Losses = ++Step->Tasks[Run.Task.Index].Losses;
-  Out.Losses.push_back({Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)), Losses});
-}
-
-// All runs of the worker are over.
-static void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out) {
-  std::vector<RunKey> Lost;
-  for (const auto &[Run, What] : On.Attempts)
-    Lost.push_back(Run);
-  for (const RunKey &Run : Lost) {
-    noteLoss(Cell, On, Run, How, Out);
-    unbook(Cell, On, Run);
-    runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
-  }
-}
-
 void workerOver(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out, LifeEnd How) {
   Worker *On = findWorker(Cell, Id);
   if (!On)
     return;
   dropAttempts(Cell, *On, How, Now, Out);
+  if (How == LifeEnd::Gone)
+    keepVanished(Cell, *On, Now);
   Cell.Slots[On->Slot] = nullptr;
   Cell.Workers.erase(Id);
   heard(Cell, Id, Now, Out);
@@ -594,6 +545,7 @@
     Cell.NextStuckLook = Now + StuckLookEvery;
   std::vector<std::string> Over;
   for (auto &[Id, On] : Cell.Workers) {
+    blameBeginners(Cell, On, Out);
     const bool Lapsed = !On.Answers && Now > On.LeaseEnd;
     if ((Lapsed && !On.Listed) || mayBeLetGo(On))
       Over.push_back(Id);
@@ -606,11 +558,13 @@
       if (LookForStuck) {
         tickLeftOver(Cell, On, Now, Out);
         tickStuck(Cell, On, Now, Out);
+        lookAtTrials(Cell, On, Now, Out);
       }
     }
   }
   for (const std::string &Id : Over)
     workerOver(Cell, Id, Now, Out, LifeEnd::Gone);
+  tickVanished(Cell, Now, Out);
   wantWorkers(Cell, Out);
   tickJobs(Cell, Now);
 }
