Crashes: doubts, starts that are saved before they are sent, fuzz with tasks that crash their workers

Change: a silence is a doubt that stays until it is settled; the start of a counted task is saved before it is sent, and a scheduler that takes over counts it; what a report proves goes by when it was asked for or by the worker's clock; only a run that was surely there makes a crash sure. Given up at 3 of which 2 are sure, at 4 otherwise. A single silence holds nothing back.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -393,12 +393,13 @@
 // A held call that was lost says little of the worker, which is then asked again at once; it counts
 // as silent when a call that was to be answered at once gets no answer.
 void SchedulerRunner::holdFailed(const std::string &Id, const Error &Why, bool IsHeld) {
-  if (!Cell.Workers.at(Id).Answers)
-    return;
-  noteLoss(Losses, Id, Tools.Time.Now());
+  const bool Answered = Cell.Workers.at(Id).Answers;
+  if (Answered)
+    noteLoss(Losses, Id, Tools.Time.Now());
   if (IsHeld)
     return;
-  logEvent(events::WorkerSilent, {{"worker", Id}, {"why", "\"" + Why.Detail + "\""}});
+  if (Answered)
+    logEvent(events::WorkerSilent, {{"worker", Id}, {"why", "\"" + Why.Detail + "\""}});
   workerSilent(Cell, Id);
 }
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -64,12 +64,13 @@
   Milliseconds NotBackTime{1000}; ///< A task that failed goes elsewhere for so long; a worker that
                                   ///< fails everything is set aside by then.
   int MaxFailuresInARow = 3;      ///< A worker that failed so many runs in a row is set aside.
-  uint32_t MaxCrashes = 3; ///< A task that crashed so many workers in a row as it began is given
-                           ///< up. Operators allow it from the second on.
-  uint32_t MaxInheritedCrashes = 4; ///< The same as an earlier scheduler left it: one of them may
-                                    ///< have been a silence only.
-  uint32_t MaxLosses = 5;      ///< The same for `TaskState::Losses`: a sound task that runs beside
-                               ///< others is on a worker that crashes often enough.
+  uint32_t MaxCrashes = 3;   ///< A task that crashed so many workers in a row as it began is given
+                             ///< up. Operators allow it from the second on.
+  uint32_t SureCrashes = 2;  ///< So many of them have to be sure; operators ask for two.
+  uint32_t MaxDoubtful = 4;  ///< Without that; operators allow five starts.
+  uint32_t MaxInherited = 5; ///< With a last start of which nobody is left to tell how it went.
+  uint32_t MaxLosses = 5;    ///< The same for `TaskState::Losses`: a sound task that runs beside
+                             ///< others is on a worker that crashes often enough.
   Milliseconds BeginTime{500}; ///< So long after its start a run counts as beginning. Tasks that
                                ///< crash their workers were seen to do it within 10 ms.
   Milliseconds VanishedKept{30000}; ///< How long another life is waited for where one vanished; a
@@ -117,9 +118,12 @@
   int Percent = 0;
   TimePoint PercentChanged{};
   TimePoint EndsSince{}; ///< Its gang is done; since then its own end is expected.
-  bool Stands = false;   ///< Its worker has lived through its beginning.
-  bool OnTrial = false;  ///< It begins apart from others; it is counted in `Worker::Trials`.
-  bool Blamed = false;   ///< The silence of its worker is counted in its task's `Crashes`.
+  std::optional<Milliseconds> FirstListed; ///< Its worker's clock, as it first listed the run.
+  TimePoint SeenAt{};   ///< When it was surely there: its start was answered, or it was listed in a
+                        ///< report asked for then.
+  bool Stands = false;  ///< Its worker has lived through its beginning.
+  bool OnTrial = false; ///< It begins apart from others; it is counted in `Worker::Trials`.
+  bool Blamed = false;  ///< The silence of its worker is counted in its task's `Crashes`.
 };
 
 /// One life of a worker and what is booked on it.
@@ -149,9 +153,10 @@
   TimePoint LeavesAt{};           ///< While it drains: it does not leave before.
   TimePoint UnlistedAt{};         ///< When it was found missing in the platform's list.
   uint32_t Trials = 0;            ///< While there is one, nothing else begins here.
-  bool FellSilent = false;        ///< Its silence has still to be counted against what began here.
+  TimePoint SilentSince{};        ///< When a silence was first counted since it was heard; or 0.
+  bool FellSilent = false;        ///< That has still to be counted against what began here.
   std::vector<TaskKey> LostUnder; ///< Tasks that began here before their runs were given up in its
-                                  ///< silence: it crashed under them if another life shows up.
+                                  ///< silence, each with a doubt of `TaskState::Doubts`.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
@@ -179,10 +184,14 @@
   bool MayRunMeanwhile = false; ///< The scheduler before may still start it where nobody has
                                 ///< heard of this one yet.
   TimePoint NotBefore{};
-  uint32_t Crashes = 0;   ///< Workers in a row that crashed, or fell silent, as it began.
-  uint32_t Losses = 0;    ///< Workers in a row that crashed while they held it; those that held
-                          ///< nothing else count twice.
-  uint64_t CrashSave = 0; ///< The save that has to be durable before it is started again.
+  uint32_t Crashes = 0;  ///< Workers in a row that crashed, or fell silent for good, as it began.
+  uint32_t Doubts = 0;   ///< Of them, those of which it is not known that they crashed.
+  uint32_t Losses = 0;   ///< Workers in a row that crashed while they held it; those that held
+                         ///< nothing else count twice.
+  bool MayBegin = false; ///< While `Crashes` is above 0: it may have been started once more since.
+  bool IsInherited =
+      false;              ///< One of the doubts is a start that an earlier scheduler may have sent.
+  uint64_t CrashSave = 0; ///< The save of these that has to be durable before it is started again.
   const Worker *FailedOn = nullptr; ///< Compared only.
   TimePoint FailedAt{};             ///< Its last failure.
 };
@@ -251,6 +260,7 @@
   std::vector<TaskKey> Tasks;
   TimePoint At{};
   bool IsReplaced = false; ///< Another life is listed at its address: it crashed.
+  bool IsBack = false;     ///< It is listed again itself: it did not.
 };
 
 /// The durable end of a job.
@@ -379,7 +389,9 @@
   std::vector<uint32_t> FailedRuns;
   std::string Checkpoint;
   uint32_t Crashes = 0;
+  uint32_t Doubts = 0;
   uint32_t Losses = 0;
+  bool MayBegin = false;
 };
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
 /// Call once after all jobs were added and restored.
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -86,6 +86,8 @@
     Note.set_checkpoint(Task.Checkpoint);
   if (WasLost) {
     Note.set_crashes(Task.Crashes);
+    Note.set_doubts(Task.Doubts);
+    Note.set_may_begin(Task.MayBegin);
     Note.set_losses(Task.Losses);
   }
 }
@@ -117,6 +119,8 @@
     Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
     Task.Checkpoint = Note.checkpoint();
     Task.Crashes = Note.crashes();
+    Task.Doubts = Note.doubts();
+    Task.MayBegin = Note.may_begin();
     Task.Losses = Note.losses();
   }
   std::vector<SavedTask> Read;
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -12,6 +12,9 @@
 // What may be done is not started elsewhere for this time after the lease: cut links come back
 // within it, and a worker that is gone is off the platform's list by then.
 constexpr Milliseconds DoneWait{3000};
+// A worker's calls are held, so that an end is heard of at once; while ends wait to be saved, after
+// this pause.
+constexpr Milliseconds EndHeardTime{250};
 // What a crash counts in `TaskState::Losses`: who else than the only run there should be to blame.
 constexpr uint32_t LossBesideOthers = 1;
 constexpr uint32_t LossAlone = 2;
@@ -32,49 +35,63 @@
   return On.Info.Draining || (!On.Listed && On.ReportedAt > On.UnlistedAt);
 }
 
-void setCrashes(CellState &Cell, const TaskKey &Key, uint32_t Crashes, Effects &Out) {
+void setCrashes(CellState &Cell, const TaskKey &Key, uint32_t Crashes, uint32_t Doubts,
+                Effects &Out) {
   TaskState *Task = findTask(Cell, Key);
   Job &Of = Cell.Jobs.at(Key.Step.Job);
-  if (Task->Crashes == Crashes || Of.Phase != JobPhase::Live)
+  if ((Task->Crashes == Crashes && Task->Doubts == Doubts) || Of.Phase != JobPhase::Live)
     return;
   Task->Crashes = Crashes;
+  Task->Doubts = Doubts;
+  Task->MayBegin = false;
   needSave(Cell, Of, Out);
   Task->CrashSave = Of.NeedsSave;
 }
 
-// False if the task is done or gone.
-bool countCrash(CellState &Cell, const TaskKey &Key, Effects &Out) {
+// The worker may have crashed as the task began. False if the task is done or gone.
+bool doubt(CellState &Cell, const TaskKey &Key, Effects &Out) {
   const TaskState *Task = findTask(Cell, Key);
   if (!Task || Task->Done)
     return false;
-  setCrashes(Cell, Key, Task->Crashes + 1, Out);
+  setCrashes(Cell, Key, Task->Crashes + 1, Task->Doubts + 1, Out);
   return true;
 }
 
+// It surely has, which was in doubt or not counted before.
+void confirm(CellState &Cell, const TaskKey &Key, bool WasDoubted, Effects &Out) {
+  const TaskState *Task = findTask(Cell, Key);
+  if (!Task || Task->Done)
+    return;
+  if (!WasDoubted)
+    setCrashes(Cell, Key, Task->Crashes + 1, Task->Doubts, Out);
+  else if (Task->Doubts > 0)
+    setCrashes(Cell, Key, Task->Crashes, Task->Doubts - 1, Out);
+}
+
+// It has not.
 void takeBack(CellState &Cell, const TaskKey &Key, Effects &Out) {
   const TaskState *Task = findTask(Cell, Key);
-  if (Task && Task->Crashes > 0)
-    setCrashes(Cell, Key, Task->Crashes - 1, Out);
+  if (Task && Task->Doubts > 0)
+    setCrashes(Cell, Key, Task->Crashes - 1, Task->Doubts - 1, Out);
 }
 
-void giveUp(CellState &Cell, const TaskKey &Key, TimePoint Now, Effects &Out) {
-  const TaskState &Task = *findTask(Cell, Key);
-  Out.TasksGivenUp.push_back({Key, Task.Crashes, Task.Losses});
-  endJob(Cell, Cell.Jobs.at(Key.Step.Job), JobPhase::Failed, "a task of it crashes its workers",
-         Now, Out);
+bool crashesWorkers(const SchedulerLimits &Limits, const TaskState &Task, bool Lasts) {
+  const uint32_t Seen = Task.Crashes - (Task.IsInherited ? 1 : 0);
+  const bool IsSure = Seen >= Limits.MaxCrashes && Task.Crashes - Task.Doubts >= Limits.SureCrashes;
+  const bool Starts = Seen >= Limits.MaxDoubtful || Task.Crashes >= Limits.MaxInherited;
+  return IsSure || Starts || (!Lasts && Task.Losses >= Limits.MaxLosses);
 }
 
 // Without this a task that crashes its workers took one each 3.3 s, and all that ran there, until
 // its caller went away (a cell of 48 workers with four such tasks lost 253 workers in 110 s).
 void giveUpIfDue(CellState &Cell, const TaskKey &Key, TimePoint Now, Effects &Out) {
   const TaskState *Task = findTask(Cell, Key);
-  if (!Task || Task->Done)
+  Job *Of = Task ? &Cell.Jobs.at(Key.Step.Job) : nullptr;
+  if (!Of || Task->Done || Of->Phase != JobPhase::Live ||
+      !crashesWorkers(Cell.Limits, *Task, findStep(Cell, Key.Step)->Spec->Lasting))
     return;
-  const bool Lasts = findStep(Cell, Key.Step)->Spec->Lasting;
-  const bool LostOften = !Lasts && Task->Losses >= Cell.Limits.MaxLosses;
-  const bool IsLive = Cell.Jobs.at(Key.Step.Job).Phase == JobPhase::Live;
-  if (IsLive && (Task->Crashes >= Cell.Limits.MaxCrashes || LostOften))
-    giveUp(Cell, Key, Now, Out);
+  Out.TasksGivenUp.push_back({Key, Task->Crashes, Task->Losses});
+  endJob(Cell, *Of, JobPhase::Failed, "a task of it crashes its workers", Now, Out);
 }
 
 void noteLoss(CellState &Cell, const Worker &On, const RunKey &Run, LifeEnd How, Effects &Out) {
@@ -88,25 +105,42 @@
       {Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)), Task->Crashes, Task->Losses});
 }
 
+// True if the run, of which nothing was heard since, may have been done by then.
+bool mayBeDone(const Attempt &What, TimePoint Then) {
+  return What.StartedAt != TimePoint{} && Then - What.StartedAt >= What.Estimate * LeastDonePart;
+}
+
+// True if the run was there when its worker went. An order without an answer may have come too
+// late, and what was seen long before may have been over.
+bool wasThere(const Worker &On, const Attempt &What, TimePoint Now) {
+  const TimePoint SilentAt = On.SilentSince >= What.SeenAt ? On.SilentSince : Now;
+  const auto Least = std::max<std::chrono::duration<double, std::milli>>(
+      What.Estimate * LeastDonePart, EndHeardTime);
+  return What.SeenAt != TimePoint{} && SilentAt - What.SeenAt < Least;
+}
+
 // The worker has crashed under the run, which was the only one there or not.
-void countLoss(CellState &Cell, const RunKey &Run, const Attempt &What, bool Alone, Effects &Out) {
+void countLoss(CellState &Cell, const Worker &On, const RunKey &Run, bool Alone, TimePoint Now,
+               Effects &Out) {
+  const Attempt &What = On.Attempts.at(Run);
   TaskState *Task = findTask(Cell, Run.Task);
   if (!Task || What.Phase == AttemptPhase::Planned)
     return;
-  Task->Losses += Alone ? LossAlone : LossBesideOthers; // kept with the next save of its job
-  if (isBeginning(What) && !What.Blamed)
-    countCrash(Cell, Run.Task, Out);
+  const bool Sure = wasThere(On, What, Now);
+  if (Sure) // kept with the next save of its job
+    Task->Losses += Alone ? LossAlone : LossBesideOthers;
+  if (isBeginning(What) && Sure)
+    confirm(Cell, Run.Task, What.Blamed, Out);
+  else if (isBeginning(What) && !What.Blamed)
+    doubt(Cell, Run.Task, Out);
 }
+} // namespace
 
-// It is not known that the worker has crashed.
-void doubtLoss(CellState &Cell, Worker &On, const RunKey &Run, const Attempt &What, Effects &Out) {
-  if (!What.Blamed)
-    return;
-  takeBack(Cell, Run.Task, Out);
-  if (!wasLeaving(On))
-    On.LostUnder.push_back(Run.Task);
+// Another life has taken the place of a worker under which the tasks had begun.
+static void confirmAll(CellState &Cell, const std::vector<TaskKey> &Tasks, Effects &Out) {
+  for (const TaskKey &Key : Tasks)
+    confirm(Cell, Key, true, Out);
 }
-} // namespace
 
 std::string_view toString(LifeEnd How) {
   switch (How) {
@@ -130,15 +164,42 @@
   });
 }
 
+void noteTrial(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  TaskState *Task = findTask(Cell, Key);
+  Task->IsInherited = false;
+  if (Task->Crashes == 0 || Task->MayBegin)
+    return;
+  Task->MayBegin = true;
+  Job &Of = Cell.Jobs.at(Key.Step.Job);
+  needSave(Cell, Of, Out);
+  Task->CrashSave = Of.NeedsSave;
+}
+
+bool mayLaunch(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  noteTrial(Cell, Key, Out);
+  return !waitsForCrashSave(Cell, *findTask(Cell, Key));
+}
+
+// One silence alone may be a cut link. Work that a cut worker had just begun is not held back for
+// it where the store can't be written.
+static bool isSuspect(const TaskState &Task) {
+  return Task.Crashes > 1 || Task.Doubts < Task.Crashes;
+}
+
 bool waitsForCrashSave(const CellState &Cell, const TaskState &Task) {
-  return Task.Crashes > 0 && Cell.Saves.count(Task.CrashSave) > 0;
+  return isSuspect(Task) && Cell.Saves.count(Task.CrashSave) > 0;
 }
 
-void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What, TimePoint Now,
-                   Effects &Out) {
+void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What,
+                   const ReportTimes &When, Effects &Out) {
+  What.SeenAt = std::max(What.SeenAt, When.AskedAt);
   const StepState *Step = findStep(Cell, Run.Task.Step);
-  if (!Step || What.Stands || What.Phase != AttemptPhase::Running ||
-      Now - What.StartedAt < Cell.Limits.BeginTime)
+  if (!Step || What.Stands || What.Phase != AttemptPhase::Running)
+    return;
+  if (!What.FirstListed)
+    What.FirstListed = When.WorkerClock;
+  if (When.AskedAt - What.StartedAt < Cell.Limits.BeginTime &&
+      When.WorkerClock - *What.FirstListed < Cell.Limits.BeginTime)
     return;
   // Members of a gang begin their work when the last of them has come.
   if (Step->Spec->Gang && What.Percent == 0)
@@ -147,26 +208,40 @@
   On.Trials -= What.OnTrial ? 1 : 0;
   What.OnTrial = false;
   if (findTask(Cell, Run.Task))
-    setCrashes(Cell, Run.Task, 0, Out);
+    setCrashes(Cell, Run.Task, 0, 0, Out);
 }
 
-void noteListedEnd(CellState &Cell, const EndedRun &End) {
+void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  TaskState *Task = findTask(Cell, Key);
+  if (!Task || !Task->IsInherited)
+    return;
+  Task->IsInherited = false;
+  takeBack(Cell, Key, Out);
+}
+
+void noteListedEnd(CellState &Cell, const EndedRun &End, Effects &Out) {
+  settleInherited(Cell, End.Run.Task, Out);
   TaskState *Task = findTask(Cell, End.Run.Task);
   if (Task && (End.How == RunEnd::Done || End.How == RunEnd::Failed))
     Task->Losses = 0;
 }
 
-void blameBeginners(CellState &Cell, Worker &On, Effects &Out) {
+void blameBeginners(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
   if (!On.FellSilent)
     return;
   On.FellSilent = false;
+  if (On.SilentSince == TimePoint{})
+    On.SilentSince = Now;
   for (auto &[Run, What] : On.Attempts)
     if (isBeginning(What) && !What.Blamed)
-      What.Blamed = countCrash(Cell, Run.Task, Out);
+      What.Blamed = doubt(Cell, Run.Task, Out);
 }
 
 void takeBackBlame(CellState &Cell, Worker &On, Effects &Out) {
   On.FellSilent = false;
+  On.SilentSince = {};
+  for (const TaskKey &Earlier : On.LostUnder)
+    takeBack(Cell, Earlier, Out);
   On.LostUnder.clear();
   for (auto &[Run, What] : On.Attempts) {
     if (What.Blamed)
@@ -177,33 +252,30 @@
 
 void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out) {
   const bool Crashed = How == LifeEnd::Replaced && !wasLeaving(On);
+  if (wasLeaving(On))
+    takeBackBlame(Cell, On, Out);
   std::vector<RunKey> Lost;
   for (const auto &[Run, What] : On.Attempts)
     Lost.push_back(Run);
   for (const RunKey &Run : Lost) {
-    const Attempt &What = On.Attempts.at(Run);
     if (Crashed)
-      countLoss(Cell, Run, What, Lost.size() == 1, Out);
-    else
-      doubtLoss(Cell, On, Run, What, Out);
+      countLoss(Cell, On, Run, Lost.size() == 1, Now, Out);
+    else if (const Attempt &What = On.Attempts.at(Run); What.Blamed && wasThere(On, What, Now))
+      On.LostUnder.push_back(Run.Task);
     noteLoss(Cell, On, Run, How, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
   }
-  if (!Crashed)
-    return;
+  if (Crashed)
+    confirmAll(Cell, On.LostUnder, Out);
+  if (How == LifeEnd::Lapsed)
+    return; // it is listed: its link is cut rather
   for (const TaskKey &Earlier : On.LostUnder)
-    if (countCrash(Cell, Earlier, Out))
-      giveUpIfDue(Cell, Earlier, Now, Out);
+    giveUpIfDue(Cell, Earlier, Now, Out);
   for (const RunKey &Run : Lost)
     giveUpIfDue(Cell, Run.Task, Now, Out);
 }
 
-// True if the run, which its worker's lease has ended, may have been done before.
-static bool mayBeDone(const Attempt &What, TimePoint Now) {
-  return What.StartedAt != TimePoint{} && Now - What.StartedAt >= What.Estimate * LeastDonePart;
-}
-
 // A silent worker that the platform still lists is alive, and lists its ends when it can be reached
 // again. Work that may be among them waits a little before it is started elsewhere; on full links
 // it was done twice (up to 15 of 4,400 runs, cell of 120 workers behind links of 2 Mbit/s).
@@ -220,40 +292,43 @@
 // Where each scheduler ends before it knows what became of the silent worker, none would ever see
 // the last crash.
 void giveUpInherited(CellState &Cell, TimePoint Now, Effects &Out) {
-  std::vector<TaskKey> Due;
+  std::vector<TaskKey> Counted;
   for (const auto &[Id, Of] : Cell.Jobs)
     for (const auto &[Number, Round] : Of.Rounds)
       for (const StepState &Step : Round.Steps)
         for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-          if (!Step.Tasks[I].Done && Step.Tasks[I].Crashes >= Cell.Limits.MaxInheritedCrashes)
-            Due.push_back({Step.Key, I});
-  for (const TaskKey &Key : Due)
-    giveUp(Cell, Key, Now, Out);
+          if (Step.Tasks[I].Crashes > 0)
+            Counted.push_back({Step.Key, I});
+  for (const TaskKey &Key : Counted)
+    giveUpIfDue(Cell, Key, Now, Out);
 }
 
 void keepVanished(CellState &Cell, const Worker &On, TimePoint Now) {
   if (!On.LostUnder.empty())
-    Cell.Vanished[toString(On.Info.Address)] = {On.Info.Id, On.LostUnder, Now, false};
+    Cell.Vanished[toString(On.Info.Address)] = {On.Info.Id, On.LostUnder, Now};
 }
 
 void noteLifeAt(CellState &Cell, const WorkerInfo &Info) {
   const auto Found = Cell.Vanished.find(toString(Info.Address));
   if (Found == Cell.Vanished.end())
     return;
-  if (Found->second.Id == Info.Id)
-    Cell.Vanished.erase(Found); // it was cut off and is back
-  else
-    Found->second.IsReplaced = true;
+  Found->second.IsBack = Found->second.Id == Info.Id; // it was cut off
+  Found->second.IsReplaced = Found->second.Id != Info.Id;
 }
 
 void tickVanished(CellState &Cell, TimePoint Now, Effects &Out) {
   std::erase_if(Cell.Vanished, [&](const auto &Entry) {
     const VanishedWorker &Was = Entry.second;
+    for (const TaskKey &Key : Was.Tasks)
+      if (Was.IsBack)
+        takeBack(Cell, Key, Out);
+    if (Was.IsBack)
+      return true;
     if (!Was.IsReplaced)
       return Now - Was.At > Cell.Limits.VanishedKept;
+    confirmAll(Cell, Was.Tasks, Out);
     for (const TaskKey &Key : Was.Tasks)
-      if (countCrash(Cell, Key, Out))
-        giveUpIfDue(Cell, Key, Now, Out);
+      giveUpIfDue(Cell, Key, Now, Out);
     return true;
   });
 }
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -7,9 +7,10 @@
 //  - only runs that were beginning are counted, in `TaskState::Crashes`; one that has stood its
 //    beginning counts as sound again;
 //  - a task that is counted begins apart from others, on a worker where nothing else is beginning;
-//  - a silence is counted at once, so that a scheduler that ends meanwhile has saved it, and taken
-//    back when the worker answers, lapses or had announced that it leaves.
-// A task that was counted three times in a row is given up with its job.
+//  - a silence is counted at once as a doubt, so that a scheduler that ends meanwhile has saved it.
+//    It is taken back when the worker is heard again or had announced that it leaves, and is sure
+//    when another life shows up in its place.
+// A task that was counted three times in a row, twice for sure, is given up with its job.
 #pragma once
 
 #include "valveshelf/cell_state.h"
@@ -25,13 +26,28 @@
 /// or a scheduler that takes over would count anew.
 bool waitsForCrashSave(const CellState &Cell, const TaskState &Task);
 
+/// When a worker made a report: at the time of its own clock, which lies between the others.
+struct ReportTimes {
+  TimePoint AskedAt{};
+  TimePoint ReadAt{}; ///< Much later, if this process stood still meanwhile.
+  Milliseconds WorkerClock{0};
+};
+
+/// The task is about to be started; if it was counted, that is saved first. Otherwise a scheduler
+/// that takes over before the crash is seen would not count it.
+void noteTrial(CellState &Cell, const TaskKey &Key, Effects &Out);
+/// True if the task may be started now, which is noted.
+bool mayLaunch(CellState &Cell, const TaskKey &Key, Effects &Out);
 /// The worker lists the run.
-void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What, TimePoint Now,
-                   Effects &Out);
+void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What,
+                   const ReportTimes &When, Effects &Out);
 /// The worker lists the end of a run.
-void noteListedEnd(CellState &Cell, const EndedRun &End);
+void noteListedEnd(CellState &Cell, const EndedRun &End, Effects &Out);
+/// A run of the task that an earlier scheduler had started is heard of: it did not crash its
+/// worker.
+void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out);
 /// Counts the silence of a worker against what was beginning there.
-void blameBeginners(CellState &Cell, Worker &On, Effects &Out);
+void blameBeginners(CellState &Cell, Worker &On, TimePoint Now, Effects &Out);
 /// The worker was heard: what its silence was counted for is taken back.
 void takeBackBlame(CellState &Cell, Worker &On, Effects &Out);
 /// Ends all attempts on the worker; tasks that crash their workers are given up.
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Gangs: planned whole, their room and tickets gathered, and started in one pass.
+#include "scheduler/crashes.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -94,6 +95,14 @@
     Task.NotBefore = In.Now + PlanAgain;
 }
 
+// True if each member may be started now, which is noted of all.
+bool mayLaunchAll(Pass &In, const StepState &Step) {
+  bool All = true;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    All = mayLaunch(In.Cell, {Step.Key, I}, In.Out) && All;
+  return All;
+}
+
 // Starts a planned gang once each member has its room and its ticket.
 bool launchGang(Pass &In, const Job &Of, StepState &Step) {
   std::set<Worker *> Used;
@@ -118,9 +127,11 @@
       Needed += needOf(Step);
     HasRoom = HasRoom && fits(Needed, On->Info.Capacity - On->Booked);
   }
-  const bool Ready = HasRoom && HasTickets;
+  const bool Ready = HasRoom && HasTickets && mayLaunchAll(In, Step);
   if (!Ready) {
-    Step.Waits = HasRoom ? "tickets are asked for" : "room is being made";
+    Step.Waits = !HasRoom      ? "room is being made"
+                 : !HasTickets ? "tickets are asked for"
+                               : "what crashed under it is being saved";
     askAdvice(In, Of, Step, std::move(NoTicket));
     if (In.Now - Step.PlannedAt > In.Cell.Limits.PlanTime)
       dropPlan(In, Step);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -219,6 +219,12 @@
     }
     Task.Checkpoint = Saved.Checkpoint;
     Task.Crashes = Saved.Crashes;
+    Task.Doubts = Saved.Doubts;
+    Task.IsInherited = Saved.MayBegin;
+    if (Saved.MayBegin) {
+      ++Task.Crashes;
+      ++Task.Doubts;
+    }
     Task.Losses = Saved.Losses;
     (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
         .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -104,7 +104,7 @@
     else if (!hasTicket(In, Of, Step, *On))
       NoTicket.push_back(On->Info.Id);
     else if (fits(What.Need, On->Info.Capacity - On->Booked) &&
-             (!What.OnTrial || isQuiet(*On, &Run)))
+             (!What.OnTrial || (isQuiet(*On, &Run) && mayLaunch(In.Cell, Run.Task, In.Out))))
       orderStart(In, Of, Step, I, *On, What);
   }
   std::sort(NoTicket.begin(), NoTicket.end());
@@ -140,6 +140,7 @@
       continue;
     }
     book(In.Cell, Step, I, *On, nextRun(In.Cell, Step, I), AttemptPhase::Planned, Of, In.Now);
+
     if (Of.Spec->Priority == 0)
       noteUrgentNeed(In.Cell, needOf(Step));
     if (Yields)
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Random days for the scheduler's decisions: lost and late orders, lost answers, workers that die
-// or are cut off, saves without an answer, takeovers with the old scheduler still talking. The
+// or are cut off, saves without an answer, takeovers with the old scheduler still talking, and, if
+// asked for, tasks that crash the workers that begin them. The
 // world's own records judge every start. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED change
 // length and seed.
 #include "standins/worker_model.h"
@@ -35,6 +36,9 @@
   WorkerModel Model;
   WorkerInfo Info;
   bool Dead = false;
+  bool IsReplaced = false; ///< It crashed, and another life answers in its place.
+  bool Refuses = false;    ///< It crashed, and nothing listens there.
+  bool Crashed = false;    ///< By a task; nothing answers until it is replaced.
   Milliseconds CutUntil{0};
   bool ListedGone = false;
 };
@@ -51,7 +55,8 @@
 
 class World {
 public:
-  explicit World(uint64_t Seed) : Random(Seed), StopTime(Seed % 2 ? 50 : 900) {
+  explicit World(uint64_t Seed, bool HasCrashers = false)
+      : Random(Seed), Luck(Seed + 1), HasCrashers(HasCrashers), StopTime(Seed % 2 ? 50 : 900) {
     for (int I = 0; I < 6; ++I)
       addBox("r" + std::to_string(I / 3));
     changeQuota();
@@ -61,6 +66,8 @@
   int64_t Events = 0;
   int64_t Starts = 0;
   int64_t Takeovers = 0;
+  int64_t Crashes = 0;
+  int64_t GivenUp = 0; ///< Jobs that failed for the crashes under a task.
   std::vector<std::string> Breaks;
 
   void play(int64_t Count) {
@@ -88,11 +95,16 @@
     Calendar.emplace(Now + Delay, std::move(What));
   }
 
-  void addBox(const std::string &Rack) {
+  void addBox(const std::string &Rack, const Box *InPlaceOf = nullptr) {
     auto Made = std::make_shared<Box>();
     const std::string Id = "i-" + std::to_string(++LastBox);
     Made->Info.Id = Id;
     Made->Info.Service = LastBox % 3 ? "pool" : "other";
+    Made->Info.Address = {"10.0.0.1", static_cast<uint16_t>(LastBox)};
+    if (InPlaceOf) {
+      Made->Info.Service = InPlaceOf->Info.Service;
+      Made->Info.Address = InPlaceOf->Info.Address;
+    }
     Made->Info.Rack = Rack;
     Made->Info.Labels = {LastBox % 2 ? "a" : "b", Rack};
     Made->Info.Capacity = {8000, 8000, 0};
@@ -155,10 +167,59 @@
     if (Failures != NotedFailures.end() &&
         Failures->second.size() >= static_cast<size_t>(Of.Spec->MaxAttempts))
       broken("BUDGET", Run);
+    if (CrashesBy[Run.Task] >= 3 && ++StartsAfter[Run.Task] >= 3)
+      broken("BUDGET (three more after three crashes)", Run);
+    if (isCrasher(Run.Task))
+      after(10ms, [this, &On, Run] {
+        if (!On.Dead && On.Model.Runs.count(Run))
+          crashBox(On, Run.Task);
+      });
     if (Step.Gang)
       wakeGang(Run);
   }
 
+  // One task in thirty crashes each worker that begins it.
+  bool isCrasher(const TaskKey &Task) const {
+    constexpr uint64_t OneIn = 30;
+    return HasCrashers && std::hash<std::string>()(toString(Task)) % OneIn == 0;
+  }
+
+  // What the crash of a worker means for each task there, as the world knows it.
+  void noteCrash(const Box &Which) {
+    for (const auto &[Run, What] : Which.Model.Runs)
+      ++CrashesUnder[Run.Task];
+  }
+
+  // The worker is gone; its entry lapses, and another life comes in its place. The draws are apart
+  // from the others, so that worlds without such tasks stay as they are.
+  void crashBox(Box &Which, const TaskKey &By) {
+    const auto Draw = [this](int64_t Least, int64_t Most) {
+      return Milliseconds(std::uniform_int_distribution<int64_t>(Least, Most)(Luck));
+    };
+    ++Crashes;
+    ++CrashesBy[By];
+    noteCrash(Which);
+    Which.Dead = Which.Crashed = true;
+    Which.Model.Runs.clear();
+    // Its connections end at once, or it says nothing.
+    constexpr int64_t SaysNothingOneIn = 4;
+    Which.Refuses = Draw(1, SaysNothingOneIn) > 1ms;
+    if (Which.Refuses)
+      after(3ms, [this, &Which] {
+        for (const ProcessPtr &Of : {Current, Previous})
+          if (Of && !Of->Over)
+            workerSilent(Of->Cell, Which.Info.Id);
+      });
+    after(Draw(500, 1500), [this, &Which] {
+      if (!Current->Over)
+        workerUnlisted(Current->Cell, Which.Info.Id, steady());
+    });
+    after(Draw(300, 6000), [this, &Which] {
+      Which.IsReplaced = true;
+      addBox(Which.Info.Rack, &Which);
+    });
+  }
+
   // What an organisation has running on all boxes that live, against the highest maximum that some
   // scheduler may still go by. No allowance.
   void judgeQuota(const JobSpec &Spec, const RunKey &Run) {
@@ -217,6 +278,8 @@
 
   void ended(const RunKey &Run, RunEnd How) {
     const StepSpec &Step = specOf(Run.Task.Step);
+    if (How == RunEnd::Failed)
+      ++RealFailures[Step.Gang ? TaskKey{Run.Task.Step, 0} : Run.Task];
     if (How == RunEnd::Done)
       for (uint32_t I = 0; I < Step.Count; ++I)
         if (Step.Gang || I == Run.Task.Index)
@@ -293,6 +356,8 @@
         What = StartResult::RefusedBusy;
       else if (How != Fate::Lost && !To->Dead)
         What = To->Model.start(Seen);
+      if (To->Refuses && How != Fate::Late)
+        return deliverStart(Of, Id, Seen.Run, StartResult::NotSent);
       if (How != Fate::Fine)
         return;
       after(Milliseconds(1 + upTo(5)),
@@ -389,7 +454,7 @@
           return;
         Effects Out;
         // A new life at the same place says so at once.
-        if (To->Dead && chance(0.5))
+        if (To->Crashed ? To->IsReplaced : To->Dead && chance(0.5))
           workerOver(Of->Cell, Id, steady(), Out);
         else
           workerSilent(Of->Cell, Id);
@@ -479,6 +544,8 @@
       // Progress does not pass the condition on a job whose end is written.
       const bool Refused = Phase == JobPhase::Live && Row.Phase != JobPhase::Live;
       if (Does && Row.Phase == JobPhase::Live) {
+        if (Phase == JobPhase::Failed)
+          judgeFailure(*Row.Spec);
         Row.Phase = Phase;
         Row.Progress = Progress;
         Row.Revision = ++Revision;
@@ -492,6 +559,19 @@
     });
   }
 
+  // A job may fail for as many failures of a task as are allowed, or for two crashes under one.
+  void judgeFailure(const JobSpec &Spec) {
+    for (const auto &[Task, Count] : RealFailures)
+      if (Task.Step.Job == Spec.Id && Count >= Spec.MaxAttempts)
+        return;
+    for (const auto &[Task, Count] : CrashesUnder)
+      if (Task.Step.Job == Spec.Id && Count >= 2) {
+        ++GivenUp;
+        return;
+      }
+    broken("LOST (failed without cause)", {{{Spec.Id, 0, 0}, 0}, 0});
+  }
+
   // A new scheduler; the old one may go on for a while without knowing.
   void takeOver() {
     ++Takeovers;
@@ -607,6 +687,8 @@
   }
 
   void loseBox(Box &Which) {
+    if (!Which.Info.Draining)
+      noteCrash(Which);
     Which.Dead = true;
     Which.Model.Runs.clear();
     if (!Current->Over)
@@ -724,6 +806,8 @@
   }
 
   std::mt19937_64 Random;
+  std::mt19937_64 Luck; ///< Of crashes.
+  const bool HasCrashers;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool Calm = false;
@@ -745,6 +829,10 @@
   std::set<TaskKey> ReallyDone;
   std::set<TaskKey> NotedDone;
   std::map<TaskKey, std::set<uint32_t>> NotedFailures;
+  std::map<TaskKey, int> RealFailures; ///< Of a gang by its first task.
+  std::map<TaskKey, int> CrashesBy;
+  std::map<TaskKey, int> CrashesUnder; ///< Whoever was to blame.
+  std::map<TaskKey, int> StartsAfter;  ///< The third crash.
 };
 
 int64_t fromEnvironment(const char *Name, int64_t Default) {
@@ -769,6 +857,26 @@
   std::cout << Events << " events, " << Starts << " starts, " << Takeovers << " takeovers\n";
 }
 
+TEST(SchedulerFuzz, GivesUpTasksThatCrashTheirWorkersAndNoOthers) {
+  const int64_t Events = fromEnvironment("VALVESHELF_FUZZ_EVENTS", 200000);
+  const int64_t First = fromEnvironment("VALVESHELF_FUZZ_SEED", 1);
+  constexpr int64_t EventsPerWorld = 20000;
+  int64_t Crashes = 0;
+  int64_t GivenUp = 0;
+  int64_t Takeovers = 0;
+  for (int64_t Done = 0, Seed = First; Done < Events; Done += EventsPerWorld, ++Seed) {
+    World One(static_cast<uint64_t>(Seed), true);
+    One.play(EventsPerWorld);
+    Crashes += One.Crashes;
+    GivenUp += One.GivenUp;
+    Takeovers += One.Takeovers;
+    ASSERT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
+  }
+  EXPECT_GT(GivenUp, Events / 20000);
+  std::cout << Events << " events, " << Crashes << " crashes, " << GivenUp << " jobs given up, "
+            << Takeovers << " takeovers\n";
+}
+
 TEST(SchedulerFuzz, SeedsThatFailedOnce) {
   // 5790: a worker died under a planned gang; the rest of the plan stayed booked for ever.
   for (const uint64_t Seed : {5790U}) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -91,6 +91,8 @@
     Attempt &Taken =
         book(Cell, *Step, Row.Run.Task.Index, On, Row.Run.Run, AttemptPhase::Running, Of, Now);
     Taken.StartedAt = Taken.PercentChanged = Now;
+    settleInherited(Cell, Row.Run.Task, Out);
+    noteTrial(Cell, Row.Run.Task, Out);
     Of.Begun = true;
     if (Step->Spec->Gang)
       Step->GangRun = std::max(Step->GangRun, Row.Run.Run);
@@ -106,8 +108,9 @@
   stopAttempt(Cell, On, Row.Run, "the task does not need it", Now, Out);
 }
 
-void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What, TimePoint Now,
-                  Effects &Out) {
+void noteProgress(CellState &Cell, Worker &On, const ActiveRun &Row, Attempt &What,
+                  const ReportTimes &When, Effects &Out) {
+  const TimePoint Now = When.ReadAt;
   if (What.Phase == AttemptPhase::Starting || What.Phase == AttemptPhase::Uncertain) {
     setPhase(Cell, On, Row.Run, AttemptPhase::Running, Now);
     What.StartedAt = What.PercentChanged = Now;
@@ -116,7 +119,7 @@
     What.Percent = Row.Percent;
     What.PercentChanged = Now;
   }
-  noteBeginning(Cell, On, Row.Run, What, Now, Out);
+  noteBeginning(Cell, On, Row.Run, What, When, Out);
   StepState *Step = findStep(Cell, Row.Run.Task.Step);
   if (!Step || Row.Run.Task.Index >= Step->Tasks.size())
     return;
@@ -161,7 +164,7 @@
       continue;
     On.LastEnd = End.Number;
     judge(Cell, On, End, Now);
-    noteListedEnd(Cell, End);
+    noteListedEnd(Cell, End, Out);
     unbook(Cell, On, End.Run);
     runEnded(Cell, End.Run, End.How, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
@@ -355,14 +358,15 @@
     return;
   On->Answers = true;
   On->ReportedAt = std::max(On->ReportedAt, AskedAt);
-  takeBackBlame(Cell, *On, Out);
+  if (AskedAt >= On->SilentSince)
+    takeBackBlame(Cell, *On, Out);
   readEnds(Cell, *On, Report, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
     if (Found == On->Attempts.end())
       adopt(Cell, *On, Row, Now, Out);
     else
-      noteProgress(Cell, *On, Row, Found->second, Now, Out);
+      noteProgress(Cell, *On, Row, Found->second, {AskedAt, Now, Report.WorkerClock}, Out);
   }
   dropNeverBegun(Cell, *On, Report, AskedAt, Now, Out);
   On->Heard = true;
@@ -411,7 +415,7 @@
     return;
   if (What == StartResult::Started) {
     setPhase(Cell, *On, Run, AttemptPhase::Running, Now);
-    Which.StartedAt = Which.PercentChanged = Now;
+    Which.StartedAt = Which.PercentChanged = Which.SeenAt = Now;
     if (findStep(Cell, Run.Task.Step))
       Cell.Jobs.at(Run.Task.Step.Job).Begun = true;
     return;
@@ -545,7 +549,7 @@
     Cell.NextStuckLook = Now + StuckLookEvery;
   std::vector<std::string> Over;
   for (auto &[Id, On] : Cell.Workers) {
-    blameBeginners(Cell, On, Out);
+    blameBeginners(Cell, On, Now, Out);
     const bool Lapsed = !On.Answers && Now > On.LeaseEnd;
     if ((Lapsed && !On.Listed) || mayBeLetGo(On))
       Over.push_back(Id);
