--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -73,8 +73,6 @@
                              ///< others is on a worker that crashes often enough.
   Milliseconds BeginTime{500}; ///< So long after its start a run counts as beginning. Tasks that
                                ///< crash their workers were seen to do it within 10 ms.
-  Milliseconds VanishedKept{30000}; ///< How long another life is waited for where one vanished; a
-                                    ///< worker that crashed is back within seconds.
 };
 
 /// Where an attempt stands.
@@ -149,14 +147,12 @@
   TimePoint LeaseEnd{};                              ///< By then everything on it has been killed.
   int FailuresInARow = 0;
   TimePoint SetAsideUntil{};
-  TimePoint ReportedAt{};         ///< When it was asked for its last report.
-  TimePoint LeavesAt{};           ///< While it drains: it does not leave before.
-  TimePoint UnlistedAt{};         ///< When it was found missing in the platform's list.
-  uint32_t Trials = 0;            ///< While there is one, nothing else begins here.
-  TimePoint SilentSince{};        ///< When a silence was first counted since it was heard; or 0.
-  bool FellSilent = false;        ///< That has still to be counted against what began here.
-  std::vector<TaskKey> LostUnder; ///< Tasks that began here before their runs were given up in its
-                                  ///< silence, each with a doubt of `TaskState::Doubts`.
+  TimePoint ReportedAt{};  ///< When it was asked for its last report.
+  TimePoint LeavesAt{};    ///< While it drains: it does not leave before.
+  TimePoint UnlistedAt{};  ///< When it was found missing in the platform's list.
+  uint32_t Trials = 0;     ///< While there is one, nothing else begins here.
+  TimePoint SilentSince{}; ///< When a silence was first counted since it was heard; or 0.
+  bool FellSilent = false; ///< That has still to be counted against what began here.
 };
 
 /// What is known of advice for a step. Whether a worker is good for it never changes.
@@ -254,15 +250,6 @@
   uint64_t NeedsSave = 0; ///< Number of the newest save it needs; 0: saved.
 };
 
-/// A worker that is gone, silent to the end, and the tasks that had begun there last.
-struct VanishedWorker {
-  std::string Id;
-  std::vector<TaskKey> Tasks;
-  TimePoint At{};
-  bool IsReplaced = false; ///< Another life is listed at its address: it crashed.
-  bool IsBack = false;     ///< It is listed again itself: it did not.
-};
-
 /// The durable end of a job.
 struct EndedJob {
   JobPhase Phase = JobPhase::Completed;
@@ -308,7 +295,6 @@
   std::set<StepKey> Renewing; ///< Steps whose question under way only renews tickets.
   /// By queue: the part of the workers asked about that turned out good, a moving average.
   std::map<std::string, double> GoodShares;
-  std::map<std::string, VanishedWorker> Vanished; ///< By address.
   TimePoint NextLeaveLook{}; ///< When work on leaving workers is looked for again.
   TimePoint NextStuckLook{}; ///< When runs without progress are looked for again.
 };
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -136,12 +136,6 @@
 }
 } // namespace
 
-// Another life has taken the place of a worker under which the tasks had begun.
-static void confirmAll(CellState &Cell, const std::vector<TaskKey> &Tasks, Effects &Out) {
-  for (const TaskKey &Key : Tasks)
-    confirm(Cell, Key, true, Out);
-}
-
 std::string_view toString(LifeEnd How) {
   switch (How) {
   case LifeEnd::Replaced:
@@ -240,9 +234,6 @@
 void takeBackBlame(CellState &Cell, Worker &On, Effects &Out) {
   On.FellSilent = false;
   On.SilentSince = {};
-  for (const TaskKey &Earlier : On.LostUnder)
-    takeBack(Cell, Earlier, Out);
-  On.LostUnder.clear();
   for (auto &[Run, What] : On.Attempts) {
     if (What.Blamed)
       takeBack(Cell, Run.Task, Out);
@@ -260,18 +251,12 @@
   for (const RunKey &Run : Lost) {
     if (Crashed)
       countLoss(Cell, On, Run, Lost.size() == 1, Now, Out);
-    else if (const Attempt &What = On.Attempts.at(Run); What.Blamed && wasThere(On, What, Now))
-      On.LostUnder.push_back(Run.Task);
     noteLoss(Cell, On, Run, How, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
   }
-  if (Crashed)
-    confirmAll(Cell, On.LostUnder, Out);
   if (How == LifeEnd::Lapsed)
     return; // it is listed: its link is cut rather
-  for (const TaskKey &Earlier : On.LostUnder)
-    giveUpIfDue(Cell, Earlier, Now, Out);
   for (const RunKey &Run : Lost)
     giveUpIfDue(Cell, Run.Task, Now, Out);
 }
@@ -303,36 +288,6 @@
     giveUpIfDue(Cell, Key, Now, Out);
 }
 
-void keepVanished(CellState &Cell, const Worker &On, TimePoint Now) {
-  if (!On.LostUnder.empty())
-    Cell.Vanished[toString(On.Info.Address)] = {On.Info.Id, On.LostUnder, Now};
-}
-
-void noteLifeAt(CellState &Cell, const WorkerInfo &Info) {
-  const auto Found = Cell.Vanished.find(toString(Info.Address));
-  if (Found == Cell.Vanished.end())
-    return;
-  Found->second.IsBack = Found->second.Id == Info.Id; // it was cut off
-  Found->second.IsReplaced = Found->second.Id != Info.Id;
-}
-
-void tickVanished(CellState &Cell, TimePoint Now, Effects &Out) {
-  std::erase_if(Cell.Vanished, [&](const auto &Entry) {
-    const VanishedWorker &Was = Entry.second;
-    for (const TaskKey &Key : Was.Tasks)
-      if (Was.IsBack)
-        takeBack(Cell, Key, Out);
-    if (Was.IsBack)
-      return true;
-    if (!Was.IsReplaced)
-      return Now - Was.At > Cell.Limits.VanishedKept;
-    confirmAll(Cell, Was.Tasks, Out);
-    for (const TaskKey &Key : Was.Tasks)
-      giveUpIfDue(Cell, Key, Now, Out);
-    return true;
-  });
-}
-
 void lookAtTrials(const CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
   if (On.Trials > 0 && Now - On.ReportedAt >= Cell.Limits.BeginTime)
     Out.Looks.push_back(On.Info.Id);
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -9,7 +9,7 @@
 //  - a task that is counted begins apart from others, on a worker where nothing else is beginning;
 //  - a silence is counted at once as a doubt, so that a scheduler that ends meanwhile has saved it.
 //    It is taken back when the worker is heard again or had announced that it leaves, and is sure
-//    when another life shows up in its place.
+//    when another life answers in its place.
 // A task that was counted three times in a row, twice for sure, is given up with its job.
 #pragma once
 
@@ -56,12 +56,6 @@
 void giveUpInherited(CellState &Cell, TimePoint Now, Effects &Out);
 /// Work that a silent worker may have done waits a little before it is started elsewhere.
 void holdBackWhatMayBeDone(CellState &Cell, const Worker &On, TimePoint Now);
-/// Keeps what began last on a worker that is gone, until another life shows up in its place.
-void keepVanished(CellState &Cell, const Worker &On, TimePoint Now);
-/// A life of a worker is listed.
-void noteLifeAt(CellState &Cell, const WorkerInfo &Info);
-/// Counts the crashes of vanished workers that were replaced, and forgets old ones.
-void tickVanished(CellState &Cell, TimePoint Now, Effects &Out);
 /// Asks what has become of runs on trial.
 void lookAtTrials(const CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
 
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -306,6 +306,7 @@
 TEST(Crashes, ATaskThatCrashesItsWorkersAsItBeginsIsGivenUpBesideOthers) {
   Scene Given(12);
   std::vector<JobId> Others;
+  Others.reserve(24);
   for (int I = 0; I < 24; ++I)
     Others.push_back(Given.submit(tasks(2, 4000, 60s)));
   Given.pass(2s);
@@ -463,6 +464,40 @@
   EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
 }
 
+// Each scheduler but the first ends before it could see what came of its start.
+TEST(Crashes, AStartThatASchedulerDidNotLiveToSeeIsCounted) {
+  Scene Given(12);
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  Given.Crashers = {Crasher};
+  Given.pass(200ms);
+  ASSERT_EQ(Given.startsOf(Crasher), 1u);
+  for (int Terms = 0; Terms < 12; ++Terms) {
+    const size_t Before = Given.startsOf(Crasher);
+    for (Milliseconds T{0}; T < 10s && Given.startsOf(Crasher) == Before; T += 10ms)
+      Given.pass(10ms);
+    Given.takeOver();
+  }
+  EXPECT_LE(Given.startsOf(Crasher), 5u);
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+}
+
+// The answer lay in a buffer while this process stood still.
+TEST(Crashes, AReportAskedForBeforeASilenceDoesNotTakeItBack) {
+  Scene Given(2);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  const std::string Where = Given.at(Id);
+  const TimePoint AskedAt = Given.Now;
+  Given.pass(20ms);
+  Given.fallSilent(Where);
+  Given.pass(1s);
+  Effects Out;
+  WorkerReport Old;
+  Old.Active.push_back({*Given.Here.at(Where).begin(), "", 50});
+  workerReported(Given.Cell, Where, Old, AskedAt, Given.Now, Out);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+}
+
 TEST(Crashes, WhatIsNotSavedYetIsNotStartedAgain) {
   Scene Given(6);
   const JobId Id = Given.submit(tasks(1, 4000, 600ms));
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -329,7 +329,6 @@
   On.Info = Info;
   On.Listed = true;
   On.LeavesAt = Now + Info.TimeLeft;
-  noteLifeAt(Cell, Info);
   if (New)
     On.LeaseEnd = Now;
 }
@@ -390,8 +389,6 @@
   if (!On)
     return;
   dropAttempts(Cell, *On, How, Now, Out);
-  if (How == LifeEnd::Gone)
-    keepVanished(Cell, *On, Now);
   Cell.Slots[On->Slot] = nullptr;
   Cell.Workers.erase(Id);
   heard(Cell, Id, Now, Out);
@@ -568,7 +565,6 @@
   }
   for (const std::string &Id : Over)
     workerOver(Cell, Id, Now, Out, LifeEnd::Gone);
-  tickVanished(Cell, Now, Out);
   wantWorkers(Cell, Out);
   tickJobs(Cell, Now);
 }
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -50,8 +50,10 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144}}
 
 
-def step(count=1, cpu=1000, mem_mb=500, work_ms=100, gang=False, after=None, saves=False):
-    return {"count": count, "cpu": cpu, "mem_mb": mem_mb, "estimated_ms": work_ms, "gang": gang,
+def step(count=1, cpu=1000, mem_mb=500, work_ms=100, gang=False, after=None, saves=False,
+         crashes=False):
+    """`crashes`: each of its tasks crashes the worker that begins it."""
+    return {"crashes": int(crashes), "count": count, "cpu": cpu, "mem_mb": mem_mb, "estimated_ms": work_ms, "gang": gang,
             "after": after or [], "checkpointing": saves, "work_ms": work_ms}
 
 
@@ -60,7 +62,7 @@
     spec = [{k: (int(v) if k == "gang" else v) for k, v in s.items()} for s in steps]
     wire = []
     for one in steps:
-        row = {k: v for k, v in one.items() if k not in ("after", "work_ms")}
+        row = {k: v for k, v in one.items() if k not in ("after", "work_ms", "crashes")}
         if one["after"]:
             row["after_revision"] = one["after"]
         wire.append(row)
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -2,7 +2,8 @@
 """A seeded soak of `valveshelf serve`: real processes on the stand-in of the users' platform, with
 faults injected from outside them, in series that overlap. It checks while it runs, from what
 callers and workers see: no broken rule of a start, nothing that was refused ever runs, accepted
-jobs stay known, what is shown as ended stays so, and all jobs end once the faults are over.
+jobs stay known, what is shown as ended stays so, only jobs with a task under which two workers have
+crashed are given up, and all jobs end once the faults are over.
 
 The same seed always gives the same plan of faults. Load runs all the while on connections that
 callers keep open.
@@ -36,6 +37,9 @@
     "callers-reset": ("entry", 0.1), "worker-dies": ("worker", 0.1), "worker-reborn": ("worker", 0.1),
     "worker-mute": ("worker", 2.0), "cancel-wave": ("cell", 0.1)}
 
+# One job in so many crashes each worker that begins it.
+CRASHERS_ONE_IN = 25
+
 
 def make_plan(seed, seconds, entries, workers):
     """The faults as (at, kind, target, duration, amount). Half of them come within a second of the
@@ -86,8 +90,11 @@
 
     def submit(self, number):
         rng, kept = random.Random(self.seed * 31 + number), {}
+        crashes = random.Random(self.seed * 37 + number)
         while not self.over.is_set():
             queue, steps = self.job(rng)
+            if crashes.randrange(CRASHERS_ONE_IN) == 0:
+                queue, steps = "check", [step(1, 900, 400, 500, crashes=True)]
             job, front, may_run = "%016x" % rng.getrandbits(64), rng.choice(sorted(self.fronts)), False
             for _ in range(6):
                 status, _ = self.ask(kept, front, "POST", PREFIXES[queue] + job, job_body(steps))
@@ -277,7 +284,10 @@
         found = self.cell.verdict()
         started = set(found["started_jobs"])
         ran = ["job %s was refused and ran" % job for job in self.callers.refused & started]
-        return found["starts"], found["breaks"] + self.callers.breaks + ran
+        failed = {job for job, state in self.callers.shown.items() if state == "failed"}
+        wrong = ["job %s is given up, and two workers have not crashed under a task of it" % job
+                 for job in failed - set(found["jobs_that_may_fail"])]
+        return found["starts"], found["breaks"] + self.callers.breaks + ran + wrong
 
 
 def play(seed, seconds, entries, workers, keep, verbose):
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -22,6 +22,14 @@
 constexpr size_t MaxRows = 32;
 constexpr Milliseconds ModelStep{5};
 constexpr Milliseconds ListEvery{500};
+// A task that crashes its worker does it so long after its start; the worker is back after a while.
+constexpr Milliseconds CrashAfter{10};
+constexpr Milliseconds BackAfter{1200};
+// The operators' rule on such tasks: starts that are too many after so many crashes.
+constexpr int CrashesAllowed = 3;
+constexpr int StartsTooMany = 3;
+// So many crashes under a task allow its job to be given up.
+constexpr int CrashesForGivingUp = 2;
 
 std::string base64Of(std::string_view Bytes) {
   namespace base64 = boost::beast::detail::base64;
@@ -268,12 +276,16 @@
   std::set<JobId> StartedJobs;
   int64_t Starts = 0;
   int64_t Advised = 0;
+  int64_t Crashes = 0;                                    ///< By tasks.
+  std::map<valveshelf::sched::TaskKey, int> CrashesUnder; ///< Whoever was to blame.
 
   // Everything on the worker dies; the other members of its gangs end.
   void loseRuns(Seat &Of) {
     std::vector<RunKey> Lost;
-    for (const auto &[Key, What] : Of.Model.Runs)
+    for (const auto &[Key, What] : Of.Model.Runs) {
       Lost.push_back(Key);
+      ++CrashesUnder[Key.Task];
+    }
     Of.Model.Runs.clear();
     for (const RunKey &Run : Lost)
       ended(Run, RunEnd::Broken);
@@ -360,11 +372,13 @@
     Resources Need;
     uint32_t Count = 1;
     bool Gang = false;
+    bool CrashesWorkers = false;
     Milliseconds Work{100};
     std::vector<uint32_t> After;
   };
 
-  // The spec of a job here is its steps, as `count cpu mem_mb gang work_ms after` rows of JSON.
+  // The spec of a job here is its steps, as `count cpu mem_mb gang work_ms after crashes` rows of
+  // JSON.
   const Known *knownStep(const StepKey &Key) const {
     const auto Found = Jobs.find(Key.Job);
     return Found == Jobs.end() || Key.Step >= Found->second.size() ? nullptr
@@ -383,6 +397,7 @@
       Read.Need = {numberOf(Step, "cpu"), numberOf(Step, "mem_mb"), 0};
       Read.Count = static_cast<uint32_t>(numberOf(Step, "count", 1));
       Read.Gang = numberOf(Step, "gang") != 0;
+      Read.CrashesWorkers = numberOf(Step, "crashes") != 0;
       Read.Work = Milliseconds(numberOf(Step, "work_ms", 100));
       for (const json::value &Earlier : rowsOf(Step, "after"))
         Read.After.push_back(Earlier.to_number<uint32_t>());
@@ -426,10 +441,29 @@
       for (uint32_t I = 0; I < Jobs[Run.Task.Step.Job][Earlier].Count; ++I)
         if (!Done.count({{Run.Task.Step.Job, Run.Task.Step.Round, Earlier}, I}))
           broken("step before its predecessor", Run);
+    if (CrashesBy[Run.Task] >= CrashesAllowed && ++StartsAfter[Run.Task] >= StartsTooMany)
+      broken("started too often after the crashes of its workers", Run);
+    if (Step->CrashesWorkers)
+      asio::co_spawn(Io, crashSoon(On, On.Model.Id, Run), asio::detached);
     if (Step->Gang)
       wakeGang(Run, Step->Count);
   }
 
+  Awaitable<void> crashSoon(Seat &On, std::string Life, RunKey By) {
+    asio::steady_timer Timer(Io, CrashAfter);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (On.Dead || On.Model.Id != Life || !On.Model.Runs.count(By))
+      co_return;
+    ++Crashes;
+    ++CrashesBy[By.Task];
+    loseRuns(On);
+    On.Dead = true;
+    Timer.expires_after(BackAfter);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (On.Dead && On.Model.Id == Life)
+      beginLife(On);
+  }
+
   void wakeGang(const RunKey &Run, uint32_t Size) {
     std::vector<WorkerModel::Run *> Members;
     for (const auto &Other : Seats)
@@ -552,6 +586,8 @@
   std::map<JobId, std::vector<Known>> Jobs;
   std::set<valveshelf::sched::TaskKey> Done;
   std::set<valveshelf::sched::TaskKey> NotedDone;
+  std::map<valveshelf::sched::TaskKey, int> CrashesBy;
+  std::map<valveshelf::sched::TaskKey, int> StartsAfter; ///< Its third crash.
 };
 
 // The page by which a session makes trouble.
@@ -591,6 +627,10 @@
   json::array StartedJobs;
   for (const JobId Id : Workers.StartedJobs)
     StartedJobs.emplace_back(jobIdText(Id));
+  json::array MayFail;
+  for (const auto &[Task, Count] : Workers.CrashesUnder)
+    if (Count >= CrashesForGivingUp)
+      MayFail.emplace_back(jobIdText(Task.Step.Job));
   int64_t Running = 0;
   json::array ByWorker;
   for (const auto &One : Workers.Seats) {
@@ -602,6 +642,8 @@
                                   {"running", Running},
                                   {"running_by_worker", ByWorker},
                                   {"started_jobs", StartedJobs},
+                                  {"crashes", Workers.Crashes},
+                                  {"jobs_that_may_fail", MayFail},
                                   {"store_calls", Store.Calls},
                                   {"breaks", Breaks}});
 }
