--- a/src/base/coroutines.cpp
+++ b/src/base/coroutines.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Background coroutines that end the process when one of them fails.
 #include "valveshelf/coroutines.h"
+#include "valveshelf/steady_timer.h"
 
 #include "valveshelf/events.h"
 
@@ -33,7 +34,7 @@
 }
 
 Awaitable<void> sleepFor(Milliseconds Time) {
-  boost::asio::steady_timer Timer(co_await boost::asio::this_coro::executor, Time);
+  SteadyTimer Timer(co_await boost::asio::this_coro::executor, Time);
   co_await Timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -7,6 +7,7 @@
 // it in the threads that poll for them. With HTTP a day of a large fleet on boxes of half their
 // processor earned 0.80 of its work instead of 0.51.
 #include "valveshelf/cell_link.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 
@@ -46,7 +47,7 @@
   using asio::ip::tcp;
   const Executor Where = co_await asio::this_coro::executor;
   tcp::socket Socket(Where);
-  asio::steady_timer Timer(Where, Timeout);
+  SteadyTimer Timer(Where, Timeout);
   Timer.async_wait([&Socket](boost::system::error_code Code) {
     boost::system::error_code Ignored;
     if (!Code)
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -6,8 +6,7 @@
 #include "valveshelf/cell_settings.h"
 #include "valveshelf/coroutines.h"
 #include "valveshelf/key_value_store.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "valveshelf/steady_timer.h"
 
 #include <deque>
 #include <functional>
@@ -49,7 +48,7 @@
     TimePoint Deadline{};
     bool MayBeWritten = false; ///< A write of it got no answer.
     std::optional<Result<Done>> Decided;
-    boost::asio::steady_timer Wake;
+    SteadyTimer Wake;
     explicit Pending(Executor Where) : Wake(Where, TimePoint::max()) {}
   };
   using PendingPtr = std::shared_ptr<Pending>;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -3,6 +3,7 @@
 #include "cell/scheduler_runner.h"
 
 #include "valveshelf/events.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 
@@ -36,6 +37,10 @@
 // check-ins: 48 workers cost 26 calls a second fewer, a quarter of all. A worker that begins to
 // leave is known so much later; it runs on for seconds.
 constexpr Milliseconds WorkerGather{250};
+// A watch may be answered and silent while entries change (seen for 11 s while a store gave up its
+// history). After so many answers with nothing in them the list is read: a capacity that has shrunk
+// is to be known within a worker's time out and one check-in, 4.5 s.
+constexpr int MostEmptyWatches = 2;
 // While calls get lost, a worker whose answer is held is looked at this often. Without it the ends
 // on a worker whose held call was lost are seen 2.2 s late: of jobs of 0.6 s handed in while one
 // call in twenty was lost, 43 of 57 were late.
@@ -306,8 +311,10 @@
   }
   Result<WorkerInfo> Read = Tools.DecodeWorker(Id, Item.Value);
   if (!ok(Read)) {
+    // Somebody else may have written it, also over a worker's own: what it says is no worker's
+    // word.
     logEvent(events::RecordUnreadable, {{"key", Item.Key}, {"why", error(Read).Detail}});
-    return;
+    return workerUnlisted(Cell, Id, Now);
   }
   workerListed(Cell, value(Read), Now);
 }
@@ -332,12 +339,14 @@
 }
 
 Awaitable<void> SchedulerRunner::watchWorkers(Self Me, uint64_t From) {
+  int Empty = 0; // answers in a row in which nothing was
   while (!Me->Stopped) {
     Result<KeyChanges> Read = co_await Me->Tools.Store.Watch(Me->Tools.WorkerPrefix, From,
                                                              Me->Tools.Settings.Timing.WatchTime);
     if (Me->Stopped)
       co_return;
-    if (ok(Read)) {
+    Empty = ok(Read) && value(Read).Changes.empty() ? Empty + 1 : 0;
+    if (ok(Read) && Empty < MostEmptyWatches) {
       for (const KeyChange &Change : value(Read).Changes)
         Me->takeWorker(Change.Item, Change.Gone);
       From = std::max(From, value(Read).Revision);
@@ -347,6 +356,7 @@
         co_await sleepFor(WorkerGather);
       continue;
     }
+    Empty = 0;
     Result<uint64_t> Again = co_await Me->rereadWorkers();
     if (ok(Again))
       From = value(Again);
@@ -460,7 +470,7 @@
 
 // Waits until the worker's ends are saved or something is started there, or for \p Most.
 Awaitable<void> SchedulerRunner::untilWoken(Self Me, std::string Id, Milliseconds Most) {
-  asio::steady_timer Wake(Me->Tools.Where, Most);
+  SteadyTimer Wake(Me->Tools.Where, Most);
   Me->HoldWakes[Id] = &Wake;
   co_await Wake.async_wait(AsTuple);
   Me->HoldWakes.erase(Id);
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -12,10 +12,9 @@
 #include "valveshelf/cell_settings.h"
 #include "valveshelf/coroutines.h"
 #include "valveshelf/key_value_store.h"
+#include "valveshelf/steady_timer.h"
 #include "valveshelf/worker_link.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 #include <set>
@@ -153,13 +152,13 @@
       HoldsOut; ///< Held calls: since when nothing was heard.
   CallLosses Losses;
   OrderPace Pace;
-  std::unordered_map<std::string, boost::asio::steady_timer *> HoldWakes; ///< Loops that wait.
+  std::unordered_map<std::string, SteadyTimer *> HoldWakes; ///< Loops that wait.
   std::map<std::string, uint64_t> Records; ///< Workers noted in the store, and the revisions.
   std::set<sched::JobId> OldCancels;       ///< Marks whose jobs have ended.
   std::set<std::pair<sched::JobId, bool>> SavingNow; ///< Jobs, and whether it is their end.
   int SavesInFlight = 0;
-  boost::asio::steady_timer SaveWake;
-  boost::asio::steady_timer PlaceTimer;
+  SteadyTimer SaveWake;
+  SteadyTimer PlaceTimer;
   bool PlaceWaits = false;
   Steady::duration LastPass{0}; ///< How long the last pass of placement took.
   TimePoint LastTick{};
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -43,6 +43,9 @@
   CellMetrics Metrics;
   BurnBook Burn;
   std::shared_ptr<SchedulerRunner> Runner;
+  Steady::duration Suspended{0}; ///< Time that the clock of leases has counted and no timer has.
+  bool HasEnded = false;         ///< The term, by itself.
+  Resources Capacity{64000, 64000, 0};
 
   Bench() {
     Settings.Member = "a";
@@ -124,22 +127,25 @@
   void start() {
     constexpr uint64_t LeaderRevision = 2; // the first key that the constructor wrote
     SchedulerTools Tools{Io.get_executor(),
-                         Clock{},
+                         Clock{[this] { return Steady::now() + Suspended; }, Clock{}.Wall},
                          Settings,
                          storeOps(),
                          workerLink(),
                          {},
                          std::string(WorkerPrefix),
-                         [](std::string_view Id, std::string_view) -> Result<WorkerInfo> {
+                         [this](std::string_view Id, std::string_view Bytes) -> Result<WorkerInfo> {
+                           if (Bytes != "listed")
+                             return Error{ErrorKind::BadRequest, "it can't be read"};
                            WorkerInfo Info;
                            Info.Id = Id;
                            Info.Service = "pool";
-                           Info.Capacity = {64000, 64000, 0};
+                           Info.Capacity = Capacity;
                            return Info;
                          },
                          Metrics,
                          Burn};
-    Runner = std::make_shared<SchedulerRunner>(Tools, Claim{1, LeaderRevision, 0}, [] {});
+    Runner = std::make_shared<SchedulerRunner>(Tools, Claim{1, LeaderRevision, 0},
+                                               [this] { HasEnded = true; });
     Runner->start();
   }
 
@@ -235,5 +241,59 @@
   EXPECT_FALSE(Given.Store.value(workerKey("strange")).empty());
 }
 
+// Its machine was suspended for longer than its claim holds: another scheduler may have begun. It
+// says nothing more to a worker.
+TEST(SchedulerRunner, AProcessThatWasSuspendedEndsItsTerm) {
+  Bench Given;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  Given.submit(1, 4);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 4; }));
+  Given.Suspended = 3s;
+  Given.submit(2, 4);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.HasEnded; }, 1s));
+  EXPECT_EQ(Given.running(), 4u);
+}
+
+// An entry that another writer has put there names no worker to use; the others hold.
+TEST(SchedulerRunner, AnEntryThatCannotBeReadNamesNoWorkerToUse) {
+  Bench Given;
+  Given.Store.put(std::string(WorkerPrefix) + "w2", "\xff{", 0);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  Given.submit(1, 4);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 4; }));
+  Given.Store.put(std::string(WorkerPrefix) + "w1", "{}", 0); // over that of a worker
+  Given.runUntil([] { return false; }, 600ms);                // the list is watched
+  const size_t Before = Given.Workers.at("w1").Active.size();
+  Given.submit(2, 8);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 12; }));
+  EXPECT_EQ(Given.Workers.at("w1").Active.size(), Before);
+  // It is the worker's own again.
+  Given.Store.put(std::string(WorkerPrefix) + "w1", "listed", 0);
+  Given.runUntil([] { return false; }, 600ms);
+  Given.submit(3, 8);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Workers.at("w1").Active.size() > Before; }));
+}
+
+// What a worker says of its capacity is heard although the watch is silent: it is answered, and
+// nothing is in it.
+TEST(SchedulerRunner, ACapacityThatShrinksIsHeardOfBesideASilentWatch) {
+  Bench Given;
+  Given.Settings.Timing.WatchTime = 300ms;
+  Given.Store.IsWatchSilent = true;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  Given.Capacity = {1000, 64000, 0}; // for one task
+  for (const char *Id : {"w0", "w1"})
+    Given.Store.put(std::string(WorkerPrefix) + Id, "listed", 0);
+  Given.runUntil([] { return false; }, 1200ms);
+  Given.submit(1, 8);
+  Given.Runner->announceJob(Given.Store.value(jobKey(1)), 100);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  Given.runUntil([] { return false; }, 200ms);
+  EXPECT_EQ(Given.running(), 2u);
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/entry/shard_operations.cpp
+++ b/src/entry/shard_operations.cpp
@@ -2,6 +2,7 @@
 // What callers and peers ask of an owned shard.
 #include "valveshelf/events.h"
 #include "valveshelf/shard_runner.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -19,7 +20,7 @@
 // Waits for a callback from the journal, but not for ever.
 struct DurableWaiter {
   std::optional<Durability> Value;
-  asio::steady_timer Timer;
+  SteadyTimer Timer;
   explicit DurableWaiter(Executor Where) : Timer(asio::make_strand(Where)) {}
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The HTTP client: kept connections, whole calls and streamed calls.
 #include "valveshelf/http.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -131,7 +132,7 @@
   std::map<Place, Entry> Waiting;     ///< Guarded by Mutex.
   uint64_t LastNumber = 0;            ///< Guarded by Mutex.
   TimePoint Armed = TimePoint::max(); ///< When Timer fires; max: never. Guarded by Mutex.
-  asio::steady_timer Timer;           ///< Guarded by Mutex.
+  SteadyTimer Timer;                  ///< Guarded by Mutex.
 };
 } // namespace
 
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Connections that the client keeps, against servers on loopback.
 #include "valveshelf/http.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
@@ -83,7 +84,7 @@
            {"HTTP/1.1 200 OK\r\nConte", "nt-Length: 4\r\n\r\nab", "cd"}) {
         co_await asio::async_write(Socket, asio::buffer(Piece),
                                    asio::as_tuple(asio::use_awaitable));
-        asio::steady_timer Pause(Socket.get_executor(), 2ms);
+        SteadyTimer Pause(Socket.get_executor(), 2ms);
         co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
       }
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The HTTP server: accepts, reads heads within limits, and gives each request to the handler.
 #include "valveshelf/http.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -212,7 +213,7 @@
         if (Self->Draining || Failure == asio::error::operation_aborted)
           co_return;
         // Out of descriptors, usually: let connections end before trying again.
-        asio::steady_timer Pause(co_await asio::this_coro::executor, Milliseconds(20));
+        SteadyTimer Pause(co_await asio::this_coro::executor, Milliseconds(20));
         co_await Pause.async_wait(AsTuple);
         continue;
       }
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -264,7 +264,8 @@
   uint32_t FirstRun = 1; ///< Run numbers of this scheduler begin here.
   /// By name; nodes stay where they are. One that has left the configuration keeps its maximum.
   std::map<std::string, OrganisationState> Organisations;
-  bool Configured = false; ///< The maxima of organisations are known.
+  std::set<std::string> Services; ///< Of the newest configuration.
+  bool Configured = false;        ///< The maxima of organisations are known.
   std::unordered_map<JobId, Job> Jobs;
   std::unordered_map<JobId, EndedJob> Ended;          ///< Saved ends only.
   std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
--- a/src/include/valveshelf/clock.h
+++ b/src/include/valveshelf/clock.h
@@ -8,8 +8,18 @@
 
 namespace valveshelf {
 
-/// The clock of leases, promises and deadlines. It never jumps.
-using Steady = std::chrono::steady_clock;
+/// The clock of leases, promises and deadlines. It never goes back, and it counts the time for
+/// which the machine was suspended: to everybody else that time has passed, and leases have run out
+/// in it. The system's monotonic clock stands still meanwhile, so that a process that wakes up
+/// would go on under a claim that is over.
+struct Steady {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<Steady>;
+  static constexpr bool is_steady = true;
+  static time_point now() noexcept;
+};
 using TimePoint = Steady::time_point;
 using Milliseconds = std::chrono::milliseconds;
 
--- a/src/include/valveshelf/journal.h
+++ b/src/include/valveshelf/journal.h
@@ -8,11 +8,10 @@
 #pragma once
 
 #include "valveshelf/platform.h"
+#include "valveshelf/steady_timer.h"
 
 #include "journal.pb.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <deque>
 #include <functional>
 #include <memory>
@@ -135,7 +134,7 @@
   const JournalLimits Limits;
   WriteBudget &Budget;
   const WitnessFunction Witness;
-  boost::asio::steady_timer Wake;
+  SteadyTimer Wake;
 
   mutable std::mutex Mutex;
   // All below is guarded by Mutex.
--- a/src/include/valveshelf/ownership.h
+++ b/src/include/valveshelf/ownership.h
@@ -4,8 +4,7 @@
 #pragma once
 
 #include "valveshelf/shard_runner.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "valveshelf/steady_timer.h"
 
 #include <map>
 #include <memory>
@@ -57,7 +56,7 @@
   const ShardTools Tools;
   const MemberInfo Self;
   PromiseKeeper &Promises;
-  boost::asio::steady_timer Wake;
+  SteadyTimer Wake;
   std::atomic<bool> Stopped{false};
   std::atomic<bool> Leaving{false};
   std::atomic<uint64_t> Claims{0};
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -7,6 +7,7 @@
 #include "valveshelf/membership.h"
 #include "valveshelf/shard_decisions.h"
 #include "valveshelf/shard_directory.h"
+#include "valveshelf/steady_timer.h"
 
 #include <atomic>
 #include <memory>
@@ -112,7 +113,7 @@
   const uint32_t Shard;
   const uint64_t Epoch;
   const ShardTools Tools;
-  boost::asio::steady_timer Wake; ///< Of the tick loop; used on its strand only.
+  SteadyTimer Wake; ///< Of the tick loop; used on its strand only.
   std::atomic<bool> Poked{false};
   std::atomic<bool> Stopped{false};
   std::atomic<bool> Draining{false};
--- a/src/membership/peer_link.cpp
+++ b/src/membership/peer_link.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The inner protocol over gRPC's callback interface, joined to coroutines.
 #include "valveshelf/peer_link.h"
+#include "valveshelf/steady_timer.h"
 
 #include "peer.grpc.pb.h"
 
@@ -83,7 +84,7 @@
   using asio::ip::tcp;
   const Executor Where = co_await asio::this_coro::executor;
   tcp::socket Socket(Where);
-  asio::steady_timer Timer(Where, Timeout);
+  SteadyTimer Timer(Where, Timeout);
   Timer.async_wait([&Socket](boost::system::error_code Code) {
     boost::system::error_code Ignored;
     if (!Code)
--- a/src/membership/promise_keeper.cpp
+++ b/src/membership/promise_keeper.cpp
@@ -2,6 +2,7 @@
 // Promises: asked for by the owner's side, given and refused by the guardian's side.
 #include "valveshelf/events.h"
 #include "valveshelf/membership.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/parallel_group.hpp>
@@ -77,8 +78,8 @@
   struct Round {
     std::atomic<size_t> Granted{0};
     std::atomic<size_t> Left{0};
-    asio::steady_timer Finished;
-    explicit Round(Executor Where) : Finished(Where, asio::steady_timer::time_point::max()) {}
+    SteadyTimer Finished;
+    explicit Round(Executor Where) : Finished(Where, SteadyTimer::time_point::max()) {}
   };
   const Executor Where = co_await asio::this_coro::executor;
   auto Together = std::make_shared<Round>(asio::make_strand(Where));
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Requests: matching, waiting for a slot, passing through, and what may be tried again.
 #include "valveshelf/router.h"
+#include "valveshelf/steady_timer.h"
 
 #include "valveshelf/events.h"
 
@@ -177,7 +178,7 @@
 Awaitable<Result<SlotGrant>> Router::acquire(const Target &To, TimePoint Deadline,
                                              const std::string &Avoid) {
   struct Wait {
-    asio::steady_timer Timer;
+    SteadyTimer Timer;
     std::optional<SlotGrant> Granted;
     explicit Wait(Executor Where) : Timer(asio::make_strand(Where)) {}
   };
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -475,6 +475,7 @@
     const size_t Before = Given.startsOf(Crasher);
     for (Milliseconds T{0}; T < 10s && Given.startsOf(Crasher) == Before; T += 10ms)
       Given.pass(10ms);
+    Given.Silent.insert(Given.at(Crasher)); // it has crashed, and nobody has noticed
     Given.takeOver();
   }
   EXPECT_LE(Given.startsOf(Crasher), 5u);
--- a/src/scheduler/organisations.cpp
+++ b/src/scheduler/organisations.cpp
@@ -6,6 +6,9 @@
 
 void configured(CellState &Cell, const CellConfiguration &Config) {
   Cell.Configured = true;
+  Cell.Services.clear();
+  for (const Service &One : Config.Services)
+    Cell.Services.insert(One.Name);
   if (!Config.Organisations)
     return;
   for (const Organisation &One : *Config.Organisations) {
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -698,5 +698,24 @@
   EXPECT_EQ(On.ForgetThrough, 3u);
 }
 
+// Its entry is not the word of a worker of ours: nothing is said to what may be at its address.
+TEST(Fleet, AWorkerOfAServiceThatIsNotConfiguredIsNotCalled) {
+  Scene Given(0);
+  CellConfiguration Config;
+  Config.Services.push_back({"pool", false});
+  configured(Given.Cell, Config);
+  for (const char *Service : {"pool", "elsewhere"}) {
+    WorkerInfo Info;
+    Info.Id = Service;
+    Info.Service = Service;
+    Info.Capacity = WorkerSize;
+    workerListed(Given.Cell, Info, Given.Now);
+  }
+  Effects Out;
+  tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  EXPECT_TRUE(Given.Cell.Workers.at("pool").Wanted);
+  EXPECT_FALSE(Given.Cell.Workers.at("elsewhere").Wanted);
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -513,6 +513,12 @@
                      [](const auto &Entry) { return Entry.second.Phase == AttemptPhase::Planned; });
 }
 
+// False for a service that the configuration doesn't name: the entry is another writer's, and its
+// address somebody else's.
+static bool hasWorkFor(const CellState &Cell, const WorkerInfo &Info) {
+  return Cell.Services.empty() || Cell.Services.count(Info.Service) > 0;
+}
+
 // A large fleet is not used as a whole: what is idle beyond some spare costs nothing.
 static void wantWorkers(CellState &Cell, Effects &Out) {
   uint32_t Spare = 0;
@@ -529,7 +535,7 @@
   Missing = std::min(Missing, Cell.Limits.MoreWorkers);
   for (auto At = Cell.Workers.begin(); At != Cell.Workers.end() && Missing > 0; ++At) {
     Worker &On = At->second;
-    if (On.Wanted || !On.Listed || On.Info.Draining)
+    if (On.Wanted || !On.Listed || On.Info.Draining || !hasWorkFor(Cell, On.Info))
       continue;
     On.Wanted = Out.Wants = true;
     --Missing;
--- a/testsuite/fakes/fake_key_value_store.h
+++ b/testsuite/fakes/fake_key_value_store.h
@@ -20,8 +20,9 @@
 public:
   explicit FakeKeyValueStore(boost::asio::io_context &) {}
 
-  bool Down = false;   ///< Everything is refused.
-  int LoseAnswers = 0; ///< So many transactions are done and answer OutcomeUnknown.
+  bool Down = false;          ///< Everything is refused.
+  bool IsWatchSilent = false; ///< Watches are answered, and nothing is in them.
+  int LoseAnswers = 0;        ///< So many transactions are done and answer OutcomeUnknown.
   int Commits = 0;
   std::function<Awaitable<void>()> BeforeGrant; ///< For races.
 
@@ -72,7 +73,7 @@
           co_return refusal();
         KeyChanges Found{{}, Revision};
         for (const KeyChange &Change : History)
-          if (Change.Item.Revision > After && Change.Item.Key.starts_with(Prefix))
+          if (!IsWatchSilent && Change.Item.Revision > After && Change.Item.Key.starts_with(Prefix))
             Found.Changes.push_back(Change);
         if (!Found.Changes.empty() || Steady::now() >= Until)
           co_return Found;
--- a/testsuite/standins/store.cpp
+++ b/testsuite/standins/store.cpp
@@ -2,6 +2,7 @@
 // Stand-in for the platform's key-value service: compare-and-swap, leases, watches, a rate for
 // reads and one for writes, values up to a megabyte.
 #include "standin.h"
+#include "valveshelf/steady_timer.h"
 
 #include <algorithm>
 #include <set>
@@ -162,7 +163,7 @@
     const TimePoint Until = Steady::now() + Milliseconds(number(Made, "wait_ms"));
     ++Watching;
     while (After <= Revision && !anyAfter(Prefix, After) && Steady::now() < Until) {
-      asio::steady_timer Limit(co_await asio::this_coro::executor, Until);
+      valveshelf::SteadyTimer Limit(co_await asio::this_coro::executor, Until);
       Limit.async_wait([this](boost::system::error_code Failure) {
         if (!Failure)
           changed();
@@ -202,7 +203,7 @@
       erase(Key);
   }
 
-  asio::steady_timer Changed; ///< Cancelled whenever something changes.
+  valveshelf::SteadyTimer Changed; ///< Cancelled whenever something changes.
   Trace Record;
   std::map<std::string, Entry> Entries;
   std::map<std::string, uint64_t> Erased;
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -4,6 +4,7 @@
 // judges every start by its own records; `GET /verdict` tells what it found.
 #include "standin.h"
 #include "standins/worker_model.h"
+#include "valveshelf/steady_timer.h"
 
 #include "platform/json_fields.h"
 
@@ -168,7 +169,7 @@
           Events.push_back(Event);
       if (!Events.empty() || Steady::now() >= Until || Down)
         co_return answer(200, json::object{{"events", Events}, {"at", Revision}});
-      asio::steady_timer Look(co_await asio::this_coro::executor, Milliseconds(3));
+      SteadyTimer Look(co_await asio::this_coro::executor, Milliseconds(3));
       co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
     }
   }
@@ -241,7 +242,7 @@
   uint64_t Revision = 0;
   uint64_t LastLease = 0;
   bool InTransaction = false;
-  asio::steady_timer Changed;
+  SteadyTimer Changed;
 };
 
 // Workers and the advice service.
@@ -325,7 +326,7 @@
   Awaitable<void> run() {
     TimePoint Last = Steady::now();
     while (true) {
-      asio::steady_timer Timer(Io, ModelStep);
+      SteadyTimer Timer(Io, ModelStep);
       co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
       const TimePoint Now = Steady::now();
       const auto Passed = std::chrono::duration_cast<Milliseconds>(Now - Last);
@@ -362,7 +363,7 @@
       if (std::hash<std::string>()(textOf(Body, "phase") + std::string(Worker.as_string())) % 10 <
           7)
         Good.push_back(json::array{Worker, "t-" + std::to_string(++Advised)});
-    asio::steady_timer Thinks(Io, Milliseconds(5));
+    SteadyTimer Thinks(Io, Milliseconds(5));
     co_await Thinks.async_wait(asio::as_tuple(asio::use_awaitable));
     co_return answer(200, json::object{{"good", Good}, {"valid_ms", 1500}});
   }
@@ -450,7 +451,7 @@
   }
 
   Awaitable<void> crashSoon(Seat &On, std::string Life, RunKey By) {
-    asio::steady_timer Timer(Io, CrashAfter);
+    SteadyTimer Timer(Io, CrashAfter);
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (On.Dead || On.Model.Id != Life || !On.Model.Runs.count(By))
       co_return;
@@ -545,7 +546,7 @@
     noteForgotten(*To, Fence, Forget);
     auto Report = To->Model.hold(Fence, Forget, Until);
     while (Report && Report->Ended.empty() && Steady::now() < Limit && To->Model.Id == Life) {
-      asio::steady_timer Look(Io, Milliseconds(4));
+      SteadyTimer Look(Io, Milliseconds(4));
       co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
       Report = To->Model.hold(Fence, Forget, std::nullopt);
     }
--- a/testsuite/standins/worker.cpp
+++ b/testsuite/standins/worker.cpp
@@ -2,6 +2,7 @@
 // Stand-in for a worker. It refuses nothing: it runs whatever it is told to, as often as it is
 // told to, over its capacity if need be. Tasks run under leases and are stopped when these lapse.
 #include "standin.h"
+#include "valveshelf/steady_timer.h"
 
 #include <algorithm>
 #include <list>
@@ -170,7 +171,7 @@
     const auto After = static_cast<uint64_t>(integerIn(Body, "after", 0));
     const TimePoint Until = Steady::now() + Milliseconds(integerIn(Body, "wait_ms", 0));
     while (Version <= After && Steady::now() < Until) {
-      asio::steady_timer Limit(co_await asio::this_coro::executor, Until);
+      valveshelf::SteadyTimer Limit(co_await asio::this_coro::executor, Until);
       Limit.async_wait([this](boost::system::error_code Failure) {
         if (!Failure)
           Changed.cancel();
@@ -197,7 +198,7 @@
     return answer(200, {{"id", Id}});
   }
 
-  asio::steady_timer Changed;
+  valveshelf::SteadyTimer Changed;
   Faults &Active;
   Trace Record;
   const int64_t UsageLag;
