--- a/src/include/valveshelf/losses.h
+++ b/src/include/valveshelf/losses.h
@@ -27,6 +27,8 @@
   bool Failed = false;                 ///< It ended as failed.
   bool Cancelled = false;              ///< Its caller called it off; it counts for nothing.
   uint32_t Stops = 0;                  ///< Of its runs, for others or by their workers.
+  uint32_t LostRuns = 0;               ///< With their workers.
+  bool GivenUp = false;                ///< Because a task of it crashes its workers.
   uint32_t FailedRuns = 0;
 };
 
--- a/src/losses/losses.cpp
+++ b/src/losses/losses.cpp
@@ -104,6 +104,10 @@
     ++Job.Stops;
   } else if (Event.Name == "task-failed") {
     ++Job.FailedRuns;
+  } else if (Event.Name == "run-lost") {
+    ++Job.LostRuns;
+  } else if (Event.Name == "task-given-up") {
+    Job.GivenUp = true;
   } else if (Event.Name == "job-cancelled") {
     Job.Cancelled = true;
   } else if (Event.Name == "job-ended") {
@@ -136,6 +140,8 @@
     return {};
   if (!Job.Taken)
     return Job.Refused; // empty: only what others say of it was kept back
+  if (Job.GivenUp)
+    return "a task of it crashes its workers";
   if (Job.Failed)
     return "its runs failed";
   if (!Job.FirstPlaced)
@@ -151,6 +157,8 @@
     return "waited for room";
   if (Advice * 2 > Whole)
     return "waited for advice";
+  if (Job.LostRuns > 0)
+    return "its workers were lost";
   if (Job.FailedRuns > 0)
     return "runs failed and went on elsewhere";
   if (Job.Stops > 0)
--- a/src/losses/losses_test.cpp
+++ b/src/losses/losses_test.cpp
@@ -60,6 +60,19 @@
   EXPECT_EQ(Stopped.cause(), "runs failed and went on elsewhere");
 }
 
+TEST(Losses, WorkersThatWereLostUnderAJobAreACause) {
+  Log Late;
+  Late.taken("01.000").placed("01.030", "900").ended("05.000");
+  Late.at("02.000", "VS-2306 run-lost task=" + std::string(Id) +
+                        ".0.0.1 run=1 worker=w how=replaced ran_ms=700 crashes=0 losses=1");
+  EXPECT_EQ(Late.cause(), "its workers were lost");
+  Log GivenUp;
+  GivenUp.taken("01.000").placed("01.030", "900").ended("09.000", "2");
+  GivenUp.at("08.000",
+             "VS-2307 task-given-up task=" + std::string(Id) + ".0.0.1 crashes=3 losses=3");
+  EXPECT_EQ(GivenUp.cause(), "a task of it crashes its workers");
+}
+
 TEST(Losses, ARefusalCountsUnlessItsCallerCameAgain) {
   Log Given;
   Given.at("01.000", "VS-2202 call-refused job=" + std::string(Id) +
