Operations: a job that failed because a task of it crashes its workers; the stand-in's crash ends its connections

Cause: a worker that crashed in the stand-in kept its held calls open, so that the silence was seen 0.4 s late and each crash was a doubt only: four workers for a task instead of three. A crashed process ends its connections at once.

--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -252,8 +252,9 @@
   std::string Address;
   std::string Rack;
   Resources Capacity;
-  bool Dead = false; ///< It answers nothing.
-  bool Mute = false; ///< It carries orders out and answers nothing.
+  bool Dead = false;    ///< It answers nothing.
+  bool Crashed = false; ///< By a task: its connections end at once. It is dead as well.
+  bool Mute = false;    ///< It carries orders out and answers nothing.
   bool Draining = false;
   std::map<RunKey, Resources> Needs;
 };
@@ -305,7 +306,7 @@
     Of.Model.OnStart = [this, Raw](const RunKey &Run) { judge(*Raw, Run); };
     Of.Model.OnEnd = [this](const RunKey &Run, RunEnd How) { ended(Run, How); };
     Of.Needs.clear();
-    Of.Dead = Of.Mute = false;
+    Of.Dead = Of.Crashed = Of.Mute = false;
     list(Of);
   }
 
@@ -458,7 +459,7 @@
     ++Crashes;
     ++CrashesBy[By.Task];
     loseRuns(On);
-    On.Dead = true;
+    On.Dead = On.Crashed = true;
     Timer.expires_after(BackAfter);
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (On.Dead && On.Model.Id == Life)
@@ -545,7 +546,8 @@
     const std::string Life = To->Model.Id;
     noteForgotten(*To, Fence, Forget);
     auto Report = To->Model.hold(Fence, Forget, Until);
-    while (Report && Report->Ended.empty() && Steady::now() < Limit && To->Model.Id == Life) {
+    while (Report && Report->Ended.empty() && Steady::now() < Limit && To->Model.Id == Life &&
+           !To->Crashed) {
       SteadyTimer Look(Io, Milliseconds(4));
       co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
       Report = To->Model.hold(Fence, Forget, std::nullopt);
