Soak and fuzz: capacities that change, entries of another writer

Change: in the harsh worlds of the fuzz capacities shrink to a half and grow, with LIMIT as oracle; in the soak as well, beside seven entries that name no worker to use (the stand-in breaks on a call meant for one).

--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Random days for the scheduler's decisions: lost and late orders, lost answers, workers that die
 // or are cut off, saves without an answer, takeovers with the old scheduler still talking, and, if
-// asked for, tasks that crash the workers that begin them. The
+// asked for, tasks that crash the workers that begin them and workers whose capacity changes. The
 // world's own records judge every start. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED change
 // length and seed.
 #include "standins/worker_model.h"
@@ -36,9 +36,11 @@
   WorkerModel Model;
   WorkerInfo Info;
   bool Dead = false;
-  bool IsReplaced = false; ///< It crashed, and another life answers in its place.
-  bool Refuses = false;    ///< It crashed, and nothing listens there.
-  bool Crashed = false;    ///< By a task; nothing answers until it is replaced.
+  bool IsReplaced = false;      ///< It crashed, and another life answers in its place.
+  bool Refuses = false;         ///< It crashed, and nothing listens there.
+  bool Crashed = false;         ///< By a task; nothing answers until it is replaced.
+  Resources Before;             ///< Its capacity counts as this one
+  Milliseconds BeforeCounts{0}; ///< until then: that it shrank has to be heard of.
   Milliseconds CutUntil{0};
   bool ListedGone = false;
 };
@@ -55,8 +57,8 @@
 
 class World {
 public:
-  explicit World(uint64_t Seed, bool HasCrashers = false)
-      : Random(Seed), Luck(Seed + 1), HasCrashers(HasCrashers), StopTime(Seed % 2 ? 50 : 900) {
+  explicit World(uint64_t Seed, bool IsHarsh = false)
+      : Random(Seed), Luck(Seed + 1), IsHarsh(IsHarsh), StopTime(Seed % 2 ? 50 : 900) {
     for (int I = 0; I < 6; ++I)
       addBox("r" + std::to_string(I / 3));
     changeQuota();
@@ -146,7 +148,7 @@
       Sum += specOf(Key.Task.Step).Need;
       OfStep += Key.Task.Step == Run.Task.Step ? 1 : 0;
     }
-    if (!fits(Sum, On.Info.Capacity))
+    if (!fits(Sum, On.Info.Capacity) && !(Now < On.BeforeCounts && fits(Sum, On.Before)))
       broken("LIMIT", Run);
     judgeQuota(*Of.Spec, Run);
     if (Step.MostPerWorker > 0 && OfStep > Step.MostPerWorker)
@@ -181,7 +183,7 @@
   // One task in thirty crashes each worker that begins it.
   bool isCrasher(const TaskKey &Task) const {
     constexpr uint64_t OneIn = 30;
-    return HasCrashers && std::hash<std::string>()(toString(Task)) % OneIn == 0;
+    return IsHarsh && std::hash<std::string>()(toString(Task)) % OneIn == 0;
   }
 
   // What the crash of a worker means for each task there, as the world knows it.
@@ -190,6 +192,27 @@
       ++CrashesUnder[Run.Task];
   }
 
+  // A worker's capacity shrinks to a half or is whole again, which schedulers hear of a little
+  // later.
+  void resizeOne() {
+    const auto Draw = [this](int64_t Most) {
+      return std::uniform_int_distribution<int64_t>(0, Most)(Luck);
+    };
+    constexpr Milliseconds HeardWithin{4500}; // the operators' time out and one check-in
+    const auto Which =
+        std::next(Boxes.begin(), Draw(static_cast<int64_t>(Boxes.size()) - 1))->second;
+    if (Which->Dead)
+      return;
+    Which->Before = Which->Info.Capacity;
+    Which->BeforeCounts = Now + HeardWithin;
+    Which->Info.Capacity = Draw(1) == 0 ? Resources{4000, 4000, 0} : Resources{8000, 8000, 0};
+    after(Milliseconds(Draw(1500)), [this, Which] {
+      for (const ProcessPtr &Of : {Current, Previous})
+        if (Of && !Of->Over && !Which->Dead)
+          workerListed(Of->Cell, Which->Info, steady());
+    });
+  }
+
   // The worker is gone; its entry lapses, and another life comes in its place. The draws are apart
   // from the others, so that worlds without such tasks stay as they are.
   void crashBox(Box &Which, const TaskKey &By) {
@@ -711,6 +734,8 @@
         changeQuota();
       if (chance(0.00015))
         takeOver();
+      if (IsHarsh && std::uniform_real_distribution<>(0, 1)(Luck) < 0.002)
+        resizeOne();
     }
     if (Current->Over && !Pending) {
       Pending = true;
@@ -807,7 +832,7 @@
 
   std::mt19937_64 Random;
   std::mt19937_64 Luck; ///< Of crashes.
-  const bool HasCrashers;
+  const bool IsHarsh;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool Calm = false;
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -246,10 +246,20 @@
         proxy.heal()
         self.proxies.call(proxy.reset_all)
 
+    def resize(self, seed, over):
+        """Capacities of workers shrink to a half and grow again."""
+        rng = random.Random(seed * 41)
+        while not over.wait(rng.uniform(0.3, 2.0)):
+            self.cell.control({"capacity_of": rng.randrange(self.cell.worker_count),
+                               "becomes": rng.choice(["small", "whole"])})
+
     def run(self, plan, seconds, verbose):
         self.cell.start()
+        self.cell.control({"foreign_entries": True})
         self.cell.wait_ready(30)
         self.callers.start()
+        over = threading.Event()
+        threading.Thread(target=self.resize, args=(self.callers.seed, over), daemon=True).start()
         began, busy, threads = time.time(), {}, []
         for at, kind, target, duration, amount in plan:
             time.sleep(max(0, began + at - time.time()))
@@ -265,6 +275,7 @@
         time.sleep(max(0, began + seconds - time.time()))
         for thread in threads:
             thread.join()
+        over.set()
         self.heal()
         self.callers.stop()
         self.callers.finish(60)
@@ -275,6 +286,8 @@
             proxy.heal()
             self.proxies.call(proxy.reset_all)
         self.cell.control({"store_down": False, "lose_answers": 0})
+        for worker in range(self.cell.worker_count):
+            self.cell.control({"capacity_of": worker, "becomes": "whole"})
         for name, entry in self.cell.entries.items():
             entry.signal(signal.SIGCONT)
             if not entry.alive():
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -31,6 +31,12 @@
 constexpr int StartsTooMany = 3;
 // So many crashes under a task allow its job to be given up.
 constexpr int CrashesForGivingUp = 2;
+// That a capacity has shrunk has to be heard of within this time: a time out and a check-in.
+constexpr Milliseconds ShrunkHeardWithin{4500};
+constexpr Resources WholeCapacity{16000, 32768, 0};
+constexpr Resources SmallCapacity{8000, 16384, 0};
+// Ids of entries that another writer has put among those of workers.
+constexpr std::string_view ForeignPrefix = "x-";
 
 std::string base64Of(std::string_view Bytes) {
   namespace base64 = boost::beast::detail::base64;
@@ -252,9 +258,11 @@
   std::string Address;
   std::string Rack;
   Resources Capacity;
-  bool Dead = false;    ///< It answers nothing.
-  bool Crashed = false; ///< By a task: its connections end at once. It is dead as well.
-  bool Mute = false;    ///< It carries orders out and answers nothing.
+  Resources Before;         ///< It counts as the capacity
+  TimePoint BeforeCounts{}; ///< until then.
+  bool Dead = false;        ///< It answers nothing.
+  bool Crashed = false;     ///< By a task: its connections end at once. It is dead as well.
+  bool Mute = false;        ///< It carries orders out and answers nothing.
   bool Draining = false;
   std::map<RunKey, Resources> Needs;
 };
@@ -267,7 +275,7 @@
       auto Made = std::make_shared<Seat>();
       Made->Address = Host + ":" + std::to_string(FirstPort + I);
       Made->Rack = "r" + std::to_string(I / 3);
-      Made->Capacity = {16000, 32768, 0};
+      Made->Capacity = WholeCapacity;
       beginLife(*Made);
       Seats.push_back(Made);
     }
@@ -281,6 +289,42 @@
   int64_t Crashes = 0;                                    ///< By tasks.
   std::map<valveshelf::sched::TaskKey, int> CrashesUnder; ///< Whoever was to blame.
 
+  void resize(Seat &Of, const Resources &Capacity) {
+    Of.Before = Of.Capacity;
+    Of.BeforeCounts = Steady::now() + ShrunkHeardWithin;
+    Of.Capacity = Capacity;
+    if (!Of.Dead)
+      list(Of);
+  }
+
+  // Entries that name no worker to use, at the address of one; `handle` sees a call meant for them.
+  void addForeignEntries() {
+    const std::string Address = Seats.front()->Address;
+    const json::object Whole{{"service", "pool"},
+                             {"address", Address},
+                             {"zone", "z1"},
+                             {"version", "v1"},
+                             {"state", "ready"},
+                             {"capacity", json::object{{"cpu", 16000}, {"mem_mb", 32768}}},
+                             {"labels", json::array{"a", "r0"}}};
+    const auto Put = [&](const char *Name, const json::value &Value) {
+      Store.put("servers/" + std::string(ForeignPrefix) + Name, base64Of(json::serialize(Value)),
+                0);
+    };
+    const auto With = [&](std::string_view Key, json::value Value) {
+      json::object Changed = Whole;
+      Changed[Key] = std::move(Value);
+      return Changed;
+    };
+    Put("state", With("state", "asleep"));
+    Put("service", With("service", "elsewhere"));
+    Put("capacity", With("capacity", "much"));
+    Put("address", With("address", 7));
+    Put("nothing", json::object());
+    Put("list", json::array{1, 2});
+    Store.put("servers/" + std::string(ForeignPrefix) + "bytes", base64Of("\xff\xfe{"), 0);
+  }
+
   // Everything on the worker dies; the other members of its gangs end.
   void loseRuns(Seat &Of) {
     std::vector<RunKey> Lost;
@@ -342,7 +386,10 @@
   Awaitable<HttpResponse> handle(std::shared_ptr<Seat> To, Call Made) {
     if (To->Dead)
       co_return HttpResponse{0, {}, ""};
-    if (findHeader(Made.Headers, "Valveshelf-Expect-Instance") != To->Model.Id)
+    const auto Meant = findHeader(Made.Headers, "Valveshelf-Expect-Instance");
+    if (Meant.starts_with(ForeignPrefix))
+      Breaks.push_back("a call to an entry of another writer: " + std::string(Meant));
+    if (Meant != To->Model.Id)
       co_return answer(421, json::object());
     const json::object Body = parsed(Made.Body);
     HttpResponse Answer = answer(404, json::object());
@@ -431,7 +478,7 @@
     for (const auto &[Key, What] : On.Model.Runs)
       if (const Known *Other = knownStep(Key.Task.Step))
         Sum += Other->Need;
-    if (!fits(Sum, On.Capacity))
+    if (!fits(Sum, On.Capacity) && !(Steady::now() < On.BeforeCounts && fits(Sum, On.Before)))
       broken("worker over-full", Run);
     for (const auto &Other : Seats)
       for (const auto &[Key, What] : Other->Model.Runs)
@@ -604,6 +651,12 @@
     Store.LoseRemoves = numberOf(Body, "lose_removes");
   if (Body.contains("configuration"))
     Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
+  if (Body.contains("foreign_entries"))
+    Workers.addForeignEntries();
+  if (Body.contains("capacity_of")) {
+    Seat &Which = *Workers.Seats.at(static_cast<size_t>(numberOf(Body, "capacity_of")));
+    Workers.resize(Which, textOf(Body, "becomes") == "small" ? SmallCapacity : WholeCapacity);
+  }
   if (Body.contains("worker")) {
     Seat &Which = *Workers.Seats.at(static_cast<size_t>(numberOf(Body, "worker")));
     const std::string What = textOf(Body, "becomes");
