--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -70,6 +70,10 @@
 
 private:
   using Self = std::shared_ptr<SchedulerRunner>;
+  /// After a failed call, before the next one.
+  static constexpr Milliseconds RetryPause{150};
+  /// An idle worker is asked this often, which keeps its clock known well enough.
+  static constexpr Milliseconds IdleHold{30000};
   struct ClockReading {
     Milliseconds Worker{0};
     TimePoint At{};
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -17,8 +17,6 @@
 constexpr int MaxSaving = 12;
 // Bytes of one transaction; keeps a call short on a small link.
 constexpr size_t MaxSaveBytes = 64 * 1024;
-// After a failed call, before the next one.
-constexpr Milliseconds RetryPause{150};
 // The list of workers in use, and what can be forgotten, is looked through this often.
 constexpr Milliseconds RosterEvery{100};
 } // namespace
