A task that stands still wherever it runs sets one worker aside, not each in turn

Each worker on which a task made no progress was set aside for four seconds, however many before had seen the same. Change: only the first time. A step whose task waits for its crash to be saved says so in explain. Test: SickWorkers.ATaskThatStandsStillEverywhereSetsOneWorkerAsideOnly (on the code before the second worker is set aside too).

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -188,6 +188,7 @@
   bool IsInherited =
       false;              ///< One of the doubts is a start that an earlier scheduler may have sent.
   uint64_t CrashSave = 0; ///< The save of these that has to be durable before it is started again.
+  bool HasStoodStill = false;       ///< A run of it was stopped because it made no progress.
   const Worker *FailedOn = nullptr; ///< Compared only.
   TimePoint FailedAt{};             ///< Its last failure.
 };
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -131,7 +131,7 @@
   if (!Ready) {
     Step.Waits = !HasRoom      ? "room is being made"
                  : !HasTickets ? "tickets are asked for"
-                               : "what crashed under it is being saved";
+                               : WaitsForCrashSave;
     askAdvice(In, Of, Step, std::move(NoTicket));
     if (In.Now - Step.PlannedAt > In.Cell.Limits.PlanTime)
       dropPlan(In, Step);
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -96,6 +96,9 @@
 
 // Single tasks and gangs (placement.cpp, gangs.cpp).
 
+/// Why a step waits whose task may have crashed a worker.
+inline constexpr const char *WaitsForCrashSave = "what crashed under it is being saved";
+
 bool isPlaceable(const Pass &In, const Job &Of, const StepState &Step, uint32_t Index);
 uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index);
 /// Orders the start of a task that is planned on the worker.
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -121,8 +121,10 @@
 bool placeSingles(Pass &In, const Job &Of, StepState &Step) {
   bool Missed = false;
   bool OverQuota = false;
+  bool WaitsForSave = false;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
     TaskState &Task = Step.Tasks[I];
+    WaitsForSave = WaitsForSave || waitsForCrashSave(In.Cell, Task);
     if (!isPlaceable(In, Of, Step, I))
       continue;
     OverQuota = !isWithinQuota(In.Cell, Of.Owner, Step.Spec->Need);
@@ -149,7 +151,10 @@
   launchSingles(In, Of, Step);
   if (Missed && !OverQuota)
     lookFurther(In, Of, Step);
-  Step.Waits = OverQuota ? WaitsForQuota : Missed ? "no advised worker has room" : "";
+  Step.Waits = OverQuota      ? WaitsForQuota
+               : Missed       ? "no advised worker has room"
+               : WaitsForSave ? WaitsForCrashSave
+                              : "";
   return !Missed;
 }
 
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -351,6 +351,25 @@
   EXPECT_EQ(Given.pass().Starts.size(), 2u);
 }
 
+TEST(SickWorkers, ATaskThatStandsStillEverywhereSetsOneWorkerAsideOnly) {
+  Scene Given(4);
+  Given.submit(0, tasks(1, 1000, 2000ms), 100);
+  for (int Round = 0; Round < 3; ++Round) {
+    const auto Starts = Given.pass().Starts;
+    ASSERT_EQ(Starts.size(), 1u) << Round;
+    Effects Out;
+    WorkerReport Still;
+    Still.Active.push_back({Starts[0].Run, "", 0});
+    Given.Now += 3s;
+    workerReported(Given.Cell, Starts[0].Worker, Still, Given.Now, Given.Now, Out);
+    tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+    ASSERT_EQ(Out.Stops.size(), 1u);
+    const Worker &On = Given.Cell.Workers.at(Starts[0].Worker);
+    EXPECT_EQ(On.SetAsideUntil > Given.Now, Round == 0);
+    end(Given, Starts[0], RunEnd::Stopped);
+  }
+}
+
 // A task that fails everywhere says nothing of the workers it fails on.
 TEST(SickWorkers, ATaskThatFailsAtOnceAgainIsItsOwnFault) {
   Scene Given(2);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/crashes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace valveshelf::sched {
 
@@ -479,6 +480,13 @@
     stopAttempt(Cell, On, Run, "the others of its gang have ended", Now, Out);
 }
 
+// True if the task makes no progress for the first time. One that stands still wherever it runs
+// says nothing of the workers; each would be set aside for four seconds in turn.
+static bool standsStillFirst(CellState &Cell, const RunKey &Run) {
+  TaskState &Task = findStep(Cell, Run.Task.Step)->Tasks[Run.Task.Index];
+  return !std::exchange(Task.HasStoodStill, true);
+}
+
 // Runs that make no progress are stopped and go on elsewhere.
 static void tickStuck(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
   std::vector<RunKey> Stuck;
@@ -490,10 +498,11 @@
         On.ReportedAt - What.PercentChanged > stuckTime(*Step->Spec))
       Stuck.push_back(Run);
   }
-  for (const RunKey &Run : Stuck)
+  for (const RunKey &Run : Stuck) {
     stopAttempt(Cell, On, Run, "it makes no progress", Now, Out);
-  if (!Stuck.empty())
-    On.SetAsideUntil = Now + Cell.Limits.SetAside;
+    if (standsStillFirst(Cell, Run))
+      On.SetAsideUntil = Now + Cell.Limits.SetAside;
+  }
 }
 
 bool isAwaited(const CellState &Cell, const std::string &Service) {
