--- a/src/include/valveshelf/clock.h
+++ b/src/include/valveshelf/clock.h
@@ -17,7 +17,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<Steady>;
-  static constexpr bool is_steady = true;
   static time_point now() noexcept;
 };
 using TimePoint = Steady::time_point;
