--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -290,7 +290,8 @@
   std::map<valveshelf::sched::TaskKey, int> CrashesUnder; ///< Whoever was to blame.
 
   void resize(Seat &Of, const Resources &Capacity) {
-    Of.Before = Of.Capacity;
+    const bool CountsStill = Steady::now() < Of.BeforeCounts;
+    Of.Before = CountsStill ? largest(Of.Before, Of.Capacity) : Of.Capacity;
     Of.BeforeCounts = Steady::now() + ShrunkHeardWithin;
     Of.Capacity = Capacity;
     if (!Of.Dead)
