--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Workers that are lost under their runs: what is noted of it, and what it means for the tasks.
+#include "replay/placement_scene.h"
 #include "valveshelf/cell_records.h"
-#include "valveshelf/cell_state.h"
 
 #include <gtest/gtest.h>
 
@@ -9,18 +9,9 @@
 namespace {
 using namespace std::chrono_literals;
 
-constexpr Resources WorkerSize{64000, 128000, 0};
 // A worker's lease as the process reckons it.
 constexpr Milliseconds Lease{6500};
 
-StepSpec tasks(uint32_t Count, int64_t MilliCores, Milliseconds Estimate) {
-  StepSpec Step;
-  Step.Count = Count;
-  Step.Need = {MilliCores, 1000, 0};
-  Step.Estimate = Estimate;
-  return Step;
-}
-
 // A cell whose workers do what the test says. Every order is answered after one millisecond.
 class Scene {
 public:
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Where tasks go, what is kept free for urgent ones, and when others are stopped for them.
-#include "valveshelf/cell_state.h"
+#include "replay/placement_scene.h"
 
 #include <gtest/gtest.h>
 
@@ -8,77 +8,8 @@
 namespace {
 using namespace std::chrono_literals;
 
-constexpr Resources WorkerSize{64000, 128000, 0};
-
-// A loaded cell of equal workers, all heard.
-class Scene {
-public:
-  explicit Scene(int Workers) {
-    Cell.WallAt = Now;
-    Effects Out;
-    finishLoading(Cell, Now, Out);
-    for (int I = 0; I < Workers; ++I)
-      addWorker("w" + std::to_string(I));
-  }
-
-  void addWorker(const std::string &Id) {
-    WorkerInfo Info;
-    Info.Id = Id;
-    Info.Service = "pool";
-    Info.Capacity = WorkerSize;
-    workerListed(Cell, Info, Now);
-    Cell.Workers.at(Id).Saved = true;
-    Effects Out;
-    workerReported(Cell, Id, {}, Now, Now, Out);
-  }
-
-  // The objective is \p Extension times the estimate after now.
-  JobId submit(int Priority, StepSpec Step, double Extension, bool Advised = false,
-               const std::string &Queue = "") {
-    auto Spec = std::make_shared<JobSpec>();
-    Spec->Id = ++LastJob;
-    Spec->Queue = Queue;
-    Spec->Service = "pool";
-    Spec->Priority = Priority;
-    Spec->MaxAttempts = 3;
-    Spec->Extension = Extension;
-    if (Advised)
-      Spec->Advice = AdvicePolicy{std::chrono::milliseconds(500), 5ms, 2s};
-    Spec->Steps.push_back(std::move(Step));
-    addJob(Cell, Spec, LastJob, true, Now);
-    return LastJob;
-  }
-
-  // One pass; all start orders are confirmed.
-  Effects pass() {
-    Effects Out;
-    Now += 1ms;
-    place(Cell, Now, Out);
-    for (const Effects::Start &Order : Out.Starts) {
-      Effects Ignored;
-      startAnswered(Cell, Order.Worker, Order.Run, StartResult::Started, Now, Ignored);
-    }
-    return Out;
-  }
-
-  CellState Cell;
-  TimePoint Now = TimePoint{} + 1000s;
-
-private:
-  JobId LastJob = 0;
-};
-
-StepSpec tasks(uint32_t Count, int64_t MilliCores, Milliseconds Estimate, bool Saves = false) {
-  StepSpec Step;
-  Step.Count = Count;
-  Step.Need = {MilliCores, 1000, 0};
-  Step.Estimate = Estimate;
-  Step.Checkpoints = Saves;
-  return Step;
-}
-
 TEST(Placement, KeepsRoomForAnUrgentTaskOfTheUsualSize) {
-  Scene Given(1);
+  PlacementScene Given(1);
   // Urgent tasks of ten cores make the usual size.
   for (int I = 0; I < 400; ++I) {
     Given.submit(0, tasks(1, 10000, 100ms), 100);
@@ -99,7 +30,7 @@
 
 // Room for urgent tasks is plenty in the cell, so that this worker need not keep any.
 TEST(Placement, KeepsNoRoomOnAWorkerWhileTheCellHasEnough) {
-  Scene Given(12);
+  PlacementScene Given(12);
   Given.submit(0, tasks(4, 10000, 100ms), 100);
   ASSERT_EQ(Given.pass().Starts.size(), 4u);
   Given.submit(2, tasks(5, 10000, 1000ms), 100); // beside it they leave 4 of 64 cores
@@ -112,13 +43,13 @@
 }
 
 TEST(Placement, ATaskThatNeedsAWholeWorkerGetsIt) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(2, tasks(1, WorkerSize.MilliCores, 1000ms), 10);
   EXPECT_EQ(Given.pass().Starts.size(), 1u);
 }
 
 TEST(Placement, StopsWorkThatCanWaitForAnUrgentTask) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(2, tasks(5, 10000, 2000ms, true), 10);
   ASSERT_EQ(Given.pass().Starts.size(), 5u);
   Given.submit(0, tasks(1, 20000, 600ms), 3);
@@ -126,7 +57,7 @@
 }
 
 TEST(Placement, StopsNothingForATaskThatWouldBeLateAllTheSame) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.Cell.Limits.StopTime = 900ms;
   Given.submit(2, tasks(5, 10000, 2000ms, true), 10);
   ASSERT_EQ(Given.pass().Starts.size(), 5u);
@@ -135,7 +66,7 @@
 }
 
 TEST(Placement, StopsNothingThatWouldMissItsObjectiveElsewhere) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(2, tasks(5, 10000, 2000ms, true), 1.2);
   ASSERT_EQ(Given.pass().Starts.size(), 5u);
   Given.submit(0, tasks(1, 20000, 600ms), 3);
@@ -143,7 +74,7 @@
 }
 
 TEST(Placement, StopsWhatIsLateAlready) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(2, tasks(5, 10000, 2000ms, true), 1.2);
   ASSERT_EQ(Given.pass().Starts.size(), 5u);
   Given.Now += 3000ms;
@@ -153,7 +84,7 @@
 
 // A lasting task that lost its place serves again from when it is at work, whenever its job came.
 TEST(Placement, ALastingTaskIsNeverLate) {
-  Scene Given(1);
+  PlacementScene Given(1);
   StepSpec Lasting = tasks(1, 20000, 1000ms);
   Lasting.Lasting = true;
   Given.submit(2, tasks(5, 10000, 2000ms, true), 1000);
@@ -164,7 +95,7 @@
 }
 
 TEST(Placement, AWorkerThatIsGoneLeavesNoPermitBehind) {
-  Scene Given(2);
+  PlacementScene Given(2);
   const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100, true);
   ASSERT_EQ(Given.pass().Asks.size(), 1u);
   Effects Out;
@@ -179,8 +110,8 @@
 }
 
 // A full worker, and steps that wait for it with tickets of two seconds.
-struct FullWorker : Scene {
-  FullWorker() : Scene(1) {
+struct FullWorker : PlacementScene {
+  FullWorker() : PlacementScene(1) {
     submit(0, tasks(1, WorkerSize.MilliCores, 100s), 100);
     pass();
     for (int I = 0; I < 2; ++I) {
@@ -206,7 +137,7 @@
 
 // The room is left to others until a ticket can be asked for.
 TEST(Tickets, NoRoomIsHeldWhereNoneCanBeAskedFor) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.Cell.AdviceLanes = 1;
   const StepKey Step{Given.submit(1, tasks(4, 10000, 1s, true), 100, true), 0, 0};
   ASSERT_EQ(Given.pass().Asks.size(), 1u);
@@ -228,7 +159,7 @@
 
 // What a question is likely to take is left to it by the next one, until it is answered.
 TEST(Advice, QuestionsDoNotNameTheSameRoomAtATime) {
-  Scene Given(60);
+  PlacementScene Given(60);
   Given.Cell.AdviceLanes = 30;
   Given.Cell.GoodShares["q"] = 0.9;
   const auto Wide = [&] { return Given.submit(2, tasks(30, 8000, 1s), 100, true, "q"); };
@@ -248,7 +179,7 @@
 
 // It learns on which workers it may use the room that it waits for.
 TEST(Advice, AGangAsksThoughTheCellIsFull) {
-  Scene Given(20);
+  PlacementScene Given(20);
   Given.Cell.AdviceLanes = 4;
   Given.Cell.QuestionsOut = 3;
   Given.submit(0, tasks(20, WorkerSize.MilliCores, 100s), 100);
@@ -264,7 +195,7 @@
 }
 
 TEST(Placement, AsksAboutFewWorkersForAQuickCheck) {
-  Scene Given(90);
+  PlacementScene Given(90);
   Given.submit(0, tasks(2, 1000, 100ms), 100, true);
   const Effects Out = Given.pass();
   ASSERT_EQ(Out.Asks.size(), 1u);
@@ -272,7 +203,7 @@
 }
 
 // Ends a run on the worker that holds it.
-void end(Scene &Given, const Effects::Start &Order, RunEnd How) {
+void end(PlacementScene &Given, const Effects::Start &Order, RunEnd How) {
   Worker &On = Given.Cell.Workers.at(Order.Worker);
   WorkerReport Report;
   Report.Ended.push_back({On.LastEnd + 1, Order.Run, How, ""});
@@ -290,7 +221,7 @@
 }
 
 TEST(SickWorkers, ThreeFailuresInARowSetAWorkerAside) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(0, tasks(4, 1000, 100ms), 100);
   const auto Starts = Given.pass().Starts;
   ASSERT_EQ(Starts.size(), 4u);
@@ -306,7 +237,7 @@
 
 // Its worker was silent until its lease was over, and lists the end when it can be reached again.
 TEST(SilentWorkers, WorkThatMayBeDoneIsNotStartedElsewhereAtOnce) {
-  Scene Given(2);
+  PlacementScene Given(2);
   Given.submit(0, tasks(1, 1000, 2000ms), 100);
   const auto First = Given.pass().Starts;
   ASSERT_EQ(First.size(), 1u);
@@ -326,7 +257,7 @@
 }
 
 TEST(SilentWorkers, WorkThatCannotBeDoneYetIsStartedElsewhereAtOnce) {
-  Scene Given(2);
+  PlacementScene Given(2);
   Given.submit(0, tasks(1, 1000, 20000ms), 100);
   const auto First = Given.pass().Starts;
   ASSERT_EQ(First.size(), 1u);
@@ -339,7 +270,7 @@
 }
 
 TEST(SickWorkers, AFailureAtOnceSetsAWorkerAsideForASecond) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(0, tasks(1, 1000, 1000ms), 100);
   const auto Starts = Given.pass().Starts;
   ASSERT_EQ(Starts.size(), 1u);
@@ -352,7 +283,7 @@
 }
 
 TEST(SickWorkers, ATaskThatStandsStillEverywhereSetsOneWorkerAsideOnly) {
-  Scene Given(4);
+  PlacementScene Given(4);
   Given.submit(0, tasks(1, 1000, 2000ms), 100);
   for (int Round = 0; Round < 3; ++Round) {
     const auto Starts = Given.pass().Starts;
@@ -372,7 +303,7 @@
 
 // A task that fails everywhere says nothing of the workers it fails on.
 TEST(SickWorkers, ATaskThatFailsAtOnceAgainIsItsOwnFault) {
-  Scene Given(2);
+  PlacementScene Given(2);
   Given.submit(0, tasks(1, 1000, 1000ms), 100);
   const auto First = Given.pass().Starts;
   ASSERT_EQ(First.size(), 1u);
@@ -390,7 +321,7 @@
 }
 
 TEST(SickWorkers, ARunThatStandsStillBetweenTwoReportsIsStopped) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Given.submit(2, tasks(1, 1000, 5000ms), 100);
   const Effects::Start Order = Given.pass().Starts.at(0);
   const auto Report = [&] {
@@ -414,7 +345,7 @@
 }
 
 TEST(Gangs, MembersOfAGangThatIsDoneAreNotStopped) {
-  Scene Given(3);
+  PlacementScene Given(3);
   Given.submit(1, gang(3, 40000), 100);
   const auto Starts = Given.pass().Starts;
   ASSERT_EQ(Starts.size(), 3u);
@@ -437,7 +368,7 @@
 }
 
 // Workers that are listed and not ready yet.
-void listMore(Scene &Given, int Count) {
+void listMore(PlacementScene &Given, int Count) {
   for (int I = 0; I < Count; ++I) {
     WorkerInfo Info;
     Info.Id = "more" + std::to_string(1000 + I);
@@ -447,12 +378,12 @@
   }
 }
 
-int64_t wanted(const Scene &Given) {
+int64_t wanted(const PlacementScene &Given) {
   return std::count_if(Given.Cell.Workers.begin(), Given.Cell.Workers.end(),
                        [](const auto &Entry) { return Entry.second.Wanted; });
 }
 
-void ticks(Scene &Given, int Count) {
+void ticks(PlacementScene &Given, int Count) {
   for (int I = 0; I < Count; ++I) {
     Given.Now += 50ms;
     Effects Out;
@@ -467,14 +398,14 @@
 }
 
 TEST(LargeFleets, SomeSpareWorkersAreMadeReady) {
-  Scene Given(0);
+  PlacementScene Given(0);
   listMore(Given, 1000);
   ticks(Given, 40);
   EXPECT_EQ(wanted(Given), Given.Cell.Limits.SpareWorkers);
 }
 
 TEST(LargeFleets, AStepWithoutAPlaceMakesMoreReady) {
-  Scene Given(0);
+  PlacementScene Given(0);
   listMore(Given, 1000);
   const JobId Job = Given.submit(1, gang(400, 60000), 100);
   ticks(Given, 40);
@@ -484,7 +415,7 @@
 }
 
 TEST(LargeFleets, AStepThatFitsNowhereMakesNoneReady) {
-  Scene Given(0);
+  PlacementScene Given(0);
   listMore(Given, 1000);
   Given.submit(2, tasks(1, WorkerSize.MilliCores + 1, 100ms), 100);
   ticks(Given, 40);
@@ -493,7 +424,7 @@
 
 // The scheduler before is alive and does not know yet that it was replaced.
 TEST(Takeover, ANewJobWaitsUntilTheWorkersHaveHeardOfTheTakeover) {
-  Scene Given(1);
+  PlacementScene Given(1);
   WorkerInfo Used;
   Used.Id = "used";
   Used.Service = "pool";
@@ -516,7 +447,7 @@
 // The scheduler before started a job that was accepted after the takeover, and this one sees the
 // run before it hears of the job.
 TEST(Takeover, ARunOfAJobThatIsHeardOfLaterIsGoneBeforeAnother) {
-  Scene Given(2);
+  PlacementScene Given(2);
   Effects Out;
   const RunKey Early{{{1, 0, 0}, 0}, 7}; // of the next job
   WorkerReport Report;
@@ -544,7 +475,7 @@
 
 // A silent worker holds back only what may run there.
 TEST(Takeover, OldWorkWaitsForWorkersOfItsOwnServiceOnly) {
-  Scene Given(1);
+  PlacementScene Given(1);
   auto Spec = oldJob();
   workerMayHoldRuns(Given.Cell, workerOf("silent", "other"), Given.Now + 6s);
   workerSilent(Given.Cell, "silent");
@@ -553,7 +484,7 @@
 }
 
 TEST(Takeover, OldWorkWaitsForASilentWorkerOfItsService) {
-  Scene Given(1);
+  PlacementScene Given(1);
   auto Spec = oldJob();
   workerMayHoldRuns(Given.Cell, workerOf("silent", "pool"), Given.Now + 6s);
   workerSilent(Given.Cell, "silent");
@@ -567,7 +498,7 @@
 
 // Advice on what may turn out to be running would be asked for in vain.
 TEST(Takeover, AsksForNoAdviceOnOldWorkBeforeTheWorkersHaveAnswered) {
-  Scene Given(1);
+  PlacementScene Given(1);
   auto Spec = oldJob();
   Spec->Advice = AdvicePolicy{};
   workerMayHoldRuns(Given.Cell, workerOf("used", "pool"), Given.Now + 6s);
@@ -580,7 +511,7 @@
 
 // What has left and holds nothing is let go of at once, so that no later scheduler waits for it.
 TEST(Fleet, AnIdleWorkerThatHasLeftIsLetGoOf) {
-  Scene Given(2);
+  PlacementScene Given(2);
   Given.submit(0, tasks(1, 1000, 100ms), 100);
   const auto Starts = Given.pass().Starts;
   ASSERT_EQ(Starts.size(), 1u);
@@ -593,8 +524,8 @@
 }
 
 // Two workers, one of which leaves in two seconds, and a step on it.
-struct LeavingWorker : Scene {
-  explicit LeavingWorker(StepSpec Step) : Scene(1) {
+struct LeavingWorker : PlacementScene {
+  explicit LeavingWorker(StepSpec Step) : PlacementScene(1) {
     submit(1, std::move(Step), 1000);
     pass();
     addWorker("w1");
@@ -623,7 +554,7 @@
 
 // Nothing is known of advice for a step that an earlier scheduler started.
 TEST(Leaving, AdviceIsAskedForWhatWasTakenOver) {
-  Scene Given(1);
+  PlacementScene Given(1);
   StepSpec Lasting = tasks(1, 20000, 500ms);
   Lasting.Lasting = true;
   const StepKey Step{Given.submit(1, Lasting, 1000, true), 0, 0};
@@ -644,7 +575,7 @@
 }
 
 TEST(Leaving, AWorkerThatIsMissingInTheListLeavesToo) {
-  Scene Given(1);
+  PlacementScene Given(1);
   StepSpec Lasting = tasks(1, 20000, 500ms);
   Lasting.Lasting = true;
   Given.submit(1, Lasting, 1000);
@@ -680,7 +611,7 @@
 }
 
 TEST(Cancels, ACancellationThatComesBeforeItsJobHolds) {
-  Scene Given(1);
+  PlacementScene Given(1);
   Effects Out;
   cancelJob(Given.Cell, 1, Given.Now, Out); // the id of the next job
   const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100);
@@ -692,7 +623,7 @@
 }
 
 TEST(Saves, AnEndWaitsForItsOwnSaveOnly) {
-  Scene Given(1);
+  PlacementScene Given(1);
   const JobId First = Given.submit(0, tasks(2, 1000, 100ms), 100);
   const JobId Second = Given.submit(0, tasks(1, 1000, 100ms), 100);
   const auto Starts = Given.pass().Starts;
@@ -719,7 +650,7 @@
 
 // Its entry is not the word of a worker of ours: nothing is said to what may be at its address.
 TEST(Fleet, AWorkerOfAServiceThatIsNotConfiguredIsNotCalled) {
-  Scene Given(0);
+  PlacementScene Given(0);
   CellConfiguration Config;
   Config.Services.push_back({"pool", false});
   configured(Given.Cell, Config);
--- /dev/null
+++ b/testsuite/replay/placement_scene.h
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+// A cell for tests of single decisions of placement.
+#pragma once
+
+#include "valveshelf/cell_state.h"
+
+#include <memory>
+#include <string>
+
+namespace valveshelf::sched {
+
+inline constexpr Resources WorkerSize{64000, 128000, 0};
+
+/// A loaded cell of workers, all heard.
+class PlacementScene {
+public:
+  explicit PlacementScene(int Workers) {
+    Cell.WallAt = Now;
+    Effects Out;
+    finishLoading(Cell, Now, Out);
+    for (int I = 0; I < Workers; ++I)
+      addWorker("w" + std::to_string(I));
+  }
+
+  void addWorker(const std::string &Id, const Resources &Size = WorkerSize) {
+    sayCapacity(Id, Size);
+    Cell.Workers.at(Id).Saved = true;
+    Effects Out;
+    workerReported(Cell, Id, {}, Now, Now, Out);
+  }
+
+  // What the worker says of itself in the list.
+  void sayCapacity(const std::string &Id, const Resources &Size) {
+    WorkerInfo Info;
+    Info.Id = Id;
+    Info.Service = "pool";
+    Info.Capacity = Size;
+    workerListed(Cell, Info, Now);
+  }
+
+  // The objective is \p Extension times the estimate after now.
+  JobId submit(int Priority, StepSpec Step, double Extension, bool Advised = false,
+               const std::string &Queue = "") {
+    auto Spec = std::make_shared<JobSpec>();
+    Spec->Id = ++LastJob;
+    Spec->Queue = Queue;
+    Spec->Service = "pool";
+    Spec->Priority = Priority;
+    Spec->MaxAttempts = 3;
+    Spec->Extension = Extension;
+    if (Advised)
+      Spec->Advice = AdvicePolicy{Milliseconds(500), Milliseconds(5), Milliseconds(2000)};
+    Spec->Steps.push_back(std::move(Step));
+    addJob(Cell, Spec, LastJob, true, Now);
+    return LastJob;
+  }
+
+  // One pass; all start orders are confirmed.
+  Effects pass(Milliseconds Passed = Milliseconds(1)) {
+    Effects Out;
+    Now += Passed;
+    place(Cell, Now, Out);
+    for (const Effects::Start &Order : Out.Starts) {
+      Effects Ignored;
+      startAnswered(Cell, Order.Worker, Order.Run, StartResult::Started, Now, Ignored);
+    }
+    return Out;
+  }
+
+  CellState Cell;
+  TimePoint Now = TimePoint{} + std::chrono::seconds(1000);
+
+private:
+  JobId LastJob = 0;
+};
+
+inline StepSpec tasks(uint32_t Count, int64_t MilliCores, Milliseconds Estimate,
+                      bool Saves = false) {
+  StepSpec Step;
+  Step.Count = Count;
+  Step.Need = {MilliCores, 1000, 0};
+  Step.Estimate = Estimate;
+  Step.Checkpoints = Saves;
+  return Step;
+}
+
+} // namespace valveshelf::sched
