Read as a newcomer: a named penalty, and what the head of crashes.h left out

rooms.cpp had a bare 4 (NotQuietPenalty now); crashes.h did not tell that a task is given up at four without two sure crashes and at five losses, nor that a single silence holds nothing back.

--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -10,7 +10,8 @@
 //  - a silence is counted at once as a doubt, so that a scheduler that ends meanwhile has saved it.
 //    It is taken back when the worker is heard again or had announced that it leaves, and is sure
 //    when another life answers in its place.
-// A task that was counted three times in a row, twice for sure, is given up with its job.
+// A task that was counted three times in a row, twice for sure, is given up with its job; without
+// that at the fourth, and one under which five workers crashed later as well.
 #pragma once
 
 #include "valveshelf/cell_state.h"
@@ -23,7 +24,7 @@
 /// True if nothing but \p Run is beginning on the worker.
 bool isQuiet(const Worker &On, const RunKey *Run = nullptr);
 /// True if a crash of the task was counted and is not durable yet: it must not begin again before,
-/// or a scheduler that takes over would count anew.
+/// or a scheduler that takes over would count anew. A single silence holds nothing back.
 bool waitsForCrashSave(const CellState &Cell, const TaskState &Task);
 
 /// When a worker made a report: at the time of its own clock, which lies between the others.
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -11,6 +11,9 @@
 constexpr double UrgentSpread = 1.3;
 // Urgent tasks for which there is always room to be: two steps of the usual width.
 constexpr int64_t LeastUrgentSeats = 8;
+// Above what a far rack and an earlier failure add up to: on a worker where others are beginning a
+// task that begins apart has to wait for them.
+constexpr int NotQuietPenalty = 4;
 } // namespace
 
 bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
@@ -184,7 +187,7 @@
   Value.Penalty += Task.FailedOn == &On ? 1 : 0;
   // What may crash its worker goes where it can begin at once and takes least with it.
   const bool Apart = beginsApart(Step, Task);
-  Value.Penalty += Apart && !isQuiet(On) ? 4 : 0;
+  Value.Penalty += Apart && !isQuiet(On) ? NotQuietPenalty : 0;
   // Urgent work is spread; work that can wait is packed, which leaves large gaps for gangs.
   const int64_t Left = roomFor(In, On, Of, Step).MilliCores;
   Value.Left = Of.Spec->Priority == 0 || Apart ? -Left : Left;
