Doubts name their workers: a sound gang is no longer given up for workers that came back

Change: TaskState names the workers of its doubts, also in the store, with an index by worker in the cell; the worker takes them back when it is heard, after its lease, after it was dropped, and by a later scheduler. The note names its worker and goes when the fate of the start is known. A run counts for sure only if it can't have been over; a worker that vanished from the list under it counts as crashed until it is heard. An order that met another life counts for nothing. Records of the version before are read as many unnamed doubts.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -135,6 +135,10 @@
                         "(`crashes`) or while they held it (`losses`)."};
 const EventKind TaskGivenUp{2307, "warn", "task-given-up",
                             "Workers crash under the task again and again; its job has failed."};
+const EventKind CrashCounted{2308, "info", "crash-counted",
+                             "How many workers in a row crashed as the task began has changed: the "
+                             "worker fell silent, has crashed or was heard again; or the task "
+                             "stands. `doubts` of them may only have been cut off."};
 const EventKind WorkerSilent{2401, "warn", "worker-silent",
                              "The worker does not answer; nothing new is placed there."};
 const EventKind WorkerReplaced{2402, "info", "worker-replaced",
@@ -161,7 +165,8 @@
                               &JobKept,         &CallRefused,       &JobTaken,
                               &RunStopped,      &StartNotConfirmed, &StepPlaced,
                               &AdviceGiven,     &TaskFailed,        &RunLost,
-                              &TaskGivenUp,     &WorkerSilent,      &WorkerReplaced};
+                              &TaskGivenUp,     &CrashCounted,      &WorkerSilent,
+                              &WorkerReplaced};
   return All;
 }
 
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -408,12 +408,20 @@
                                {"how", std::string(toString(What.How))},
                                {"ran_ms", std::to_string(What.Ran.count())},
                                {"crashes", std::to_string(What.Crashes)},
+                               {"doubts", std::to_string(What.Doubts)},
                                {"losses", std::to_string(What.Losses)}});
   }
+  for (const Effects::CrashCount &What : Out.CrashCounts)
+    logEvent(events::CrashCounted, {{"task", toString(What.Task)},
+                                    {"worker", What.Worker},
+                                    {"why", std::string(What.Why)},
+                                    {"crashes", std::to_string(What.Crashes)},
+                                    {"doubts", std::to_string(What.Doubts)}});
   for (const Effects::GivenUp &What : Out.TasksGivenUp) {
     Tools.Metrics.count(metrics::TasksGivenUp);
     logEvent(events::TaskGivenUp, {{"task", toString(What.Task)},
                                    {"crashes", std::to_string(What.Crashes)},
+                                   {"doubts", std::to_string(What.Doubts)},
                                    {"losses", std::to_string(What.Losses)}});
   }
 }
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -121,7 +121,6 @@
                         ///< report asked for then.
   bool Stands = false;  ///< Its worker has lived through its beginning.
   bool OnTrial = false; ///< It begins apart from others; it is counted in `Worker::Trials`.
-  bool Blamed = false;  ///< The silence of its worker is counted in its task's `Crashes`.
 };
 
 /// One life of a worker and what is booked on it.
@@ -180,13 +179,15 @@
   bool MayRunMeanwhile = false; ///< The scheduler before may still start it where nobody has
                                 ///< heard of this one yet.
   TimePoint NotBefore{};
-  uint32_t Crashes = 0;  ///< Workers in a row that crashed, or fell silent for good, as it began.
-  uint32_t Doubts = 0;   ///< Of them, those of which it is not known that they crashed.
-  uint32_t Losses = 0;   ///< Workers in a row that crashed while they held it; those that held
-                         ///< nothing else count twice.
-  bool MayBegin = false; ///< While `Crashes` is above 0: it may have been started once more since.
-  bool IsInherited =
-      false;              ///< One of the doubts is a start that an earlier scheduler may have sent.
+  uint32_t Crashes = 0; ///< Workers in a row that crashed, or fell silent for good, as it began.
+  std::vector<std::string> Doubted;  ///< Of them, those that may not have crashed under it,
+  std::vector<std::string> Vanished; ///< and those that have left the list without a word, and
+                                     ///< count as crashed unless they are heard again.
+  uint32_t Losses = 0;    ///< Workers in a row that crashed while they held it; those that held
+                          ///< nothing else count twice.
+  std::string TrialOn;    ///< While `Crashes` is above 0: the worker where it may have been started
+                          ///< since, which may crash of it; or empty.
+  std::string Inherited;  ///< Of `Doubted`, the `TrialOn` of an earlier scheduler; or empty.
   uint64_t CrashSave = 0; ///< The save of these that has to be durable before it is started again.
   bool HasStoodStill = false;       ///< A run of it was stopped because it made no progress.
   const Worker *FailedOn = nullptr; ///< Compared only.
@@ -251,6 +252,13 @@
   uint64_t NeedsSave = 0; ///< Number of the newest save it needs; 0: saved.
 };
 
+/// A worker that is counted in `TaskState::Crashes` and may be alive. It is kept when the worker is
+/// dropped: what was cut off may be heard again.
+struct DoubtedWorker {
+  TimePoint Since{}; ///< When it was counted last.
+  std::set<TaskKey> Tasks;
+};
+
 /// The durable end of a job.
 struct EndedJob {
   JobPhase Phase = JobPhase::Completed;
@@ -279,6 +287,9 @@
   std::set<JobId> EarlyCancels;          ///< Cancelled jobs that are not known yet.
   std::map<std::string, std::string> Unheard; ///< Workers that an earlier scheduler may have used,
                                               ///< with their services.
+  /// By id. Invariant: a task is named here exactly if it names the worker in `Doubted` or
+  /// `Vanished`.
+  std::map<std::string, DoubtedWorker> Doubted;
   std::set<RunKey> Strays; ///< Runs on workers whose job was not known when they were seen.
   bool Loaded = false;     ///< The store was read; nothing is placed before.
   uint64_t LastSave = 0;
@@ -345,19 +356,30 @@
     LifeEnd How = LifeEnd::Lapsed;
     Milliseconds Ran{0};  ///< From the order, or its answer, to when the worker was last heard.
     uint32_t Crashes = 0; ///< Of the task, as in `TaskState`.
+    uint32_t Doubts = 0;  ///< The size of `TaskState::Doubted`.
     uint32_t Losses = 0;
   };
   /// For the log: a task that is given up with its job, because it crashes its workers.
   struct GivenUp {
     TaskKey Task;
     uint32_t Crashes = 0;
+    uint32_t Doubts = 0;
     uint32_t Losses = 0;
   };
+  /// For the log: a change of `TaskState::Crashes`.
+  struct CrashCount {
+    TaskKey Task;
+    std::string Worker; ///< That the change is about; empty: the task has stood its beginning.
+    std::string_view Why;
+    uint32_t Crashes = 0;
+    uint32_t Doubts = 0;
+  };
   std::vector<Start> Starts;
   std::vector<Placed> Placements;
   std::vector<Failure> Failures;
   std::vector<Loss> Losses;
   std::vector<GivenUp> TasksGivenUp;
+  std::vector<CrashCount> CrashCounts;
   std::vector<Stop> Stops;
   std::vector<Ask> Asks;
   std::vector<std::string> Looks; ///< Workers to ask at once what they hold.
@@ -377,9 +399,10 @@
   std::vector<uint32_t> FailedRuns;
   std::string Checkpoint;
   uint32_t Crashes = 0;
-  uint32_t Doubts = 0;
+  std::vector<std::string> Doubted;
+  std::vector<std::string> Vanished;
   uint32_t Losses = 0;
-  bool MayBegin = false;
+  std::string TrialOn;
 };
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
 /// Call once after all jobs were added and restored.
@@ -457,6 +480,8 @@
 Attempt &book(CellState &Cell, StepState &Step, uint32_t Index, Worker &On, uint32_t Run,
               AttemptPhase Phase, const Job &Of, TimePoint Now);
 void unbook(CellState &Cell, Worker &On, const RunKey &Run);
+/// Gives up the room that is held for an attempt of which nothing was sent.
+void dropPlanned(CellState &Cell, Worker &On, const RunKey &Run, Effects &Out);
 void setPhase(CellState &Cell, Worker &On, const RunKey &Run, AttemptPhase Phase, TimePoint Now);
 /// The permit for the worker, or null if it is not known to be good for the step.
 const AdviceState::Permit *permitOn(const StepState &Step, const Worker &On);
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -32,7 +32,7 @@
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
 extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone;
 extern const EventKind JobKept, CallRefused, JobTaken, StepPlaced, RunStopped, StartNotConfirmed;
-extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp;
+extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
 extern const EventKind WorkerSilent, WorkerReplaced;
 } // namespace events
 
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -68,6 +68,9 @@
 
 cell::JobPhase phaseToRecord(JobPhase Phase) { return static_cast<cell::JobPhase>(Phase); }
 
+// Stands for a worker of which an earlier version did not keep the name: it is never heard.
+const std::string UnnamedWorker = "?";
+
 // Notes a task that has something to note.
 void writeNote(const StepState &Step, uint32_t Index, cell::StepProgress &To) {
   const TaskState &Task = Step.Tasks[Index];
@@ -86,8 +89,13 @@
     Note.set_checkpoint(Task.Checkpoint);
   if (WasLost) {
     Note.set_crashes(Task.Crashes);
-    Note.set_doubts(Task.Doubts);
-    Note.set_may_begin(Task.MayBegin);
+    Note.set_doubts(static_cast<uint32_t>(Task.Doubted.size()));
+    for (const std::string &Worker : Task.Doubted)
+      Note.add_doubted(Worker);
+    for (const std::string &Worker : Task.Vanished)
+      Note.add_vanished(Worker);
+    Note.set_may_begin(!Task.TrialOn.empty());
+    Note.set_trial_on(Task.TrialOn);
     Note.set_losses(Task.Losses);
   }
 }
@@ -119,8 +127,10 @@
     Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
     Task.Checkpoint = Note.checkpoint();
     Task.Crashes = Note.crashes();
-    Task.Doubts = Note.doubts();
-    Task.MayBegin = Note.may_begin();
+    Task.Doubted.assign(Note.doubted().begin(), Note.doubted().end());
+    Task.Doubted.resize(std::max<size_t>(Task.Doubted.size(), Note.doubts()), UnnamedWorker);
+    Task.Vanished.assign(Note.vanished().begin(), Note.vanished().end());
+    Task.TrialOn = Note.may_begin() && Note.trial_on().empty() ? UnnamedWorker : Note.trial_on();
     Task.Losses = Note.losses();
   }
   std::vector<SavedTask> Read;
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -3,8 +3,16 @@
 #include "scheduler/crashes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace valveshelf::sched {
+
+void noteDoubted(CellState &Cell, const TaskKey &Key, const std::string &Worker, TimePoint Now) {
+  DoubtedWorker &Doubted = Cell.Doubted[Worker];
+  Doubted.Since = std::max(Doubted.Since, Now);
+  Doubted.Tasks.insert(Key);
+}
+
 namespace {
 // A run that its worker's lease has ended may have been done if so much of its estimate has passed;
 // estimates are off by half.
@@ -15,6 +23,9 @@
 // A worker's calls are held, so that an end is heard of at once; while ends wait to be saved, after
 // this pause.
 constexpr Milliseconds EndHeardTime{250};
+// No run is over sooner: the shortest take some 500 ms. Tasks that crash their workers were seen to
+// do it within 10 ms, which is noticed some 10 ms later where connections end.
+constexpr Milliseconds ShortestRun{40};
 // What a crash counts in `TaskState::Losses`: who else than the only run there should be to blame.
 constexpr uint32_t LossBesideOthers = 1;
 constexpr uint32_t LossAlone = 2;
@@ -35,49 +46,104 @@
   return On.Info.Draining || (!On.Listed && On.ReportedAt > On.UnlistedAt);
 }
 
-void setCrashes(CellState &Cell, const TaskKey &Key, uint32_t Crashes, uint32_t Doubts,
-                Effects &Out) {
-  TaskState *Task = findTask(Cell, Key);
-  Job &Of = Cell.Jobs.at(Key.Step.Job);
-  if ((Task->Crashes == Crashes && Task->Doubts == Doubts) || Of.Phase != JobPhase::Live)
+uint32_t doubtsOf(const TaskState &Task) { return static_cast<uint32_t>(Task.Doubted.size()); }
+
+bool counts(const TaskState &Task, const Worker &On) {
+  const auto Names = [&](const std::vector<std::string> &Workers) {
+    return std::find(Workers.begin(), Workers.end(), On.Info.Id) != Workers.end();
+  };
+  return Names(Task.Doubted) || Names(Task.Vanished);
+}
+
+void undoubt(CellState &Cell, const TaskKey &Key, const std::string &Worker) {
+  const auto Found = Cell.Doubted.find(Worker);
+  if (Found == Cell.Doubted.end())
     return;
-  Task->Crashes = Crashes;
-  Task->Doubts = Doubts;
-  Task->MayBegin = false;
-  needSave(Cell, Of, Out);
-  Task->CrashSave = Of.NeedsSave;
+  Found->second.Tasks.erase(Key);
+  if (Found->second.Tasks.empty())
+    Cell.Doubted.erase(Found);
 }
 
-// The worker may have crashed as the task began. False if the task is done or gone.
-bool doubt(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  const TaskState *Task = findTask(Cell, Key);
-  if (!Task || Task->Done)
+// Changes the count by \p Change, which returns why. False if the task is done, gone or not counted
+// any more.
+template <class Changer>
+bool changeCount(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out,
+                 Changer Change) {
+  TaskState *Task = findTask(Cell, Key);
+  Job *Of = Task ? &Cell.Jobs.at(Key.Step.Job) : nullptr;
+  if (!Of || Task->Done || Of->Phase != JobPhase::Live)
+    return false;
+  const std::string_view Why = Change(*Task);
+  if (Why.empty())
     return false;
-  setCrashes(Cell, Key, Task->Crashes + 1, Task->Doubts + 1, Out);
+  Task->TrialOn.clear();
+  if (Task->Inherited == Worker)
+    Task->Inherited.clear();
+  needSave(Cell, *Of, Out);
+  Task->CrashSave = Of->NeedsSave;
+  Out.CrashCounts.push_back({Key, Worker, Why, Task->Crashes, doubtsOf(*Task)});
   return true;
 }
 
-// It surely has, which was in doubt or not counted before.
-void confirm(CellState &Cell, const TaskKey &Key, bool WasDoubted, Effects &Out) {
-  const TaskState *Task = findTask(Cell, Key);
-  if (!Task || Task->Done)
-    return;
-  if (!WasDoubted)
-    setCrashes(Cell, Key, Task->Crashes + 1, Task->Doubts, Out);
-  else if (Task->Doubts > 0)
-    setCrashes(Cell, Key, Task->Crashes, Task->Doubts - 1, Out);
+// The worker may have crashed as the task began.
+void doubt(CellState &Cell, const TaskKey &Key, const Worker &On, TimePoint Now, Effects &Out) {
+  const std::string &Id = On.Info.Id;
+  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
+    ++Task.Crashes;
+    Task.Doubted.push_back(Id);
+    noteDoubted(Cell, Key, Id, Now);
+    return "silent";
+  });
+}
+
+// It has, which was in doubt or not counted before.
+void confirm(CellState &Cell, const TaskKey &Key, const Worker &On, LifeEnd How, TimePoint Now,
+             Effects &Out) {
+  const std::string &Id = On.Info.Id;
+  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
+    if (std::erase(Task.Doubted, Id) == 0)
+      ++Task.Crashes;
+    if (How == LifeEnd::Replaced) {
+      undoubt(Cell, Key, Id);
+      return "crashed";
+    }
+    Task.Vanished.push_back(Id);
+    noteDoubted(Cell, Key, Id, Now);
+    return "vanished";
+  });
 }
 
 // It has not.
-void takeBack(CellState &Cell, const TaskKey &Key, Effects &Out) {
+void takeBack(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out) {
+  changeCount(Cell, Key, Worker, Out, [&](TaskState &Task) -> std::string_view {
+    if (std::erase(Task.Doubted, Worker) + std::erase(Task.Vanished, Worker) == 0)
+      return {};
+    --Task.Crashes;
+    undoubt(Cell, Key, Worker);
+    return "heard";
+  });
+}
+
+// The task has stood its beginning.
+void clearCount(CellState &Cell, const TaskKey &Key, Effects &Out) {
   const TaskState *Task = findTask(Cell, Key);
-  if (Task && Task->Doubts > 0)
-    setCrashes(Cell, Key, Task->Crashes - 1, Task->Doubts - 1, Out);
+  if (!Task || Task->Crashes == 0)
+    return;
+  changeCount(Cell, Key, "", Out, [&](TaskState &Counted) {
+    for (const std::string &Worker : std::exchange(Counted.Doubted, {}))
+      undoubt(Cell, Key, Worker);
+    for (const std::string &Worker : std::exchange(Counted.Vanished, {}))
+      undoubt(Cell, Key, Worker);
+    Counted.Crashes = 0;
+    Counted.Inherited.clear();
+    return "stands";
+  });
 }
 
 bool crashesWorkers(const SchedulerLimits &Limits, const TaskState &Task, bool Lasts) {
-  const uint32_t Seen = Task.Crashes - (Task.IsInherited ? 1 : 0);
-  const bool IsSure = Seen >= Limits.MaxCrashes && Task.Crashes - Task.Doubts >= Limits.SureCrashes;
+  const uint32_t Seen = Task.Crashes - (Task.Inherited.empty() ? 0 : 1);
+  const bool IsSure =
+      Seen >= Limits.MaxCrashes && Task.Crashes - doubtsOf(Task) >= Limits.SureCrashes;
   const bool Starts = Seen >= Limits.MaxDoubtful || Task.Crashes >= Limits.MaxInherited;
   return IsSure || Starts || (!Lasts && Task.Losses >= Limits.MaxLosses);
 }
@@ -90,7 +156,7 @@
   if (!Of || Task->Done || Of->Phase != JobPhase::Live ||
       !crashesWorkers(Cell.Limits, *Task, findStep(Cell, Key.Step)->Spec->Lasting))
     return;
-  Out.TasksGivenUp.push_back({Key, Task->Crashes, Task->Losses});
+  Out.TasksGivenUp.push_back({Key, Task->Crashes, doubtsOf(*Task), Task->Losses});
   endJob(Cell, *Of, JobPhase::Failed, "a task of it crashes its workers", Now, Out);
 }
 
@@ -101,8 +167,8 @@
     return;
   const TimePoint Began = What.StartedAt == TimePoint{} ? What.Since : What.StartedAt;
   const auto Ran = std::chrono::duration_cast<Milliseconds>(On.ReportedAt - Began);
-  Out.Losses.push_back(
-      {Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)), Task->Crashes, Task->Losses});
+  Out.Losses.push_back({Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)), Task->Crashes,
+                        doubtsOf(*Task), Task->Losses});
 }
 
 // True if the run, of which nothing was heard since, may have been done by then.
@@ -119,20 +185,28 @@
   return What.SeenAt != TimePoint{} && SilentAt - What.SeenAt < Least;
 }
 
+// True if it was there and can't have been over when its worker fell silent: an end just before
+// that is heard of by nobody. Estimates are off by half.
+bool wasBeginning(const Worker &On, const Attempt &What, TimePoint Now) {
+  const TimePoint SilentAt = On.SilentSince >= What.SeenAt ? On.SilentSince : Now;
+  const auto Least = std::max<std::chrono::duration<double, std::milli>>(
+      What.Estimate * LeastDonePart, ShortestRun);
+  return wasThere(On, What, Now) && SilentAt - What.StartedAt < Least;
+}
+
 // The worker has crashed under the run, which was the only one there or not.
-void countLoss(CellState &Cell, const Worker &On, const RunKey &Run, bool Alone, TimePoint Now,
-               Effects &Out) {
+void countLoss(CellState &Cell, const Worker &On, const RunKey &Run, LifeEnd How, bool Alone,
+               TimePoint Now, Effects &Out) {
   const Attempt &What = On.Attempts.at(Run);
   TaskState *Task = findTask(Cell, Run.Task);
   if (!Task || What.Phase == AttemptPhase::Planned)
     return;
-  const bool Sure = wasThere(On, What, Now);
-  if (Sure) // kept with the next save of its job
+  if (How == LifeEnd::Replaced && wasThere(On, What, Now)) // kept with the next save of its job
     Task->Losses += Alone ? LossAlone : LossBesideOthers;
-  if (isBeginning(What) && Sure)
-    confirm(Cell, Run.Task, What.Blamed, Out);
-  else if (isBeginning(What) && !What.Blamed)
-    doubt(Cell, Run.Task, Out);
+  if (isBeginning(What) && wasBeginning(On, What, Now))
+    confirm(Cell, Run.Task, On, How, Now, Out);
+  else if (isBeginning(What) && !counts(*Task, On))
+    doubt(Cell, Run.Task, On, Now, Out);
 }
 } // namespace
 
@@ -158,26 +232,40 @@
   });
 }
 
-void noteTrial(CellState &Cell, const TaskKey &Key, Effects &Out) {
+void noteTrial(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
   TaskState *Task = findTask(Cell, Key);
-  Task->IsInherited = false;
-  if (Task->Crashes == 0 || Task->MayBegin)
+  Task->Inherited.clear();
+  if (Task->Crashes == 0 || Task->TrialOn == On.Info.Id)
     return;
-  Task->MayBegin = true;
+  Task->TrialOn = On.Info.Id;
   Job &Of = Cell.Jobs.at(Key.Step.Job);
   needSave(Cell, Of, Out);
   Task->CrashSave = Of.NeedsSave;
 }
 
-bool mayLaunch(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  noteTrial(Cell, Key, Out);
+void settleTrial(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  TaskState *Task = findTask(Cell, Key);
+  if (!Task || Task->TrialOn.empty())
+    return;
+  Task->TrialOn.clear();
+  if (Job &Of = Cell.Jobs.at(Key.Step.Job); Of.Phase == JobPhase::Live)
+    needSave(Cell, Of, Out);
+}
+
+void noteNotBegun(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
+  takeBack(Cell, Key, On.Info.Id, Out);
+  settleTrial(Cell, Key, Out);
+}
+
+bool mayLaunch(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
+  noteTrial(Cell, Key, On, Out);
   return !waitsForCrashSave(Cell, *findTask(Cell, Key));
 }
 
 // One silence alone may be a cut link. Work that a cut worker had just begun is not held back for
 // it where the store can't be written.
 static bool isSuspect(const TaskState &Task) {
-  return Task.Crashes > 1 || Task.Doubts < Task.Crashes;
+  return Task.Crashes > 1 || doubtsOf(Task) < Task.Crashes;
 }
 
 bool waitsForCrashSave(const CellState &Cell, const TaskState &Task) {
@@ -201,21 +289,20 @@
   What.Stands = true;
   On.Trials -= What.OnTrial ? 1 : 0;
   What.OnTrial = false;
-  if (findTask(Cell, Run.Task))
-    setCrashes(Cell, Run.Task, 0, 0, Out);
+  clearCount(Cell, Run.Task, Out);
 }
 
 void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  TaskState *Task = findTask(Cell, Key);
-  if (!Task || !Task->IsInherited)
-    return;
-  Task->IsInherited = false;
-  takeBack(Cell, Key, Out);
+  const TaskState *Task = findTask(Cell, Key);
+  if (Task && !Task->Inherited.empty())
+    takeBack(Cell, Key, std::string(Task->Inherited), Out);
 }
 
 void noteListedEnd(CellState &Cell, const EndedRun &End, Effects &Out) {
   settleInherited(Cell, End.Run.Task, Out);
   TaskState *Task = findTask(Cell, End.Run.Task);
+  if (Task && Task->Run == End.Run.Run)
+    settleTrial(Cell, End.Run.Task, Out);
   if (Task && (End.How == RunEnd::Done || End.How == RunEnd::Failed))
     Task->Losses = 0;
 }
@@ -226,31 +313,46 @@
   On.FellSilent = false;
   if (On.SilentSince == TimePoint{})
     On.SilentSince = Now;
-  for (auto &[Run, What] : On.Attempts)
-    if (isBeginning(What) && !What.Blamed)
-      What.Blamed = doubt(Cell, Run.Task, Out);
+  for (auto &[Run, What] : On.Attempts) {
+    const TaskState *Task = findTask(Cell, Run.Task);
+    if (Task && isBeginning(What) && !counts(*Task, On))
+      doubt(Cell, Run.Task, On, Now, Out);
+  }
 }
 
-void takeBackBlame(CellState &Cell, Worker &On, Effects &Out) {
+void takeBackBlame(CellState &Cell, Worker &On, TimePoint AsOf, Effects &Out) {
+  if (AsOf < On.SilentSince)
+    return;
   On.FellSilent = false;
   On.SilentSince = {};
-  for (auto &[Run, What] : On.Attempts) {
-    if (What.Blamed)
-      takeBack(Cell, Run.Task, Out);
-    What.Blamed = false;
-  }
+  const auto Found = Cell.Doubted.find(On.Info.Id);
+  if (Found == Cell.Doubted.end() || AsOf < Found->second.Since)
+    return;
+  for (const TaskKey &Key : std::set(Found->second.Tasks))
+    takeBack(Cell, Key, On.Info.Id, Out);
+}
+
+void dropDoubts(CellState &Cell, const Job &Of) {
+  for (const auto &[Number, Round] : Of.Rounds)
+    for (const StepState &Step : Round.Steps)
+      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+        for (const auto *Workers : {&Step.Tasks[I].Doubted, &Step.Tasks[I].Vanished})
+          for (const std::string &Worker : *Workers)
+            undoubt(Cell, {Step.Key, I}, Worker);
 }
 
 void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out) {
-  const bool Crashed = How == LifeEnd::Replaced && !wasLeaving(On);
+  const bool Crashed = How != LifeEnd::Lapsed && !wasLeaving(On);
   if (wasLeaving(On))
-    takeBackBlame(Cell, On, Out);
+    takeBackBlame(Cell, On, Now, Out);
   std::vector<RunKey> Lost;
   for (const auto &[Run, What] : On.Attempts)
     Lost.push_back(Run);
   for (const RunKey &Run : Lost) {
+    if (On.Attempts.at(Run).Phase == AttemptPhase::Planned)
+      settleTrial(Cell, Run.Task, Out);
     if (Crashed)
-      countLoss(Cell, On, Run, Lost.size() == 1, Now, Out);
+      countLoss(Cell, On, Run, How, Lost.size() == 1, Now, Out);
     noteLoss(Cell, On, Run, How, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunEnd::Lapsed, "", &On, Now, Out);
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -8,8 +8,9 @@
 //    beginning counts as sound again;
 //  - a task that is counted begins apart from others, on a worker where nothing else is beginning;
 //  - a silence is counted at once as a doubt, so that a scheduler that ends meanwhile has saved it.
-//    It is taken back when the worker is heard again or had announced that it leaves, and is sure
-//    when another life answers in its place.
+//    It is sure when another life answers in the worker's place, and taken back when the worker had
+//    announced that it leaves or is heard again, however late and by whichever scheduler: the
+//    doubt names the worker.
 // A task that was counted three times in a row, twice for sure, is given up with its job; without
 // that at the fourth, and one under which five workers crashed later as well.
 #pragma once
@@ -34,11 +35,16 @@
   Milliseconds WorkerClock{0};
 };
 
-/// The task is about to be started; if it was counted, that is saved first. Otherwise a scheduler
-/// that takes over before the crash is seen would not count it.
-void noteTrial(CellState &Cell, const TaskKey &Key, Effects &Out);
-/// True if the task may be started now, which is noted.
-bool mayLaunch(CellState &Cell, const TaskKey &Key, Effects &Out);
+/// The task is about to be started there; if it was counted, that is saved first. Otherwise a
+/// scheduler that takes over before the crash is seen would not count it.
+void noteTrial(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
+/// True if the task may be started there now, which is noted.
+bool mayLaunch(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
+/// The start noted last has not crashed its worker, since the run was never sent or has ended
+/// otherwise. Left standing, the note would count once at each takeover.
+void settleTrial(CellState &Cell, const TaskKey &Key, Effects &Out);
+/// An order was surely not carried out: neither its worker's silence nor its crash is the task's.
+void noteNotBegun(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
 /// The worker lists the run.
 void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What,
                    const ReportTimes &When, Effects &Out);
@@ -49,8 +55,13 @@
 void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out);
 /// Counts the silence of a worker against what was beginning there.
 void blameBeginners(CellState &Cell, Worker &On, TimePoint Now, Effects &Out);
-/// The worker was heard: what its silence was counted for is taken back.
-void takeBackBlame(CellState &Cell, Worker &On, Effects &Out);
+/// The worker was heard, or had announced that it leaves: it has not crashed by \p AsOf, and what
+/// was counted for it until then is taken back.
+void takeBackBlame(CellState &Cell, Worker &On, TimePoint AsOf, Effects &Out);
+/// Keeps in mind that the count of the task names the worker.
+void noteDoubted(CellState &Cell, const TaskKey &Key, const std::string &Worker, TimePoint Now);
+/// The job is forgotten, and what its tasks doubt with it.
+void dropDoubts(CellState &Cell, const Job &Of);
 /// Ends all attempts on the worker; tasks that crash their workers are given up.
 void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out);
 /// Gives up what earlier schedulers saw crash its workers as often as is allowed.
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Workers that are lost under their runs: what is noted of it, and what it means for the tasks.
+#include "cell.pb.h"
 #include "replay/placement_scene.h"
 #include "valveshelf/cell_records.h"
 
@@ -616,6 +617,64 @@
   EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
 }
 
+// Records of a version that kept no names: as many doubts, which nothing takes back.
+TEST(Crashes, DoubtsWithoutNamesOfAnEarlierVersionAreKept) {
+  cell::ProgressRecord Record;
+  cell::TaskNote &Note = *Record.add_steps()->add_note();
+  Note.set_crashes(3);
+  Note.set_doubts(2);
+  Note.set_may_begin(true);
+  const Result<SavedSteps> Read = decodeProgress(1, Record.SerializeAsString());
+  const SavedTask &Task = value(Read).at(0).second.at(0);
+  EXPECT_EQ(Task.Crashes, 3u);
+  EXPECT_EQ(Task.Doubted.size(), 2u);
+  EXPECT_FALSE(Task.TrialOn.empty());
+}
+
+// A worker that leaves the list without a word counts as crashed, until it is heard all the same.
+TEST(Crashes, AWorkerThatVanishesUnderABeginningCountsUntilItIsHeard) {
+  Scene Given(1);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.fallSilent("w0");
+  workerUnlisted(Given.Cell, "w0", Given.Now);
+  Given.pass(8s);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).Doubted.size(), 0u);
+  Given.takeOver();
+  EXPECT_EQ(Given.taskOf(Id).Vanished.size(), 1u) << "it is kept";
+  Given.Here["w0"].clear();
+  Given.Silent.clear();
+  Given.addWorker("w0", 9000);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
+}
+
+// The run was over when its worker crashed, which nobody had heard yet: an estimate of 100 ms, and
+// the silence is noticed 200 ms after the start.
+TEST(Crashes, ARunThatMayHaveBeenOverIsDoubted) {
+  Scene Given(1);
+  const JobId Id = Given.submit(tasks(1, 4000, 100ms));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.Silent.insert("w0");
+  Given.pass(200ms);
+  Given.crash("w0", 1s);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).Doubted.size(), 1u);
+}
+
+// The order met another life at the address: it began nothing.
+TEST(Crashes, AnOrderThatMeetsAnotherLifeCountsForNothing) {
+  Scene Given(1);
+  Given.Silent.insert("w0"); // it has crashed, and nobody has noticed
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  Given.pass(50ms);
+  ASSERT_EQ(Given.startsOf(Id), 1u);
+  Effects Out;
+  startAnswered(Given.Cell, "w0", Given.Started[0].Run, StartResult::OtherLife, Given.Now, Out);
+  EXPECT_EQ(Given.Cell.Workers.count("w0"), 0u);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 0u);
+}
+
 // The other cause: each scheduler counted a start that the one before had ordered, though that one
 // had been told that it was refused. Of the member that was given up in the end:
 //   63.861 start-not-confirmed; 65.512 takeover; 72.819 start-not-confirmed;
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -90,7 +90,7 @@
 void dropPlan(Pass &In, StepState &Step) {
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
     if (Worker *On = Step.Tasks[I].At)
-      unbook(In.Cell, *On, {{Step.Key, I}, Step.Tasks[I].Run});
+      dropPlanned(In.Cell, *On, {{Step.Key, I}, Step.Tasks[I].Run}, In.Out);
   for (TaskState &Task : Step.Tasks)
     Task.NotBefore = In.Now + PlanAgain;
 }
@@ -99,7 +99,7 @@
 bool mayLaunchAll(Pass &In, const StepState &Step) {
   bool All = true;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-    All = mayLaunch(In.Cell, {Step.Key, I}, In.Out) && All;
+    All = mayLaunch(In.Cell, {Step.Key, I}, *Step.Tasks[I].At, In.Out) && All;
   return All;
 }
 
@@ -159,7 +159,7 @@
     Worker *On = Step.Tasks[I].At;
     const RunKey Run{{Step.Key, I}, Step.Tasks[I].Run};
     if (On && On->Attempts.at(Run).Phase == AttemptPhase::Planned)
-      unbook(In.Cell, *On, Run);
+      dropPlanned(In.Cell, *On, Run, In.Out);
   }
 }
 } // namespace
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -219,12 +219,16 @@
     }
     Task.Checkpoint = Saved.Checkpoint;
     Task.Crashes = Saved.Crashes;
-    Task.Doubts = Saved.Doubts;
-    Task.IsInherited = Saved.MayBegin;
-    if (Saved.MayBegin) {
+    Task.Doubted = Saved.Doubted;
+    Task.Vanished = Saved.Vanished;
+    Task.Inherited = Saved.TrialOn;
+    if (!Saved.TrialOn.empty()) {
       ++Task.Crashes;
-      ++Task.Doubts;
+      Task.Doubted.push_back(Saved.TrialOn);
     }
+    for (const auto *Workers : {&Task.Doubted, &Task.Vanished})
+      for (const std::string &Worker : *Workers)
+        noteDoubted(Cell, {Key, Saved.Index}, Worker, Cell.WallAt);
     Task.Losses = Saved.Losses;
     (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
         .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
@@ -316,6 +320,7 @@
   const JobId Id = Of.Spec->Id;
   Cell.Ended[Id] = {Of.Phase, Revision, Now, Of.Spec->Organisation};
   Cell.Forgettable.emplace_back(Now, Id);
+  dropDoubts(Cell, Of);
   Cell.Jobs.erase(Id);
 }
 } // namespace
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -100,11 +100,11 @@
       continue;
     const bool Usable = What.OnTrial ? isSound(In, *On, Of, Step) : isUsable(In, *On, Of, Step);
     if (!Usable || In.Now - What.Since > In.Cell.Limits.PlanTime)
-      unbook(In.Cell, *On, Run);
+      dropPlanned(In.Cell, *On, Run, In.Out);
     else if (!hasTicket(In, Of, Step, *On))
       NoTicket.push_back(On->Info.Id);
     else if (fits(What.Need, On->Info.Capacity - On->Booked) &&
-             (!What.OnTrial || (isQuiet(*On, &Run) && mayLaunch(In.Cell, Run.Task, In.Out))))
+             (!What.OnTrial || (isQuiet(*On, &Run) && mayLaunch(In.Cell, Run.Task, *On, In.Out))))
       orderStart(In, Of, Step, I, *On, What);
   }
   std::sort(NoTicket.begin(), NoTicket.end());
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -924,5 +924,25 @@
   }
 }
 
+// Gangs whose runs had ended when their workers crashed, which nobody had heard: polls of these
+// worlds are 300 ms apart, and their estimates say nothing of the work.
+TEST(SchedulerFuzz, SeedsThatCountRunsWhoseEndsWereUnheard) {
+  for (const uint64_t Seed : {532U, 100213U, 100301U, 200461U, 400350U}) {
+    World One(Seed, true);
+    One.play(20000);
+    EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
+  }
+}
+
+// Two crashes under a task, each followed by a takeover before it was saved: at its first start
+// nothing of a task is kept, so that both count for nothing.
+TEST(SchedulerFuzz, SeedsThatLoseTwoFirstCrashesToTakeovers) {
+  for (const uint64_t Seed : {589U, 100534U, 300047U, 400275U}) {
+    World One(Seed, true);
+    One.play(20000);
+    EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -93,7 +93,7 @@
         book(Cell, *Step, Row.Run.Task.Index, On, Row.Run.Run, AttemptPhase::Running, Of, Now);
     Taken.StartedAt = Taken.PercentChanged = Now;
     settleInherited(Cell, Row.Run.Task, Out);
-    noteTrial(Cell, Row.Run.Task, Out);
+    noteTrial(Cell, Row.Run.Task, On, Out);
     Of.Begun = true;
     if (Step->Spec->Gang)
       Step->GangRun = std::max(Step->GangRun, Row.Run.Run);
@@ -192,6 +192,7 @@
         !IsActive(Run))
       Gone.push_back(Run);
   for (const RunKey &Run : Gone) {
+    noteNotBegun(Cell, Run.Task, On, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunEnd::Stopped, "", &On, Now, Out);
   }
@@ -215,6 +216,7 @@
     On.SetAsideUntil = std::max(On.SetAsideUntil, Now + ShortPause);
   if (What == StartResult::RefusedRoom)
     Out.Looks.push_back(On.Info.Id);
+  noteNotBegun(Cell, Run.Task, On, Out);
   unbook(Cell, On, Run);
   if (!Step)
     return;
@@ -302,13 +304,18 @@
   }
 }
 
+void dropPlanned(CellState &Cell, Worker &On, const RunKey &Run, Effects &Out) {
+  settleTrial(Cell, Run.Task, Out);
+  unbook(Cell, On, Run);
+}
+
 void stopAttempt(CellState &Cell, Worker &On, const RunKey &Run, const char *Why, TimePoint Now,
                  Effects &Out) {
   const auto Found = On.Attempts.find(Run);
   if (Found == On.Attempts.end() || Found->second.Phase == AttemptPhase::Stopping)
     return;
   if (Found->second.Phase == AttemptPhase::Planned)
-    return unbook(Cell, On, Run);
+    return dropPlanned(Cell, On, Run, Out);
   setPhase(Cell, On, Run, AttemptPhase::Stopping, Now);
   Found->second.StopSent = Now;
   Out.Stops.push_back({On.Info.Id, Run, Why});
@@ -358,8 +365,7 @@
     return;
   On->Answers = true;
   On->ReportedAt = std::max(On->ReportedAt, AskedAt);
-  if (AskedAt >= On->SilentSince)
-    takeBackBlame(Cell, *On, Out);
+  takeBackBlame(Cell, *On, AskedAt, Out);
   readEnds(Cell, *On, Report, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
@@ -402,10 +408,13 @@
   Worker *On = findWorker(Cell, Id);
   if (!On)
     return;
-  if (What == StartResult::OtherLife)
+  const auto Found = On->Attempts.find(Run);
+  if (What == StartResult::OtherLife) {
+    if (Found != On->Attempts.end() && Found->second.Phase == AttemptPhase::Starting)
+      refused(Cell, *On, Run, What, Now, Out);
     return workerOver(Cell, Id, Now, Out);
+  }
   On->Answers = What != StartResult::Unknown && What != StartResult::NotSent;
-  const auto Found = On->Attempts.find(Run);
   if (Found == On->Attempts.end())
     return;
   Attempt &Which = Found->second;
