--- a/src/entry/interfaces.cpp
+++ b/src/entry/interfaces.cpp
@@ -301,6 +301,9 @@
   };
   ShardFigures Sum;
   size_t Shards = 0;
+  size_t Draining = 0;
+  Milliseconds ForJournal{0};
+  Milliseconds ForHome{0};
   const auto Current = session();
   if (Current) {
     for (const auto &Runner : Current->ownership().all()) {
@@ -312,6 +315,11 @@
       Sum.Running += One.Running;
       Sum.Workers += One.Workers;
       Sum.WorkersReady += One.WorkersReady;
+      Sum.Unreported += One.Unreported;
+      Sum.StartsInFlight += One.StartsInFlight;
+      Draining += One.Draining ? 1 : 0;
+      Milliseconds &Longest = One.Stage == ReportStage::Journal ? ForJournal : ForHome;
+      Longest = std::max(Longest, One.InStage);
     }
     Set("valveshelf_journal_writes", "Entries this process wrote to its journal.",
         static_cast<double>(Current->journal().writes()));
@@ -325,6 +333,17 @@
   Set("valveshelf_jobs", "Jobs whose home is here.", static_cast<double>(Sum.Jobs));
   Set("valveshelf_tasks_queued", "Tasks queued here.", static_cast<double>(Sum.Queued));
   Set("valveshelf_tasks_running", "Tasks running here.", static_cast<double>(Sum.Running));
+  Set("valveshelf_ends_unreported", "Ends that their home shards have not recorded yet.",
+      static_cast<double>(Sum.Unreported));
+  Set("valveshelf_starts_in_flight", "Starts sent and not answered.", Sum.StartsInFlight);
+  Set("valveshelf_shards_draining", "Owned shards that place nothing, to be handed over.",
+      static_cast<double>(Draining));
+  Set("valveshelf_reports_wait_for_journal_seconds",
+      "The longest that a round of reports to home shards waits for the journal now.",
+      std::chrono::duration<double>(ForJournal).count());
+  Set("valveshelf_reports_wait_for_home_seconds",
+      "The longest that a round of reports waits for the answer of a home shard's owner now.",
+      std::chrono::duration<double>(ForHome).count());
   Set("valveshelf_workers", "Workers of owned shards.", static_cast<double>(Sum.Workers));
   Set("valveshelf_workers_ready", "Workers that take tasks.",
       static_cast<double>(Sum.WorkersReady));
--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -229,6 +229,7 @@
   {
     std::lock_guard Lock(This->Mutex);
     Due = reportsDue(This->State, std::exchange(This->ReportAgain, false));
+    This->enterStage(ReportStage::Journal);
   }
   Durability Told = Durability::Lost;
   if (!Due.empty())
@@ -238,6 +239,10 @@
       const Endpoint To = This->ownerOf(Home);
       if (To.Port == 0 || This->Stopped)
         continue;
+      {
+        std::lock_guard Lock(This->Mutex);
+        This->enterStage(ReportStage::Home);
+      }
       Result<wire::ReportReply> Reply = co_await This->Tools.Peers.Report(To, Request);
       if (!ok(Reply) || !value(Reply).recorded())
         continue;
@@ -252,7 +257,13 @@
     }
   }
   std::lock_guard Lock(This->Mutex);
-  This->Reporting = false;
+  This->enterStage(ReportStage::None);
+}
+
+// Called under Mutex.
+void ShardRunner::enterStage(ReportStage Next) {
+  Stage = Next;
+  StageSince = Tools.Time.Now();
 }
 
 void ShardRunner::tick() {
@@ -270,8 +281,8 @@
     return;
   const bool Slow = Now - LastSlowTick >= SlowTickEvery;
   ReportAgain = ReportAgain || Slow;
-  if (!Reporting && (Slow || !State.Dirty.empty())) {
-    Reporting = true;
+  if (Stage == ReportStage::None && (Slow || !State.Dirty.empty())) {
+    enterStage(ReportStage::Journal);
     spawnLater(Tools.Where, sendReports(shared_from_this()));
   }
   const auto Choose = [&](const JobSpec &Spec, uint32_t Count) {
@@ -466,8 +477,16 @@
   Figures.Parts = State.Parts.size();
   Figures.Queued = State.Queue.size();
   Figures.Workers = State.Workers.size();
-  for (const auto &[Key, Task] : State.Parts)
+  for (const auto &[Key, Task] : State.Parts) {
     Figures.Running += Task.Phase == PartPhase::Running ? 1 : 0;
+    const bool Over = Task.Phase == PartPhase::Ended || Task.Phase == PartPhase::Returned;
+    Figures.Unreported += Over ? 1 : 0;
+  }
+  Figures.StartsInFlight = StartsInFlight;
+  Figures.Draining = Draining;
+  Figures.Stage = Stage;
+  if (Stage != ReportStage::None)
+    Figures.InStage = std::chrono::duration_cast<Milliseconds>(Tools.Time.Now() - StageSince);
   for (const auto &[Name, Book] : State.Workers)
     Figures.WorkersReady += Book->Health == WorkerHealth::Ready ? 1 : 0;
   return Figures;
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -34,10 +34,22 @@
   ConfigSource Config;
 };
 
+/// Where the round of reports to home shards stands.
+enum class ReportStage {
+  None,
+  Journal, ///< What is told has to be durable first.
+  Home,    ///< A home shard's owner is asked to record it.
+};
+
 /// Counters for metrics and reports.
 struct ShardFigures {
   uint64_t Starts = 0;
   size_t Jobs = 0, Parts = 0, Queued = 0, Running = 0, Workers = 0, WorkersReady = 0;
+  size_t Unreported = 0; ///< Parts that have ended or go back, of which their homes are not told.
+  int StartsInFlight = 0;
+  bool Draining = false;
+  ReportStage Stage = ReportStage::None;
+  Milliseconds InStage{0}; ///< Since when.
 };
 
 /// Safe from any thread. Use through a shared pointer: its loops keep it alive until they end.
@@ -103,6 +115,7 @@
   static Awaitable<void> tryGang(Self This, std::string Job);
 
   void tick();
+  void enterStage(ReportStage Next);
   void poke();
   void takeBoxes();
   WorkerSync nextSync(const std::string &Worker);
@@ -128,7 +141,8 @@
   std::map<std::string, uint64_t> ListVersions;           ///< By worker.
   std::set<std::string> Looping;                          ///< Workers with a loop.
   std::set<std::string> GangsTrying;
-  bool Reporting = false;
+  ReportStage Stage = ReportStage::None; ///< Other than None: a round of reports is under way.
+  TimePoint StageSince{};
   bool ReportAgain = true; ///< Ends and returns are told again in the next report.
   TimePoint LastForget{};
   TimePoint LastSlowTick{};
