--- a/src/include/valveshelf/journal.h
+++ b/src/include/valveshelf/journal.h
@@ -117,6 +117,7 @@
   void push(Pending Item);
   bool buildEntry();
   void fill(Unstored &New);
+  bool mergeNext(Unstored &Front);
   void prepareFront();
   Awaitable<bool> writeFront();
   Awaitable<bool> resolve(const std::string &Key, const wire::JournalEntry &Entry, uint64_t Expect);
--- a/src/ownership/journal.cpp
+++ b/src/ownership/journal.cpp
@@ -203,27 +203,36 @@
   return true;
 }
 
+// Takes the entry behind \p Front in, if one entry can hold both.
+bool Journal::mergeNext(Unstored &Front) {
+  if (Written.empty() || Front.Bytes >= Limits.MaxEntryBytes || Front.Entry.seal())
+    return false;
+  Unstored &Next = Written.front();
+  if (Next.Entry.snapshot_begin())
+    return false;
+  Front.Entry.mutable_record()->MergeFrom(Next.Entry.record());
+  Front.Entry.set_snapshot_end(Front.Entry.snapshot_end() || Next.Entry.snapshot_end());
+  Front.Entry.set_seal(Next.Entry.seal());
+  if (Next.Entry.sets_guardians()) {
+    Front.Entry.set_sets_guardians(true);
+    *Front.Entry.mutable_guardian() = Next.Entry.guardian();
+  }
+  std::move(Next.Callbacks.begin(), Next.Callbacks.end(), std::back_inserter(Front.Callbacks));
+  Front.Bytes += Next.Bytes;
+  Written.pop_front();
+  return true;
+}
+
 // Makes the oldest entry final before its first way to the store: takes in the entries that
 // gathered behind it in an outage, and gives it its sequence.
 void Journal::prepareFront() {
-  Unstored &Front = Written.front();
-  if (Front.Attempted)
+  if (Written.front().Attempted)
     return;
-  while (Written.size() > 1 && Front.Bytes < Limits.MaxEntryBytes) {
-    Unstored &Next = Written[1];
-    const bool Special = Next.Entry.snapshot_begin() || Front.Entry.seal();
-    if (Special)
-      break;
-    Front.Entry.mutable_record()->MergeFrom(Next.Entry.record());
-    Front.Entry.set_snapshot_end(Front.Entry.snapshot_end() || Next.Entry.snapshot_end());
-    Front.Entry.set_seal(Next.Entry.seal());
-    if (Next.Entry.sets_guardians()) {
-      Front.Entry.set_sets_guardians(true);
-      *Front.Entry.mutable_guardian() = Next.Entry.guardian();
-    }
-    std::move(Next.Callbacks.begin(), Next.Callbacks.end(), std::back_inserter(Front.Callbacks));
-    Front.Bytes += Next.Bytes;
-    Written.erase(Written.begin() + 1);
+  // Out of the queue while others are taken from it: a reference into a deque does not outlive
+  // that. The journal lost records written in an outage, and reports waited for them for good.
+  Unstored Front = std::move(Written.front());
+  Written.pop_front();
+  while (mergeNext(Front)) {
   }
   Front.Attempted = true;
   Front.Entry.set_sequence(StoredBelow);
@@ -234,6 +243,7 @@
     SnapshotOpen = false;
   }
   Front.Entry.set_snapshot_start(SnapshotStart);
+  Written.push_front(std::move(Front));
 }
 
 void Journal::call(std::vector<DurableCallback> Callbacks, Durability Value) {
