--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -34,7 +34,7 @@
 private:
   const std::string Method = "GET";
   const std::string Target = "/svc/registry/check";
-  const HeaderList Headers;
+  const HeaderList Headers{};
 };
 
 // One process, e1, with one upstream at an address where nothing listens.
--- a/src/scheduler/capacity_test.cpp
+++ b/src/scheduler/capacity_test.cpp
@@ -78,5 +78,34 @@
   }
 }
 
+// The store's record of the worker has its room of before; the list has what it says of itself now.
+TEST(Capacity, ASchedulerThatTakesOverGoesByWhatTheWorkerSays) {
+  for (const bool RecordFirst : {false, true}) {
+    OneWorker Given;
+    const JobId Old = Given.submit(1, tasks(1, 4000, 10s), Extension);
+    const Effects Before = Given.pass(NextLook);
+    ASSERT_EQ(Before.Starts.size(), 1u);
+    const WorkerInfo Recorded = Given.Cell.Workers.at("w").Info;
+    const JobSpecPtr Spec = Given.Cell.Jobs.at(Old).Spec;
+    Given.Cell = CellState{};
+    Given.Cell.FirstRun = 1001;
+    if (RecordFirst)
+      workerMayHoldRuns(Given.Cell, Recorded, Given.Now + 6s);
+    Given.say(5000);
+    if (!RecordFirst)
+      workerMayHoldRuns(Given.Cell, Recorded, Given.Now + 6s);
+    addJob(Given.Cell, Spec, Old, false, Given.Now);
+    Effects Out;
+    finishLoading(Given.Cell, Given.Now, Out);
+    WorkerReport Report;
+    Report.Active.push_back({Before.Starts[0].Run, "", 10});
+    workerReported(Given.Cell, "w", Report, Given.Now, Given.Now, Out);
+    Given.submit(0, tasks(1, 2000, 10s), Extension);
+    EXPECT_TRUE(Given.pass(NextLook).Starts.empty()) << "record first: " << RecordFirst;
+    Given.say(6000);
+    EXPECT_EQ(Given.pass(NextLook).Starts.size(), 1u) << "record first: " << RecordFirst;
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -503,6 +503,34 @@
   EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
 }
 
+// The scheduler ends right after each order but the first, and other workers are cut off and come
+// back meanwhile: the task is given up in time, and nothing else.
+TEST(Crashes, ATaskThatCrashesItsWorkersIsGivenUpWhileSchedulersEndAndLinksAreCut) {
+  Scene Given(12);
+  std::vector<JobId> Others;
+  for (int I = 0; I < 8; ++I)
+    Others.push_back(Given.submit(tasks(2, 8000, 60s)));
+  const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
+  Given.Crashers = {Crasher};
+  Given.pass(2s);
+  for (int Terms = 0; Terms < 12 && Given.Cell.Jobs.count(Crasher); ++Terms) {
+    const size_t Before = Given.startsOf(Crasher);
+    for (Milliseconds T{0}; T < 10s && Given.startsOf(Crasher) == Before; T += 10ms)
+      Given.pass(10ms);
+    const std::string Cut = Given.Silent.empty() ? Given.at(Others[0]) : "";
+    if (!Cut.empty())
+      Given.fallSilent(Cut);
+    Given.takeOver();
+    Given.pass(500ms);
+    Given.Silent.erase(Cut);
+  }
+  Given.pass(20s);
+  EXPECT_LE(Given.startsOf(Crasher), 5u) << "two more than three may be started";
+  EXPECT_EQ(shownState(Given.Cell, Crasher), "failed");
+  for (const JobId Id : Others)
+    EXPECT_NE(shownState(Given.Cell, Id), "failed");
+}
+
 TEST(Crashes, WhatIsNotSavedYetIsNotStartedAgain) {
   Scene Given(6);
   const JobId Id = Given.submit(tasks(1, 4000, 600ms));
