--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -46,9 +46,9 @@
 StorePath::StorePath(Executor Where, Clock Time, HttpRequest Probe, Direct Straight, Relay Through,
                      std::function<std::vector<Endpoint>()> Peers,
                      std::function<void(Steady::duration)> Observe)
-    : Where(Where), Time(std::move(Time)), ProbeRequest(std::move(Probe)),
-      Straight(std::move(Straight)), Through(std::move(Through)), Peers(std::move(Peers)),
-      Observe(std::move(Observe)) {}
+    : Where(Where), Time(std::move(Time)), StartedAt(this->Time.Now()),
+      ProbeRequest(std::move(Probe)), Straight(std::move(Straight)), Through(std::move(Through)),
+      Peers(std::move(Peers)), Observe(std::move(Observe)) {}
 
 Milliseconds StorePath::timeoutFor(const StoreCall &Call) const {
   if (Call.Wait.count() > 0 || Call.IsLarge)
@@ -70,7 +70,8 @@
 }
 
 std::chrono::seconds StorePath::retryAfter() const {
-  const auto Away = std::chrono::round<std::chrono::seconds>(Time.Now() - LastAnswer);
+  const TimePoint Since = std::max(LastAnswer, StartedAt);
+  const auto Away = std::chrono::round<std::chrono::seconds>(Time.Now() - Since);
   return std::clamp(Away, LeastRetryAfter, MostRetryAfter);
 }
 
--- a/src/cell/store_path_test.cpp
+++ b/src/cell/store_path_test.cpp
@@ -150,6 +150,16 @@
   EXPECT_EQ(Given.Path.retryAfter(), 5s);
 }
 
+// All processes were started anew after a loss of power. In the 50 ms until each had read its
+// configuration it refused 112 callers and told them to come again in five seconds; they have
+// three. The time was reckoned from an answer of the store that never came.
+TEST(StorePath, AProcessThatHasJustStartedTellsCallersToComeAgainSoon) {
+  Bench Given;
+  EXPECT_EQ(Given.Path.retryAfter(), 1s);
+  Given.Now += 4s;
+  EXPECT_EQ(Given.Path.retryAfter(), 4s) << "the store has been away since the start";
+}
+
 TEST(StorePath, AProbeWithoutAnAnswerHoldsUpNoOther) {
   Bench Given;
   Given.Direct = {Busy, Busy, Good};
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -51,6 +51,7 @@
   bool isStraight() const;
   /// When a caller that was refused for want of the store should come again: after as long as the
   /// store has been away, since an outage of unknown length has about half of it left; 1 to 5 s.
+  /// For a process that no store has answered yet it has been away since the process started.
   std::chrono::seconds retryAfter() const;
   /// When the store last answered, on either way.
   TimePoint lastAnswer() const { return LastAnswer; }
@@ -67,6 +68,7 @@
 
   const Executor Where;
   const Clock Time;
+  const TimePoint StartedAt;
   const HttpRequest ProbeRequest;
   const Direct Straight;
   const Relay Through;
