Crash counts move to a file of their own; a doubt taken back leaves the start elsewhere noted

crashes.cpp had grown to 400 lines with two jobs: what a silence or a loss means, and the count with its saves and its index. On the way: a worker that came back cleared the note of a start under way on another, so that the next scheduler would not have counted that one.

--- /dev/null
+++ b/src/scheduler/crash_count.cpp
@@ -0,0 +1,166 @@
+// SPDX-License-Identifier: Apache-2.0
+// The count of a task's crashes, the workers that it names, and their index in the cell.
+#include "scheduler/crash_count.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace valveshelf::sched {
+namespace {
+void undoubt(CellState &Cell, const TaskKey &Key, const std::string &Worker) {
+  const auto Found = Cell.Doubted.find(Worker);
+  if (Found == Cell.Doubted.end())
+    return;
+  Found->second.Tasks.erase(Key);
+  if (Found->second.Tasks.empty())
+    Cell.Doubted.erase(Found);
+}
+
+// Changes the count by \p Change, which returns why, or nothing if it has nothing to change. What
+// is done or has ended is not counted any more.
+template <class Changer>
+void changeCount(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out,
+                 Changer Change) {
+  TaskState *Task = findTask(Cell, Key);
+  Job *Of = Task ? &Cell.Jobs.at(Key.Step.Job) : nullptr;
+  if (!Of || Task->Done || Of->Phase != JobPhase::Live)
+    return;
+  const std::string_view Why = Change(*Task);
+  if (Why.empty())
+    return;
+  if (Task->TrialOn == Worker || Task->Crashes == 0)
+    Task->TrialOn.clear();
+  if (Task->Inherited == Worker)
+    Task->Inherited.clear();
+  needSave(Cell, *Of, Out);
+  Task->CrashSave = Of->NeedsSave;
+  Out.CrashCounts.push_back({Key, Worker, Why, Task->Crashes, doubtsOf(*Task)});
+}
+
+// One silence alone may be a cut link. Work that a cut worker had just begun is not held back for
+// it where the store can't be written.
+bool isSuspect(const TaskState &Task) { return Task.Crashes > 1 || doubtsOf(Task) < Task.Crashes; }
+
+} // namespace
+
+TaskState *findTask(CellState &Cell, const TaskKey &Key) {
+  StepState *Step = findStep(Cell, Key.Step);
+  return Step && Key.Index < Step->Tasks.size() ? &Step->Tasks[Key.Index] : nullptr;
+}
+
+uint32_t doubtsOf(const TaskState &Task) { return static_cast<uint32_t>(Task.Doubted.size()); }
+
+bool counts(const TaskState &Task, const Worker &On) {
+  const auto Names = [&](const std::vector<std::string> &Workers) {
+    return std::find(Workers.begin(), Workers.end(), On.Info.Id) != Workers.end();
+  };
+  return Names(Task.Doubted) || Names(Task.Vanished);
+}
+
+void noteDoubted(CellState &Cell, const TaskKey &Key, const std::string &Worker, TimePoint Now) {
+  DoubtedWorker &Doubted = Cell.Doubted[Worker];
+  Doubted.Since = std::max(Doubted.Since, Now);
+  Doubted.Tasks.insert(Key);
+}
+
+void doubt(CellState &Cell, const TaskKey &Key, const Worker &On, TimePoint Now, Effects &Out) {
+  const std::string &Id = On.Info.Id;
+  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
+    ++Task.Crashes;
+    Task.Doubted.push_back(Id);
+    noteDoubted(Cell, Key, Id, Now);
+    return "silent";
+  });
+}
+
+void confirm(CellState &Cell, const TaskKey &Key, const Worker &On, LifeEnd How, TimePoint Now,
+             Effects &Out) {
+  const std::string &Id = On.Info.Id;
+  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
+    if (std::erase(Task.Doubted, Id) == 0)
+      ++Task.Crashes;
+    if (How == LifeEnd::Replaced) {
+      undoubt(Cell, Key, Id);
+      return "crashed";
+    }
+    Task.Vanished.push_back(Id);
+    noteDoubted(Cell, Key, Id, Now);
+    return "vanished";
+  });
+}
+
+void takeBack(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out) {
+  changeCount(Cell, Key, Worker, Out, [&](TaskState &Task) -> std::string_view {
+    if (std::erase(Task.Doubted, Worker) + std::erase(Task.Vanished, Worker) == 0)
+      return {};
+    --Task.Crashes;
+    undoubt(Cell, Key, Worker);
+    return "heard";
+  });
+}
+
+void clearCount(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  const TaskState *Task = findTask(Cell, Key);
+  if (!Task || Task->Crashes == 0)
+    return;
+  changeCount(Cell, Key, "", Out, [&](TaskState &Counted) {
+    for (const std::string &Worker : std::exchange(Counted.Doubted, {}))
+      undoubt(Cell, Key, Worker);
+    for (const std::string &Worker : std::exchange(Counted.Vanished, {}))
+      undoubt(Cell, Key, Worker);
+    Counted.Crashes = 0;
+    Counted.Inherited.clear();
+    return "stands";
+  });
+}
+
+void dropDoubts(CellState &Cell, const Job &Of) {
+  for (const auto &[Number, Round] : Of.Rounds)
+    for (const StepState &Step : Round.Steps)
+      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+        for (const auto *Workers : {&Step.Tasks[I].Doubted, &Step.Tasks[I].Vanished})
+          for (const std::string &Worker : *Workers)
+            undoubt(Cell, {Step.Key, I}, Worker);
+}
+
+void noteTrial(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
+  TaskState *Task = findTask(Cell, Key);
+  Task->Inherited.clear();
+  if (Task->Crashes == 0 || Task->TrialOn == On.Info.Id)
+    return;
+  Task->TrialOn = On.Info.Id;
+  Job &Of = Cell.Jobs.at(Key.Step.Job);
+  needSave(Cell, Of, Out);
+  Task->CrashSave = Of.NeedsSave;
+}
+
+void settleTrial(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  TaskState *Task = findTask(Cell, Key);
+  if (!Task || Task->TrialOn.empty())
+    return;
+  Task->TrialOn.clear();
+  if (Job &Of = Cell.Jobs.at(Key.Step.Job); Of.Phase == JobPhase::Live)
+    needSave(Cell, Of, Out);
+}
+
+void noteNotBegun(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
+  takeBack(Cell, Key, On.Info.Id, Out);
+  settleTrial(Cell, Key, Out);
+}
+
+bool mayLaunch(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
+  noteTrial(Cell, Key, On, Out);
+  return !waitsForCrashSave(Cell, *findTask(Cell, Key));
+}
+
+bool waitsForCrashSave(const CellState &Cell, const TaskState &Task) {
+  return isSuspect(Task) && Cell.Saves.count(Task.CrashSave) > 0;
+}
+
+void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out) {
+  const TaskState *Task = findTask(Cell, Key);
+  if (Task && !Task->Inherited.empty())
+    takeBack(Cell, Key, std::string(Task->Inherited), Out);
+}
+
+} // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -7,12 +7,6 @@
 
 namespace valveshelf::sched {
 
-void noteDoubted(CellState &Cell, const TaskKey &Key, const std::string &Worker, TimePoint Now) {
-  DoubtedWorker &Doubted = Cell.Doubted[Worker];
-  Doubted.Since = std::max(Doubted.Since, Now);
-  Doubted.Tasks.insert(Key);
-}
-
 namespace {
 // A run that its worker's lease has ended may have been done if so much of its estimate has passed;
 // estimates are off by half.
@@ -30,11 +24,6 @@
 constexpr uint32_t LossBesideOthers = 1;
 constexpr uint32_t LossAlone = 2;
 
-TaskState *findTask(CellState &Cell, const TaskKey &Key) {
-  StepState *Step = findStep(Cell, Key.Step);
-  return Step && Key.Index < Step->Tasks.size() ? &Step->Tasks[Key.Index] : nullptr;
-}
-
 // True if the run may have crashed its worker by beginning.
 bool isBeginning(const Attempt &What) {
   return What.Phase != AttemptPhase::Planned && !What.Stands;
@@ -46,100 +35,6 @@
   return On.Info.Draining || (!On.Listed && On.ReportedAt > On.UnlistedAt);
 }
 
-uint32_t doubtsOf(const TaskState &Task) { return static_cast<uint32_t>(Task.Doubted.size()); }
-
-bool counts(const TaskState &Task, const Worker &On) {
-  const auto Names = [&](const std::vector<std::string> &Workers) {
-    return std::find(Workers.begin(), Workers.end(), On.Info.Id) != Workers.end();
-  };
-  return Names(Task.Doubted) || Names(Task.Vanished);
-}
-
-void undoubt(CellState &Cell, const TaskKey &Key, const std::string &Worker) {
-  const auto Found = Cell.Doubted.find(Worker);
-  if (Found == Cell.Doubted.end())
-    return;
-  Found->second.Tasks.erase(Key);
-  if (Found->second.Tasks.empty())
-    Cell.Doubted.erase(Found);
-}
-
-// Changes the count by \p Change, which returns why. False if the task is done, gone or not counted
-// any more.
-template <class Changer>
-bool changeCount(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out,
-                 Changer Change) {
-  TaskState *Task = findTask(Cell, Key);
-  Job *Of = Task ? &Cell.Jobs.at(Key.Step.Job) : nullptr;
-  if (!Of || Task->Done || Of->Phase != JobPhase::Live)
-    return false;
-  const std::string_view Why = Change(*Task);
-  if (Why.empty())
-    return false;
-  Task->TrialOn.clear();
-  if (Task->Inherited == Worker)
-    Task->Inherited.clear();
-  needSave(Cell, *Of, Out);
-  Task->CrashSave = Of->NeedsSave;
-  Out.CrashCounts.push_back({Key, Worker, Why, Task->Crashes, doubtsOf(*Task)});
-  return true;
-}
-
-// The worker may have crashed as the task began.
-void doubt(CellState &Cell, const TaskKey &Key, const Worker &On, TimePoint Now, Effects &Out) {
-  const std::string &Id = On.Info.Id;
-  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
-    ++Task.Crashes;
-    Task.Doubted.push_back(Id);
-    noteDoubted(Cell, Key, Id, Now);
-    return "silent";
-  });
-}
-
-// It has, which was in doubt or not counted before.
-void confirm(CellState &Cell, const TaskKey &Key, const Worker &On, LifeEnd How, TimePoint Now,
-             Effects &Out) {
-  const std::string &Id = On.Info.Id;
-  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
-    if (std::erase(Task.Doubted, Id) == 0)
-      ++Task.Crashes;
-    if (How == LifeEnd::Replaced) {
-      undoubt(Cell, Key, Id);
-      return "crashed";
-    }
-    Task.Vanished.push_back(Id);
-    noteDoubted(Cell, Key, Id, Now);
-    return "vanished";
-  });
-}
-
-// It has not.
-void takeBack(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out) {
-  changeCount(Cell, Key, Worker, Out, [&](TaskState &Task) -> std::string_view {
-    if (std::erase(Task.Doubted, Worker) + std::erase(Task.Vanished, Worker) == 0)
-      return {};
-    --Task.Crashes;
-    undoubt(Cell, Key, Worker);
-    return "heard";
-  });
-}
-
-// The task has stood its beginning.
-void clearCount(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  const TaskState *Task = findTask(Cell, Key);
-  if (!Task || Task->Crashes == 0)
-    return;
-  changeCount(Cell, Key, "", Out, [&](TaskState &Counted) {
-    for (const std::string &Worker : std::exchange(Counted.Doubted, {}))
-      undoubt(Cell, Key, Worker);
-    for (const std::string &Worker : std::exchange(Counted.Vanished, {}))
-      undoubt(Cell, Key, Worker);
-    Counted.Crashes = 0;
-    Counted.Inherited.clear();
-    return "stands";
-  });
-}
-
 bool crashesWorkers(const SchedulerLimits &Limits, const TaskState &Task, bool Lasts) {
   const uint32_t Seen = Task.Crashes - (Task.Inherited.empty() ? 0 : 1);
   const bool IsSure =
@@ -232,46 +127,6 @@
   });
 }
 
-void noteTrial(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
-  TaskState *Task = findTask(Cell, Key);
-  Task->Inherited.clear();
-  if (Task->Crashes == 0 || Task->TrialOn == On.Info.Id)
-    return;
-  Task->TrialOn = On.Info.Id;
-  Job &Of = Cell.Jobs.at(Key.Step.Job);
-  needSave(Cell, Of, Out);
-  Task->CrashSave = Of.NeedsSave;
-}
-
-void settleTrial(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  TaskState *Task = findTask(Cell, Key);
-  if (!Task || Task->TrialOn.empty())
-    return;
-  Task->TrialOn.clear();
-  if (Job &Of = Cell.Jobs.at(Key.Step.Job); Of.Phase == JobPhase::Live)
-    needSave(Cell, Of, Out);
-}
-
-void noteNotBegun(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
-  takeBack(Cell, Key, On.Info.Id, Out);
-  settleTrial(Cell, Key, Out);
-}
-
-bool mayLaunch(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
-  noteTrial(Cell, Key, On, Out);
-  return !waitsForCrashSave(Cell, *findTask(Cell, Key));
-}
-
-// One silence alone may be a cut link. Work that a cut worker had just begun is not held back for
-// it where the store can't be written.
-static bool isSuspect(const TaskState &Task) {
-  return Task.Crashes > 1 || doubtsOf(Task) < Task.Crashes;
-}
-
-bool waitsForCrashSave(const CellState &Cell, const TaskState &Task) {
-  return isSuspect(Task) && Cell.Saves.count(Task.CrashSave) > 0;
-}
-
 void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What,
                    const ReportTimes &When, Effects &Out) {
   What.SeenAt = std::max(What.SeenAt, When.AskedAt);
@@ -292,12 +147,6 @@
   clearCount(Cell, Run.Task, Out);
 }
 
-void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out) {
-  const TaskState *Task = findTask(Cell, Key);
-  if (Task && !Task->Inherited.empty())
-    takeBack(Cell, Key, std::string(Task->Inherited), Out);
-}
-
 void noteListedEnd(CellState &Cell, const EndedRun &End, Effects &Out) {
   settleInherited(Cell, End.Run.Task, Out);
   TaskState *Task = findTask(Cell, End.Run.Task);
@@ -332,15 +181,6 @@
     takeBack(Cell, Key, On.Info.Id, Out);
 }
 
-void dropDoubts(CellState &Cell, const Job &Of) {
-  for (const auto &[Number, Round] : Of.Rounds)
-    for (const StepState &Step : Round.Steps)
-      for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-        for (const auto *Workers : {&Step.Tasks[I].Doubted, &Step.Tasks[I].Vanished})
-          for (const std::string &Worker : *Workers)
-            undoubt(Cell, {Step.Key, I}, Worker);
-}
-
 void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out) {
   const bool Crashed = How != LifeEnd::Lapsed && !wasLeaving(On);
   if (wasLeaving(On))
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -15,7 +15,7 @@
 // that at the fourth, and one under which five workers crashed later as well.
 #pragma once
 
-#include "valveshelf/cell_state.h"
+#include "scheduler/crash_count.h"
 
 namespace valveshelf::sched {
 
@@ -24,10 +24,6 @@
 bool beginsApart(const StepState &Step, const TaskState &Task);
 /// True if nothing but \p Run is beginning on the worker.
 bool isQuiet(const Worker &On, const RunKey *Run = nullptr);
-/// True if a crash of the task was counted and is not durable yet: it must not begin again before,
-/// or a scheduler that takes over would count anew. A single silence holds nothing back.
-bool waitsForCrashSave(const CellState &Cell, const TaskState &Task);
-
 /// When a worker made a report: at the time of its own clock, which lies between the others.
 struct ReportTimes {
   TimePoint AskedAt{};
@@ -35,33 +31,16 @@
   Milliseconds WorkerClock{0};
 };
 
-/// The task is about to be started there; if it was counted, that is saved first. Otherwise a
-/// scheduler that takes over before the crash is seen would not count it.
-void noteTrial(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
-/// True if the task may be started there now, which is noted.
-bool mayLaunch(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
-/// The start noted last has not crashed its worker, since the run was never sent or has ended
-/// otherwise. Left standing, the note would count once at each takeover.
-void settleTrial(CellState &Cell, const TaskKey &Key, Effects &Out);
-/// An order was surely not carried out: neither its worker's silence nor its crash is the task's.
-void noteNotBegun(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
 /// The worker lists the run.
 void noteBeginning(CellState &Cell, Worker &On, const RunKey &Run, Attempt &What,
                    const ReportTimes &When, Effects &Out);
 /// The worker lists the end of a run.
 void noteListedEnd(CellState &Cell, const EndedRun &End, Effects &Out);
-/// A run of the task that an earlier scheduler had started is heard of: it did not crash its
-/// worker.
-void settleInherited(CellState &Cell, const TaskKey &Key, Effects &Out);
 /// Counts the silence of a worker against what was beginning there.
 void blameBeginners(CellState &Cell, Worker &On, TimePoint Now, Effects &Out);
 /// The worker was heard, or had announced that it leaves: it has not crashed by \p AsOf, and what
 /// was counted for it until then is taken back.
 void takeBackBlame(CellState &Cell, Worker &On, TimePoint AsOf, Effects &Out);
-/// Keeps in mind that the count of the task names the worker.
-void noteDoubted(CellState &Cell, const TaskKey &Key, const std::string &Worker, TimePoint Now);
-/// The job is forgotten, and what its tasks doubt with it.
-void dropDoubts(CellState &Cell, const Job &Of);
 /// Ends all attempts on the worker; tasks that crash their workers are given up.
 void dropAttempts(CellState &Cell, Worker &On, LifeEnd How, TimePoint Now, Effects &Out);
 /// Gives up what earlier schedulers saw crash its workers as often as is allowed.
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -740,6 +740,28 @@
   EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
 }
 
+// A worker that comes back says nothing of the start that is under way on another.
+TEST(Crashes, ADoubtThatIsTakenBackLeavesTheStartElsewhereNoted) {
+  Scene Given(4);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  Given.crash(Given.at(Id), 1s);
+  ASSERT_TRUE(Given.passUntilRuns(Id));
+  const std::string Cut = Given.at(Id);
+  Given.fallSilent(Cut);
+  const auto RunsElsewhere = [&] { return Given.at(Id) != Cut && !Given.at(Id).empty(); };
+  for (Milliseconds T{0}; T < 9s && !RunsElsewhere(); T += 10ms)
+    Given.pass(10ms); // until its lease is over
+  ASSERT_TRUE(RunsElsewhere());
+  ASSERT_EQ(Given.taskOf(Id).Crashes, 2u);
+  ASSERT_EQ(Given.taskOf(Id).TrialOn, Given.at(Id));
+  Given.Here[Cut].clear();
+  Given.Silent.erase(Cut);
+  Given.report(Cut);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).TrialOn, Given.at(Id));
+}
+
 // It was refused by a worker that the next scheduler hears: no order of the one before can begin
 // there any more.
 TEST(Crashes, AStartOnAWorkerThatIsHeardAfterATakeoverHasNotCrashedIt) {
