--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -69,7 +69,7 @@
 cell::JobPhase phaseToRecord(JobPhase Phase) { return static_cast<cell::JobPhase>(Phase); }
 
 // Stands for a worker of which an earlier version did not keep the name: it is never heard.
-const std::string UnnamedWorker = "?";
+std::string unnamedWorker(size_t Number) { return "?" + std::to_string(Number); }
 
 // Notes a task that has something to note.
 void writeNote(const StepState &Step, uint32_t Index, cell::StepProgress &To) {
@@ -128,9 +128,11 @@
     Task.Checkpoint = Note.checkpoint();
     Task.Crashes = Note.crashes();
     Task.Doubted.assign(Note.doubted().begin(), Note.doubted().end());
-    Task.Doubted.resize(std::max<size_t>(Task.Doubted.size(), Note.doubts()), UnnamedWorker);
+    while (Task.Doubted.size() < Note.doubts())
+      Task.Doubted.push_back(unnamedWorker(Task.Doubted.size()));
     Task.Vanished.assign(Note.vanished().begin(), Note.vanished().end());
-    Task.TrialOn = Note.may_begin() && Note.trial_on().empty() ? UnnamedWorker : Note.trial_on();
+    const bool IsUnnamed = Note.may_begin() && Note.trial_on().empty();
+    Task.TrialOn = IsUnnamed ? unnamedWorker(Task.Doubted.size()) : Note.trial_on();
     Task.Losses = Note.losses();
   }
   std::vector<SavedTask> Read;
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -655,8 +655,9 @@
   const Result<SavedSteps> Read = decodeProgress(1, Record.SerializeAsString());
   const SavedTask &Task = value(Read).at(0).second.at(0);
   EXPECT_EQ(Task.Crashes, 3u);
-  EXPECT_EQ(Task.Doubted.size(), 2u);
+  EXPECT_EQ(std::set<std::string>(Task.Doubted.begin(), Task.Doubted.end()).size(), 2u);
   EXPECT_FALSE(Task.TrialOn.empty());
+  EXPECT_EQ(std::count(Task.Doubted.begin(), Task.Doubted.end(), Task.TrialOn), 0);
 }
 
 // A worker that leaves the list without a word counts as crashed, until it is heard all the same.
