--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -508,6 +508,7 @@
 TEST(Crashes, ATaskThatCrashesItsWorkersIsGivenUpWhileSchedulersEndAndLinksAreCut) {
   Scene Given(12);
   std::vector<JobId> Others;
+  Others.reserve(8);
   for (int I = 0; I < 8; ++I)
     Others.push_back(Given.submit(tasks(2, 8000, 60s)));
   const JobId Crasher = Given.submit(tasks(1, 4000, 600ms));
