--- a/src/scheduler/crash_count_test.cpp
+++ b/src/scheduler/crash_count_test.cpp
@@ -9,6 +9,15 @@
 namespace {
 using namespace std::chrono_literals;
 
+// A sound task under which one worker has crashed as it began.
+JobId submitCrashedOnce(CrashScene &Given) {
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  EXPECT_TRUE(Given.passUntilRuns(Id));
+  Given.crash(Given.at(Id), 1s);
+  EXPECT_EQ(Given.taskOf(Id).Crashes, 1u);
+  return Id;
+}
+
 // A sound gang was given up: four workers were counted against a member under which one had
 // crashed, or none. What the scheduler wrote of one of them, its worker cut off from 6.6 to 11.9 s:
 //   7.752 the start is ordered, no answer; 8.352 stop, "a member's start is uncertain"
@@ -145,9 +154,7 @@
 // The note that it may have been started stayed in the store when that was known not to be so.
 TEST(Crashes, AStartThatWasRefusedIsNotCountedByTheNextScheduler) {
   CrashScene Given(2);
-  const JobId Id = Given.submit(tasks(1, 4000, 60s));
-  ASSERT_TRUE(Given.passUntilRuns(Id));
-  Given.crash(Given.at(Id), 1s);
+  const JobId Id = submitCrashedOnce(Given);
   ASSERT_EQ(Given.taskOf(Id).Crashes, 1u);
   for (int Terms = 0; Terms < 4; ++Terms) {
     for (const auto &[Worker, Port] : Given.Ports)
@@ -164,9 +171,7 @@
 // The same for a run that ended otherwise.
 TEST(Crashes, AStartWhoseEndIsKnownIsNotCountedByTheNextScheduler) {
   CrashScene Given(2);
-  const JobId Id = Given.submit(tasks(1, 4000, 60s));
-  ASSERT_TRUE(Given.passUntilRuns(Id));
-  Given.crash(Given.at(Id), 1s);
+  const JobId Id = submitCrashedOnce(Given);
   ASSERT_TRUE(Given.passUntilRuns(Id));
   Given.breakRuns(Given.at(Id));
   Given.save();
@@ -177,9 +182,7 @@
 // A worker that comes back says nothing of the start that is under way on another.
 TEST(Crashes, ADoubtThatIsTakenBackLeavesTheStartElsewhereNoted) {
   CrashScene Given(4);
-  const JobId Id = Given.submit(tasks(1, 4000, 60s));
-  ASSERT_TRUE(Given.passUntilRuns(Id));
-  Given.crash(Given.at(Id), 1s);
+  const JobId Id = submitCrashedOnce(Given);
   ASSERT_TRUE(Given.passUntilRuns(Id));
   const std::string Cut = Given.at(Id);
   Given.fallSilent(Cut);
@@ -200,9 +203,7 @@
 // there any more.
 TEST(Crashes, AStartOnAWorkerThatIsHeardAfterATakeoverHasNotCrashedIt) {
   CrashScene Given(2);
-  const JobId Id = Given.submit(tasks(1, 4000, 60s));
-  ASSERT_TRUE(Given.passUntilRuns(Id));
-  Given.crash(Given.at(Id), 1s);
+  const JobId Id = submitCrashedOnce(Given);
   ASSERT_TRUE(Given.passUntilRuns(Id));
   Given.Here[Given.at(Id)].clear(); // the order was lost, which this scheduler never learns
   Given.takeOver();
