Router: callers of a process that is just back are told to come again soon where others have slots

With the time until its own slots as Retry-After, three seconds, a caller that does as it is told would wait though two other processes can serve it now. One second again, unless the process is alone.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -203,9 +203,11 @@
     return Refused("no instance of " + Service + " is known here", Usual);
   if (*First == TimePoint::max())
     return Refused("this process has no slot of " + Service, Usual);
+  // Other members use these slots meanwhile; a caller that asks one of them need not wait.
+  const bool IsAlone = Tools.View()->Members.size() < 2;
   if (*First > Now && *First + SlotDelay + To.Route.Deadline / LeastPartForWork > Deadline)
     return Refused("the slots of " + Service + " can't be used here before the deadline",
-                   std::chrono::ceil<std::chrono::seconds>(*First - Now));
+                   IsAlone ? std::chrono::ceil<std::chrono::seconds>(*First - Now) : Usual);
   const auto Waiting = Slots.Services.find(Service);
   const size_t SameClass = Waiting == Slots.Services.end()
                                ? 0
--- a/src/routing/router_test.cpp
+++ b/src/routing/router_test.cpp
@@ -121,6 +121,15 @@
   EXPECT_EQ(retryAfter(Exchange), "3") << "when the slots can be used";
 }
 
+// Others can serve the caller at once.
+TEST_F(RouterTest, TellsCallersToComeAgainSoonWhereOthersHaveSlots) {
+  setMembers({"e1", "e2"});
+  join(200ms);
+  FakeExchange Exchange;
+  EXPECT_LT(serve(Exchange), 500ms);
+  EXPECT_EQ(retryAfter(Exchange), "1");
+}
+
 // The same at a process that has handed its slots on.
 TEST_F(RouterTest, RefusesAtOnceWhereItHasNoSlotAtAll) {
   join(20s);
