Hand-over of shards: nothing is confirmed once the state is written down

`ShardRunner::drain` wrote the state down for the next owner and the runner went on taking reports, cancels and workers' ends until the owner's record was written some 50 ms later. Reports were acknowledged, so that the running shard dropped them, and ends were released to workers; the next owner reads only what was written down. What was decided before is durable before the record goes. Ruled out for `valveshelf serve`: ends are forgotten by workers only after a write under the condition on the leader's key, which the next scheduler reads; after `stop` no answer of a save is taken in (read in the code).

--- a/src/entry/shard_operations.cpp
+++ b/src/entry/shard_operations.cpp
@@ -60,6 +60,8 @@
           "it is not certain that the store has the change to job " + Job + "; ask for its status"};
 }
 
+Error handedOver() { return {ErrorKind::NotOwner, "the shard is being handed over"}; }
+
 Error noSuchJob(const std::string &Job) { return {ErrorKind::NotFound, "there is no job " + Job}; }
 
 std::string_view homePhaseName(const HomeTask &Task) {
@@ -148,8 +150,8 @@
       if (!Tools.Log.storeUp())
         co_return Error{ErrorKind::StoreUnavailable,
                         "the store does not answer, so the job can't be recorded"};
-      if (Draining || Stopped)
-        co_return Error{ErrorKind::NotOwner, "the shard is being handed over"};
+      if (Draining || !mayChange())
+        co_return handedOver();
       if (Tools.Directory.capableShards(Spec).empty())
         co_return Error{ErrorKind::Impossible, Tools.Directory.whyImpossible(Spec)};
       carryOut(acceptJob(State, Spec, Tools.Time.Now()), callbackOf(Waiter));
@@ -190,6 +192,8 @@
     if (!Tools.Log.storeUp())
       co_return Error{ErrorKind::StoreUnavailable,
                       "the store does not answer, so the cancel can't be recorded"};
+    if (!mayChange())
+      co_return handedOver();
     carryOut(cancelJob(State, Job), callbackOf(Waiter));
   }
   if (co_await waitFor(Waiter) != Durability::Stored)
@@ -207,6 +211,8 @@
     if (Found->second.Spec->Kind != JobKind::Service || Count < Found->second.Tasks.size())
       co_return Error{ErrorKind::BadRequest,
                       "only a service can be resized, and only to a larger count"};
+    if (!mayChange())
+      co_return handedOver();
     wire::Record What;
     What.set_shard(Shard);
     What.mutable_job_resized()->set_job(Job);
@@ -277,13 +283,13 @@
     const auto Known = View->Owners.find(Request.home());
     HomeEpoch = Known == View->Owners.end() ? 0 : Known->second.Epoch;
   }
-  if (HomeEpoch != Request.home_epoch() || Stopped || Draining) {
-    Reply.set_not_owner(true);
-    co_return Reply;
-  }
   auto Waiter = std::make_shared<DurableWaiter>(Tools.Where);
   {
     std::lock_guard Lock(Mutex);
+    if (HomeEpoch != Request.home_epoch() || Draining || !mayChange()) {
+      Reply.set_not_owner(true);
+      co_return Reply;
+    }
     releaseHold(State, Request.spec().id());
     carryOut(adoptParts(State, Request, Tools.Time.Now()), softCallbackOf(Waiter));
   }
@@ -299,6 +305,8 @@
   auto Waiter = std::make_shared<DurableWaiter>(Tools.Where);
   {
     std::lock_guard Lock(Mutex);
+    if (!mayChange())
+      co_return Reply; // told again, to the next owner
     // The running shard forgets what is acknowledged, so only what the store holds is.
     carryOut(onReport(State, Request, Tools.Time.Now(), Tools.Time.Wall()), callbackOf(Waiter));
   }
@@ -310,11 +318,13 @@
   std::vector<TaskKey> Keys;
   for (const wire::TaskKey &Key : Request.key())
     Keys.push_back({Key.job(), Key.index()});
+  wire::CancelReply Reply;
   {
     std::lock_guard Lock(Mutex);
+    if (!mayChange())
+      co_return Reply; // the home shard asks again
     carryOut(onCancelParts(State, Keys, Tools.Time.Wall()));
   }
-  wire::CancelReply Reply;
   Reply.set_done(true);
   co_return Reply;
 }
@@ -322,8 +332,10 @@
 wire::HoldReply ShardRunner::onHold(const wire::HoldRequest &Request) {
   wire::HoldReply Reply;
   std::lock_guard Lock(Mutex);
+  if (!mayChange())
+    return Reply;
   releaseHold(State, Request.spec().id());
-  if (Request.release() || Draining || Stopped)
+  if (Request.release() || Draining)
     return Reply;
   Reply.set_held(placeHold(State, specFromWire(Request.spec()), Request.count(), *Tools.Config(),
                            Tools.Time.Now() + Milliseconds(Request.valid_ms())));
@@ -364,6 +376,8 @@
   const bool Enough = Spec && Left == 0 && This->mayAct();
   if (Enough) {
     std::lock_guard Lock(This->Mutex);
+    if (!This->mayChange())
+      co_return;
     const auto Chosen = [&](const JobSpec &Other, uint32_t Count) {
       const bool Whole = Other.Id == Job && Count == Other.Count;
       return Whole ? Held : std::vector<std::pair<uint32_t, uint32_t>>{};
--- a/src/entry/shard_runner.cpp
+++ b/src/entry/shard_runner.cpp
@@ -60,7 +60,11 @@
 
 void ShardRunner::stop() { Stopped = true; }
 
-void ShardRunner::resume() { Draining = false; }
+void ShardRunner::resume() {
+  std::lock_guard Lock(Mutex);
+  WrittenDown = false;
+  Draining = false;
+}
 
 bool ShardRunner::mayAct() { return !Stopped && Tools.Shared.mayActAt(Tools.Time.Now()); }
 
@@ -68,9 +72,15 @@
   Draining = true;
   while (StartsInFlight > 0)
     co_await sleepFor(Milliseconds(5));
+  std::vector<wire::Record> Written;
+  {
+    std::lock_guard Lock(Mutex);
+    WrittenDown = true;
+    Written = snapshotOf(State);
+  }
+  // What was decided before is durable and carried out here before the shard goes.
   co_await Tools.Log.barrier();
-  std::lock_guard Lock(Mutex);
-  co_return snapshotOf(State);
+  co_return Written;
 }
 
 void ShardRunner::appendSnapshot(DurableCallback WhenDurable) {
@@ -87,7 +97,7 @@
 
 // Called under Mutex, so that records reach the journal in the order they were applied.
 void ShardRunner::carryOut(Decision What, DurableCallback Also) {
-  if (Stopped) {
+  if (!mayChange()) {
     if (Also)
       Also(Durability::Lost);
     return;
@@ -168,8 +178,11 @@
   if (This->mayAct())
     Answer = co_await Tools.Workers.Start(Effect.Address, workerTaskId(Effect.Key, Effect.Attempt),
                                           Effect.Spec, Tools.Times.TaskLease);
-  --This->StartsInFlight;
+  // Counted until its answer is part of the state: a drain waits for it.
   std::lock_guard Lock(This->Mutex);
+  --This->StartsInFlight;
+  if (!This->mayChange())
+    co_return;
   This->carryOut(onStartAnswer(This->State, Effect.Key, Effect.Attempt, Answer, Tools.Limits,
                                Tools.Time.Now()));
 }
@@ -207,7 +220,8 @@
   if (!ok(Reply) || !value(Reply).adopted())
     co_return;
   std::lock_guard Lock(This->Mutex);
-  onAdopted(This->State, Effect);
+  if (This->mayChange()) // otherwise it is lent again, which the other shard takes for the same
+    onAdopted(This->State, Effect);
 }
 
 Awaitable<void> ShardRunner::sendCancel(Self This, CancelEffect Effect) {
@@ -253,7 +267,8 @@
           Settled.push_back({Status.key().job(), Status.key().index()});
       }
       std::lock_guard Lock(This->Mutex);
-      This->carryOut(dropParts(This->State, Settled, This->Tools.Time.Now()));
+      if (This->mayChange()) // otherwise they are reported again
+        This->carryOut(dropParts(This->State, Settled, This->Tools.Time.Now()));
     }
   }
   std::lock_guard Lock(This->Mutex);
@@ -270,15 +285,16 @@
   const TimePoint Now = Tools.Time.Now();
   const WallTime Wall = Tools.Time.Wall();
   const auto Config = Tools.Config();
-  const bool MayAct = mayAct() && !Draining;
+  if (!mayAct())
+    return;
   std::lock_guard Lock(Mutex);
+  // Read under the lock: a drain counts on no start being decided after its own look.
+  if (Draining || !mayChange())
+    return;
   const auto Elsewhere = [&](const std::string &Key) {
     return Tools.Directory.usedElsewhere(Key, Shard);
   };
-  if (MayAct)
-    carryOut(placeQueued(State, *Config, Tools.Log.storeUp(), Elsewhere, Tools.Limits, Now, Wall));
-  if (!MayAct)
-    return;
+  carryOut(placeQueued(State, *Config, Tools.Log.storeUp(), Elsewhere, Tools.Limits, Now, Wall));
   const bool Slow = Now - LastSlowTick >= SlowTickEvery;
   ReportAgain = ReportAgain || Slow;
   if (Stage == ReportStage::None && (Slow || !State.Dirty.empty())) {
@@ -334,7 +350,7 @@
 void ShardRunner::takeBoxes() {
   const BoxList Workers = Tools.Directory.workersOf(Shard);
   std::lock_guard Lock(Mutex);
-  if (!mayAct())
+  if (!mayAct() || !mayChange())
     return;
   carryOut(onBoxList(State, Workers, Tools.Time.Now(), Tools.Time.Wall()));
   for (const auto &[Name, Book] : State.Workers)
@@ -384,10 +400,12 @@
     auto &Again = Forget[Worker];
     Again.insert(Again.end(), Sent.Forget.begin(), Sent.Forget.end());
     ListVersions[Worker] = 0;
+    if (!mayChange())
+      return;
     return carryOut(onWorkerSilent(State, Worker, Sent.RenewFor.count() > 0, Tools.Limits));
   }
   // A process that lost its authority meanwhile, or slept, judges nothing by an old list.
-  if (!MayAct || Now - AskedAt > Tools.Times.Lease + Tools.Times.WorkerPoll)
+  if (!MayAct || !mayChange() || Now - AskedAt > Tools.Times.Lease + Tools.Times.WorkerPoll)
     return;
   ListVersions[Worker] = value(Answer).Version;
   carryOut(onWorkerReport(State, Worker, value(Answer), Sent.RenewFor.count() > 0, Tools.Limits,
@@ -417,6 +435,15 @@
   }
 }
 
+bool ShardRunner::notePredecessorGone() {
+  std::lock_guard Lock(Mutex);
+  if (!mayChange())
+    return false;
+  onPredecessorGone(State, Tools.Limits, Tools.Time.Now());
+  logEvent(events::StepDownConfirmed, {{"shard", std::to_string(Shard)}, {"log", Predecessor}});
+  return true;
+}
+
 // Asks the predecessor's address until it is sure that the predecessor sends nothing any more:
 // it says so itself, a newer process answers there, or nothing listens there.
 Awaitable<void> ShardRunner::predecessorLoop(Self This) {
@@ -430,13 +457,8 @@
           co_await This->Tools.Peers.StepDown(This->PredecessorAddress, Request);
       Gone = ok(Reply) && value(Reply).gone();
     }
-    if (Gone) {
-      logEvent(events::StepDownConfirmed,
-               {{"shard", std::to_string(This->Shard)}, {"log", This->Predecessor}});
-      std::lock_guard Lock(This->Mutex);
-      onPredecessorGone(This->State, This->Tools.Limits, This->Tools.Time.Now());
+    if (Gone && This->notePredecessorGone())
       co_return;
-    }
     co_await sleepFor(PredecessorProbeEvery);
   }
 }
--- a/src/include/valveshelf/shard_runner.h
+++ b/src/include/valveshelf/shard_runner.h
@@ -64,7 +64,9 @@
   void start();
   /// Ends all loops; nothing is sent from then on.
   void stop();
-  /// Places nothing more, waits until no start is in flight, and returns the state. Planned only.
+  /// Places nothing more, waits until no start is in flight, and returns the state. From then on
+  /// the state stays as it was returned: whatever would change it is refused or left to be told
+  /// again, here after `resume` or to the next owner. Planned only.
   Awaitable<std::vector<wire::Record>> drain();
   /// Goes back to work after a drain that led nowhere.
   void resume();
@@ -102,6 +104,9 @@
   void releaseEnded(const std::vector<ForgetEffect> &Ended);
   void notify(const std::vector<Notice> &Notices);
   bool mayAct();
+  /// True while the state may change: not once it was written down for the next owner, which would
+  /// not hear of it. Call under Mutex, and change the state under the same lock.
+  bool mayChange() const { return !Stopped && !WrittenDown; }
 
   static Awaitable<void> tickLoop(Self This);
   static Awaitable<void> workerLoop(Self This, std::string Worker);
@@ -122,6 +127,8 @@
   void onSynced(const std::string &Worker, const WorkerSync &Sent,
                 const Result<WorkerReport> &Answer, TimePoint AskedAt);
   Endpoint ownerOf(uint32_t Other);
+  /// False: the state may not change now.
+  bool notePredecessorGone();
 
   const uint32_t Shard;
   const uint64_t Epoch;
@@ -137,6 +144,7 @@
   std::mutex Mutex;
   // All below is guarded by Mutex.
   ShardState State;
+  bool WrittenDown = false; ///< The state was given to the next owner.
   std::map<std::string, std::vector<std::string>> Forget; ///< By worker: ended tasks, durable.
   std::map<std::string, uint64_t> ListVersions;           ///< By worker.
   std::set<std::string> Looping;                          ///< Workers with a loop.
