--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -41,6 +41,9 @@
 const MetricKind PlaceSeconds{"place_seconds", "histogram", "One pass of placement."};
 const MetricKind Workers{"workers", "gauge",
                          "Workers known, while this process schedules; else 0."};
+const MetricKind ZonesEvacuated{
+    "zones_evacuated", "gauge",
+    "Availability zones that operators want empty, while this process schedules; else 0."};
 const MetricKind LogLinesLeftOut{"log_lines_left_out", "gauge",
                                  "Log lines left out by the limit a kind of event, or because "
                                  "standard output was not read."};
@@ -49,10 +52,23 @@
 
 std::span<const MetricKind *const> metricTable() {
   using namespace metrics;
-  static const std::array All{&Calls,         &CallSeconds,  &StoreSeconds, &Terms,
-                              &Jobs,          &Waiting,      &Starts,       &StartSeconds,
-                              &Ends,          &RunsLost,     &TasksGivenUp, &FirstStartSeconds,
-                              &AdviceSeconds, &PlaceSeconds, &Workers,      &LogLinesLeftOut,
+  static const std::array All{&Calls,
+                              &CallSeconds,
+                              &StoreSeconds,
+                              &Terms,
+                              &Jobs,
+                              &Waiting,
+                              &Starts,
+                              &StartSeconds,
+                              &Ends,
+                              &RunsLost,
+                              &TasksGivenUp,
+                              &FirstStartSeconds,
+                              &AdviceSeconds,
+                              &PlaceSeconds,
+                              &Workers,
+                              &ZonesEvacuated,
+                              &LogLinesLeftOut,
                               &Ready};
   return All;
 }
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -53,8 +53,8 @@
             [this](Steady::duration Took) { Metrics.observe(metrics::StoreSeconds, Took); }),
         Store(this->From.OpenStore([this](StoreCall Call) { return Path.call(std::move(Call)); })),
         View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
-        Config(Where, Time, Store, Settings, this->From.ConfigurationKey,
-               this->From.DecodeConfiguration, configLinks()),
+        Config(Where, Time, Store, Settings, this->From.Operators, this->From.DecodeConfiguration,
+               configLinks()),
         In(
             Where, Store, Time, Settings, [this] { return Path.isSilent(); },
             [this](IntakeNews News) { announce(std::move(News)); }),
@@ -116,6 +116,7 @@
               return askThrough(std::move(Lane), Step, std::move(Workers), Timeout);
             },
             From.WorkerPrefix,
+            From.Operators.Evacuations,
             From.DecodeWorker,
             Metrics,
             Burn};
@@ -151,6 +152,7 @@
     Links.Peers = [this] { return schedulerFirst(); };
     Links.Schedules = [this] { return Lead.scheduler() != nullptr; };
     Links.Changed = [this] { Lead.configurationChanged(Config.current()); };
+    Links.ZonesChanged = [this] { Lead.zonesChanged(Config.evacuated()); };
     return Links;
   }
 
--- a/src/cell/config_watch.cpp
+++ b/src/cell/config_watch.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// Reads and watches the operators' configuration, and asks peers where that is not enough.
+// Reads and watches what operators ask for, and asks peers for the configuration where that is not
+// enough.
 #include "cell/config_watch.h"
 
 #include "valveshelf/events.h"
@@ -25,11 +26,11 @@
 } // namespace
 
 ConfigWatch::ConfigWatch(Executor Where, Clock Time, KeyValueStore Store,
-                         const CellSettings &Settings, std::string Key, Decoder Decode,
+                         const CellSettings &Settings, OperatorKeys Keys, Decoder Decode,
                          ConfigLinks Links)
     : Where(Where), Time(std::move(Time)), Store(std::move(Store)), Settings(Settings),
-      Key(std::move(Key)), Decode(std::move(Decode)), Links(std::move(Links)) {
-  Keys.Seed = (uint64_t{std::random_device()()} << 32) | std::random_device()();
+      Keys(std::move(Keys)), Decode(std::move(Decode)), Links(std::move(Links)) {
+  CallersKeys.Seed = (uint64_t{std::random_device()()} << 32) | std::random_device()();
 }
 
 void ConfigWatch::start() {
@@ -37,11 +38,38 @@
   spawnLater(Where, doubtLoop());
 }
 
-void ConfigWatch::take(const KeyValue &Item) {
-  if (Item.Key == Key && Item.Revision != 0)
+void ConfigWatch::takeConfiguration(const KeyValue &Item) {
+  if (Item.Key == Keys.Configuration && Item.Revision != 0)
     takeBytes(Item.Value, "store");
 }
 
+void ConfigWatch::takeZone(const KeyChange &Change) {
+  if (!Change.Item.Key.starts_with(Keys.Evacuations) || Change.Item.Revision < Evacuated.AsOf)
+    return;
+  EvacuatedZones Now{Evacuated.Names, Change.Item.Revision};
+  const std::string Zone = Change.Item.Key.substr(Keys.Evacuations.size());
+  if (Change.Gone)
+    Now.Names.erase(Zone);
+  else
+    Now.Names.insert(Zone);
+  takeZones(std::move(Now));
+}
+
+void ConfigWatch::takeZones(EvacuatedZones Now) {
+  if (Now.AsOf < Evacuated.AsOf)
+    return; // answers may overtake each other
+  const EvacuatedZones Before = std::exchange(Evacuated, std::move(Now));
+  const std::string Revision = std::to_string(Evacuated.AsOf);
+  for (const std::string &Zone : Evacuated.Names)
+    if (!Before.Names.count(Zone))
+      logEvent(events::EvacuationBegun, {{"zone", Zone}, {"revision", Revision}});
+  for (const std::string &Zone : Before.Names)
+    if (!Evacuated.Names.count(Zone))
+      logEvent(events::EvacuationOver, {{"zone", Zone}, {"revision", Revision}});
+  if (Evacuated.Names != Before.Names)
+    Links.ZonesChanged();
+}
+
 void ConfigWatch::takeBytes(const std::string &Read, const std::string &From) {
   Result<CellConfiguration> Decoded = Decode(Read);
   if (!ok(Decoded)) {
@@ -50,7 +78,8 @@
   }
   if (value(Decoded).Version <= version())
     return;
-  Keys = indexKeys(std::make_shared<const CellConfiguration>(std::move(value(Decoded))), Keys.Seed);
+  CallersKeys = indexKeys(std::make_shared<const CellConfiguration>(std::move(value(Decoded))),
+                          CallersKeys.Seed);
   Bytes = Read;
   logEvent(From == "store" ? events::ConfigInForce : events::ConfigFromPeer,
            {{"version", std::to_string(version())}, {"from", From}});
@@ -105,7 +134,7 @@
   while (!Stopped) {
     co_await sleepFor(DoubtEvery);
     if (Links.Schedules())
-      co_await readOnce();
+      co_await readAll();
     const Milliseconds Patience = isDoubtful() ? PeerSilenceInDoubt : PeerSilence;
     const std::vector<Endpoint> Peers = Links.Peers();
     if (!Asking && !Peers.empty() && Time.Now() - HeardPeer > Patience)
@@ -113,34 +142,34 @@
   }
 }
 
-Awaitable<void> ConfigWatch::readOnce() {
-  Result<KeyValue> Read = co_await Store.Get(Key);
-  if (!ok(Read))
-    co_return;
-  Confirmed = Time.Now();
-  take(value(Read));
-}
-
-Awaitable<Result<Done>> ConfigWatch::readAll() {
-  Result<KeyRange> Read = co_await Store.Range(Key, false);
+// Returns the store's revision.
+Awaitable<Result<uint64_t>> ConfigWatch::readAll() {
+  Result<KeyRange> Read = co_await Store.Range(Keys.Prefix, false);
   if (!ok(Read))
     co_return error(Read);
   Confirmed = Time.Now();
-  for (const KeyValue &Item : value(Read).Items)
-    take(Item);
-  Revision = value(Read).Revision;
-  co_return Done{};
+  EvacuatedZones Zones{{}, value(Read).Revision};
+  for (const KeyValue &Item : value(Read).Items) {
+    takeConfiguration(Item);
+    if (Item.Key.starts_with(Keys.Evacuations))
+      Zones.Names.insert(Item.Key.substr(Keys.Evacuations.size()));
+  }
+  takeZones(std::move(Zones));
+  co_return value(Read).Revision;
 }
 
 Awaitable<void> ConfigWatch::watchLoop() {
   while (!Stopped) {
     if (Revision == 0) {
-      Result<Done> Read = co_await readAll();
-      if (!ok(Read))
+      Result<uint64_t> Read = co_await readAll();
+      if (ok(Read))
+        Revision = value(Read);
+      else
         co_await sleepFor(RetryPause);
       continue;
     }
-    Result<KeyChanges> Read = co_await Store.Watch(Key, Revision, Settings.Timing.WatchTime);
+    Result<KeyChanges> Read =
+        co_await Store.Watch(Keys.Prefix, Revision, Settings.Timing.WatchTime);
     if (!ok(Read)) {
       if (error(Read).Kind == ErrorKind::NotFound)
         Revision = 0;
@@ -149,9 +178,11 @@
       continue;
     }
     Confirmed = Time.Now();
-    for (const KeyChange &Change : value(Read).Changes)
+    for (const KeyChange &Change : value(Read).Changes) {
       if (!Change.Gone)
-        take(Change.Item);
+        takeConfiguration(Change.Item);
+      takeZone(Change);
+    }
     Revision = std::max(Revision, value(Read).Revision);
   }
 }
--- a/src/cell/config_watch.h
+++ b/src/cell/config_watch.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-// The operators' configuration as the store has it, or as a peer has it where the store can't be
-// heard. A version once seen is never left for an older one.
+// What operators ask for, as the store has it: the configuration, also as a peer has it where the
+// store can't be heard, and the availability zones that are to be left empty. A version once seen
+// is never left for an older one.
 #pragma once
 
 #include "cell/caller_keys.h"
@@ -30,23 +31,26 @@
   std::function<std::vector<Endpoint>()> Peers; ///< The scheduler's first, if it is another one.
   std::function<bool()> Schedules;              ///< Whether this process does.
   std::function<void()> Changed;                ///< Another version is in force here.
+  std::function<void()> ZonesChanged;           ///< Other zones are to be left empty, or none.
 };
 
 /// Lives on one strand; all calls come from there.
 class ConfigWatch {
 public:
   using Decoder = std::function<Result<sched::CellConfiguration>(std::string_view Bytes)>;
-  /// \p Key holds the configuration; \p Decode reads it.
+  /// \p Decode reads the configuration.
   ConfigWatch(Executor Where, Clock Time, KeyValueStore Store, const CellSettings &Settings,
-              std::string Key, Decoder Decode, ConfigLinks Links);
+              OperatorKeys Keys, Decoder Decode, ConfigLinks Links);
   void start();
   void stop() { Stopped = true; }
   /// Null until the first version was read.
-  sched::ConfigurationPtr current() const { return Keys.Config; }
+  sched::ConfigurationPtr current() const { return CallersKeys.Config; }
   /// The keys of the current version.
-  const KeyIndex &keys() const { return Keys; }
+  const KeyIndex &callerKeys() const { return CallersKeys; }
   /// 0: none yet.
-  uint64_t version() const { return Keys.Config ? Keys.Config->Version : 0; }
+  uint64_t version() const { return CallersKeys.Config ? CallersKeys.Config->Version : 0; }
+  /// The zones to be left empty, as last read.
+  const sched::EvacuatedZones &evacuated() const { return Evacuated; }
   /// What a peer that has version \p Have is told.
   PeerConfiguration tell(uint64_t Have) const;
   /// True if neither the store nor a peer that hears it has confirmed the version in force for so
@@ -59,23 +63,25 @@
   Awaitable<void> watchLoop();
   Awaitable<void> doubtLoop();
   Awaitable<void> askPeer(Endpoint Peer);
-  Awaitable<Result<Done>> readAll();
-  Awaitable<void> readOnce();
+  Awaitable<Result<uint64_t>> readAll();
   /// True if the store has not confirmed the version in force within the time of a watch.
   bool isDoubtful() const;
-  void take(const KeyValue &Item);
+  void takeConfiguration(const KeyValue &Item);
+  void takeZone(const KeyChange &Change);
+  void takeZones(sched::EvacuatedZones Now);
   void takeBytes(const std::string &Read, const std::string &From);
 
   const Executor Where;
   const Clock Time;
   const KeyValueStore Store;
   const CellSettings &Settings;
-  const std::string Key;
+  const OperatorKeys Keys;
   const Decoder Decode;
   const ConfigLinks Links;
-  KeyIndex Keys;         ///< Of the version in force; its configuration is null before the first.
+  KeyIndex CallersKeys; ///< Of the version in force; its configuration is null before the first.
+  sched::EvacuatedZones Evacuated;
   std::string Bytes;     ///< That version as it was read.
-  uint64_t Revision = 0; ///< The watch goes on from here; 0: the key has to be read.
+  uint64_t Revision = 0; ///< The watch goes on from here; 0: everything has to be read.
   TimePoint Confirmed{}; ///< When the store last had nothing newer, told here or to a peer.
   TimePoint HeardPeer{}; ///< When a peer last said which version it has.
   size_t NextPeer = 0;
--- a/src/cell/config_watch_test.cpp
+++ b/src/cell/config_watch_test.cpp
@@ -33,6 +33,7 @@
   bool PeerAnswers = true;
   int PeersAsked = 0;
   int Changes = 0;
+  int ZoneChanges = 0;
   std::unique_ptr<ConfigWatch> Config;
 
   void start() {
@@ -55,8 +56,10 @@
     Links.Peers = [] { return std::vector<Endpoint>{{"127.0.0.1", 7}}; };
     Links.Schedules = [this] { return Schedules; };
     Links.Changed = [this] { ++Changes; };
-    Config = std::make_unique<ConfigWatch>(Io.get_executor(), Clock{}, Ops, Settings, "op/config",
-                                           decode, Links);
+    Links.ZonesChanged = [this] { ++ZoneChanges; };
+    Config = std::make_unique<ConfigWatch>(Io.get_executor(), Clock{}, Ops, Settings,
+                                           OperatorKeys{"op/", "op/config", "op/evacuate/"}, decode,
+                                           Links);
     Config->start();
   }
   void play(Milliseconds Time) {
@@ -81,8 +84,8 @@
   Given.Config->peerHas({"127.0.0.1", 7}, 5);
   Given.play(20ms);
   EXPECT_EQ(Given.Config->version(), 5u);
-  EXPECT_EQ(organisationOf(Given.Config->keys(), "k3"), nullptr) << "the key was taken away";
-  EXPECT_NE(organisationOf(Given.Config->keys(), "k5"), nullptr);
+  EXPECT_EQ(organisationOf(Given.Config->callerKeys(), "k3"), nullptr) << "the key was taken away";
+  EXPECT_NE(organisationOf(Given.Config->callerKeys(), "k5"), nullptr);
   EXPECT_EQ(Given.Changes, 2);
   Given.Store.Down = false; // it still shows the older one
   Given.play(400ms);
@@ -142,5 +145,38 @@
   }
 }
 
+TEST(ConfigWatch, KnowsTheZonesThatAreToBeLeftEmptyUntilTheRequestIsTakenBack) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.Store.put("op/evacuate/north-a", "{}", 0);
+  Given.start();
+  Given.play(20ms);
+  EXPECT_EQ(Given.Config->evacuated().Names, std::set<std::string>{"north-a"});
+  Given.Store.put("op/evacuate/north-b", "not JSON", 0);
+  Given.play(20ms);
+  EXPECT_EQ(Given.Config->evacuated().Names, (std::set<std::string>{"north-a", "north-b"}));
+  Given.Store.remove("op/evacuate/north-a");
+  Given.play(20ms);
+  EXPECT_EQ(Given.Config->evacuated().Names, std::set<std::string>{"north-b"});
+  EXPECT_EQ(Given.ZoneChanges, 3);
+  EXPECT_EQ(Given.Changes, 1) << "the configuration is the same";
+}
+
+// A watch may be answered and silent for longer than an evacuation has until it is in force.
+TEST(ConfigWatch, TheSchedulerHearsOfAnEvacuationThoughWatchesAreSilent) {
+  Bench Given;
+  Given.Schedules = true;
+  Given.start();
+  Given.play(20ms);
+  Given.IsBlind = true;
+  Given.play(150ms); // the watch that was out has ended
+  Given.Store.put("op/evacuate/north-a", "{}", 0);
+  Given.play(700ms);
+  EXPECT_EQ(Given.Config->evacuated().Names, std::set<std::string>{"north-a"});
+  Given.Store.remove("op/evacuate/north-a");
+  Given.play(700ms);
+  EXPECT_TRUE(Given.Config->evacuated().Names.empty());
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -69,6 +69,12 @@
     Runner->setConfiguration(*Config);
 }
 
+void Leadership::zonesChanged(EvacuatedZones Now) {
+  Evacuated = std::move(Now);
+  if (Runner)
+    Runner->setEvacuated(Evacuated);
+}
+
 bool Leadership::mayClaim() const {
   const CellPicture &Now = View.picture();
   const bool Own = Now.Leader && Now.Leader->Name == Tools.Settings.Member;
@@ -219,6 +225,7 @@
   Runner->setMembers(memberNames());
   if (Config)
     Runner->setConfiguration(*Config);
+  Runner->setEvacuated(Evacuated);
   Runner->start();
   const auto Current = Runner;
   const TimePoint Begun = Tools.Time.Now();
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -33,6 +33,8 @@
   void viewChanged();
   /// Another configuration is in force here.
   void configurationChanged(sched::ConfigurationPtr Now);
+  /// Operators want other zones empty, or none.
+  void zonesChanged(sched::EvacuatedZones Now);
   /// A call to the scheduler failed. If nothing listens at its address it is taken for gone before
   /// its lease has run out; the fence makes that safe should it live on.
   /// Stronger processes are told, since the next scheduler should be one of them.
@@ -67,6 +69,7 @@
   bool HasLooked = false; ///< Whether the first scheduler that was read of is there.
   std::shared_ptr<SchedulerRunner> Runner;
   sched::ConfigurationPtr Config; ///< In force here; null before the first.
+  sched::EvacuatedZones Evacuated;
   uint64_t CurrentLease = 0;
   bool Stopped = false;
 };
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -42,6 +42,7 @@
         {},
         {},
         "servers/",
+        "op/evacuate/",
         [](std::string_view, std::string_view) -> Result<WorkerInfo> { return Error{}; },
         Metrics,
         Burn};
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -75,7 +75,8 @@
 
 void SchedulerRunner::stop() {
   Stopped = true;
-  for (const MetricKind *Kind : {&metrics::Jobs, &metrics::Waiting, &metrics::Workers})
+  for (const MetricKind *Kind :
+       {&metrics::Jobs, &metrics::Waiting, &metrics::Workers, &metrics::ZonesEvacuated})
     Tools.Metrics.set(*Kind, 0);
   Lanes.stop();
   SaveWake.cancel();
@@ -103,6 +104,13 @@
   placeSoon();
 }
 
+void SchedulerRunner::setEvacuated(EvacuatedZones Zones) {
+  if (!evacuate(Cell, std::move(Zones)))
+    return;
+  Tools.Metrics.set(metrics::ZonesEvacuated, static_cast<double>(Cell.Evacuated.Names.size()));
+  placeSoon();
+}
+
 // Loading.
 
 Awaitable<void> SchedulerRunner::run(Self Me) {
@@ -170,8 +178,16 @@
   Result<KeyRange> Intake = co_await Tools.Store.Range(std::string(IntakePrefix), false);
   if (!ok(Intake))
     co_return error(Intake);
+  // Read in each term: the last that this process heard may be older than the claim.
+  Result<KeyRange> Evacuated = co_await Tools.Store.Range(Tools.EvacuationPrefix, false);
+  if (!ok(Evacuated))
+    co_return error(Evacuated);
   if (Stopped)
     co_return Done{};
+  EvacuatedZones Zones{{}, value(Evacuated).Revision};
+  for (const KeyValue &Item : value(Evacuated).Items)
+    Zones.Names.insert(idOf(Item.Key, Tools.EvacuationPrefix));
+  setEvacuated(std::move(Zones));
   loadWorkers(value(Listed), value(Runs));
   loadJobs(value(Intake), value(Runs));
   const Self Me = shared_from_this();
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -32,7 +32,8 @@
   KeyValueStore Store;
   WorkerLink Workers;
   AdviceLanes::AskThrough Ask;
-  std::string WorkerPrefix; ///< Keys of the platform's list of workers.
+  std::string WorkerPrefix;     ///< Keys of the platform's list of workers.
+  std::string EvacuationPrefix; ///< Keys of the zones that operators want empty.
   std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view Bytes)>
       DecodeWorker;
   CellMetrics &Metrics;
@@ -65,6 +66,8 @@
   uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
   /// What organisations may have running, from now on.
   void setConfiguration(const sched::CellConfiguration &Config);
+  /// What operators want empty, unless this term has read a newer state.
+  void setEvacuated(sched::EvacuatedZones Zones);
   std::string owner(sched::JobId Id) const { return ownerOf(Cell, Id); }
   std::string explain(sched::JobId Id) const { return explainJob(Cell, Id, Tools.Time.Now()); }
 
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -14,6 +14,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view WorkerPrefix = "servers/";
+constexpr std::string_view EvacuationPrefix = "op/evacuate/";
 
 /// A worker whose runs end when the test says so.
 struct FakeWorker {
@@ -133,6 +134,7 @@
                          workerLink(),
                          {},
                          std::string(WorkerPrefix),
+                         std::string(EvacuationPrefix),
                          [this](std::string_view Id, std::string_view Bytes) -> Result<WorkerInfo> {
                            if (Bytes != "listed")
                              return Error{ErrorKind::BadRequest, "it can't be read"};
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -22,7 +22,7 @@
 namespace metrics {
 extern const MetricKind Calls, CallSeconds, StoreSeconds, Terms, Jobs, Waiting, Starts,
     StartSeconds, Ends, RunsLost, TasksGivenUp, FirstStartSeconds, AdviceSeconds, PlaceSeconds,
-    Workers, LogLinesLeftOut, Ready;
+    Workers, ZonesEvacuated, LogLinesLeftOut, Ready;
 } // namespace metrics
 
 /// All metrics, for the catalogue.
--- a/src/include/valveshelf/cell_process.h
+++ b/src/include/valveshelf/cell_process.h
@@ -27,7 +27,7 @@
   WorkerLink Workers;
   AdviceLink Advice;
   std::string CallerKeyHeader; ///< The header field with a caller's key.
-  std::string ConfigurationKey;
+  OperatorKeys Operators;
   std::string WorkerPrefix;
   std::function<Result<sched::CellConfiguration>(std::string_view)> DecodeConfiguration;
   std::function<Result<sched::WorkerInfo>(std::string_view Id, std::string_view)> DecodeWorker;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -148,6 +148,8 @@
   TimePoint SetAsideUntil{};
   TimePoint ReportedAt{};  ///< When it was asked for its last report.
   TimePoint LeavesAt{};    ///< While it drains: it does not leave before.
+  TimePoint SlowUntil{};   ///< Since it began its life not long ago.
+  bool Evacuated = false;  ///< Operators want its availability zone empty.
   TimePoint UnlistedAt{};  ///< When it was found missing in the platform's list.
   uint32_t Trials = 0;     ///< While there is one, nothing else begins here.
   TimePoint SilentSince{}; ///< When a silence was first counted since it was heard; or 0.
@@ -274,7 +276,9 @@
   /// By name; nodes stay where they are. One that has left the configuration keeps its maximum.
   std::map<std::string, OrganisationState> Organisations;
   std::set<std::string> Services; ///< Of the newest configuration.
-  bool Configured = false;        ///< The maxima of organisations are known.
+  /// Invariant: `Worker::Evacuated` is true for the workers of these zones and no others.
+  EvacuatedZones Evacuated;
+  bool Configured = false; ///< The maxima of organisations are known.
   std::unordered_map<JobId, Job> Jobs;
   std::unordered_map<JobId, EndedJob> Ended;          ///< Saved ends only.
   std::deque<std::pair<WallTime, JobId>> Forgettable; ///< Ended jobs, oldest first.
@@ -436,8 +440,18 @@
 /// configuration is known no organisation may have anything started.
 bool isWithinQuota(const CellState &Cell, const OrganisationState *Of, const Resources &More);
 
+// Availability zones.
+
+/// Operators want these zones empty: nothing is started there any more, what is planned there is
+/// planned elsewhere, and what can go on elsewhere is moved. An older state of the store is passed
+/// over. False: nothing has changed.
+bool evacuate(CellState &Cell, EvacuatedZones Zones);
+
 // Workers.
 
+/// True if new work may go there as far as the platform and the operators are concerned: it is
+/// listed, does not leave, and nobody empties its availability zone.
+bool takesWork(const Worker &On);
 void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now);
 void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint Now);
 /// An earlier scheduler may have runs there.
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -27,7 +27,8 @@
 extern const EventKind JobAccepted, JobRefused, JobEnded, JobCancelled;
 extern const EventKind TaskStarted, TaskEnded, TaskUnknown, TaskRequeued, TaskUncertain;
 extern const EventKind WorkerLost, WorkerBack, WorkerSuspected, WorkerCleared, TaskContained;
-extern const EventKind ConfigInForce, ConfigRefused, ConfigFromPeer;
+extern const EventKind ConfigInForce, ConfigRefused, ConfigFromPeer, EvacuationBegun,
+    EvacuationOver;
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
 extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone;
--- a/src/include/valveshelf/key_value_store.h
+++ b/src/include/valveshelf/key_value_store.h
@@ -25,6 +25,13 @@
   uint64_t Lease = 0;    ///< 0: none.
 };
 
+/// Where operators write what they ask for.
+struct OperatorKeys {
+  std::string Prefix;        ///< Of all of it.
+  std::string Configuration; ///< The key of the configuration.
+  std::string Evacuations;   ///< A key under it for each availability zone to be left empty.
+};
+
 /// What stood under a prefix. Pages of a large range are not one snapshot; a watch that goes on
 /// from `Revision`, which is that of the first page, misses nothing.
 struct KeyRange {
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -182,6 +183,14 @@
   Resources Capacity;
   bool Draining = false;    ///< It leaves soon and takes nothing new,
   Milliseconds TimeLeft{0}; ///< though not before this time from when it was read.
+  Milliseconds SlowFor{0};  ///< It has begun its life and is slow for so long from then.
+};
+
+/// The availability zones that operators have asked to be left empty, as the store had them at a
+/// revision.
+struct EvacuatedZones {
+  std::set<std::string> Names;
+  uint64_t AsOf = 0; ///< The store's revision; 0: nothing is known.
 };
 
 /// A run that a worker holds.
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -38,6 +38,7 @@
   int64_t OtherService = 0;
   int64_t Silent = 0;
   int64_t Leaving = 0;
+  int64_t Evacuated = 0;
   int64_t SetAside = 0;
   int64_t OnTrial = 0;
   int64_t AdvisedAgainst = 0;
@@ -51,6 +52,8 @@
       ++Silent;
     else if (!On.Listed || On.Info.Draining)
       ++Leaving;
+    else if (On.Evacuated)
+      ++Evacuated;
     else if (On.SetAsideUntil > Now)
       ++SetAside;
     else if (On.Trials > 0)
@@ -67,6 +70,7 @@
   return {{"of_another_service", OtherService},
           {"silent", Silent},
           {"leaving", Leaving},
+          {"in_an_evacuated_zone", Evacuated},
           {"set_aside", SetAside},
           {"with_a_run_that_begins_apart", OnTrial},
           {"advice_not_asked", NotAsked},
--- /dev/null
+++ b/src/scheduler/evacuation.cpp
@@ -0,0 +1,19 @@
+// SPDX-License-Identifier: Apache-2.0
+// Availability zones that operators want empty.
+#include "valveshelf/cell_state.h"
+
+namespace valveshelf::sched {
+
+bool evacuate(CellState &Cell, EvacuatedZones Zones) {
+  if (Zones.AsOf < Cell.Evacuated.AsOf)
+    return false;
+  const bool Changed = Zones.Names != Cell.Evacuated.Names;
+  Cell.Evacuated = std::move(Zones);
+  for (auto &[Id, On] : Cell.Workers)
+    On.Evacuated = Cell.Evacuated.Names.count(On.Info.Zone) > 0;
+  return Changed;
+}
+
+bool takesWork(const Worker &On) { return On.Listed && !On.Info.Draining && !On.Evacuated; }
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/evacuation_test.cpp
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: Apache-2.0
+// Availability zones that operators want empty, and workers that are slow from their start.
+#include "replay/placement_scene.h"
+#include "valveshelf/cell_records.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+WorkerInfo workerIn(const std::string &Id, const std::string &Zone) {
+  WorkerInfo Info;
+  Info.Id = Id;
+  Info.Service = "pool";
+  Info.Zone = Zone;
+  Info.Capacity = WorkerSize;
+  return Info;
+}
+
+// "a1" stands in zone "a"; further workers are added by the tests.
+struct TwoZones : PlacementScene {
+  TwoZones() : PlacementScene(0) { addIn("a1", "a"); }
+  void addIn(const std::string &Id, const std::string &Zone) {
+    workerListed(Cell, workerIn(Id, Zone), Now);
+    Cell.Workers.at(Id).Saved = true;
+    Effects Out;
+    workerReported(Cell, Id, {}, Now, Now, Out);
+  }
+  bool empty(std::set<std::string> Zones) { return evacuate(Cell, {std::move(Zones), ++Revision}); }
+  uint64_t Revision = 10;
+};
+
+TEST(Evacuation, NothingIsStartedInTheZoneUntilTheRequestIsTakenBack) {
+  TwoZones Given;
+  Given.addIn("b1", "b");
+  EXPECT_TRUE(Given.empty({"a"}));
+  const JobId Job = Given.submit(0, tasks(10, 10000, 1s), 100);
+  const Effects Out = Given.pass();
+  EXPECT_EQ(Out.Starts.size(), 6u) << "the others find no room";
+  for (const Effects::Start &Order : Out.Starts)
+    EXPECT_EQ(Order.Worker, "b1");
+  EXPECT_NE(explainJob(Given.Cell, Job, Given.Now).find("\"in_an_evacuated_zone\":1"),
+            std::string::npos);
+  EXPECT_TRUE(Given.empty({}));
+  EXPECT_EQ(Given.pass(100ms).Starts.size(), 4u);
+}
+
+TEST(Evacuation, AWorkerThatComesLaterBelongsToTheZone) {
+  TwoZones Given;
+  Given.empty({"a"});
+  Given.addIn("a2", "a");
+  Given.submit(0, tasks(1, 1000, 1s), 100);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+}
+
+TEST(Evacuation, AnOlderStateOfTheStoreIsPassedOver) {
+  TwoZones Given;
+  Given.empty({"a"});
+  EXPECT_FALSE(evacuate(Given.Cell, {{}, 5}));
+  EXPECT_TRUE(Given.Cell.Workers.at("a1").Evacuated);
+  EXPECT_FALSE(Given.empty({"a"})) << "the same once more";
+}
+
+TEST(Evacuation, WhatIsOnlyPlannedThereIsDropped) {
+  TwoZones Given;
+  const StepKey Step{Given.submit(1, tasks(2, 10000, 1s), 100, true), 0, 0};
+  Given.pass();
+  // Advice is for the worker, and its ticket has run out: the room is held while one is asked for.
+  adviceAnswered(Given.Cell, Step, {"a1"}, {{"a1", "old"}}, 0ms, Given.Now);
+  Given.pass();
+  ASSERT_EQ(Given.Cell.Workers.at("a1").Planned.MilliCores, 20000);
+  Given.empty({"a"});
+  EXPECT_TRUE(Given.pass(100ms).Starts.empty());
+  EXPECT_EQ(Given.Cell.Workers.at("a1").Planned, Resources{});
+}
+
+TEST(Evacuation, AGangIsPlannedElsewhere) {
+  TwoZones Given;
+  Given.addIn("b1", "b");
+  StepSpec Gang = tasks(6, 10000, 1s);
+  Gang.Gang = true;
+  Given.empty({"a"});
+  Given.submit(1, Gang, 100);
+  const Effects Out = Given.pass();
+  ASSERT_EQ(Out.Starts.size(), 6u);
+  for (const Effects::Start &Order : Out.Starts)
+    EXPECT_EQ(Order.Worker, "b1");
+}
+
+// A second order would be a start in the zone, long after the request.
+TEST(Evacuation, AnOrderWithoutAnAnswerIsNotRepeatedThere) {
+  TwoZones Given;
+  Given.submit(0, tasks(1, 1000, 1s), 100);
+  Effects Out;
+  Given.Now += 1ms;
+  place(Given.Cell, Given.Now, Out);
+  ASSERT_EQ(Out.Starts.size(), 1u);
+  Given.empty({"a"});
+  Effects After;
+  startAnswered(Given.Cell, "a1", Out.Starts.front().Run, StartResult::Unknown, Given.Now, After);
+  EXPECT_TRUE(After.Starts.empty());
+  EXPECT_EQ(After.Stops.size(), 1u);
+}
+
+// One task at work in the zone, and room outside it.
+struct WorkInZone : TwoZones {
+  explicit WorkInZone(StepSpec Step) {
+    submit(1, std::move(Step), 1000);
+    pass();
+    addIn("b1", "b");
+    Now += 200ms;
+    empty({"a"});
+  }
+};
+
+TEST(Evacuation, WorkThatSavesIsMovedAndWhatEndsSoonStays) {
+  EXPECT_EQ(WorkInZone(tasks(1, 20000, 8s, true)).pass().Stops.size(), 1u);
+  EXPECT_TRUE(WorkInZone(tasks(1, 20000, 1s, true)).pass().Stops.empty());
+  EXPECT_TRUE(WorkInZone(tasks(1, 20000, 8s, false)).pass().Stops.empty());
+}
+
+TEST(Evacuation, ALastingTaskHasItsNewPlaceBeforeItIsStopped) {
+  StepSpec Lasting = tasks(1, 20000, 500ms);
+  Lasting.Lasting = true;
+  WorkInZone Given(Lasting);
+  const Effects Moved = Given.pass();
+  ASSERT_EQ(Moved.Stops.size(), 1u);
+  EXPECT_EQ(Moved.Stops.front().Why, "its availability zone is emptied");
+  WorkInZone Alone(Lasting);
+  Effects Out;
+  workerOver(Alone.Cell, "b1", Alone.Now, Out);
+  EXPECT_TRUE(Alone.pass().Stops.empty()) << "no place elsewhere";
+}
+
+TEST(Evacuation, MoreWorkersAreWishedForOutsideTheZone) {
+  TwoZones Given;
+  for (int I = 0; I < 300; ++I)
+    workerListed(Given.Cell, workerIn((I % 2 ? "a-" : "b-") + std::to_string(I), I % 2 ? "a" : "b"),
+                 Given.Now);
+  Given.empty({"a"});
+  Effects Out;
+  for (int I = 0; I < 5; ++I)
+    tick(Given.Cell, Given.Now, WallTime(1000s), Out);
+  for (const auto &[Id, On] : Given.Cell.Workers)
+    EXPECT_EQ(On.Wanted, On.Info.Zone == "b") << Id;
+}
+
+// A caller waits for the slowest task of a step.
+TEST(SlowStarts, AWorkerThatIsStillSlowIsTakenLast) {
+  TwoZones Given;
+  WorkerInfo Fresh = workerIn("fresh", "a");
+  Fresh.SlowFor = 3s;
+  workerListed(Given.Cell, Fresh, Given.Now);
+  Given.Cell.Workers.at("fresh").Saved = true;
+  Effects Out;
+  workerReported(Given.Cell, "fresh", {}, Given.Now, Given.Now, Out);
+  Given.submit(0, tasks(6, 10000, 1s), 100); // spread over both, if nothing speaks against it
+  for (const Effects::Start &Order : Given.pass().Starts)
+    EXPECT_EQ(Order.Worker, "a1");
+  Given.submit(0, tasks(1, 10000, 1s), 100);
+  const auto Beyond = Given.pass().Starts;
+  ASSERT_EQ(Beyond.size(), 1u) << "better late than not at all";
+  EXPECT_EQ(Beyond.front().Worker, "fresh");
+  Given.Now += 3s;
+  Given.submit(0, tasks(1, 10000, 1s), 100);
+  const auto Later = Given.pass().Starts;
+  ASSERT_EQ(Later.size(), 1u);
+  EXPECT_EQ(Later.front().Worker, "fresh") << "it has most room now";
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/leaving.cpp
+++ b/src/scheduler/leaving.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// Work on workers that leave goes on elsewhere, if there is a place for it.
+// Work on workers that leave, or whose availability zone is emptied, goes on elsewhere if there is
+// a place for it.
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -34,8 +35,12 @@
     return false;
   if (Spec.Lasting)
     return Spec.MayMiss == 0 || notAtWork(Step) < Spec.MayMiss;
+  if (!Spec.Checkpoints)
+    return false;
   const Milliseconds Left = What.Estimate * (100 - What.Percent) / 100;
-  return Spec.Checkpoints && In.Now + Left > On.LeavesAt;
+  // Nobody says when a zone that is emptied goes: what would take longer to move than to end stays.
+  return On.Info.Draining || !On.Evacuated ? In.Now + Left > On.LeavesAt
+                                           : Left > In.Cell.Limits.YieldMargin;
 }
 
 // A place for a run that is to be moved, ready to be taken. Advice and tickets that are missing are
@@ -53,7 +58,7 @@
 
 bool isLeaving(const Pass &In, const Worker &On) {
   const bool Missing = !On.Listed && In.Now - On.UnlistedAt > MissingTime;
-  return On.Heard && On.Answers && (On.Info.Draining || Missing);
+  return On.Heard && On.Answers && (On.Info.Draining || On.Evacuated || Missing);
 }
 
 void moveIfNeeded(Pass &In, Worker &On, const RunKey &Run) {
@@ -63,7 +68,9 @@
     return;
   const Job &Of = In.Cell.Jobs.at(Step->Key.Job);
   if (Of.Phase == JobPhase::Live && hasPlaceElsewhere(In, Of, *Step, Step->Tasks[Run.Task.Index]))
-    stopAttempt(In.Cell, On, Run, "its worker leaves", In.Now, In.Out);
+    stopAttempt(In.Cell, On, Run,
+                On.Evacuated ? "its availability zone is emptied" : "its worker leaves", In.Now,
+                In.Out);
 }
 } // namespace
 
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -14,6 +14,8 @@
 // Above what a far rack and an earlier failure add up to: on a worker where others are beginning a
 // task that begins apart has to wait for them.
 constexpr int NotQuietPenalty = 4;
+// Below a far rack, which is slower than a worker that has just begun its life is for a while.
+constexpr int SlowPenalty = 1;
 } // namespace
 
 bool hasLabel(const WorkerInfo &Info, const std::string &Label) {
@@ -22,7 +24,7 @@
 }
 
 bool isSound(const Pass &In, const Worker &On, const Job &Of, const StepState &Step) {
-  return On.Heard && On.Saved && On.Listed && On.Answers && !On.Full && !On.Info.Draining &&
+  return On.Heard && On.Saved && takesWork(On) && On.Answers && !On.Full &&
          On.SetAsideUntil <= In.Now && On.Info.Service == Of.Spec->Service &&
          hasLabel(On.Info, Step.Spec->RequiredLabel);
 }
@@ -53,7 +55,7 @@
     return true; // nothing is known of urgent tasks yet
   int64_t Seats = 0;
   for (const Worker *On : Cell.Slots) {
-    if (On && On->Heard && On->Listed && On->Answers && !On->Info.Draining)
+    if (On && On->Heard && On->Answers && takesWork(*On))
       Seats += timesFits(Need, On->Info.Capacity - On->Booked - On->Planned, Wanted);
     if (Seats >= Wanted)
       return false;
@@ -64,7 +66,7 @@
 Resources mostFree(const CellState &Cell) {
   Resources Most;
   for (const Worker *On : Cell.Slots)
-    if (On && On->Heard)
+    if (On && On->Heard && !On->Evacuated)
       Most = largest(Most, On->Info.Capacity - On->Booked - On->Planned - On->Claimed);
   return Most;
 }
@@ -185,6 +187,8 @@
   const bool Far = !Step.Spec->NearRack.empty() && On.Info.Rack != Step.Spec->NearRack;
   Value.Penalty += Far ? 2 : 0;
   Value.Penalty += Task.FailedOn == &On ? 1 : 0;
+  // A caller waits for the slowest task: a worker that is still slow is taken when no other is.
+  Value.Penalty += On.SlowUntil > In.Now ? SlowPenalty : 0;
   // What may crash its worker goes where it can begin at once and takes least with it.
   const bool Apart = beginsApart(Step, Task);
   Value.Penalty += Apart && !isQuiet(On) ? NotQuietPenalty : 0;
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 // Random days for the scheduler's decisions: lost and late orders, lost answers, workers that die
 // or are cut off, saves without an answer, takeovers with the old scheduler still talking, and, if
-// asked for, tasks that crash the workers that begin them and workers whose capacity changes. The
+// asked for, tasks that crash the workers that begin them and workers whose capacity changes, or
+// availability zones that are to be left empty. The
 // world's own records judge every start. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED change
 // length and seed; VALVESHELF_FUZZ_TRACE=JOB prints what is counted against that job's tasks.
 #include "standins/worker_model.h"
@@ -60,10 +61,18 @@
 };
 using ProcessPtr = std::shared_ptr<Process>;
 
+/// What comes beside the troubles of every world.
+enum class Beside {
+  Nothing,
+  Crashes,     ///< Tasks crash their workers, whose capacity changes.
+  Evacuations, ///< Availability zones are to be left empty for a while.
+};
+
 class World {
 public:
-  explicit World(uint64_t Seed, bool IsHarsh = false)
-      : Random(Seed), Luck(Seed + 1), IsHarsh(IsHarsh), StopTime(Seed % 2 ? 50 : 900) {
+  explicit World(uint64_t Seed, Beside With = Beside::Nothing)
+      : Random(Seed), Luck(Seed + 1), IsHarsh(With == Beside::Crashes),
+        Evacuates(With == Beside::Evacuations), StopTime(Seed % 2 ? 50 : 900) {
     for (int I = 0; I < 6; ++I)
       addBox("r" + std::to_string(I / 3));
     changeQuota();
@@ -81,6 +90,11 @@
     for (int64_t I = 0; I < Count && Breaks.empty(); ++I)
       step(true);
     Calm = true;
+    if (Evacuates) { // what no zone has room for waits until it is taken back
+      EmptySince.clear();
+      Zones = {{}, ++Revision};
+      evacuate(Current->Cell, Zones);
+    }
     // Everything that was accepted ends once the troubles are over.
     for (int I = 0; I < 400000 && Breaks.empty() && unfinished() > 0; ++I) {
       // Now and then a new box: advice may have been against all the others.
@@ -113,6 +127,7 @@
       Made->Info.Address = InPlaceOf->Info.Address;
     }
     Made->Info.Rack = Rack;
+    Made->Info.Zone = "z" + std::to_string(LastBox % 3);
     Made->Info.Labels = {LastBox % 2 ? "a" : "b", Rack};
     Made->Info.Capacity = {8000, 8000, 0};
     Made->Model.Id = Id;
@@ -142,6 +157,33 @@
 
   const StepSpec &specOf(const StepKey &Key) { return Store.at(Key.Job).Spec->Steps.at(Key.Step); }
 
+  // Operators want one zone empty, or take that back. Schedulers hear of it a little later.
+  void changeZones() {
+    EvacuatedZones Next{{}, ++Revision};
+    const int64_t Which = std::uniform_int_distribution<int64_t>(0, 5)(Luck);
+    if (Which < 3)
+      Next.Names.insert("z" + std::to_string(Which));
+    for (const std::string &Zone : Next.Names)
+      EmptySince.try_emplace(Zone, Now);
+    std::erase_if(EmptySince, [&](const auto &Entry) { return !Next.Names.count(Entry.first); });
+    Zones = Next;
+    constexpr int64_t MostUntilHeard = 400;
+    for (const ProcessPtr &Of : {Current, Previous})
+      if (Of)
+        after(Milliseconds(std::uniform_int_distribution<int64_t>(0, MostUntilHeard)(Luck)),
+              [Of, Next] { evacuate(Of->Cell, Next); });
+  }
+
+  // An order, as it leaves its scheduler; it may be carried out long after.
+  void judgeOrder(const Effects::Start &Order) {
+    constexpr Milliseconds HeardWithin{450};
+    const auto To = Boxes.find(Order.Worker);
+    const auto Empty =
+        To == Boxes.end() ? EmptySince.end() : EmptySince.find(To->second->Info.Zone);
+    if (Empty != EmptySince.end() && Now - Empty->second > HeardWithin)
+      broken("EVAC", Order.Run);
+  }
+
   // The rules, from the world's own records.
   void judgeStart(Box &On, const RunKey &Run) {
     ++Starts;
@@ -399,6 +441,7 @@
     if (Found == Boxes.end())
       return;
     const auto To = Found->second;
+    judgeOrder(Order);
     workerLeased(Of->Cell, Order.Worker, leaseEnd());
     const standins::StartOrderSeen Seen{
         Order.Run, Of->Cell.Fence, workerTime(*Of, Order.Worker) + WorkerLease, Order.Checkpoint};
@@ -660,6 +703,7 @@
           restoreStep(Cell, Key, Tasks);
       }
     configured(Cell, configuration());
+    evacuate(Cell, Zones);
     Effects Out;
     finishLoading(Cell, steady(), Out);
     for (const auto &[Id, Row] : Store)
@@ -768,6 +812,8 @@
         takeOver();
       if (IsHarsh && std::uniform_real_distribution<>(0, 1)(Luck) < 0.002)
         resizeOne();
+      if (Evacuates && std::uniform_real_distribution<>(0, 1)(Luck) < 0.002)
+        changeZones();
     }
     if (Current->Over && !Pending) {
       Pending = true;
@@ -865,6 +911,7 @@
   std::mt19937_64 Random;
   std::mt19937_64 Luck; ///< Of crashes.
   const bool IsHarsh;
+  const bool Evacuates;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool Calm = false;
@@ -879,6 +926,8 @@
   int LastBox = 0;
   ProcessPtr Current;
   ProcessPtr Previous;
+  EvacuatedZones Zones;                           ///< As the store has them,
+  std::map<std::string, Milliseconds> EmptySince; ///< and since when each of them is.
   /// By organisation: what it may have running of each kind, and until when a scheduler may go by
   /// it.
   std::map<std::string, std::vector<std::pair<Milliseconds, int64_t>>> Maxima;
@@ -902,18 +951,18 @@
   int64_t Worlds = 0, Broken = 0;
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0;
 
-  Series(int64_t UsualEvents, bool IsHarsh) {
+  Series(int64_t UsualEvents, Beside With) {
     Events = Events == 0 ? UsualEvents : Events;
     const int64_t First = fromEnvironment("VALVESHELF_FUZZ_SEED", 1);
     for (; Worlds * EventsPerWorld < Events; ++Worlds)
-      play(static_cast<uint64_t>(First + Worlds), IsHarsh);
+      play(static_cast<uint64_t>(First + Worlds), With);
     std::cout << Broken << " of " << Worlds << " worlds broke, " << Events << " events, " << Starts
               << " starts, " << Takeovers << " takeovers, " << Crashes << " crashes, " << GivenUp
               << " jobs given up\n";
   }
 
-  void play(uint64_t Seed, bool IsHarsh) {
-    World One(Seed, IsHarsh);
+  void play(uint64_t Seed, Beside With) {
+    World One(Seed, With);
     One.play(EventsPerWorld);
     Starts += One.Starts;
     Takeovers += One.Takeovers;
@@ -925,15 +974,20 @@
 };
 
 TEST(SchedulerFuzz, HoldsItsPromisesInRandomTrouble) {
-  const Series Played(400000, false);
+  const Series Played(400000, Beside::Nothing);
   EXPECT_GT(Played.Starts, Played.Events / 200);
 }
 
 TEST(SchedulerFuzz, GivesUpTasksThatCrashTheirWorkersAndNoOthers) {
-  const Series Played(200000, true);
+  const Series Played(200000, Beside::Crashes);
   EXPECT_GT(Played.GivenUp, Played.Events / 20000);
 }
 
+TEST(SchedulerFuzz, StartsNothingInZonesThatAreToBeLeftEmpty) {
+  const Series Played(200000, Beside::Evacuations);
+  EXPECT_GT(Played.Starts, Played.Events / 200);
+}
+
 TEST(SchedulerFuzz, SeedsThatFailedOnce) {
   // 5790: a worker died under a planned gang; the rest of the plan stayed booked for ever.
   for (const uint64_t Seed : {5790U}) {
@@ -948,7 +1002,7 @@
 // known.
 TEST(SchedulerFuzz, SeedsThatGiveUpASoundGang) {
   for (const uint64_t Seed : {5023U, 6078U}) {
-    World One(Seed, true);
+    World One(Seed, Beside::Crashes);
     One.play(20000);
     EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
   }
@@ -958,7 +1012,7 @@
 // worlds are 300 ms apart, and their estimates say nothing of the work.
 TEST(SchedulerFuzz, SeedsThatCountRunsWhoseEndsWereUnheard) {
   for (const uint64_t Seed : {532U, 100213U, 100301U, 200461U, 400350U, 720015U}) {
-    World One(Seed, true);
+    World One(Seed, Beside::Crashes);
     One.play(20000);
     EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
   }
@@ -968,7 +1022,7 @@
 // nothing of a task is kept, so that both count for nothing.
 TEST(SchedulerFuzz, SeedsThatLoseTwoFirstCrashesToTakeovers) {
   for (const uint64_t Seed : {589U, 100534U, 300047U, 400275U}) {
-    World One(Seed, true);
+    World One(Seed, Beside::Crashes);
     One.play(20000);
     EXPECT_TRUE(One.Breaks.empty()) << "seed " << Seed << ": " << One.Breaks.front();
   }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -337,6 +337,8 @@
   On.Info = Info;
   On.Listed = true;
   On.LeavesAt = Now + Info.TimeLeft;
+  On.SlowUntil = Now + Info.SlowFor;
+  On.Evacuated = Cell.Evacuated.Names.count(Info.Zone) > 0;
   if (New)
     On.LeaseEnd = Now;
 }
@@ -427,7 +429,10 @@
       Cell.Jobs.at(Run.Task.Step.Job).Begun = true;
     return;
   }
-  if (What == StartResult::Unknown && Which.Sends < MaxSends && findStep(Cell, Run.Task.Step)) {
+  // Not again to a worker that is to be left empty by now; what the first order did is found out by
+  // a stop.
+  if (What == StartResult::Unknown && Which.Sends < MaxSends && takesWork(*On) &&
+      findStep(Cell, Run.Task.Step)) {
     setPhase(Cell, *On, Run, AttemptPhase::Uncertain, Now);
     return sendAgain(Cell, *On, Run, Which, Out);
   }
@@ -542,7 +547,7 @@
   uint32_t Spare = 0;
   uint32_t Coming = 0; // wanted, and not ready yet
   for (const auto &[Id, On] : Cell.Workers) {
-    const bool Usable = On.Wanted && On.Listed && !On.Info.Draining;
+    const bool Usable = On.Wanted && takesWork(On);
     Spare += Usable && On.Attempts.empty() ? 1 : 0;
     Coming += Usable && On.Answers && (!On.Heard || !On.Saved) ? 1 : 0;
   }
@@ -553,7 +558,7 @@
   Missing = std::min(Missing, Cell.Limits.MoreWorkers);
   for (auto At = Cell.Workers.begin(); At != Cell.Workers.end() && Missing > 0; ++At) {
     Worker &On = At->second;
-    if (On.Wanted || !On.Listed || On.Info.Draining || !hasWorkFor(Cell, On.Info))
+    if (On.Wanted || !takesWork(On) || !hasWorkFor(Cell, On.Info))
       continue;
     On.Wanted = Out.Wants = true;
     --Missing;
--- a/src/valveshelf/serve_command.cpp
+++ b/src/valveshelf/serve_command.cpp
@@ -35,7 +35,8 @@
   From.Workers = platform::openWorkers(Client);
   From.Advice = platform::openAdvice(Client, Settings.Advice);
   From.CallerKeyHeader = platform::CallerKeyHeader;
-  From.ConfigurationKey = platform::ConfigurationKey;
+  From.Operators = {std::string(platform::OperatorPrefix), std::string(platform::ConfigurationKey),
+                    std::string(platform::EvacuationPrefix)};
   From.WorkerPrefix = platform::WorkerPrefix;
   From.DecodeConfiguration = platform::decodeConfiguration;
   From.DecodeWorker = platform::decodeWorker;
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -31,6 +31,8 @@
 constexpr int StartsTooMany = 3;
 // So many crashes under a task allow its job to be given up.
 constexpr int CrashesForGivingUp = 2;
+// That a zone is to be left empty has to be heard of within this time.
+constexpr Milliseconds EmptyHeardWithin{1000};
 // That a capacity has shrunk has to be heard of within this time: a time out and a check-in.
 constexpr Milliseconds ShrunkHeardWithin{4500};
 constexpr Resources WholeCapacity{16000, 32768, 0};
@@ -257,6 +259,7 @@
   WorkerModel Model;
   std::string Address;
   std::string Rack;
+  std::string Zone;
   Resources Capacity;
   Resources Before;         ///< It counts as the capacity
   TimePoint BeforeCounts{}; ///< until then.
@@ -275,6 +278,7 @@
       auto Made = std::make_shared<Seat>();
       Made->Address = Host + ":" + std::to_string(FirstPort + I);
       Made->Rack = "r" + std::to_string(I / 3);
+      Made->Zone = "z" + std::to_string(1 + I % 2);
       Made->Capacity = WholeCapacity;
       beginLife(*Made);
       Seats.push_back(Made);
@@ -298,6 +302,18 @@
       list(Of);
   }
 
+  // Operators want the zone empty, or take that back.
+  void evacuate(const std::string &Zone, bool Begins) {
+    const std::string Key = "op/evacuate/" + Zone;
+    if (Begins) {
+      Store.put(Key, base64Of("{}"), 0);
+      EmptySince[Zone] = Steady::now();
+    } else {
+      Store.remove(Key);
+      EmptySince.erase(Zone);
+    }
+  }
+
   // Entries that name no worker to use, at the address of one; `handle` sees a call meant for them.
   void addForeignEntries() {
     const std::string Address = Seats.front()->Address;
@@ -358,7 +374,7 @@
   void list(const Seat &Of) {
     const json::object Entry{{"service", "pool"},
                              {"address", Of.Address},
-                             {"zone", "z1"},
+                             {"zone", Of.Zone},
                              {"version", "v1"},
                              {"state", Of.Draining ? "draining" : "ready"},
                              {"machine", "m-" + Of.Address},
@@ -475,6 +491,9 @@
     const Known *Step = knownStep(Run.Task.Step);
     if (!Step)
       return broken("unknown job", Run);
+    const auto Empty = EmptySince.find(On.Zone);
+    if (Empty != EmptySince.end() && Steady::now() - Empty->second > EmptyHeardWithin)
+      broken("started in a zone that is to be left empty", Run);
     Resources Sum;
     for (const auto &[Key, What] : On.Model.Runs)
       if (const Known *Other = knownStep(Key.Task.Step))
@@ -634,6 +653,7 @@
   KeyStore &Store;
   const TimePoint Begun;
   int LastLife = 0;
+  std::map<std::string, TimePoint> EmptySince; ///< Zones to be left empty.
   std::map<JobId, std::vector<Known>> Jobs;
   std::set<valveshelf::sched::TaskKey> Done;
   std::set<valveshelf::sched::TaskKey> NotedDone;
@@ -652,6 +672,8 @@
     Store.LoseRemoves = numberOf(Body, "lose_removes");
   if (Body.contains("configuration"))
     Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
+  if (Body.contains("evacuate"))
+    Workers.evacuate(textOf(Body, "evacuate"), numberOf(Body, "begins", 1) != 0);
   if (Body.contains("foreign_entries"))
     Workers.addForeignEntries();
   if (Body.contains("capacity_of")) {
