A process with little to call for is ready and served; a lost watch reads no list again

Since watches may be held for 15 s, boxes that had nothing to call for took the store for away after 3 s. Readiness and "the store serves me" now go by calls that failed, not by calls that were not made. A watch without an answer read the whole list again, 20 pages and some megabytes at 10,000 workers, just when answers were late; it goes on from where it was, which misses nothing. Only a history that is gone, and answers that stay empty, are a reason to read. Tests: StorePath.AProcessThatHasNothingToCallForIsServed; Histories (3): a history that is forgotten early, by each watcher.

--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -17,10 +17,10 @@
 using namespace sched;
 
 namespace {
-// Without an answer of the store for so long, new connections are better off elsewhere.
+// When calls to the store have failed for so long, new connections are better off elsewhere.
 constexpr Milliseconds StoreSilence{3000};
 // A store that has answered within this time is there.
-constexpr Milliseconds AnswersNow{400};
+constexpr Milliseconds AnswersNow{700};
 // The balancer needs two missed probes, a second apart, to send new connections elsewhere.
 constexpr Milliseconds LeaveTime{2600};
 // Kept back from the time for a planned stop, so that the process ends before it is killed.
@@ -431,8 +431,7 @@
   }
 
   Awaitable<void> serveReadiness(HttpExchange &Exchange) {
-    const bool Ready =
-        !Stopping && Config.current() && Time.Now() - Path.lastAnswer() < StoreSilence;
+    const bool Ready = !Stopping && Config.current() && Path.failingFor() < StoreSilence;
     if (Ready != WasReady)
       logEvent(
           Ready ? events::BecameReady : events::BecameUnready,
--- /dev/null
+++ b/src/cell/histories_test.cpp
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+// A store that forgets its history early: whoever watches reads what stands and goes on from there,
+// also what has gone meanwhile.
+#include "cell/cell_view.h"
+#include "cell/config_watch.h"
+#include "cell/member_list.h"
+
+#include "fakes/fake_key_value_store.h"
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+using namespace sched;
+using namespace std::chrono_literals;
+
+struct Watched {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store{Io};
+  CellSettings Settings;
+  Watched() {
+    Settings.Member = "a";
+    Settings.Timing.WatchTime = 50ms;
+  }
+  void play(Milliseconds Time) {
+    Io.restart();
+    Io.run_for(Time);
+  }
+  // Changes are made while no watch hears of them, and their history is gone.
+  template <class Change> void changeUnheard(Change Make) {
+    Store.Down = true;
+    play(100ms);
+    Make();
+    Store.ForgottenWatches = 1;
+    Store.Down = false;
+    play(600ms);
+  }
+};
+
+TEST(Histories, TheViewOfTheCellIsReadAgain) {
+  Watched Given;
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"b", {"127.0.0.1", 2}, 3}), 0);
+  CellView View(Given.Io.get_executor(), Given.Store.ops(), Given.Settings, [] {});
+  View.start();
+  Given.play(30ms);
+  ASSERT_EQ(View.picture().Leader->Term, 3u);
+  Given.changeUnheard([&] { Given.Store.remove(std::string(LeaderKey)); });
+  EXPECT_FALSE(View.picture().Leader);
+  View.stop();
+  Given.play(2s);
+}
+
+TEST(Histories, TheListOfMembersIsReadAgain) {
+  Watched Given;
+  for (const char *Name : {"a", "b"})
+    Given.Store.put(memberKey(Name), encodeMember({Name, {"127.0.0.1", 2}, "z", 1}), 0);
+  Roster Standing;
+  auto List = std::make_shared<MemberList>(
+      Given.Io.get_executor(), Given.Store.ops(), Given.Settings, 0,
+      MemberList::Links{[] {}, [&]() -> const Roster & { return Standing; }});
+  List->start();
+  Given.play(30ms);
+  ASSERT_EQ(List->members().size(), 2u);
+  Given.changeUnheard([&] { Given.Store.remove(memberKey("b")); });
+  EXPECT_EQ(List->members().size(), 1u);
+  List->stop();
+  Given.play(1s);
+}
+
+TEST(Histories, WhatOperatorsAskForIsReadAgain) {
+  Watched Given;
+  Given.Store.put("op/evacuate/z1", "{}", 0);
+  ConfigLinks Links;
+  Links.AskPeer = [](Endpoint, uint64_t) -> Awaitable<Result<PeerConfiguration>> {
+    co_return Error{ErrorKind::UpstreamCut, "silent"};
+  };
+  Links.Peers = [] { return std::vector<Endpoint>(); };
+  Links.Schedules = [] { return false; };
+  Links.WatchTime = [] { return Milliseconds(50); };
+  Links.Changed = Links.ZonesChanged = [] {};
+  ConfigWatch Watch(
+      Given.Io.get_executor(), Clock{}, Given.Store.ops(), Given.Settings,
+      {"op/", "op/config", "op/evacuate/"},
+      [](std::string_view) -> Result<CellConfiguration> { return CellConfiguration{}; }, Links);
+  Watch.start();
+  Given.play(30ms);
+  ASSERT_EQ(Watch.evacuated().Names.size(), 1u);
+  Given.changeUnheard([&] { Given.Store.remove("op/evacuate/z1"); });
+  EXPECT_TRUE(Watch.evacuated().Names.empty());
+  Watch.stop();
+  Given.play(1s);
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/cell/scheduler_fleet.cpp
+++ b/src/cell/scheduler_fleet.cpp
@@ -81,16 +81,21 @@
         co_await Me->Tools.Store.Watch(Me->Tools.WorkerPrefix, Me->WorkersRevision, Wait);
     if (Me->Stopped)
       co_return;
-    Empty = ok(Read) && value(Read).Changes.empty() ? Empty + 1 : 0;
-    if (ok(Read) && Empty < MostEmptyWatches) {
+    if (ok(Read)) {
+      Empty = value(Read).Changes.empty() ? Empty + 1 : 0;
       Me->takeWorkerChanges(value(Read), SentAt, Wait);
       if (!value(Read).Changes.empty())
         co_await sleepFor(WorkerGather);
+    } else if (error(Read).Kind != ErrorKind::NotFound) {
+      // The next watch goes on from where this one would have. To read a long list again just then
+      // would add to the load under which the answer was lost.
+      co_await sleepFor(RetryPause);
       continue;
     }
+    if (ok(Read) && Empty < MostEmptyWatches)
+      continue;
     Empty = 0;
-    Result<Done> Again = co_await Me->rereadWorkers();
-    if (!ok(Again))
+    if (!ok(co_await Me->rereadWorkers()))
       co_await sleepFor(RetryPause);
   }
 }
@@ -113,6 +118,8 @@
 
 // Notes the change in the log as well.
 bool SchedulerRunner::isFleetBehind() {
+  if (!Cell.Loaded)
+    return false;
   const TimePoint Now = Tools.Time.Now();
   const bool Behind = isListBehind(WorkersAge, Tools.StoreAnswers(), Now);
   if (Behind != WorkersAge.IsBehind) {
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -284,7 +284,10 @@
         co_await sleepFor(IntakeGather);
       continue;
     }
-    // What a cut watch may have missed is read; the history may be gone as well.
+    if (error(Read).Kind != ErrorKind::NotFound) {
+      co_await sleepFor(RetryPause);
+      continue; // the next one goes on from where this one would have
+    }
     Result<uint64_t> Again = co_await Me->rereadIntake();
     if (ok(Again))
       From = value(Again);
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -34,7 +34,8 @@
 // When none of them is served either, calls fail at once for this time. Each of hundreds of boxes
 // would otherwise turn a call that the store refuses for its rate into four.
 constexpr Milliseconds DetourPause{250};
-// The store serves this process straight if it has answered it within this time.
+// After a call that failed the store still serves this process if it has answered it within this
+// time. Without any it does: a process of a large fleet has little to call for.
 constexpr Milliseconds FreshEnough{2500};
 // Callers' budgets are a few seconds: one that is told a longer time does not come again.
 constexpr std::chrono::seconds LeastRetryAfter{1};
@@ -69,6 +70,15 @@
   return Fails || (!Out.empty() && Now - Out.begin()->first > Silence);
 }
 
+Steady::duration StorePath::failingFor() const {
+  return FirstFailure > LastAnswer ? Time.Now() - FirstFailure : Steady::duration(0);
+}
+
+void StorePath::noteFailure() {
+  if (FirstFailure <= LastAnswer)
+    FirstFailure = Time.Now();
+}
+
 std::chrono::seconds StorePath::retryAfter() const {
   const TimePoint Since = std::max(LastAnswer, StartedAt);
   const auto Away = std::chrono::round<std::chrono::seconds>(Time.Now() - Since);
@@ -100,13 +110,15 @@
       co_return Answer; // it may have been carried out
   }
   NoDetourUntil = Time.Now() + DetourPause;
+  noteFailure();
   co_return Answer;
 }
 
 bool StorePath::usesPeers() const { return FailuresInARow >= FailuresForRelay; }
 
 bool StorePath::isStraight() const {
-  return !usesPeers() && Time.Now() - LastDirectAnswer <= FreshEnough;
+  const bool Fails = FailuresInARow > 0 && Time.Now() - LastDirectAnswer > FreshEnough;
+  return !usesPeers() && LastDirectAnswer != TimePoint{} && !Fails;
 }
 
 // Calls straight and notes what that says of the store.
@@ -130,6 +142,7 @@
     LastDirectAnswer = LastAnswer = Now;
     co_return Answer;
   }
+  noteFailure();
   if (++FailuresInARow == FailuresForRelay)
     logEvent(events::StoreDown,
              {{"why", ok(Answer) ? "status " + std::to_string(value(Answer).Status)
--- a/src/cell/store_path_test.cpp
+++ b/src/cell/store_path_test.cpp
@@ -171,5 +171,26 @@
   EXPECT_TRUE(Given.Path.isStraight());
 }
 
+// A process of a large fleet calls the store each few seconds. That it has not called says nothing
+// of the store: it stays ready, passes calls on for others and may schedule.
+TEST(StorePath, AProcessThatHasNothingToCallForIsServed) {
+  Bench Given;
+  Given.Direct = {HttpResponse{200, {}, ""}};
+  EXPECT_FALSE(Given.Path.isStraight()) << "nothing is known yet";
+  Given.call();
+  Given.Now += 20s;
+  EXPECT_TRUE(Given.Path.isStraight());
+  EXPECT_EQ(Given.Path.failingFor(), 0ms);
+  Given.Direct = {Error{ErrorKind::UpstreamCut, "no answer"}};
+  Given.call();
+  EXPECT_FALSE(Given.Path.isStraight());
+  Given.Now += 4s;
+  EXPECT_GE(Given.Path.failingFor(), 4s);
+  Given.Direct = {HttpResponse{200, {}, ""}};
+  Given.call();
+  EXPECT_TRUE(Given.Path.isStraight());
+  EXPECT_EQ(Given.Path.failingFor(), 0ms);
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/include/valveshelf/store_path.h
+++ b/src/include/valveshelf/store_path.h
@@ -55,8 +55,12 @@
   std::chrono::seconds retryAfter() const;
   /// When the store last answered, on either way.
   TimePoint lastAnswer() const { return LastAnswer; }
+  /// For how long calls have failed and none was answered, on either way. A process that has had
+  /// nothing to call for is not failing.
+  Steady::duration failingFor() const;
 
 private:
+  void noteFailure();
   Milliseconds timeoutFor(const StoreCall &Call) const;
   void note(bool Answered, Milliseconds Took, Milliseconds Limit);
   bool isTurnedAway(const Result<HttpResponse> &Answer) const;
@@ -78,6 +82,7 @@
   int FailuresInARow = 0;                              ///< Of straight calls.
   TimePoint LastDirectAnswer{};
   TimePoint LastAnswer{};
+  TimePoint FirstFailure{};          ///< Of those after the last answer; before it: none.
   bool Probing = false;              ///< While peers are used: the store is tried straight.
   std::multimap<TimePoint, int> Out; ///< Plain calls that wait for an answer, by their start.
   size_t NextPeer = 0;
--- a/testsuite/fakes/fake_key_value_store.h
+++ b/testsuite/fakes/fake_key_value_store.h
@@ -22,6 +22,7 @@
 
   bool Down = false;          ///< Everything is refused.
   bool IsWatchSilent = false; ///< Watches are answered, and nothing is in them.
+  int ForgottenWatches = 0;   ///< So many watches find that their history is gone.
   int LoseAnswers = 0;        ///< So many transactions are done and answer OutcomeUnknown.
   int Commits = 0;
   std::function<Awaitable<void>()> BeforeGrant; ///< For races.
@@ -68,6 +69,10 @@
     Ops.Watch = [this](std::string Prefix, uint64_t After,
                        Milliseconds Wait) -> Awaitable<Result<KeyChanges>> {
       const TimePoint Until = Steady::now() + Wait;
+      if (ForgottenWatches > 0) {
+        --ForgottenWatches;
+        co_return Error{ErrorKind::NotFound, "history is gone"};
+      }
       while (true) {
         if (Down)
           co_return refusal();
