Takeover: the store is read with four questions at a time

Nothing of them depends on another: only the scheduler writes runs, under the condition on its claim. Tests: SchedulerRunner.ATermBeginsAfterOneAnswerOfASlowStore (300 ms an answer: loaded within 550 ms; 1.2 s before by the count of answers, not run there), ATermBeginsWithTheZonesThatAreToBeLeftEmpty.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -6,6 +6,7 @@
 #include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
 
@@ -158,19 +159,18 @@
 
 Awaitable<Result<Done>> SchedulerRunner::load() {
   const TimePoint Begun = Tools.Time.Now();
-  Result<KeyRange> Listed = co_await Tools.Store.Range(Tools.WorkerPrefix, false);
-  if (!ok(Listed))
-    co_return error(Listed);
-  Result<KeyRange> Runs = co_await Tools.Store.Range(std::string(RunPrefix), false);
-  if (!ok(Runs))
-    co_return error(Runs);
-  Result<KeyRange> Intake = co_await Tools.Store.Range(std::string(IntakePrefix), false);
-  if (!ok(Intake))
-    co_return error(Intake);
-  // Read in each term: the last that this process heard may be older than the claim.
-  Result<KeyRange> Evacuated = co_await Tools.Store.Range(Tools.EvacuationPrefix, false);
-  if (!ok(Evacuated))
-    co_return error(Evacuated);
+  // All at a time: nothing is started before the last of them, and a slow store takes a quarter of
+  // a second for each. Nobody else writes runs any more, since those writes ask for this claim. The
+  // zones are read in each term, as what this process heard last may be older than the claim.
+  using namespace asio::experimental::awaitable_operators;
+  const auto [Listed, Runs, Intake, Evacuated] =
+      co_await (Tools.Store.Range(Tools.WorkerPrefix, false) &&
+                Tools.Store.Range(std::string(RunPrefix), false) &&
+                Tools.Store.Range(std::string(IntakePrefix), false) &&
+                Tools.Store.Range(Tools.EvacuationPrefix, false));
+  for (const Result<KeyRange> *Read : {&Listed, &Runs, &Intake, &Evacuated})
+    if (!ok(*Read))
+      co_return error(*Read);
   if (Stopped)
     co_return Done{};
   EvacuatedZones Zones{{}, value(Evacuated).Revision};
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -47,6 +47,7 @@
   Steady::duration Suspended{0}; ///< Time that the clock of leases has counted and no timer has.
   bool HasEnded = false;         ///< The term, by itself.
   Resources Capacity{64000, 64000, 0};
+  Milliseconds RangeTime{0};   ///< Of each answer with all under a prefix.
   Milliseconds ListDelay{0};   ///< Of each answer to a call for changes of the list of workers.
   bool LosesListWatch = false; ///< Such calls that are held get no answer.
 
@@ -74,6 +75,12 @@
       co_await sleepFor(CommitTime);
       co_return co_await Inner(std::move(What));
     };
+    Ops.Range = [this, Inner = Ops.Range](std::string Prefix,
+                                          bool MayBeOld) -> Awaitable<Result<KeyRange>> {
+      Result<KeyRange> Read = co_await Inner(Prefix, MayBeOld);
+      co_await sleepFor(RangeTime);
+      co_return Read;
+    };
     Ops.Watch = [this, Inner = Ops.Watch](std::string Prefix, uint64_t After,
                                           Milliseconds Wait) -> Awaitable<Result<KeyChanges>> {
       const bool IsList = Prefix == WorkerPrefix;
@@ -154,6 +161,7 @@
                            WorkerInfo Info;
                            Info.Id = Id;
                            Info.Service = "pool";
+                           Info.Zone = "north";
                            Info.Capacity = Capacity;
                            return Info;
                          },
@@ -357,5 +365,25 @@
   EXPECT_EQ(Given.Workers.at("w1").Active.size(), 0u);
 }
 
+// Nothing is started before all of the store is read; a slow one is not asked four times in line.
+TEST(SchedulerRunner, ATermBeginsAfterOneAnswerOfASlowStore) {
+  Bench Given;
+  Given.RangeTime = 300ms;
+  Given.start();
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }, 550ms));
+}
+
+// The zones that operators want empty are known before anything is started.
+TEST(SchedulerRunner, ATermBeginsWithTheZonesThatAreToBeLeftEmpty) {
+  Bench Given;
+  Given.Store.put(std::string(EvacuationPrefix) + "north", "{}", 0);
+  Given.submit(1, 4);
+  Given.start();
+  Given.runUntil([] { return false; }, 300ms);
+  EXPECT_EQ(Given.running(), 0u) << "all workers stand there";
+  Given.Runner->setEvacuated({{}, 1000000});
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 4; }));
+}
+
 } // namespace
 } // namespace valveshelf
