Event worker-leaving: what the scheduler believes of a worker that leaves

Cause: the log could not tell when the scheduler learned that a worker leaves, which is what DRAIN asks.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -152,6 +152,8 @@
                              "The worker does not answer; nothing new is placed there."};
 const EventKind WorkerReplaced{2402, "info", "worker-replaced",
                                "Another life answers at the worker's address; its runs are lost."};
+const EventKind WorkerLeaving{2403, "info", "worker-leaving",
+                              "The worker says that it leaves; it is given nothing new."};
 } // namespace events
 
 std::span<const EventKind *const> allEvents() {
@@ -169,7 +171,7 @@
       &TermEnded,      &SchedulerGone,  &FleetBehind,      &FleetKnown,         &JobKept,
       &CallRefused,    &JobTaken,       &RunStopped,       &StartNotConfirmed,  &StepPlaced,
       &AdviceGiven,    &TaskFailed,     &RunLost,          &TaskGivenUp,        &CrashCounted,
-      &WorkerSilent,   &WorkerReplaced};
+      &WorkerSilent,   &WorkerReplaced, &WorkerLeaving};
   return All;
 }
 
