--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -18,7 +18,7 @@
 // A lane that failed is left alone for this time; its question may still be served there. The time
 // doubles with each further failure: a box that has lost power stays on the list for a while.
 constexpr Milliseconds LanePause{700};
-constexpr int MostDoublings = 4;
+constexpr int MostDoublings = 2;
 // Added to the expected time of a question.
 constexpr Milliseconds Slack{400};
 constexpr int MaxTries = 3;
--- a/src/traffic/traffic_report.cpp
+++ b/src/traffic/traffic_report.cpp
@@ -97,6 +97,7 @@
       << "busiest first.</p>\n";
   for (const Line &One : linesOf(Cell)) {
     std::vector<double> Bars;
+    Bars.reserve(Cell.size());
     for (const TrafficOf &Process : Cell)
       Bars.push_back(callsPerSecond(Process.Book, One.Kind));
     std::sort(Bars.rbegin(), Bars.rend());
