Configuration: in a large cell the roster hears the store, the others the roster

Ways weighed: (a) all watch the store, as it was; (b) peers asked each 2 s, as they are already when a watch is silent: up to 2 s late; (c) peers of the roster that hold their answer until they have a newer version: taken. Each process begins with another peer; a peer is waited for only after it has answered; three silent ones, and it reads the store itself. Cells of up to 96 processes stay as they were. Failed on the way: without a pause after a peer that refuses at once the loop took the whole processor (ConfigWatch.AProcessWhosePeersAreSilent... hung).

--- /dev/null
+++ b/src/base/packing_test.cpp
@@ -0,0 +1,34 @@
+// SPDX-License-Identifier: Apache-2.0
+// Packed texts: whole, cut, foreign and too long.
+#include "valveshelf/packing.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf {
+namespace {
+
+std::string configurationText() {
+  std::string Text;
+  for (int I = 0; I < 3000; ++I)
+    Text += "{\"name\":\"r-" + std::to_string(I * 7919) + "\",\"kind\":\"non_idempotent\"}";
+  return Text;
+}
+
+TEST(Packing, ATextIsReadAsItWas) {
+  for (const std::string &Text : {std::string(), std::string("x"), configurationText()}) {
+    const Result<std::string> Read = unpack(pack(Text), 1 << 20);
+    ASSERT_TRUE(ok(Read));
+    EXPECT_EQ(value(Read), Text);
+  }
+  EXPECT_LT(pack(configurationText()).size() * 5, configurationText().size());
+}
+
+TEST(Packing, WhatIsCutForeignOrTooLongIsRefused) {
+  const std::string Packed = pack(configurationText());
+  EXPECT_FALSE(ok(unpack(std::string_view(Packed).substr(0, Packed.size() / 2), 1 << 20)));
+  EXPECT_FALSE(ok(unpack("{\"version\":7}", 1 << 20)));
+  EXPECT_FALSE(ok(unpack(Packed, 1000)));
+}
+
+} // namespace
+} // namespace valveshelf
--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -8,12 +8,11 @@
 using namespace sched;
 
 namespace {
-// Longer questions count as heavy. (Quick checks' take some 10 ms, gangs' up to a second.)
+// Longer questions count as heavy.
 constexpr Milliseconds Heavy{150};
 // Lanes that heavy questions leave to others. Short ones go first, so that beyond these they wait
-// for the next lane that falls free: some 17 ms where 30 lanes take half a second each, 70 ms with
-// seven. A third of 30 kept back stood idle while long questions waited 0.5 s (a day's work done in
-// time 0.684 instead of 0.671, fifteen days of a full cell with troubles).
+// for the next lane that falls free, which is soon where there are many. More of them kept back
+// would stand idle while long questions wait.
 constexpr size_t LightLanes = 2;
 // A lane that failed is left alone for this time; its question may still be served there. The time
 // doubles with each further failure: a box that has lost power stays on the list for a while.
--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -1,11 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // The cell's inner protocol: protobuf messages in HTTP bodies, over the client and the server that
-// the process has anyway.
-//
-// gRPC's unary calls took 36 % of a busy scheduler's processor (280 questions for advice and 110
-// announcements a second among them; a sample of the process on a box of a quarter core), most of
-// it in the threads that poll for them. With HTTP a day of a large fleet on boxes of half their
-// processor earned 0.80 of its work instead of 0.51.
+// the process has anyway. gRPC's threads that poll would take a third of a busy scheduler's small
+// processor.
 #include "valveshelf/cell_link.h"
 #include "valveshelf/steady_timer.h"
 
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -10,6 +10,7 @@
 #include "valveshelf/cell_link.h"
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/events.h"
+#include "valveshelf/packing.h"
 
 #include <boost/asio.hpp>
 
@@ -26,9 +27,9 @@
 // Kept back from the time for a planned stop, so that the process ends before it is killed.
 constexpr Milliseconds StopReserve{900};
 constexpr Milliseconds StopLook{20};
-// For telling the scheduler what has become durable. It usually takes 2 ms; without an answer it is
-// found out whether the scheduler is gone, which costs a connection if it is not. Half a second
-// here left a cell without a scheduler for 0.9 s when its box lost power.
+// For telling the scheduler what has become durable. Without an answer it is found out whether the
+// scheduler is gone, which costs a connection if it is not, and a cell its scheduler for so long if
+// it is.
 constexpr Milliseconds AnnounceTimeout{200};
 // For asking a peer whether it could schedule.
 constexpr Milliseconds CandidateTimeout{150};
@@ -38,6 +39,7 @@
 constexpr Milliseconds ExplainTimeout{2000};
 // For asking a peer for its configuration, some kilobytes.
 constexpr Milliseconds ConfigurationTimeout{300};
+constexpr size_t MostConfigurationBytes = 16 * 1024 * 1024;
 constexpr int HttpOk = 200;
 } // namespace
 
@@ -142,25 +144,55 @@
 
   ConfigLinks configLinks() {
     ConfigLinks Links;
-    Links.AskPeer = [this](Endpoint Peer, uint64_t Have) -> Awaitable<Result<PeerConfiguration>> {
-      cell::ConfigurationRequest Question;
-      Question.set_have_version(Have);
-      Result<cell::ConfigurationReply> Reply =
-          co_await Peers.Configuration(std::move(Peer), Question, ConfigurationTimeout);
-      if (!ok(Reply))
-        co_return error(Reply);
-      const cell::ConfigurationReply &Got = value(Reply);
-      co_return PeerConfiguration{Got.configuration(), Got.version(),
-                                  Milliseconds(Got.confirmed_ms_ago())};
+    Links.AskPeer = [this](Endpoint Peer, uint64_t Have, Milliseconds Wait) {
+      return askConfiguration(std::move(Peer), Have, Wait);
     };
     Links.Peers = [this] { return schedulerFirst(); };
     Links.Schedules = [this] { return Lead.scheduler() != nullptr; };
-    Links.WatchTime = [this] { return View.watchTime(); };
+    Links.HearsStore = [this] {
+      return Lead.scheduler() != nullptr || hearsStore(View.picture().Roster, Settings.Member);
+    };
+    Links.Hearers = [this] { return hearersFor(View.picture().Roster, Settings.Member); };
     Links.Changed = [this] { Lead.configurationChanged(Config.current()); };
     Links.ZonesChanged = [this] { Lead.zonesChanged(Config.evacuated()); };
     return Links;
   }
 
+  Awaitable<Result<PeerConfiguration>> askConfiguration(Endpoint Peer, uint64_t Have,
+                                                        Milliseconds Wait) {
+    cell::ConfigurationRequest Question;
+    Question.set_have_version(Have);
+    Question.set_wait_ms(Wait.count());
+    Result<cell::ConfigurationReply> Reply =
+        co_await Peers.Configuration(std::move(Peer), Question, Wait + ConfigurationTimeout);
+    if (!ok(Reply))
+      co_return error(Reply);
+    const cell::ConfigurationReply &Got = value(Reply);
+    Result<std::string> Newer = Got.configuration();
+    if (Got.packed())
+      Newer = unpack(Got.configuration(), MostConfigurationBytes);
+    if (!ok(Newer))
+      co_return error(Newer);
+    co_return PeerConfiguration{std::move(value(Newer)), Got.version(),
+                                Milliseconds(Got.confirmed_ms_ago())};
+  }
+
+  Awaitable<cell::ConfigurationReply> configuration(cell::ConfigurationRequest Asked) {
+    const PeerConfiguration Known =
+        co_await Config.tell(Asked.have_version(), Milliseconds(Asked.wait_ms()));
+    cell::ConfigurationReply Reply;
+    if (!Known.Newer.empty()) {
+      if (PackedVersion != Known.Version)
+        Packed = pack(Known.Newer);
+      PackedVersion = Known.Version;
+      Reply.set_configuration(Packed);
+      Reply.set_packed(true);
+    }
+    Reply.set_version(Known.Version);
+    Reply.set_confirmed_ms_ago(Known.ConfirmedAge.count());
+    co_return Reply;
+  }
+
   // The other processes, the scheduler's before the others.
   std::vector<Endpoint> schedulerFirst() const {
     std::vector<Endpoint> Found = otherPeers();
@@ -262,14 +294,8 @@
       Reply.set_could_schedule(Lead.couldSchedule(Asked.gone_term()));
       co_return Reply;
     };
-    Answers.Configuration =
-        [this](cell::ConfigurationRequest Asked) -> Awaitable<cell::ConfigurationReply> {
-      const PeerConfiguration Known = Config.tell(Asked.have_version());
-      cell::ConfigurationReply Reply;
-      Reply.set_configuration(Known.Newer);
-      Reply.set_version(Known.Version);
-      Reply.set_confirmed_ms_ago(Known.ConfirmedAge.count());
-      co_return Reply;
+    Answers.Configuration = [this](cell::ConfigurationRequest Asked) {
+      return configuration(std::move(Asked));
     };
     Answers.StoreCall = [this](cell::StoreCallRequest Asked) { return passOn(std::move(Asked)); };
     return Answers;
@@ -467,6 +493,8 @@
   HttpServer Readiness;
   HttpServer Operators;
   CellServer PeersIn;
+  std::string Packed;         ///< The newest configuration that a peer was told,
+  uint64_t PackedVersion = 0; ///< and its version.
   bool Stopping = false;
   bool WasReady = false;
 };
--- a/src/cell/config_watch.cpp
+++ b/src/cell/config_watch.cpp
@@ -5,6 +5,8 @@
 
 #include "valveshelf/events.h"
 
+#include <boost/asio.hpp>
+
 #include <random>
 
 namespace valveshelf {
@@ -22,7 +24,16 @@
 // The scheduler therefore reads the key, and the others hear its version with its questions for
 // advice; a process that heard none for so long asks.
 constexpr Milliseconds PeerSilence{2000};
+// What a peer's answer is under way for, at most, while links are whole.
+constexpr Milliseconds AnswerTime{100};
 constexpr Milliseconds PeerSilenceInDoubt{400};
+// A peer that watches the store holds its answer so long for a newer version. A process that is cut
+// off from it finds out by then and asks the next one.
+constexpr Milliseconds HeldByPeer{2000};
+// Between a peer that did not answer, or knows no version yet, and the next one.
+constexpr Milliseconds NextPeerPause{50};
+// A process that hears from peers reads the store itself after so many that do not answer.
+constexpr int PeersUntilStore = 3;
 } // namespace
 
 ConfigWatch::ConfigWatch(Executor Where, Clock Time, KeyValueStore Store,
@@ -36,6 +47,7 @@
 void ConfigWatch::start() {
   spawnLater(Where, watchLoop());
   spawnLater(Where, doubtLoop());
+  spawnLater(Where, hearerLoop());
 }
 
 void ConfigWatch::takeConfiguration(const KeyValue &Item) {
@@ -81,19 +93,21 @@
   CallersKeys = indexKeys(std::make_shared<const CellConfiguration>(std::move(value(Decoded))),
                           CallersKeys.Seed);
   Bytes = Read;
+  for (SteadyTimer *Held : Waiting)
+    Held->cancel();
   logEvent(From == "store" ? events::ConfigInForce : events::ConfigFromPeer,
            {{"version", std::to_string(version())}, {"from", From}});
   Links.Changed();
 }
 
 bool ConfigWatch::isDoubtful() const {
-  return WatchFails || Time.Now() - Confirmed > Links.WatchTime() + WatchSlack;
+  return WatchFails || Time.Now() - Confirmed > Settings.Timing.WatchTime + WatchSlack;
 }
 
 void ConfigWatch::peerHas(const Endpoint &Peer, uint64_t Version) {
   HeardPeer = Time.Now();
   if (Version > version() && !Asking)
-    spawnLater(Where, askPeer(Peer));
+    spawnLater(Where, askOnce(this, Peer));
 }
 
 bool ConfigWatch::isTooOld() const {
@@ -101,32 +115,68 @@
   return Most && Time.Now() - Confirmed > *Most;
 }
 
-PeerConfiguration ConfigWatch::tell(uint64_t Have) const {
+Awaitable<PeerConfiguration> ConfigWatch::tell(uint64_t Have, Milliseconds Wait) {
+  if (version() <= Have && Wait.count() > 0) {
+    SteadyTimer Held(Where, std::min(Wait, HeldByPeer));
+    Waiting.insert(&Held);
+    co_await Held.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    Waiting.erase(&Held);
+  }
   PeerConfiguration Known;
   Known.Version = version();
   if (version() > Have)
     Known.Newer = Bytes;
   Known.ConfirmedAge = std::chrono::duration_cast<Milliseconds>(Time.Now() - Confirmed);
-  return Known;
+  co_return Known;
 }
 
-Awaitable<void> ConfigWatch::askPeer(Endpoint Peer) {
+// True if the peer answered.
+Awaitable<bool> ConfigWatch::askPeer(Endpoint Peer, Milliseconds Wait) {
   Asking = true;
-  const TimePoint AskedAt = Time.Now();
-  Result<PeerConfiguration> Answer = co_await Links.AskPeer(Peer, version());
+  Result<PeerConfiguration> Answer = co_await Links.AskPeer(Peer, version(), Wait);
+  const TimePoint Now = Time.Now();
   Asking = false;
   if (!ok(Answer) || Stopped) {
     ++NextPeer;
-    co_return;
+    co_return false;
   }
-  HeardPeer = Time.Now();
+  HeardPeer = Now;
   const PeerConfiguration &Known = value(Answer);
   if (!Known.Newer.empty())
     takeBytes(Known.Newer, toString(Peer));
   if (Known.Version == version())
-    Confirmed = std::max(Confirmed, AskedAt - Known.ConfirmedAge);
+    Confirmed = std::max(Confirmed, Now - Known.ConfirmedAge - AnswerTime);
   else if (isDoubtful())
     ++NextPeer; // it knows less than this process
+  co_return true;
+}
+
+Awaitable<void> ConfigWatch::askOnce(ConfigWatch *Me, Endpoint Peer) {
+  co_await Me->askPeer(std::move(Peer), Milliseconds(0));
+}
+
+// What a process of a large cell hears from those that watch the store.
+Awaitable<void> ConfigWatch::hearerLoop() {
+  int Silent = 0;        // peers in a row
+  bool Answered = false; // the peer that is next has answered just now
+  while (!Stopped) {
+    const std::vector<Endpoint> Hearers = Links.Hearers();
+    if (Links.HearsStore() || Hearers.empty() || Asking) {
+      co_await sleepFor(RetryPause);
+      continue;
+    }
+    // A peer that may be gone is not waited for: several in a row would hide a change for too long.
+    const bool Holds = Answered && version() != 0;
+    Answered =
+        co_await askPeer(Hearers[NextPeer % Hearers.size()], Holds ? HeldByPeer : Milliseconds(0));
+    Silent = Answered ? 0 : Silent + 1;
+    if (Silent >= PeersUntilStore) {
+      co_await readAll();
+      Silent = 0;
+    }
+    if (!Answered || version() == 0)
+      co_await sleepFor(NextPeerPause);
+  }
 }
 
 // What a watch that is silent, cut or turned away does not bring.
@@ -135,10 +185,12 @@
     co_await sleepFor(DoubtEvery);
     if (Links.Schedules())
       co_await readAll();
+    if (!Links.HearsStore())
+      continue;
     const Milliseconds Patience = isDoubtful() ? PeerSilenceInDoubt : PeerSilence;
     const std::vector<Endpoint> Peers = Links.Peers();
     if (!Asking && !Peers.empty() && Time.Now() - HeardPeer > Patience)
-      co_await askPeer(Peers[NextPeer % Peers.size()]);
+      co_await askPeer(Peers[NextPeer % Peers.size()], Milliseconds(0));
   }
 }
 
@@ -160,6 +212,11 @@
 
 Awaitable<void> ConfigWatch::watchLoop() {
   while (!Stopped) {
+    if (!Links.HearsStore()) {
+      Revision = 0; // what changes meanwhile is read when it watches again
+      co_await sleepFor(RetryPause);
+      continue;
+    }
     if (Revision == 0) {
       Result<uint64_t> Read = co_await readAll();
       if (ok(Read))
@@ -168,7 +225,8 @@
         co_await sleepFor(RetryPause);
       continue;
     }
-    Result<KeyChanges> Read = co_await Store.Watch(Keys.Prefix, Revision, Links.WatchTime());
+    Result<KeyChanges> Read =
+        co_await Store.Watch(Keys.Prefix, Revision, Settings.Timing.WatchTime);
     WatchFails = !ok(Read);
     if (!ok(Read)) {
       if (error(Read).Kind == ErrorKind::NotFound)
--- a/src/cell/config_watch.h
+++ b/src/cell/config_watch.h
@@ -9,9 +9,11 @@
 #include "valveshelf/cell_settings.h"
 #include "valveshelf/coroutines.h"
 #include "valveshelf/key_value_store.h"
+#include "valveshelf/steady_timer.h"
 #include "valveshelf/workload.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,13 +28,20 @@
 
 /// How a process hears of configurations from others, and whom it tells.
 struct ConfigLinks {
-  /// Asks a peer for what it has beyond \p Have.
-  std::function<Awaitable<Result<PeerConfiguration>>(Endpoint Peer, uint64_t Have)> AskPeer;
+  /// Asks a peer for what it has beyond \p Have; the peer may hold its answer for \p Wait.
+  std::function<Awaitable<Result<PeerConfiguration>>(Endpoint Peer, uint64_t Have,
+                                                     Milliseconds Wait)>
+      AskPeer;
   std::function<std::vector<Endpoint>()> Peers; ///< The scheduler's first, if it is another one.
   std::function<bool()> Schedules;              ///< Whether this process does.
-  std::function<Milliseconds()> WatchTime;      ///< The longest wait of a watch.
-  std::function<void()> Changed;                ///< Another version is in force here.
-  std::function<void()> ZonesChanged;           ///< Other zones are to be left empty, or none.
+  /// Whether this process watches the store itself. In a large cell few do, and the others hear of
+  /// a configuration from them: some hundred kilobytes to each of a thousand boxes would fill the
+  /// store's link for a second with each change.
+  std::function<bool()> HearsStore;
+  std::function<std::vector<Endpoint>()>
+      Hearers;                        ///< Peers that do, this process's first choice first.
+  std::function<void()> Changed;      ///< Another version is in force here.
+  std::function<void()> ZonesChanged; ///< Other zones are to be left empty, or none.
 };
 
 /// Lives on one strand; all calls come from there.
@@ -52,8 +61,9 @@
   uint64_t version() const { return CallersKeys.Config ? CallersKeys.Config->Version : 0; }
   /// The zones to be left empty, as last read.
   const sched::EvacuatedZones &evacuated() const { return Evacuated; }
-  /// What a peer that has version \p Have is told.
-  PeerConfiguration tell(uint64_t Have) const;
+  /// What a peer that has version \p Have is told: at once if this process has a newer one,
+  /// otherwise when it has or after \p Wait.
+  Awaitable<PeerConfiguration> tell(uint64_t Have, Milliseconds Wait);
   /// True if neither the store nor a peer that hears it has confirmed the version in force for so
   /// long that callers' keys must not be relied on any more, where the settings ask for that.
   bool isTooOld() const;
@@ -63,7 +73,9 @@
 private:
   Awaitable<void> watchLoop();
   Awaitable<void> doubtLoop();
-  Awaitable<void> askPeer(Endpoint Peer);
+  Awaitable<void> hearerLoop();
+  Awaitable<bool> askPeer(Endpoint Peer, Milliseconds Wait);
+  static Awaitable<void> askOnce(ConfigWatch *Me, Endpoint Peer);
   Awaitable<Result<uint64_t>> readAll();
   /// True if the store has not confirmed the version in force within the time of a watch.
   bool isDoubtful() const;
@@ -86,8 +98,9 @@
   TimePoint Confirmed{}; ///< When the store last had nothing newer, told here or to a peer.
   TimePoint HeardPeer{}; ///< When a peer last said which version it has.
   size_t NextPeer = 0;
-  bool Asking = false;     ///< A peer is being asked.
-  bool WatchFails = false; ///< The last one had no answer that says anything.
+  std::set<SteadyTimer *> Waiting; ///< Answers to peers that are held.
+  bool Asking = false;             ///< A peer is being asked.
+  bool WatchFails = false;         ///< The last one had no answer that says anything.
   bool Stopped = false;
 };
 
--- a/src/cell/config_watch_test.cpp
+++ b/src/cell/config_watch_test.cpp
@@ -29,6 +29,7 @@
   CellSettings Settings;
   bool IsBlind = false;   ///< Watches are answered and tell of no change.
   bool Schedules = false; ///< This process.
+  bool HearsStore = true;
   PeerConfiguration PeerHas;
   bool PeerAnswers = true;
   int PeersAsked = 0;
@@ -47,15 +48,20 @@
       co_return KeyChanges{{}, After};
     };
     ConfigLinks Links;
-    Links.AskPeer = [this](Endpoint, uint64_t) -> Awaitable<Result<PeerConfiguration>> {
+    Links.AskPeer = [this](Endpoint, uint64_t Have,
+                           Milliseconds Wait) -> Awaitable<Result<PeerConfiguration>> {
       ++PeersAsked;
+      const TimePoint Until = Steady::now() + Wait;
+      while (PeerAnswers && PeerHas.Version <= Have && Steady::now() < Until)
+        co_await sleepFor(5ms);
       if (!PeerAnswers)
         co_return Error{ErrorKind::UpstreamCut, "silent"};
       co_return PeerHas;
     };
     Links.Peers = [] { return std::vector<Endpoint>{{"127.0.0.1", 7}}; };
     Links.Schedules = [this] { return Schedules; };
-    Links.WatchTime = [this] { return Settings.Timing.WatchTime; };
+    Links.HearsStore = [this] { return HearsStore; };
+    Links.Hearers = Links.Peers;
     Links.Changed = [this] { ++Changes; };
     Links.ZonesChanged = [this] { ++ZoneChanges; };
     Config = std::make_unique<ConfigWatch>(Io.get_executor(), Clock{}, Ops, Settings,
@@ -179,5 +185,48 @@
   EXPECT_TRUE(Given.Config->evacuated().Names.empty());
 }
 
+// In a large fleet a change goes to few processes, and from them to the others.
+TEST(ConfigWatch, AProcessThatDoesNotHearTheStoreHasAVersionAsSoonAsItsPeer) {
+  Bench Given;
+  Given.HearsStore = false;
+  Given.Store.put("op/config", "9", 0); // nobody tells it that
+  Given.PeerHas = {"3", 3, 0ms};
+  Given.start();
+  Given.play(300ms);
+  EXPECT_EQ(Given.Config->version(), 3u);
+  Given.PeerHas = {"4", 4, 0ms};
+  Given.play(100ms);
+  EXPECT_EQ(Given.Config->version(), 4u) << "the peer holds its answer until then";
+  const int Asked = Given.PeersAsked;
+  Given.play(2500ms);
+  EXPECT_LE(Given.PeersAsked - Asked, 3) << "one call each two seconds";
+}
+
+TEST(ConfigWatch, AProcessWhosePeersAreSilentReadsTheStoreAfterAll) {
+  Bench Given;
+  Given.HearsStore = false;
+  Given.PeerAnswers = false;
+  Given.Store.put("op/config", "9", 0);
+  Given.start();
+  Given.play(1s);
+  EXPECT_EQ(Given.Config->version(), 9u);
+}
+
+TEST(ConfigWatch, HoldsItsAnswerToAPeerUntilItHasANewerVersion) {
+  Bench Given;
+  Given.Store.put("op/config", "3", 0);
+  Given.start();
+  Given.play(50ms);
+  std::optional<PeerConfiguration> Told;
+  boost::asio::co_spawn(Given.Io, Given.Config->tell(3, 2s),
+                        [&](std::exception_ptr, PeerConfiguration What) { Told = What; });
+  Given.play(100ms);
+  EXPECT_FALSE(Told);
+  Given.Store.put("op/config", "4", 0);
+  Given.play(50ms);
+  ASSERT_TRUE(Told);
+  EXPECT_EQ(Told->Newer, "4");
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/histories_test.cpp
+++ b/src/cell/histories_test.cpp
@@ -72,12 +72,13 @@
   Watched Given;
   Given.Store.put("op/evacuate/z1", "{}", 0);
   ConfigLinks Links;
-  Links.AskPeer = [](Endpoint, uint64_t) -> Awaitable<Result<PeerConfiguration>> {
+  Links.AskPeer = [](Endpoint, uint64_t, Milliseconds) -> Awaitable<Result<PeerConfiguration>> {
     co_return Error{ErrorKind::UpstreamCut, "silent"};
   };
   Links.Peers = [] { return std::vector<Endpoint>(); };
   Links.Schedules = [] { return false; };
-  Links.WatchTime = [] { return Milliseconds(50); };
+  Links.HearsStore = [] { return true; };
+  Links.Hearers = Links.Peers;
   Links.Changed = Links.ZonesChanged = [] {};
   ConfigWatch Watch(
       Given.Io.get_executor(), Clock{}, Given.Store.ops(), Given.Settings,
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -52,7 +52,7 @@
   if (View.picture().Leader)
     noteTerm(Terms, View.picture().Leader->Term, Tools.Time.Now());
   // A process that has just started looks at once whether the scheduler that it reads of is there.
-  // When all lost power, the claim waited up to 0.4 s for that one's box or the end of its lease.
+  // When all lost power, the claim would wait for that one's box or the end of its lease.
   if (!HasLooked && View.picture().Leader) {
     HasLooked = true;
     spawnLater(Tools.Where, suspect());
@@ -242,8 +242,7 @@
     Result<Done> Kept = co_await Tools.Store.KeepLease(Mine.Lease);
     if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
       break;
-    // A store that serves nobody is no reason to hand over; a term that was given up as it came
-    // back cost 0.5 s.
+    // A store that serves nobody is no reason to hand over just as it comes back.
     if (!ok(Kept))
       StraightAt = Tools.Time.Now();
     if (Current->loaded() && !Over && co_await someoneIsBetter(Begun)) {
--- a/src/cell/order_pace.h
+++ b/src/cell/order_pace.h
@@ -21,9 +21,8 @@
 };
 
 /// Notes what became of an order. At the end of a window of orders the time doubles if more than
-/// one in eight got no answer; it halves after a number of windows without that. In a cell of 120
-/// workers behind links of 2 Mbit/s 0.42 to 0.92 of the work is served (eight seeds); without it
-/// 0.12 (one).
+/// one in eight got no answer; it halves after a number of windows without that. Otherwise a link
+/// that stands full is filled further with orders that are given up too early and sent again.
 void noteOrder(OrderPace &Pace, bool Answered);
 
 } // namespace valveshelf
--- a/src/cell/roster.cpp
+++ b/src/cell/roster.cpp
@@ -17,6 +17,8 @@
 // The number of processes is published again when it is off by this part.
 constexpr size_t CountPart = 4;
 
+// A cell of so many processes has all of them hear the store; each change is sent to each of them.
+constexpr size_t MostHearers = 96;
 // Claims of the roster are so far apart.
 constexpr Milliseconds TurnGap{30};
 // Behind the roster: what a process without any processor would wait, what halves it, and how far
@@ -90,6 +92,20 @@
   return TurnGap * static_cast<int64_t>(Known.size()) + Milliseconds(Weakness + Own);
 }
 
+bool hearsStore(const Roster &Standing, const std::string &Name) {
+  return Standing.Processes <= MostHearers || isListed(Standing, Name);
+}
+
+std::vector<Endpoint> hearersFor(const Roster &Standing, const std::string &Name) {
+  std::vector<Endpoint> Found;
+  const size_t Count = Standing.Members.size();
+  const size_t First = Count == 0 ? 0 : std::hash<std::string>()(Name) % Count;
+  for (size_t I = 0; I < Count; ++I)
+    if (const Member &One = Standing.Members[(First + I) % Count]; One.Name != Name)
+      Found.push_back(One.Peers);
+  return Found;
+}
+
 Milliseconds sharedPace(size_t Processes, Milliseconds Least) {
   const Milliseconds Wanted(1000 * static_cast<int64_t>(Processes) / SharedCallsPerSecond);
   return std::max(Least, std::min(Wanted, LongestPace));
--- a/src/cell/roster.h
+++ b/src/cell/roster.h
@@ -29,6 +29,13 @@
 Milliseconds claimTurn(const std::map<std::string, sched::Member> &Known,
                        const sched::Member &Self);
 
+/// True if the process watches what operators ask for itself: in a cell that few calls are enough
+/// for, or on the roster.
+bool hearsStore(const sched::Roster &Standing, const std::string &Name);
+/// The processes of the roster from which \p Name hears instead. Each begins with another one, so
+/// that they share the load.
+std::vector<Endpoint> hearersFor(const sched::Roster &Standing, const std::string &Name);
+
 /// A time for which each process of the cell calls the store once: at least \p Least, and so long
 /// that all of them together make a bounded number of calls.
 Milliseconds sharedPace(size_t Processes, Milliseconds Least);
--- a/src/cell/roster_test.cpp
+++ b/src/cell/roster_test.cpp
@@ -112,6 +112,23 @@
   EXPECT_EQ(sharedPace(100000, 1500ms), 15s);
 }
 
+TEST(Roster, InALargeFleetFewHearTheStoreAndTheOthersShareThem) {
+  const auto Small = nextRoster({}, fleetOf(40));
+  for (const auto &[Name, One] : fleetOf(40))
+    EXPECT_TRUE(hearsStore(*Small, Name));
+  EXPECT_TRUE(hearsStore({}, "box-1")) << "nobody has counted yet";
+  auto All = fleetOf(1000);
+  const auto Large = nextRoster({}, All);
+  size_t Hear = 0;
+  std::map<std::string, int> FirstOf;
+  for (auto &[Name, One] : All) {
+    Hear += hearsStore(*Large, Name) ? 1 : 0;
+    const auto Hearers = hearersFor(*Large, Name);
+    EXPECT_EQ(Hearers.size(), RosterSize - (hearsStore(*Large, Name) ? 1 : 0));
+  }
+  EXPECT_EQ(Hear, RosterSize);
+}
+
 // What one process that does not schedule calls and is sent in some seconds of a fleet that starts.
 struct Idle {
   size_t Bytes = 0;
--- a/src/cell/scheduler_fleet.cpp
+++ b/src/cell/scheduler_fleet.cpp
@@ -9,12 +9,12 @@
 
 namespace {
 // Between two watches of the platform's list of workers, which changes with each of their
-// check-ins: 48 workers cost 26 calls a second fewer, a quarter of all. A worker that begins to
-// leave is known so much later; it runs on for seconds.
+// check-ins; otherwise each of them would cost a call. A worker that begins to leave is known so
+// much later; it runs on for seconds.
 constexpr Milliseconds WorkerGather{250};
-// A watch may be answered and silent while entries change (seen for 11 s while a store gave up its
-// history). After so many answers with nothing in them the list is read: a capacity that has shrunk
-// is to be known within a worker's time out and one check-in, 4.5 s.
+// A watch may be answered and silent while entries change, as long as a store gives up its history.
+// After so many answers with nothing in them the list is read: a capacity that has shrunk is to be
+// known within a worker's time out and one check-in.
 constexpr int MostEmptyWatches = 2;
 } // namespace
 
--- a/src/cell/scheduler_holds.cpp
+++ b/src/cell/scheduler_holds.cpp
@@ -15,15 +15,14 @@
 
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-// A worker whose ends wait to be saved answers at once, so it is asked again after a pause. With
-// one of 400 ms an end was seen up to so much late where the store takes 0.4 s an answer. The pause
-// grows with the workers that wait, to 400 looks a second at most.
+// A worker whose ends wait to be saved answers at once, so it is asked again after a pause, by
+// which a further end is seen late. It grows with the workers that wait, which bounds the looks a
+// second.
 constexpr Milliseconds LeastUnsavedPause{120};
 constexpr Milliseconds MostUnsavedPause{400};
 constexpr std::chrono::microseconds PauseForUnsaved{2500};
 // While calls get lost, a worker whose answer is held is looked at this often. Without it the ends
-// on a worker whose held call was lost are seen 2.2 s late: of jobs of 0.6 s handed in while one
-// call in twenty was lost, 43 of 57 were late.
+// on a worker whose held call was lost are seen only when that call is given up.
 constexpr Milliseconds LookAgain{300};
 // Such looks in one tick; keeps a small box with hundreds of workers from being busy with them.
 constexpr size_t MostLooksATick = 20;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -185,7 +185,7 @@
   noteListAnswer(WorkersAge, Begun, Milliseconds(0));
   spawnLater(Tools.Where, watchWorkers(Me));
   spawnLater(Tools.Where, saveLoop(Me));
-  spawnLater(Tools.Where, rosterLoop(Me));
+  spawnLater(Tools.Where, recordsLoop(Me));
   spawnLater(Tools.Where, tickLoop(Me));
   holdAll();
   placeSoon();
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -129,7 +129,7 @@
 
   // Saving.
   static Awaitable<void> saveLoop(Self Me);
-  static Awaitable<void> rosterLoop(Self Me);
+  static Awaitable<void> recordsLoop(Self Me);
   struct SaveEntry {
     sched::JobId Id = 0;
     uint64_t Number = 0;
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -12,13 +12,12 @@
 
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-// Transactions in flight at a time. A store that takes a quarter of a second an answer, as a slow
-// one does, still has to take in the ends of 300 jobs a second.
+// Transactions in flight at a time; a slow store still has to take in the ends of a busy cell.
 constexpr int MaxSaving = 12;
 // Bytes of one transaction; keeps a call short on a small link.
 constexpr size_t MaxSaveBytes = 64 * 1024;
 // The list of workers in use, and what can be forgotten, is looked through this often.
-constexpr Milliseconds RosterEvery{100};
+constexpr Milliseconds RecordsEvery{100};
 } // namespace
 
 // Every write holds only as long as this process is the scheduler.
@@ -67,8 +66,8 @@
       const auto Of = Cell.Jobs.find(Id);
       const bool Matches =
           Of == Cell.Jobs.end() ? !Ended : Ended == (Of->second.Phase != JobPhase::Live);
-      // An end does not wait for progress that is being written: in a store that takes 0.4 s an
-      // answer it would be shown 0.4 s later than it could be.
+      // An end does not wait for progress that is being written: in a slow store it would be shown
+      // an answer later than it could be.
       if (!Matches || SavingNow.count({Id, Ended}) || !addToTransaction(Id, What, Batch))
         continue;
       SavingNow.insert({Id, Ended});
@@ -199,7 +198,7 @@
 }
 
 // Notes workers before their first use, and removes what is no longer needed.
-Awaitable<void> SchedulerRunner::rosterLoop(Self Me) {
+Awaitable<void> SchedulerRunner::recordsLoop(Self Me) {
   while (!Me->Stopped) {
     Transaction What = Me->guarded();
     std::vector<std::string> Noted;
@@ -228,7 +227,7 @@
       Old.pop_front();
     }
     if (What.rows() <= 1) {
-      co_await sleepFor(RosterEvery);
+      co_await sleepFor(RecordsEvery);
       continue;
     }
     const std::vector<std::string> Removed = What.Removes;
--- a/src/cell/store_path.cpp
+++ b/src/cell/store_path.cpp
@@ -22,9 +22,9 @@
 // After so many failures in a row calls go through peers. Meanwhile a read of the process's own
 // tries the store straight at this interval, so that no caller's work hangs on the attempt.
 constexpr int FailuresForRelay = 2;
-// Probes overlap, so that one which gets no answer holds up none after it: a store that had been
-// silent was found again 0.1 to 0.6 s after its return when they followed each other. Hundreds of
-// boxes probe less often, which keeps their calls below the store's rate.
+// Probes overlap, so that one which gets no answer holds up none after it and a store that is back
+// is found at once. Hundreds of boxes probe less often, which keeps their calls below the store's
+// rate.
 constexpr Milliseconds LeastProbePause{100};
 constexpr Milliseconds MostProbePause{300};
 constexpr Milliseconds ProbePauseForPeer{10};
--- a/src/cell/suspicion.h
+++ b/src/cell/suspicion.h
@@ -21,9 +21,9 @@
 
 /// How long a probe waits for an answer. It answers the load of a link that stands full: a
 /// scheduler behind it is slow to take connections, and each takeover adds questions to every
-/// worker. With one time for all probes a cell with links of 2 Mbit/s changed its scheduler 16
-/// times in 34 s and served 0.15 of its work. The time triples with each change seen in the last 20
-/// s, up to \p Lease, by when the claim lapses by itself if its holder is gone.
+/// worker, so that with one time for all probes schedulers would depose each other for ever. The
+/// time triples with each change seen in the last 20 s, up to \p Lease, by when the claim lapses by
+/// itself if its holder is gone.
 Milliseconds probeTime(const TermHistory &Seen, Milliseconds Lease, TimePoint Now);
 
 } // namespace valveshelf
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -458,8 +458,7 @@
 }
 
 // The request is written at once where the socket takes it; the answer usually comes in one piece.
-// So a call waits once: 8.9 us of processor instead of 12.0 us with timed operations for the write
-// and the read (orderStarts of the benchmarks, middle of five).
+// So a call waits once, where timed operations for the write and the read would wait twice.
 Awaitable<boost::system::error_code> exchange(Connection &Used,
                                               const http::request<http::string_body> &Message,
                                               Parser &Into, TrafficCounts &Seen) {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -54,7 +54,7 @@
   double UrgentShare = 0.10;      ///< While room for urgent tasks is scarce, part of each worker
                                   ///< kept free of work that can wait; more if urgent tasks are
                                   ///< larger, up to the next figure.
-  double MostUrgentShare = 0.22;  ///< With 80 % of the cell in use the rest still finds room.
+  double MostUrgentShare = 0.22;  ///< The most of it.
   double UrgentSpare = 0.25;      ///< Room for urgent tasks is scarce if less than this part of
                                   ///< those that run now could be started beside them.
   Milliseconds YieldMargin{1500}; ///< Work that was stopped finds a place again within this time.
@@ -71,8 +71,7 @@
   uint32_t MaxInherited = 5; ///< With a last start of which nobody is left to tell how it went.
   uint32_t MaxLosses = 5;    ///< The same for `TaskState::Losses`: a sound task that runs beside
                              ///< others is on a worker that crashes often enough.
-  Milliseconds BeginTime{500}; ///< So long after its start a run counts as beginning. Tasks that
-                               ///< crash their workers were seen to do it within 10 ms.
+  Milliseconds BeginTime{500}; ///< So long after its start a run counts as beginning.
 };
 
 /// Where an attempt stands.
--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -40,8 +40,8 @@
 // when it is asked which workers have room. Two thirds of the lanes take long questions.
 constexpr double WaitingShare = 1.2;
 constexpr double LateShare = 1.0;
-// While half of the lanes are free a gang's questions name half as many: 1.03 s instead of 1.46 s
-// for an answer where a question takes 0.6 s and 8.6 ms a worker.
+// While half of the lanes are free a gang's questions name half as many, so that it has its answers
+// sooner.
 constexpr size_t NamedWhenCalm = 50;
 
 // How many workers a question names: a gang needs many at a time; for others a few for each task
@@ -113,10 +113,9 @@
   return Step.Queued && (Step.Queued->Late || Step.Queued->Excess);
 }
 
-// Urgent steps always may. With a backlog of late work on a full fleet all lanes stood in line for
-// questions whose answers were of no use any more: 5 to 10 s a question, and tickets that hold for
-// 1.5 s. In the replay of a backlog new gangs start 3.8 s after they are handed in instead of 5.2
-// s, and of 150 old scans 32 are in time instead of 23.
+// Urgent steps always may. Otherwise a backlog of late work on a full fleet has all lanes stand in
+// line for questions whose answers are of no use any more, and new work waits behind them for
+// longer than a ticket holds.
 bool maySpendLane(const CellState &Cell, const Job &Of, const StepState &Step) {
   const double Share = isQueuedLate(Step) ? LateShare : WaitingShare;
   const auto Most = static_cast<uint32_t>(std::ceil(Share * Cell.AdviceLanes));
@@ -149,10 +148,9 @@
   return questionTime(*Of.Spec->Advice, namedInEach(In.Cell, Step, Workers)) + RenewalSlack;
 }
 
-// What does not fit one question goes into several at the same time. A gang of 150 members needs
-// some 400 workers asked about; with one question after the other its first start came 5.3 s after
-// it was handed in, now 2.0 s (middle of six at a time, the replay of large gangs), while the
-// tickets of the first answers ran out.
+// What does not fit one question goes into several at the same time. A large gang needs hundreds of
+// workers asked about; with one question after the other the tickets of the first answers run out
+// before the last has come.
 void askAdvice(Pass &In, const Job &Of, StepState &Step, std::vector<std::string> Workers) {
   if (Workers.empty() || !canAsk(In, Of, Step))
     return;
@@ -292,8 +290,7 @@
 void askUnknown(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || !canAsk(In, Of, Step))
     return;
-  // In a full cell most steps that wait come no further (a pass over 1,100 workers with 200 steps
-  // waiting takes 1.1 ms; 4.0 ms without this and without common looks at first questions).
+  // In a full cell most steps that wait come no further, which keeps a pass short.
   const bool IsSingle = !Step.Spec->Gang && Of.Spec->Priority > 0;
   if (IsSingle && !hasFreeLanes(In.Cell) && !fits(needOf(Step), mostFree(In)))
     return;
@@ -325,9 +322,8 @@
 }
 
 // Keeps tickets valid for a step that waits for room. Otherwise the room that it gets stands empty
-// until they have been asked for again: 0.5 s before each run of 3.6 s on accelerators. Only while
-// half of the lanes are free: in a full cell a renewal takes the lane of a question that starts
-// work now.
+// until they have been asked for again. Only while half of the lanes are free: in a full cell a
+// renewal takes the lane of a question that starts work now.
 void renewTickets(Pass &In, const Job &Of, StepState &Step) {
   if (!Of.Spec->Advice || Step.Advice.Asking > 0 || Step.Queued->Late ||
       !isWithinQuota(In.Cell, Of.Owner, leastCharge(*Step.Spec)) || !hasFreeLanes(In.Cell) ||
@@ -365,7 +361,7 @@
 }
 
 // Just after a takeover most steps turn out to be running. To ask for advice on all of them before
-// the workers have answered would hold up those that need it (a gang's question: 1.6 s for 0.6 s).
+// the workers have answered would hold up those that need it.
 bool mayAsk(const Pass &In, const Job &Of, const StepState &Step) {
   return In.Asked.count(Of.Spec->Service) == 0 ||
          std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -17,8 +17,8 @@
 // A worker's calls are held, so that an end is heard of at once; while ends wait to be saved, after
 // this pause.
 constexpr Milliseconds EndHeardTime{250};
-// No run is over sooner: the shortest take some 500 ms. Tasks that crash their workers were seen to
-// do it within 10 ms, which is noticed some 10 ms later where connections end.
+// No run is over sooner, while a task that crashes its worker does it at once and is noticed then,
+// where connections end.
 constexpr Milliseconds ShortestRun{40};
 // What a crash counts in `TaskState::Losses`: who else than the only run there should be to blame.
 constexpr uint32_t LossBesideOthers = 1;
@@ -43,8 +43,8 @@
   return IsSure || Starts || (!Lasts && Task.Losses >= Limits.MaxLosses);
 }
 
-// Without this a task that crashes its workers took one each 3.3 s, and all that ran there, until
-// its caller went away (a cell of 48 workers with four such tasks lost 253 workers in 110 s).
+// Without this a task that crashes its workers takes one after the other, and all that runs there,
+// until its caller goes away.
 void giveUpIfDue(CellState &Cell, const TaskKey &Key, TimePoint Now, Effects &Out) {
   const TaskState *Task = findTask(Cell, Key);
   Job *Of = Task ? &Cell.Jobs.at(Key.Step.Job) : nullptr;
@@ -204,8 +204,8 @@
 }
 
 // A silent worker that the platform still lists is alive, and lists its ends when it can be reached
-// again. Work that may be among them waits a little before it is started elsewhere; on full links
-// it was done twice (up to 15 of 4,400 runs, cell of 120 workers behind links of 2 Mbit/s).
+// again. Work that may be among them waits a little before it is started elsewhere; behind a full
+// link it would be done twice.
 void holdBackWhatMayBeDone(CellState &Cell, const Worker &On, TimePoint Now) {
   if (!On.Listed)
     return;
--- a/src/scheduler/organisations.cpp
+++ b/src/scheduler/organisations.cpp
@@ -28,8 +28,8 @@
 }
 
 // A job beyond its organisation's share goes behind all that is within one, stops nothing and may
-// be stopped for others. Where an organisation hands in five times its share, more than the cell
-// can do, all 60 jobs of another one are in time instead of 27 (replay).
+// be stopped for others. An organisation that hands in more than the cell can do makes no other one
+// late.
 bool takeShare(OrganisationState &Of, WallTime At) {
   if (Of.Weight <= 0)
     return true;
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -12,11 +12,8 @@
 // that priority for the next one; keeps a pass short when much waits.
 constexpr int MaxMissesInARow = 40;
 // Steps that can wait are looked at this often while one of them finds no place, gangs every second
-// time; their work takes seconds (a pass over a full cell of 1,100 workers: 1.1 ms in the mean,
-// placePass, 200 steps waiting, a pass each 10 ms). All are looked at in the same passes: room that
-// has come free meanwhile goes by the order of the queue. With a pause of its own for each step it
-// went to whichever was looked at next or had just come (replay of an organisation beside another
-// that hands in five times its share: 27 of 60 jobs in time, now all).
+// time; their work takes seconds. All are looked at in the same passes, so that room which has come
+// free meanwhile goes by the order of the queue and not to whichever is looked at next.
 constexpr Milliseconds LookEvery{40};
 // Weight of the newest urgent task in their usual size.
 constexpr int64_t UrgentMemory = 64;
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -7,7 +7,7 @@
 
 namespace valveshelf::sched {
 namespace {
-// Room kept for an urgent task, over the mean size; three of four then fit. (Sizes spread by 0.45.)
+// Room kept for an urgent task, over the mean size; three of four then fit.
 constexpr double UrgentSpread = 1.3;
 // Urgent tasks for which there is always room to be: two steps of the usual width.
 constexpr int64_t LeastUrgentSeats = 8;
@@ -44,9 +44,8 @@
 } // namespace
 
 // Room kept on each worker for one urgent task is a fifth of a cell of small workers, and work that
-// can wait stood before it while hundreds of urgent tasks could have been started. It is kept while
-// the cell as a whole has little of it (fifteen days of a full cell of 350 workers with troubles:
-// 0.694 of the work's worth with room always kept, 0.718 with this).
+// can wait would stand before it while hundreds of urgent tasks could be started. It is kept only
+// while the cell as a whole has little of it.
 bool isUrgentRoomScarce(CellState &Cell) {
   const auto Wanted =
       static_cast<int64_t>(Cell.Limits.UrgentSpare * Cell.UrgentAttempts) + LeastUrgentSeats;
@@ -125,9 +124,8 @@
   return Step.Spec->MostPerWorker > 0 && heldOf(Step, On) >= Step.Spec->MostPerWorker;
 }
 
-// True if the task has just failed on the worker. Where few advised workers have room it went back
-// at once and failed three times in 60 ms, which ended its job: 4 of 372 jobs in the replay of
-// workers that fail everything, none since.
+// True if the task has just failed on the worker. Where few advised workers have room it would go
+// back at once and use up its attempts on a worker that fails everything.
 bool hasJustFailedOn(const Pass &In, const TaskState &Task, const Worker &On) {
   return Task.FailedOn == &On && In.Now - Task.FailedAt < In.Cell.Limits.NotBackTime;
 }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -15,7 +15,7 @@
 // How often a start without an answer is sent before it is stopped instead.
 constexpr int MaxSends = 2;
 // A run that shows the same progress in two reports so far apart stands still: a sixth of its time,
-// which is sixteen parts in a hundred on a sound worker and two on one that is eight times slower.
+// in which a worker that is eight times slower still shows some.
 constexpr Milliseconds LeastStuckTime{2000};
 constexpr int StuckPart = 6;
 // Without an estimate.
@@ -25,7 +25,7 @@
 // Runs that stand still are looked for this often; a fraction of the time above.
 constexpr Milliseconds StuckLookEvery{500};
 // A run that fails within a tenth of its estimate failed at once. Those that fail by their own
-// fault do so somewhere in their work, those on a worker that is broken within some 20 ms.
+// fault do so somewhere in their work.
 constexpr int AtOncePart = 10;
 // A worker that is busy or can't be reached is left alone for this time.
 constexpr Milliseconds ShortPause{500};
