Configuration from a peer: confirmed as of when the peer can have said it

Cause, found by reading: a held answer was taken to say how things stood 100 ms before it arrived; behind a slow link that is too late, and keys that were taken away could be relied on for as long. It now counts from when it was asked for, and by the time for which it was held only if it brought nothing newer. ConfigWatch.* pass.

--- a/src/cell/config_watch.cpp
+++ b/src/cell/config_watch.cpp
@@ -24,8 +24,6 @@
 // The scheduler therefore reads the key, and the others hear its version with its questions for
 // advice; a process that heard none for so long asks.
 constexpr Milliseconds PeerSilence{2000};
-// What a peer's answer is under way for, at most, while links are whole.
-constexpr Milliseconds AnswerTime{100};
 constexpr Milliseconds PeerSilenceInDoubt{400};
 // A peer that watches the store holds its answer so long for a newer version. A process that is cut
 // off from it finds out by then and asks the next one.
@@ -133,19 +131,21 @@
 // True if the peer answered.
 Awaitable<bool> ConfigWatch::askPeer(Endpoint Peer, Milliseconds Wait) {
   Asking = true;
+  const TimePoint AskedAt = Time.Now();
   Result<PeerConfiguration> Answer = co_await Links.AskPeer(Peer, version(), Wait);
-  const TimePoint Now = Time.Now();
   Asking = false;
   if (!ok(Answer) || Stopped) {
     ++NextPeer;
     co_return false;
   }
-  HeardPeer = Now;
+  HeardPeer = Time.Now();
   const PeerConfiguration &Known = value(Answer);
+  // An answer without a newer version was held to its end.
+  const TimePoint SaidAfter = Known.Newer.empty() ? AskedAt + Wait : AskedAt;
   if (!Known.Newer.empty())
     takeBytes(Known.Newer, toString(Peer));
   if (Known.Version == version())
-    Confirmed = std::max(Confirmed, Now - Known.ConfirmedAge - AnswerTime);
+    Confirmed = std::max(Confirmed, SaidAfter - Known.ConfirmedAge);
   else if (isDoubtful())
     ++NextPeer; // it knows less than this process
   co_return true;
