--- a/src/cell/roster_test.cpp
+++ b/src/cell/roster_test.cpp
@@ -118,15 +118,22 @@
     EXPECT_TRUE(hearsStore(*Small, Name));
   EXPECT_TRUE(hearsStore({}, "box-1")) << "nobody has counted yet";
   auto All = fleetOf(1000);
+  uint16_t Port = 1000;
+  for (auto &[Name, One] : All)
+    One.Peers.Port = ++Port;
   const auto Large = nextRoster({}, All);
   size_t Hear = 0;
-  std::map<std::string, int> FirstOf;
+  std::map<uint16_t, int> FirstOf;
   for (auto &[Name, One] : All) {
     Hear += hearsStore(*Large, Name) ? 1 : 0;
     const auto Hearers = hearersFor(*Large, Name);
     EXPECT_EQ(Hearers.size(), RosterSize - (hearsStore(*Large, Name) ? 1 : 0));
+    ++FirstOf[Hearers.front().Port];
   }
   EXPECT_EQ(Hear, RosterSize);
+  EXPECT_GE(FirstOf.size(), RosterSize - 1);
+  for (const auto &[First, Count] : FirstOf)
+    EXPECT_LE(Count, 100) << "twice and a half a fair share";
 }
 
 // What one process that does not schedule calls and is sent in some seconds of a fleet that starts.
