Crash counts: a counted task is started and watched on a worker that has just answered

What callers saw: a gang that could be done was failed after four lost workers of which one crashed under a member.

The scheduler did not know whether the worker lived when it ordered the start, nor when the run was last there.

Change: a task with a count, or a gang with such a member, is ordered only on workers whose last report was asked for at most 100 ms before; otherwise they are asked first. While the run is in startup its worker is asked again every 50 ms, so that an end is known before the worker is lost. Over a slow link any report asked for since is enough after a second. No write, and no call for tasks without a count.

Tests that failed before: Crashes.AStartAfterACrashWaitsUntilItsWorkerAnswers and TheEndOfACountedRunIsKnownBeforeItsWorkerCrashes.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -148,6 +148,11 @@
   bool SurvivedStartup = false; ///< Its worker did not crash during the run's startup.
   /// No other run is started on its worker while this is set. Counted in `Worker::IsolatedStarts`.
   bool IsIsolatedStart = false;
+  /// Its task has a crash count, and the run has not survived its startup: its worker is asked for
+  /// reports before and after the start. Counted in `Worker::WatchedStarts`.
+  bool IsWatchedStart = false;
+  /// When the start was first held back for a recent report of its worker; zero if it was not.
+  TimePoint ReportAwaitedSince{};
   bool IsCopy = false; ///< It is `TaskState::Copy`.
   /// The first progress reported of a run that did not begin its task from the start.
   std::optional<ProgressBase> MeasuredFrom;
@@ -156,7 +161,7 @@
 /// One incarnation of a worker and the attempts booked on it.
 /// Invariant: Booked is the sum of the needs of all attempts that are not Planned, Planned that of
 /// the others, Preemptible that of those that may be stopped; IsolatedStarts counts those
-/// `IsIsolatedStart`.
+/// `IsIsolatedStart`, WatchedStarts those `IsWatchedStart`.
 struct Worker {
   WorkerInfo Info;
   uint32_t Slot = 0;          ///< Index into `CellState::Slots`; not reused within a term.
@@ -187,6 +192,8 @@
   TimePoint UnlistedAt{};       ///< When it disappeared from the platform's list.
   SpeedBand Speed = SpeedBand::Ordinary; ///< As learned; ordinary while too little is known.
   uint32_t IsolatedStarts = 0;           ///< While above 0, nothing else is started here.
+  uint32_t WatchedStarts = 0;
+  TimePoint ReportRequestedAt{}; ///< When a report was last requested for a watched start.
   TimePoint SilentSince{}; ///< When the current silence was first counted; zero if there is none.
   /// The silence is still to be counted against the runs in startup here.
   bool HasUncountedSilence = false;
--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -7,6 +7,14 @@
 
 namespace valveshelf::sched {
 namespace {
+// A worker whose last report was requested so recently is taken to be alive.
+constexpr Milliseconds MaxReportAge{100};
+// After this time any report that was requested since the start was held back is recent enough:
+// over a slow link none may be younger than MaxReportAge when it arrives.
+constexpr Milliseconds MaxReportWait{1000};
+// An unanswered request is repeated after this time.
+constexpr Milliseconds ReportRetryDelay{50};
+
 void removeFromSuspectIndex(CellState &Cell, const TaskKey &Key, const std::string &Worker) {
   const auto Found = Cell.SuspectWorkers.find(Worker);
   if (Found == Cell.SuspectWorkers.end())
@@ -155,9 +163,35 @@
   clearPendingStart(Cell, Key, Out);
 }
 
-bool mayStartNow(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
-  notePendingStart(Cell, Key, On, Out);
-  return !awaitsCrashCountSave(Cell, *findTask(Cell, Key));
+void requestReport(Worker &On, TimePoint Now, Effects &Out) {
+  if (Now - On.ReportRequestedAt < ReportRetryDelay)
+    return;
+  On.ReportRequestedAt = Now;
+  Out.ReportRequests.push_back(On.Info.Id);
+}
+
+// True if the worker was alive a moment ago; otherwise requests a report.
+static bool isKnownAlive(Worker &On, Attempt &Entry, TimePoint Now, Effects &Out) {
+  if (Now - On.ReportAskedAt <= MaxReportAge)
+    return true;
+  if (Entry.ReportAwaitedSince == TimePoint{})
+    Entry.ReportAwaitedSince = Now;
+  if (Now - Entry.ReportAwaitedSince >= MaxReportWait &&
+      On.ReportAskedAt >= Entry.ReportAwaitedSince)
+    return true;
+  requestReport(On, Now, Out);
+  return false;
+}
+
+const char *whyNotStartNow(CellState &Cell, const RunKey &Run, Worker &On, TimePoint Now,
+                           Effects &Out) {
+  notePendingStart(Cell, Run.Task, On, Out);
+  if (awaitsCrashCountSave(Cell, *findTask(Cell, Run.Task)))
+    return WaitsForCrashSave;
+  Attempt &Entry = On.Attempts.at(Run);
+  if (Entry.IsWatchedStart && !isKnownAlive(On, Entry, Now, Out))
+    return "a worker is asked for a report before the start";
+  return nullptr;
 }
 
 bool awaitsCrashCountSave(const CellState &Cell, const TaskState &Task) {
--- a/src/scheduler/crash_count.h
+++ b/src/scheduler/crash_count.h
@@ -30,14 +30,20 @@
 /// The task has survived its startup.
 void clearCrashCount(CellState &Cell, const TaskKey &Key, Effects &Out);
 
+inline constexpr const char *WaitsForCrashSave = "the crash count of a task is being saved";
 /// True if the task must not be started because its count is not durable yet: a scheduler that
 /// takes over would miss it. A single suspicion does not delay the task.
 bool awaitsCrashCountSave(const CellState &Cell, const TaskState &Task);
 /// Records that the task is about to be started on the worker if it has a count. The record is
 /// saved first, so that a scheduler that takes over before the crash is seen counts it.
 void notePendingStart(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
-/// Records the pending start; true if the task may be started there now.
-bool mayStartNow(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
+/// Requests a report from the worker for a watched start, unless one was requested a moment ago.
+void requestReport(Worker &On, TimePoint Now, Effects &Out);
+/// Records the pending start of a planned run. Null if it may be ordered now, else the reason:
+/// a record is not durable yet, or the start is watched and its worker, which may have crashed
+/// unnoticed, has not answered a moment ago. An order to a dead worker would count as a crash.
+const char *whyNotStartNow(CellState &Cell, const RunKey &Run, Worker &On, TimePoint Now,
+                           Effects &Out);
 /// Clears the record: the run was never sent, or ended otherwise than with its worker. If it were
 /// kept, each takeover would count a crash.
 void clearPendingStart(CellState &Cell, const TaskKey &Key, Effects &Out);
--- a/src/scheduler/crash_count_test.cpp
+++ b/src/scheduler/crash_count_test.cpp
@@ -209,5 +209,36 @@
   EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
 }
 
+// Guards against a crash that is counted for an order to a worker that was dead already. Several of
+// them made the scheduler give up gangs that had crashed no worker.
+TEST(Crashes, AStartAfterACrashWaitsUntilItsWorkerAnswers) {
+  CrashScene Given(1);
+  const JobId Id = submitCrashedOnce(Given);
+  const std::string Next = Given.Ports.begin()->first;
+  Given.Silent.insert(Next); // it has crashed, which the scheduler has not noticed
+  Given.Cell.Workers.at(Next).QuarantinedUntil = Given.Now + 500ms;
+  Given.advance(2s);
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  Given.Silent.clear();
+  Given.advance(500ms);
+  EXPECT_EQ(Given.startsOf(Id), 2u);
+}
+
+// Guards against a crash that is counted for a run that was over: while a counted task is in
+// startup its worker is asked often enough that an end is known before the worker is lost.
+TEST(Crashes, TheEndOfACountedRunIsKnownBeforeItsWorkerCrashes) {
+  CrashScene Given(1);
+  const JobId Id = submitCrashedOnce(Given);
+  Given.ReportsUnasked = false;
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.advance(100ms);
+  Given.completeRuns(WorkerId);
+  Given.advance(100ms);
+  Given.crash(WorkerId, 1s);
+  EXPECT_EQ(publicJobState(Given.Cell, Id), "completed");
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -19,6 +19,8 @@
 // No run completes sooner. A task that crashes its worker does so sooner, and the closed connection
 // shows it.
 constexpr Milliseconds MinRunTime{40};
+// Age of the last report at which a worker with watched starts is asked again.
+constexpr Milliseconds WatchInterval{50};
 // Weights of a crash in `TaskState::WeightedCrashes`. The only run on the worker weighs more, as no
 // other task can be at fault.
 constexpr uint32_t SharedCrashWeight = 1;
@@ -152,6 +154,8 @@
   Entry.SurvivedStartup = true;
   On.IsolatedStarts -= Entry.IsIsolatedStart ? 1 : 0;
   Entry.IsIsolatedStart = false;
+  On.WatchedStarts -= Entry.IsWatchedStart ? 1 : 0;
+  Entry.IsWatchedStart = false;
   clearCrashCount(Cell, Run.Task, Out);
 }
 
@@ -237,9 +241,13 @@
     giveUpIfCrashing(Cell, Key, Now, Out);
 }
 
-void pollIsolatedStarts(const CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
-  if (On.IsolatedStarts > 0 && Now - On.ReportAskedAt >= Cell.Limits.StartupTime)
-    Out.ReportRequests.push_back(On.Info.Id);
+void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out) {
+  if (On.WatchedStarts == 0 || Now - On.ReportAskedAt < WatchInterval)
+    return;
+  if (std::any_of(On.Attempts.begin(), On.Attempts.end(), [](const auto &Entry) {
+        return Entry.second.IsWatchedStart && isInStartup(Entry.second);
+      }))
+    requestReport(On, Now, Out);
 }
 
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -6,6 +6,8 @@
 //  - A crash is counted in `TaskState::StartupCrashes` only for runs that were in startup. A run
 //    that survives its startup clears the count of its task.
 //  - A task with a count is started in isolation, on a worker where no other run is in startup.
+//    The worker is asked for a report just before the start, and often while the run is in startup:
+//    otherwise an order that met a dead worker, or a run that had ended, would count as a crash.
 //  - A worker that falls silent is suspected at once, so that the suspicion is saved if this
 //    scheduler ends. It is confirmed when another incarnation answers in the worker's place, and
 //    retracted when the worker had announced that it leaves, or answers again at any time, to this
@@ -46,7 +48,7 @@
 void giveUpRestoredTasks(CellState &Cell, TimePoint Now, Effects &Out);
 /// Delays the restart of tasks that a silent worker may have completed.
 void delayPossiblyDoneTasks(CellState &Cell, const Worker &On, TimePoint Now);
-/// Requests a report from a worker with isolated starts whose last report is not recent.
-void pollIsolatedStarts(const CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
+/// Requests a report from a worker with watched starts whose last report is not recent.
+void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out);
 
 } // namespace valveshelf::sched
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -101,12 +101,15 @@
     Task.NotBefore = Pass.Now + ReplanPause;
 }
 
-// True if each member may be started now. Calls `mayStartNow` for every member in any case.
-bool mayLaunchAll(PlacementPass &Pass, const StepState &Step) {
-  bool All = true;
+// Null if each member may be started now, else why not. Calls `whyNotStartNow` for every member in
+// any case, so that all records are written and all reports requested at the same time.
+const char *whyNotLaunch(PlacementPass &Pass, const StepState &Step) {
+  const char *Reason = nullptr;
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-    All = mayStartNow(Pass.Cell, {Step.Key, I}, *Step.Tasks[I].AssignedWorker, Pass.Out) && All;
-  return All;
+    if (const char *OfMember = whyNotStartNow(Pass.Cell, {{Step.Key, I}, Step.GangRun},
+                                              *Step.Tasks[I].AssignedWorker, Pass.Now, Pass.Out))
+      Reason = OfMember;
+  return Reason;
 }
 
 // Starts a planned gang if every member has its resources and its ticket. Returns false if not.
@@ -133,11 +136,11 @@
       Needed += needOf(Step);
     HasRoom = HasRoom && fits(Needed, W->Info.Capacity - W->Booked);
   }
-  const bool Ready = HasRoom && HasTickets && mayLaunchAll(Pass, Step);
-  if (!Ready) {
-    Step.WaitReason = !HasRoom      ? "its resources are not free yet"
-                      : !HasTickets ? "tickets are missing"
-                                    : WaitsForCrashSave;
+  const char *WaitReason = !HasRoom      ? "its resources are not free yet"
+                           : !HasTickets ? "tickets are missing"
+                                         : whyNotLaunch(Pass, Step);
+  if (WaitReason) {
+    Step.WaitReason = WaitReason;
     requestAdvice(Pass, J, Step, std::move(NoTicket));
     if (Pass.Now - Step.PlannedAt > Pass.Cell.Limits.PlanTimeout)
       dropPlan(Pass, Step);
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -135,7 +135,6 @@
 // Single tasks and gangs (placement.cpp, gangs.cpp).
 
 /// `StepState::WaitReason` of a step with a task whose crash count is being saved.
-inline constexpr const char *WaitsForCrashSave = "the crash count of a task is being saved";
 
 /// True if the task needs an attempt and can't be running anywhere.
 bool isPlaceable(const PlacementPass &Pass, const Job &J, const StepState &Step, uint32_t Index);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -304,6 +304,8 @@
   Made.Expected = expectedRunTimeOn(Cell, Step, On);
   Made.IsIsolatedStart = needsIsolatedStart(Step, Step.Tasks[Index]);
   On.IsolatedStarts += Made.IsIsolatedStart ? 1 : 0;
+  Made.IsWatchedStart = Step.Tasks[Index].StartupCrashes > 0;
+  On.WatchedStarts += Made.IsWatchedStart ? 1 : 0;
   Made.Phase = Phase;
   Made.PhaseSince = Now;
   (Phase == AttemptPhase::Planned ? On.Planned : On.Booked) += Made.Need;
@@ -368,6 +370,7 @@
     noteReleased(Cell.Loads, On.Info.Service, Found->second.Need);
   Cell.UrgentAttempts -= Found->second.IsUrgent ? 1 : 0;
   On.IsolatedStarts -= Found->second.IsIsolatedStart ? 1 : 0;
+  On.WatchedStarts -= Found->second.IsWatchedStart ? 1 : 0;
   if (Found->second.Owner) {
     Found->second.Owner->Usage -= Found->second.Charge;
     if (!WasPlanned)
@@ -682,10 +685,10 @@
       noteWorkerKnown(Cell, Id, Now, Out);
     } else if (On.IsResponsive) {
       retryStops(Cell, On, Now, Out);
+      requestReportsOfStarts(On, Now, Out);
       if (CheckForStalls) {
         stopLeftoverGangMembers(Cell, On, Now, Out);
         stopStalledRuns(Cell, On, Now, Out);
-        pollIsolatedStarts(Cell, On, Now, Out);
       }
     }
   }
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -69,8 +69,10 @@
   }
 
   // Delivers a report of the worker: its active runs, and \p Ends as new ends.
-  void report(const std::string &Id, const std::vector<std::pair<RunKey, RunOutcome>> &Ends = {}) {
+  void report(const std::string &Id, std::vector<std::pair<RunKey, RunOutcome>> Ends = {}) {
     WorkerReport Report;
+    for (const auto &End : std::exchange(UnreportedEnds[Id], {}))
+      Ends.push_back(End);
     for (const auto &[Run, How] : Ends) {
       ActiveRuns[Id].erase(Run);
       Report.Ended.push_back({++LastEndNumbers[Id], Run, How, ""});
@@ -83,8 +85,15 @@
     apply(Out);
   }
 
-  // Advances the clock in ticks of 10 ms, each with a placement pass. Workers report every 100 ms
-  // unless they are silent.
+  // All runs on the worker are done, which its next report shows.
+  void completeRuns(const std::string &Id) {
+    for (const RunKey &Run : ActiveRuns[Id])
+      UnreportedEnds[Id].emplace_back(Run, RunOutcome::Done);
+    ActiveRuns[Id].clear();
+  }
+
+  // Advances the clock in ticks of 10 ms, each with a placement pass. Workers report when they are
+  // asked, and every 100 ms if `ReportsUnasked` is set, unless they are silent.
   void advance(Milliseconds Time) {
     for (Milliseconds T{0}; T < Time; T += Milliseconds(10)) {
       Now += Milliseconds(10);
@@ -95,7 +104,7 @@
            Out);
       place(Cell, Now, Out);
       apply(Out);
-      if (T.count() % 100 == 0)
+      if (ReportsUnasked && T.count() % 100 == 0)
         for (const auto &[Id, Port] : std::map(Ports))
           if (!Silent.count(Id) && Cell.Workers.count(Id))
             report(Id);
@@ -127,6 +136,9 @@
         report(Order.Worker, {{Order.Run, RunOutcome::Stopped}});
     }
     LostRuns.insert(LostRuns.end(), Out.LostRuns.begin(), Out.LostRuns.end());
+    for (const std::string &Id : std::vector(Out.ReportRequests))
+      if (!Silent.count(Id) && Cell.Workers.count(Id))
+        report(Id);
   }
 
   // The worker crashes in 10 ms. It is unlisted after UnlistDelay, and replaced after RestartDelay.
@@ -215,6 +227,7 @@
   }
 
   void removeWorker(const std::string &Id) {
+    UnreportedEnds.erase(Id);
     Ports.erase(Id);
     ActiveRuns.erase(Id);
   }
@@ -266,9 +279,11 @@
   std::multimap<TimePoint, std::function<void()>> ScheduledEvents;
   int ReportedPercent = 50;   ///< Progress of each run in reports.
   bool StoreAvailable = true; ///< If false, nothing is saved.
+  bool ReportsUnasked = true; ///< If false, workers report only when they are asked.
 
 protected:
   std::map<std::string, uint64_t> LastEndNumbers;
+  std::map<std::string, std::vector<std::pair<RunKey, RunOutcome>>> UnreportedEnds;
 
 private:
   JobId LastJob = 0;
