Crash counts: crashes around takeovers are recorded and confirmed

What callers saw: a task went on crashing workers after the third, and whatever ran beside it was lost with them.

Change: when all workers of a service are known after a takeover and one of them was lost before it reported, the starts of tasks that may have been there are recorded until they survive their startup, so that the next crash is counted. A suspicion is saved with whether the run was certainly in startup; the death of the worker then confirms it in any term. A worker that confirmed a watched start and answered none of the reports requested after it was lost as the run began.

Tests that failed before: Crashes.AWatchedWorkerThatAnswersNothingAfterTheStartHasCrashed, ASecondCrashThatNoSchedulerNoticedIsCounted, ACrashIsConfirmedByTheNextScheduler.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -230,14 +230,20 @@
   uint32_t StartupCrashes = 0;
   /// Of these, the workers whose crash is not confirmed.
   std::vector<std::string> SuspectWorkers;
-  /// Of these, the workers that left the platform's list without notice. They count as crashed
-  /// unless they answer again.
+  /// Of `SuspectWorkers`, those that fell silent while a run was certainly in startup there. A
+  /// scheduler that finds such a worker dead confirms the crash.
+  std::vector<std::string> WitnessedSuspects;
+  /// Of the counted workers, those that left the platform's list without notice. They count as
+  /// crashed unless they answer again.
   std::vector<std::string> VanishedWorkers;
   /// Consecutive workers that crashed while running it; those that ran nothing else count twice.
   uint32_t WeightedCrashes = 0;
-  /// While `StartupCrashes` is above 0: the worker of the last start whose outcome is unknown; or
-  /// empty.
+  /// While `StartupCrashes` is above 0 or `MayHaveCrashedWorker` is set: the worker of the last
+  /// start whose outcome is unknown; or empty.
   std::string PendingStartWorker;
+  /// An earlier scheduler may have started it on a worker that was lost before it reported to this
+  /// one. Until it survives its startup its starts are recorded, as those of counted tasks.
+  bool MayHaveCrashedWorker = false;
   /// The one of `SuspectWorkers` that was the `PendingStartWorker` of an earlier scheduler; or
   /// empty.
   std::string InheritedStartWorker;
@@ -383,6 +389,9 @@
   /// Services of workers that may hold runs of an earlier scheduler and have not reported to this
   /// one, by worker id.
   std::map<std::string, std::string> UnreportedWorkers;
+  /// Services of workers that were lost before they reported to this scheduler, until all others of
+  /// the service are known.
+  std::set<std::string> ServicesWithLostWorkers;
   /// By id. Invariant: a task is listed here exactly if it lists the worker in `SuspectWorkers` or
   /// `VanishedWorkers`.
   std::map<std::string, SuspectWorker> SuspectWorkers;
@@ -549,6 +558,7 @@
   std::string Checkpoint;
   uint32_t StartupCrashes = 0;
   std::vector<std::string> SuspectWorkers;
+  std::vector<std::string> WitnessedSuspects;
   std::vector<std::string> VanishedWorkers;
   uint32_t WeightedCrashes = 0;
   std::string PendingStartWorker;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -78,7 +78,8 @@
   const std::set<uint32_t> &Failures =
       Step.Spec->Gang && First ? Step.GangFailures : Task.FailedRuns;
   const bool HasCheckpoint = !Task.Done && !Task.Checkpoint.empty();
-  const bool HasCrashes = !Task.Done && (Task.StartupCrashes > 0 || Task.WeightedCrashes > 0);
+  const bool HasCrashes = !Task.Done && (Task.StartupCrashes > 0 || Task.WeightedCrashes > 0 ||
+                                         !Task.PendingStartWorker.empty());
   if (Failures.empty() && !HasCheckpoint && !HasCrashes)
     return;
   cell::TaskNote &Note = *To.add_note();
@@ -92,6 +93,8 @@
     Note.set_doubts(static_cast<uint32_t>(Task.SuspectWorkers.size()));
     for (const std::string &Worker : Task.SuspectWorkers)
       Note.add_doubted(Worker);
+    for (const std::string &Worker : Task.WitnessedSuspects)
+      Note.add_witnessed(Worker);
     for (const std::string &Worker : Task.VanishedWorkers)
       Note.add_vanished(Worker);
     Note.set_may_begin(!Task.PendingStartWorker.empty());
@@ -130,6 +133,7 @@
     Task.SuspectWorkers.assign(Note.doubted().begin(), Note.doubted().end());
     while (Task.SuspectWorkers.size() < Note.doubts())
       Task.SuspectWorkers.push_back(placeholderWorkerId(Task.SuspectWorkers.size()));
+    Task.WitnessedSuspects.assign(Note.witnessed().begin(), Note.witnessed().end());
     Task.VanishedWorkers.assign(Note.vanished().begin(), Note.vanished().end());
     const bool IsUnnamed = Note.may_begin() && Note.trial_on().empty();
     Task.PendingStartWorker =
--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -77,12 +77,14 @@
   Suspect.Tasks.insert(Key);
 }
 
-void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, TimePoint Now,
-                  Effects &Out) {
+void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
+                  TimePoint Now, Effects &Out) {
   const std::string &Id = On.Info.Id;
   changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
     ++Task.StartupCrashes;
     Task.SuspectWorkers.push_back(Id);
+    if (IsWitnessed)
+      Task.WitnessedSuspects.push_back(Id);
     indexSuspectWorker(Cell, Key, Id, Now);
     return "silent";
   });
@@ -94,6 +96,7 @@
   changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
     if (std::erase(Task.SuspectWorkers, Id) == 0)
       ++Task.StartupCrashes;
+    std::erase(Task.WitnessedSuspects, Id);
     if (How == WorkerEnd::Replaced) {
       removeFromSuspectIndex(Cell, Key, Id);
       return "crashed";
@@ -108,6 +111,7 @@
   changeCount(Cell, Key, Worker, Out, [&](TaskState &Task) -> std::string_view {
     if (std::erase(Task.SuspectWorkers, Worker) + std::erase(Task.VanishedWorkers, Worker) == 0)
       return {};
+    std::erase(Task.WitnessedSuspects, Worker);
     --Task.StartupCrashes;
     removeFromSuspectIndex(Cell, Key, Worker);
     return "heard";
@@ -123,6 +127,7 @@
       removeFromSuspectIndex(Cell, Key, Worker);
     for (const std::string &Worker : std::exchange(Counted.VanishedWorkers, {}))
       removeFromSuspectIndex(Cell, Key, Worker);
+    Counted.WitnessedSuspects.clear();
     Counted.StartupCrashes = 0;
     Counted.InheritedStartWorker.clear();
     return "stands";
@@ -141,7 +146,8 @@
 void notePendingStart(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
   TaskState *Task = findTask(Cell, Key);
   Task->InheritedStartWorker.clear();
-  if (Task->StartupCrashes == 0 || Task->PendingStartWorker == On.Info.Id)
+  const bool IsRecorded = Task->StartupCrashes > 0 || Task->MayHaveCrashedWorker;
+  if (!IsRecorded || Task->PendingStartWorker == On.Info.Id)
     return;
   Task->PendingStartWorker = On.Info.Id;
   Job &Of = Cell.Jobs.at(Key.Step.Job);
--- a/src/scheduler/crash_count.h
+++ b/src/scheduler/crash_count.h
@@ -19,9 +19,10 @@
 /// Removes the tasks of a job that is being forgotten from that index.
 void removeJobFromSuspectIndex(CellState &Cell, const Job &Of);
 
-/// The worker may have crashed during the startup of the task.
-void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, TimePoint Now,
-                  Effects &Out);
+/// The worker may have crashed during the startup of the task. \p IsWitnessed: it was certainly in
+/// startup there.
+void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
+                  TimePoint Now, Effects &Out);
 /// The worker crashed during the startup of the task; it may have been a suspect before.
 void confirmCrash(CellState &Cell, const TaskKey &Key, const Worker &On, WorkerEnd How,
                   TimePoint Now, Effects &Out);
@@ -34,8 +35,9 @@
 /// True if the task must not be started because its count is not durable yet: a scheduler that
 /// takes over would miss it. A single suspicion does not delay the task.
 bool awaitsCrashCountSave(const CellState &Cell, const TaskState &Task);
-/// Records that the task is about to be started on the worker if it has a count. The record is
-/// saved first, so that a scheduler that takes over before the crash is seen counts it.
+/// Records that the task is about to be started on the worker if it has a count or may have crashed
+/// a worker. The record of a counted task is saved first, so that a scheduler that takes over
+/// before the crash is seen counts it.
 void notePendingStart(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out);
 /// Requests a report from the worker for a watched start, unless one was requested a moment ago.
 void requestReport(Worker &On, TimePoint Now, Effects &Out);
--- a/src/scheduler/crash_count_test.cpp
+++ b/src/scheduler/crash_count_test.cpp
@@ -240,5 +240,110 @@
   EXPECT_EQ(publicJobState(Given.Cell, Id), "completed");
 }
 
+// A worker that confirmed the start of a counted task, and answered nothing after it, crashed with
+// the task, also if the silence is noticed only after the run may have ended.
+TEST(Crashes, AWatchedWorkerThatAnswersNothingAfterTheStartHasCrashed) {
+  CrashScene Given(1);
+  const JobId Id = Given.submit(tasks(1, 4000, 100ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.crash(Given.workerOf(Id), 1s);
+  ASSERT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.Silent.insert(WorkerId);
+  Given.advance(300ms);
+  Given.crash(WorkerId, 1s);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 2u);
+  EXPECT_TRUE(Given.taskOf(Id).SuspectWorkers.empty());
+}
+
+// Guards against crashes that are lost one after the other, each to a takeover before its silence
+// was noticed. The first is not known; a task that may have been on a worker that is found dead is
+// recorded before its next start.
+TEST(Crashes, ASecondCrashThatNoSchedulerNoticedIsCounted) {
+  CrashScene Given(6);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  for (uint32_t Crashes = 0; Crashes < 3; ++Crashes) {
+    ASSERT_TRUE(Given.advanceUntilRuns(Id));
+    const std::string WorkerId = Given.workerOf(Id);
+    Given.advance(30ms);
+    Given.Silent.insert(WorkerId); // it has crashed, which this scheduler does not notice
+    Given.takeOver();
+    EXPECT_EQ(Given.taskOf(Id).StartupCrashes, Crashes);
+    Given.advance(1s);
+    Given.replace(WorkerId);
+  }
+}
+
+// The task was in startup as its worker fell silent, and the scheduler that saw it ended. The next
+// one finds the worker replaced, which confirms the crash.
+TEST(Crashes, ACrashIsConfirmedByTheNextScheduler) {
+  CrashScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.fallSilent(WorkerId);
+  Given.advance(20ms);
+  Given.takeOver();
+  ASSERT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 1u);
+  Given.replace(WorkerId);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  EXPECT_TRUE(Given.taskOf(Id).SuspectWorkers.empty());
+}
+
+// The same for a worker whose silence was noticed when the run may have been over: its end proves
+// nothing against the task.
+TEST(Crashes, ALateSuspicionIsNotConfirmedByTheNextScheduler) {
+  CrashScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 4000, 100ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.Silent.insert(WorkerId);
+  Given.advance(200ms);
+  Given.fallSilent(WorkerId);
+  Given.advance(20ms);
+  Given.takeOver();
+  Given.replace(WorkerId);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 1u);
+}
+
+// Once the task has survived its startup, its recorded start must not be counted by a scheduler
+// that takes over.
+TEST(Crashes, ARecordedStartIsClearedOnceItsTaskHasSurvivedItsStartup) {
+  CrashScene Given(3);
+  const JobId Id = Given.submit(tasks(1, 4000, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.Silent.insert(WorkerId);
+  Given.takeOver();
+  Given.replace(WorkerId);
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(20ms);
+  ASSERT_FALSE(Given.taskOf(Id).PendingStartWorker.empty());
+  Given.advance(1s);
+  EXPECT_TRUE(Given.taskOf(Id).PendingStartWorker.empty());
+  Given.Silent.insert(Given.workerOf(Id));
+  Given.takeOver();
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 0u);
+}
+
+// Over a slow link each report is old when it arrives; the start must not wait for a younger one
+// for good.
+TEST(Crashes, AStartAfterACrashIsNotHeldBackBySlowReports) {
+  CrashScene Given(1);
+  const JobId Id = submitCrashedOnce(Given);
+  const std::string Next = Given.Ports.begin()->first;
+  Given.ReportsUnasked = false;
+  Given.Silent.insert(Next);
+  Given.Cell.Workers.at(Next).QuarantinedUntil = Given.Now + 300ms;
+  for (Milliseconds T{0}; T < 3s; T += 10ms) {
+    Given.advance(10ms);
+    Effects Out;
+    workerReported(Given.Cell, Next, {}, Given.Now - 300ms, Given.Now, Out);
+  }
+  EXPECT_GE(Given.startsOf(Id), 2u);
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -98,6 +98,18 @@
   return wasRunningAtLoss(On, Entry, Now) && SilentAt - Entry.StartedAt < Least;
 }
 
+// True if the worker confirmed a watched start and answered none of the reports that were requested
+// after it: it was lost as the run began.
+bool wasLostAtWatchedStart(const Worker &On, const Attempt &Entry) {
+  return Entry.IsWatchedStart && Entry.StartedAt != TimePoint{} &&
+         On.ReportAskedAt - Entry.StartedAt < MinRunTime;
+}
+
+bool wasCertainlyInStartup(const Worker &On, const Attempt &Entry, TimePoint Now) {
+  return isInStartup(Entry) &&
+         (wasInStartupAtLoss(On, Entry, Now) || wasLostAtWatchedStart(On, Entry));
+}
+
 // Counts the crash of a worker against a run. \p Alone: it was the only one there.
 void countCrash(CellState &Cell, const Worker &On, const RunKey &Run, WorkerEnd How, bool Alone,
                 TimePoint Now, Effects &Out) {
@@ -108,10 +120,25 @@
   // Saved with the next save of the job.
   if (How == WorkerEnd::Replaced && wasRunningAtLoss(On, Entry, Now))
     Task->WeightedCrashes += Alone ? SoleRunCrashWeight : SharedCrashWeight;
-  if (isInStartup(Entry) && wasInStartupAtLoss(On, Entry, Now))
+  if (wasCertainlyInStartup(On, Entry, Now))
     confirmCrash(Cell, Run.Task, On, How, Now, Out);
   else if (isInStartup(Entry) && !countsCrashOf(*Task, On))
-    suspectCrash(Cell, Run.Task, On, Now, Out);
+    suspectCrash(Cell, Run.Task, On, false, Now, Out);
+}
+
+// Confirms the crashes of the worker that an earlier scheduler witnessed.
+void confirmWitnessedCrashes(CellState &Cell, const Worker &On, WorkerEnd How, TimePoint Now,
+                             Effects &Out) {
+  const auto Found = Cell.SuspectWorkers.find(On.Info.Id);
+  if (Found == Cell.SuspectWorkers.end())
+    return;
+  for (const TaskKey &Key : std::set(Found->second.Tasks)) {
+    const std::vector<std::string> &Witnessed = findTask(Cell, Key)->WitnessedSuspects;
+    if (std::find(Witnessed.begin(), Witnessed.end(), On.Info.Id) == Witnessed.end())
+      continue;
+    confirmCrash(Cell, Key, On, How, Now, Out);
+    giveUpIfCrashing(Cell, Key, Now, Out);
+  }
 }
 } // namespace
 
@@ -157,6 +184,8 @@
   On.WatchedStarts -= Entry.IsWatchedStart ? 1 : 0;
   Entry.IsWatchedStart = false;
   clearCrashCount(Cell, Run.Task, Out);
+  if (std::exchange(findTask(Cell, Run.Task)->MayHaveCrashedWorker, false))
+    clearPendingStart(Cell, Run.Task, Out);
 }
 
 void noteEndListed(CellState &Cell, const EndedRun &End, Effects &Out) {
@@ -177,7 +206,7 @@
   for (auto &[Run, Entry] : On.Attempts) {
     const TaskState *Task = findTask(Cell, Run.Task);
     if (Task && isInStartup(Entry) && !countsCrashOf(*Task, On))
-      suspectCrash(Cell, Run.Task, On, Now, Out);
+      suspectCrash(Cell, Run.Task, On, wasCertainlyInStartup(On, Entry, Now), Now, Out);
   }
 }
 
@@ -211,6 +240,8 @@
   }
   if (How == WorkerEnd::LeaseExpired)
     return; // it is still listed: more likely a cut link than a crash
+  if (Crashed)
+    confirmWitnessedCrashes(Cell, On, How, Now, Out);
   for (const RunKey &Run : Lost)
     giveUpIfCrashing(Cell, Run.Task, Now, Out);
 }
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -9,9 +9,11 @@
 //    The worker is asked for a report just before the start, and often while the run is in startup:
 //    otherwise an order that met a dead worker, or a run that had ended, would count as a crash.
 //  - A worker that falls silent is suspected at once, so that the suspicion is saved if this
-//    scheduler ends. It is confirmed when another incarnation answers in the worker's place, and
-//    retracted when the worker had announced that it leaves, or answers again at any time, to this
-//    or a later scheduler.
+//    scheduler ends. It is confirmed, by this or a later scheduler, when another incarnation
+//    answers in the worker's place and the run was certainly in startup as the silence began. It is
+//    retracted when the worker had announced that it leaves, or answers again at any time.
+//  - A crash that the previous scheduler did not notice can't be counted. The starts of tasks that
+//    may have been on a worker that is lost at a takeover are recorded, so that the next one is.
 // `SchedulerLimits` says after how many crashes a task is given up with its job.
 #pragma once
 
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -269,6 +269,7 @@
     Task.Checkpoint = Saved.Checkpoint;
     Task.StartupCrashes = Saved.StartupCrashes;
     Task.SuspectWorkers = Saved.SuspectWorkers;
+    Task.WitnessedSuspects = Saved.WitnessedSuspects;
     Task.VanishedWorkers = Saved.VanishedWorkers;
     Task.InheritedStartWorker = Saved.PendingStartWorker;
     if (!Saved.PendingStartWorker.empty()) {
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -107,8 +107,8 @@
     else if (!hasTicket(Pass, J, Step, *W))
       NoTicket.push_back(W->Info.Id);
     else if (fits(A.Need, W->Info.Capacity - W->Booked) &&
-             (!A.IsIsolatedStart || (hasNoOtherStartups(*W, &Run) &&
-                                     !whyNotStartNow(Pass.Cell, Run, *W, Pass.Now, Pass.Out))))
+             (!A.IsIsolatedStart || hasNoOtherStartups(*W, &Run)) &&
+             !whyNotStartNow(Pass.Cell, Run, *W, Pass.Now, Pass.Out))
       orderStart(Pass, J, Step, I, *W, A);
   }
   std::sort(NoTicket.begin(), NoTicket.end());
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -47,8 +47,12 @@
     return;
   const std::string Service = std::move(Found->second);
   Cell.UnreportedWorkers.erase(Found);
+  const Worker *On = findWorker(Cell, Id);
+  if (!On || !On->HasReported)
+    Cell.ServicesWithLostWorkers.insert(Service);
   if (hasUnreportedWorkers(Cell, Service))
     return;
+  const bool HasLostWorkers = Cell.ServicesWithLostWorkers.erase(Service) > 0;
   for (auto &[JobNumber, Of] : Cell.Jobs) {
     if (Of.Spec->Service != Service)
       continue;
@@ -62,6 +66,9 @@
           if (Step.Tasks[I].AssignedWorker)
             stopAttempt(Cell, *Step.Tasks[I].AssignedWorker, {{Step.Key, I}, Step.Tasks[I].Run},
                         "the gang is incomplete", Now, Out);
+        for (TaskState &Task : Step.Tasks)
+          Task.MayHaveCrashedWorker =
+              HasLostWorkers && Task.MayRunOnUnreportedWorker && !Task.Done && !Task.AssignedWorker;
         queueStep(Cell, Of, Step, Now);
       }
   }
