--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1250,5 +1250,46 @@
   }
 }
 
+// Guards against a sound gang that is given up for orders to dead workers and for ends that were
+// not heard: these worlds break if counted starts are not watched.
+TEST(SchedulerFuzz, SeedsThatCountStartsNobodyWatched) {
+  for (const uint64_t Seed : {100381U, 400127U, 400149U, 400237U, 400490U}) {
+    World One(Seed, Scenario::Crashes);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
+// Guards against crashes that are lost to takeovers: these worlds break if starts of tasks that may
+// have crashed a worker are not recorded and suspicions are confirmed only in their own term.
+TEST(SchedulerFuzz, SeedsThatLoseEvidenceAtTakeovers) {
+  for (const uint64_t Seed : {77U, 332U, 200058U, 300094U, 400376U}) {
+    World One(Seed, Scenario::Crashes);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
+// Guards against a first crash that is confirmed because half of the estimate had not passed,
+// though the run was over: estimates in these worlds are unrelated to run times. With one real
+// crash and one order to a worker that had just died, the gang is given up.
+TEST(SchedulerFuzz, SeedsThatConfirmACrashByAWrongEstimate) {
+  for (const uint64_t Seed : {700540U}) {
+    World One(Seed, Scenario::Crashes);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
+// Guards against two starts whose records are not durable when the scheduler ends: the start of a
+// task with a single suspicion does not wait for its record.
+TEST(SchedulerFuzz, SeedsThatLoseRecordsOfStartsAfterASuspicion) {
+  for (const uint64_t Seed : {900563U}) {
+    World One(Seed, Scenario::Crashes);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
