Crash counts: a test that a retracted suspicion confirms no later one

Cause: of ten mutants of the counts one was not caught: a suspicion that was retracted and stays marked as witnessed.

Change: Crashes.ARetractedSuspicionDoesNotConfirmALaterOne.

--- a/src/scheduler/crash_count_test.cpp
+++ b/src/scheduler/crash_count_test.cpp
@@ -308,6 +308,28 @@
   EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 1u);
 }
 
+// A suspicion that was retracted must not make a later one on the same worker certain.
+TEST(Crashes, ARetractedSuspicionDoesNotConfirmALaterOne) {
+  CrashScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 4000, 100ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string WorkerId = Given.workerOf(Id);
+  Given.fallSilent(WorkerId);
+  Given.advance(20ms);
+  ASSERT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  Given.Silent.erase(WorkerId);
+  Given.report(WorkerId);
+  ASSERT_EQ(Given.taskOf(Id).StartupCrashes, 0u);
+  Given.Silent.insert(WorkerId);
+  Given.advance(200ms);
+  Given.fallSilent(WorkerId);
+  Given.advance(20ms);
+  Given.takeOver();
+  Given.replace(WorkerId);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 1u);
+}
+
 // Once the task has survived its startup, its recorded start must not be counted by a scheduler
 // that takes over.
 TEST(Crashes, ARecordedStartIsClearedOnceItsTaskHasSurvivedItsStartup) {
