Crash counts: a single task is restarted at once after a single suspicion

What callers would have seen: a task whose worker is cut off just after its start waits for a report of the next worker before it is started again, where nothing is known but a silence.

Cause: watched starts held back every task with a count.

Change: a start after a single suspicion waits for a report only in a gang, which has to be planned anew anyway.

--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -46,10 +46,10 @@
       {Key, Worker, Why, Task->StartupCrashes, unconfirmedCrashes(*Task)});
 }
 
-// False for a single suspicion, which may be a cut link: while the store can't be written, it must
-// not delay work that had just started on the cut worker.
-bool needsDurableCount(const TaskState &Task) {
-  return Task.StartupCrashes > 1 || unconfirmedCrashes(Task) < Task.StartupCrashes;
+// True if a single worker is suspected and none is known to have crashed. It may be a cut link,
+// which must not delay work that had just started on the cut worker.
+bool hasSingleSuspicion(const TaskState &Task) {
+  return Task.StartupCrashes == 1 && unconfirmedCrashes(Task) == 1;
 }
 
 } // namespace
@@ -192,16 +192,21 @@
 const char *whyNotStartNow(CellState &Cell, const RunKey &Run, Worker &On, TimePoint Now,
                            Effects &Out) {
   notePendingStart(Cell, Run.Task, On, Out);
-  if (awaitsCrashCountSave(Cell, *findTask(Cell, Run.Task)))
+  const TaskState &Task = *findTask(Cell, Run.Task);
+  if (awaitsCrashCountSave(Cell, Task))
     return WaitsForCrashSave;
   Attempt &Entry = On.Attempts.at(Run);
-  if (Entry.IsWatchedStart && !isKnownAlive(On, Entry, Now, Out))
+  // A task that had just started on a worker that was cut off is restarted at once. A gang, which
+  // has to be planned anew anyway, is not.
+  const bool IsRestartedAtOnce = Entry.IsIsolatedStart && hasSingleSuspicion(Task);
+  if (Entry.IsWatchedStart && !IsRestartedAtOnce && !isKnownAlive(On, Entry, Now, Out))
     return "a worker is asked for a report before the start";
   return nullptr;
 }
 
 bool awaitsCrashCountSave(const CellState &Cell, const TaskState &Task) {
-  return needsDurableCount(Task) && Cell.PendingSaves.count(Task.CrashCountSave) > 0;
+  return Task.StartupCrashes > 0 && !hasSingleSuspicion(Task) &&
+         Cell.PendingSaves.count(Task.CrashCountSave) > 0;
 }
 
 void retractInheritedStart(CellState &Cell, const TaskKey &Key, Effects &Out) {
