--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1274,7 +1274,17 @@
 // though the run was over: estimates in these worlds are unrelated to run times. With one real
 // crash and one order to a worker that had just died, the gang is given up.
 TEST(SchedulerFuzz, SeedsThatConfirmACrashByAWrongEstimate) {
-  for (const uint64_t Seed : {700540U}) {
+  for (const uint64_t Seed : {700540U, 300150U, 600422U}) {
+    World One(Seed, Scenario::Crashes);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
+// Guards against orders to workers that die less than 100 ms after their last report, which count
+// as suspicions: with one real crash and three of them the gang is given up.
+TEST(SchedulerFuzz, SeedsThatOrderOnWorkersThatHaveJustDied) {
+  for (const uint64_t Seed : {400312U}) {
     World One(Seed, Scenario::Crashes);
     One.play(20000);
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
