Worker restarts: the log, the metrics and explain show them

Nothing read `born`, the start of a worker's life: a worker that starts again under its id left no trace in the log, and explain did not tell how old the report is on which an attempt stands. WorkerLife decides in one place which of two statements is of the newer life. No decision changes.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -197,6 +197,10 @@
                           "Several workers leave calls unanswered: lost starts are repeated early, "
                           "and busy workers are asked again. The number of these workers, and the "
                           "current timeout of a first start order."};
+const EventKind WorkerRestarted{
+    2408, "info", "worker-restarted",
+    "The worker has started again under its id, as its `entry` in the list or its `report` shows: "
+    "the starts of both lives, the runs booked on the earlier one, and its ends not yet saved."};
 const EventKind CallsAnswered{2407, "info", "calls-answered",
                               "Calls to workers are no longer being lost."};
 const EventKind OverloadBegun{
@@ -280,6 +284,7 @@
                               &WorkerNotSlow,
                               &CallsLost,
                               &CallsAnswered,
+                              &WorkerRestarted,
                               &OverloadBegun,
                               &OverloadOver};
   return All;
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -45,6 +45,9 @@
 const MetricDescriptor RunsLost{
     "runs_lost_total", "counter",
     "Runs lost with their worker, by `case`: how the loss was detected."};
+const MetricDescriptor WorkerRestarts{
+    "worker_restarts_total", "counter",
+    "Workers that started again under their id, by `case`: what showed it, entry or report."};
 const MetricDescriptor TasksGivenUp{
     "tasks_given_up_total", "counter",
     "Tasks abandoned, with their jobs, because they crash their workers."};
@@ -106,6 +109,7 @@
                               &StartSeconds,
                               &Ends,
                               &RunsLost,
+                              &WorkerRestarts,
                               &TasksGivenUp,
                               &Copies,
                               &CopyCoreSeconds,
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -413,6 +413,16 @@
                                {"doubts", std::to_string(What.UnconfirmedCrashes)},
                                {"losses", std::to_string(What.WeightedCrashes)}});
   }
+  for (const WorkerRestart &What : Out.WorkerRestarts) {
+    Deps.Metrics.count(metrics::WorkerRestarts, std::string(What.By));
+    logEvent(events::WorkerRestarted,
+             {{"worker", What.Worker},
+              {"born_ms", std::to_string(What.Born.time_since_epoch().count())},
+              {"was_born_ms", std::to_string(What.WasBorn.time_since_epoch().count())},
+              {"by", std::string(What.By)},
+              {"runs", std::to_string(What.Runs)},
+              {"unsaved_ends", std::to_string(What.UnsavedEnds)}});
+  }
   for (const Effects::CrashCountChange &What : Out.CrashCountChanges)
     logEvent(events::CrashCounted, {{"task", toString(What.Task)},
                                     {"worker", What.Worker},
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -126,7 +126,7 @@
     while (To.Ended.empty() && Steady::now() < Until)
       co_await sleepFor(1ms);
     const auto Clock = std::chrono::duration_cast<Milliseconds>(Steady::now().time_since_epoch());
-    co_return WorkerReport{Clock, To.Active, To.Ended};
+    co_return WorkerReport{{}, Clock, To.Active, To.Ended};
   }
 
   void submit(JobId Id, uint32_t Tasks) {
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -22,7 +22,7 @@
 
 namespace metrics {
 extern const MetricDescriptor Calls, JobsRefused, CallSeconds, StoreSeconds, Terms, Jobs, Waiting,
-    LeftOut, Starts, StartSeconds, Ends, RunsLost, TasksGivenUp, Copies, CopyCoreSeconds,
+    LeftOut, Starts, StartSeconds, Ends, RunsLost, WorkerRestarts, TasksGivenUp, Copies, CopyCoreSeconds,
     FirstStartSeconds, ForecastErrorSeconds, AdviceSeconds, PlaceSeconds, Workers, WorkersSlow,
     WorkerListAge, ZonesEvacuated, Messages, MessageBytes, ConnectionsOpened, LogLinesLeftOut,
     Ready;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -21,6 +21,7 @@
 #include "valveshelf/overload_order.h"
 #include "valveshelf/run_times.h"
 #include "valveshelf/service_load.h"
+#include "valveshelf/worker_life.h"
 #include "valveshelf/workload.h"
 
 #include <deque>
@@ -164,6 +165,7 @@
 /// `IsIsolatedStart`, WatchedStarts those `IsWatchedStart`.
 struct Worker {
   WorkerInfo Info;
+  WorkerLife Life;
   uint32_t Slot = 0;          ///< Index into `CellState::Slots`; not reused within a term.
   bool Listed = false;        ///< The platform lists it.
   bool IsSelected = false;    ///< To be used: it is recorded in the store, then asked for its runs.
@@ -348,6 +350,16 @@
   std::set<TaskKey> Tasks;
 };
 
+/// For the log: a worker has started again under its id.
+struct WorkerRestart {
+  std::string Worker;
+  WallTime Born{};     ///< Of the new life.
+  WallTime WasBorn{};  ///< Of the earlier one.
+  std::string_view By; ///< What showed it: the worker's entry in the list, or its report.
+  size_t Runs = 0;     ///< Attempts booked on the earlier life.
+  size_t UnsavedEnds = 0;
+};
+
 /// A job whose end has been saved.
 struct EndedJob {
   JobPhase Phase = JobPhase::Completed;
@@ -400,6 +412,7 @@
   uint64_t LastSave = 0;         ///< Number of the newest save.
   std::map<uint64_t, JobId> PendingSaves;  ///< Saves that are not durable yet, by number.
   std::set<uint32_t> SlotsWithUnsavedEnds; ///< Of workers with ends that wait for a save.
+  std::vector<WorkerRestart> NewRestarts;  ///< Since the last tick.
   WallTime Wall{};                         ///< Wall-clock time of the last tick.
   TimePoint WallAt{};                      ///< Steady time of the last tick.
   bool WorkerShortage = false; ///< A step that did not fit would fit a worker not in use yet.
@@ -508,6 +521,7 @@
   std::vector<Placement> Placements;
   std::vector<Failure> Failures;
   std::vector<LostRun> LostRuns;
+  std::vector<WorkerRestart> WorkerRestarts;
   std::vector<GivenUpTask> TasksGivenUp;
   std::vector<CrashCountChange> CrashCountChanges;
   /// For the log: a worker has become slow, or is no longer.
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -195,9 +195,11 @@
   GangTimedOut, ///< The rest of its gang did not start in time.
 };
 
-/// One incarnation of a worker, as listed by the platform. A restarted worker has a new id.
+/// One life of a worker, as listed by the platform. A restarted worker may have a new id or keep its
+/// own; `Born` tells its lives apart.
 struct WorkerInfo {
   std::string Id;
+  WallTime Born{}; ///< Start of this life of the worker; zero: not stated.
   std::string Service;
   Endpoint Address;
   std::string Zone;
@@ -233,6 +235,7 @@
 
 /// The active and ended runs that a worker reports.
 struct WorkerReport {
+  WallTime Born{};             ///< Start of the life that reports; zero: not stated.
   Milliseconds WorkerClock{0}; ///< The worker's steady clock.
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended;
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -33,9 +33,17 @@
   if (Found == Task.AssignedWorker->Attempts.end())
     return Text;
   Text["phase"] = PhaseNames[static_cast<int>(Found->second.Phase)];
+  const auto MillisSince = [&](TimePoint When) {
+    return std::chrono::duration_cast<Milliseconds>(Now - When).count();
+  };
+  // What the attempt waits for: a report of its worker or, without an answer, the end of the lease.
+  const Worker &On = *Task.AssignedWorker;
+  Text["worker_answers"] = On.IsResponsive;
+  if (On.ReportAskedAt != TimePoint{})
+    Text["worker_reported_ms_ago"] = MillisSince(On.ReportAskedAt);
+  Text["lease_left_ms"] = -MillisSince(On.LeaseEnd);
   Text["percent"] = Found->second.Percent;
-  Text["since_ms"] =
-      std::chrono::duration_cast<Milliseconds>(Now - Found->second.PhaseSince).count();
+  Text["since_ms"] = MillisSince(Found->second.PhaseSince);
   return Text;
 }
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -430,9 +430,19 @@
   return Place->second;
 }
 
+// Notes what an entry or a report says of the worker's life.
+static void noteStatement(CellState &Cell, Worker &On, const LifeStatement &Stated,
+                          std::string_view By, TimePoint Now) {
+  if (compareLives(On.Life, Stated) == LifeOrder::Newer)
+    Cell.NewRestarts.push_back({On.Info.Id, Stated.Born, On.Life.Born, By, On.Attempts.size(),
+                                On.UnsavedEnds.size()});
+  noteLife(On.Life, Stated, Now);
+}
+
 void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now) {
   const bool New = !Cell.Workers.count(Info.Id);
   Worker &On = findOrAddWorker(Cell, Info.Id);
+  noteStatement(Cell, On, {Info.Born, {}, {}}, "entry", Now);
   On.Info = Info;
   On.Listed = true;
   On.LeavesAt = Now + Info.DrainTimeLeft;
@@ -464,6 +474,7 @@
   Worker *On = findWorker(Cell, Id);
   if (!On)
     return;
+  noteStatement(Cell, *On, {Report.Born, Report.WorkerClock, AskedAt}, "report", Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
   retractSuspicions(Cell, *On, AskedAt, Out);
@@ -675,6 +686,7 @@
 void tick(CellState &Cell, TimePoint Now, WallTime Wall, Effects &Out) {
   Cell.Wall = Wall;
   Cell.WallAt = Now;
+  Out.WorkerRestarts = std::exchange(Cell.NewRestarts, {});
   if (!Cell.Loaded)
     return;
   const bool CheckForStalls = Now >= Cell.NextStallScan;
