Tests: workers that start again under their ids, failing

The stand-in of the platform, the soak, a session, the fuzz, the crash scene and the fake worker of the runner's tests gave each life a new id, so no test could fail. They now restart workers under their ids: at once, after a while, behind a cut, during a takeover, with a call held open or carried out late, and twice in a row. Calls on their way reach the new life; the last answer of the old one comes late.

--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -23,11 +23,33 @@
   int StartsToLose = 0;        ///< Number of starts that are carried out without an answer.
   bool LosesLongPolls = false; ///< Long polls get no answer.
   bool IsReplaced = false;     ///< Another instance answers at its address.
+  uint64_t Fence = 0;          ///< Highest fencing token seen in this life.
+  uint64_t LastEnd = 0;
+  WallTime Born{};
+  TimePoint ClockBegan{}; ///< When its clock was at zero.
+  int Starts = 0;         ///< Runs begun, over all lives.
+
+  // It crashes and starts again under its id.
+  void restart() {
+    Active.clear();
+    Ended.clear();
+    Fence = LastEnd = 0;
+    Born = std::max(wallNow(), Born + 1ms);
+    ClockBegan = Steady::now();
+  }
+
+  // False: refused by the fence.
+  bool admits(uint64_t OrderFence) {
+    if (OrderFence < Fence)
+      return false;
+    Fence = OrderFence;
+    return true;
+  }
 
   void end(uint32_t Index) {
     for (size_t I = 0; I < Active.size(); ++I)
       if (Active[I].Run.Task.Index == Index) {
-        Ended.push_back({Ended.size() + 1, Active[I].Run, RunOutcome::Done, ""});
+        Ended.push_back({++LastEnd, Active[I].Run, RunOutcome::Done, ""});
         Active.erase(Active.begin() + static_cast<ptrdiff_t>(I));
         return;
       }
@@ -47,9 +69,11 @@
   Steady::duration Suspended{0}; ///< Added to the clock, but not to timers.
   bool HasEnded = false;         ///< The term ended without a call to `stop`.
   Resources Capacity{64000, 64000, 0};
-  Milliseconds RangeTime{0};   ///< Delay of each answer to a range read.
-  Milliseconds ListDelay{0};   ///< Delay of each answer to a watch of the list of workers.
-  bool LosesListWatch = false; ///< Watches of that list that wait get no answer.
+  Milliseconds RangeTime{0};    ///< Delay of each answer to a range read.
+  Milliseconds ListDelay{0};    ///< Delay of each answer to a watch of the list of workers.
+  bool LosesListWatch = false;  ///< Watches of that list that wait get no answer.
+  Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
+  std::vector<uint64_t> Fences; ///< Of the start orders.
 
   Bench() {
     Settings.Member = "a";
@@ -99,9 +123,15 @@
     WorkerLink Link;
     Link.Start = [this](StartRun Order) -> Awaitable<StartResult> {
       FakeWorker &To = Workers.at(Order.To.Id);
+      Fences.push_back(Order.Fence);
+      co_await sleepFor(std::exchange(StartDelay, 0ms));
+      if (!To.admits(Order.Fence))
+        co_return StartResult::RefusedFence;
       const auto Has = [&](const ActiveRun &Row) { return Row.Run == Order.Run; };
-      if (std::none_of(To.Active.begin(), To.Active.end(), Has))
+      if (std::none_of(To.Active.begin(), To.Active.end(), Has)) {
         To.Active.push_back({Order.Run, "", 0});
+        ++To.Starts;
+      }
       if (To.StartsToLose > 0) {
         --To.StartsToLose;
         co_return StartResult::Unknown;
@@ -121,12 +151,18 @@
       co_await sleepFor(Order.Wait + Order.Timeout);
       co_return Error{ErrorKind::UpstreamCut, "no answer"};
     }
+    if (!To.admits(Order.Fence))
+      co_return Error{ErrorKind::NotOwner, "a newer fencing token"};
     std::erase_if(To.Ended, [&](const EndedRun &End) { return End.Number <= Order.ForgetThrough; });
     const TimePoint Until = Steady::now() + Order.Wait;
-    while (To.Ended.empty() && Steady::now() < Until)
+    const WallTime Life = To.Born;
+    while (To.Ended.empty() && Steady::now() < Until) {
       co_await sleepFor(1ms);
-    const auto Clock = std::chrono::duration_cast<Milliseconds>(Steady::now().time_since_epoch());
-    co_return WorkerReport{{}, Clock, To.Active, To.Ended};
+      if (To.Born != Life)
+        co_return Error{ErrorKind::UpstreamCut, "the worker has crashed"};
+    }
+    const auto Clock = std::chrono::duration_cast<Milliseconds>(Steady::now() - To.ClockBegan);
+    co_return WorkerReport{To.Born, Clock, To.Active, To.Ended};
   }
 
   void submit(JobId Id, uint32_t Tasks) {
@@ -214,6 +250,54 @@
   EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }, 1500ms));
 }
 
+// Guards against runs that are started again although they were done, and against runs that are
+// never heard of again: a worker that starts again under its id counts its ends from one, and its
+// clock from zero.
+TEST(SchedulerRunner, HearsOfTheRunsOfAWorkerThatRestarted) {
+  Bench Given;
+  Given.Workers.erase("w1");
+  Given.Store.remove(std::string(WorkerPrefix) + "w1");
+  FakeWorker &On = Given.Workers.at("w0");
+  On.Born = wallNow();
+  Given.start();
+  Given.submit(1, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  On.end(0);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }));
+  On.restart();
+  Given.submit(2, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  On.end(0);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(2); }));
+  EXPECT_EQ(On.Starts, 2);
+}
+
+// Guards against an order for an earlier life that a worker carries out late: the id is all that it
+// names. Its refusal does not mean that there is a newer scheduler.
+TEST(SchedulerRunner, AnOrderForAnEarlierLifeIsRefusedByTheNextOne) {
+  Bench Given;
+  Given.Workers.erase("w1");
+  Given.Store.remove(std::string(WorkerPrefix) + "w1");
+  FakeWorker &On = Given.Workers.at("w0");
+  On.Born = wallNow();
+  Given.start();
+  Given.submit(1, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  Given.StartDelay = 600ms;
+  Given.submit(2, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Fences.size() == 2; }));
+  On.restart();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Fences.size() >= 3; }))
+      << "the run of the first job is lost";
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Fences.size() >= 4; }))
+      << "so is the order on its way";
+  Given.runUntil([] { return false; }, 800ms);
+  EXPECT_GT(Given.Fences.back(), Given.Fences.front());
+  EXPECT_EQ(Given.running(), 2U);
+  EXPECT_EQ(On.Starts, 3) << "the order on its way was carried out";
+  EXPECT_FALSE(Given.HasEnded);
+}
+
 TEST(SchedulerRunner, SavesJobEndWhileProgressSaveIsInFlight) {
   Bench Given;
   Given.submit(1, 2);
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -38,8 +38,8 @@
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
 extern const EventKind CopyStarted, CopyEnded;
 extern const EventKind ForecastMissed;
-extern const EventKind WorkerSilent, WorkerLeaving, WorkerReplaced, WorkerRestarted, WorkerSlow, WorkerNotSlow,
-    CallsLost, CallsAnswered;
+extern const EventKind WorkerSilent, WorkerLeaving, WorkerReplaced, WorkerRestarted, WorkerSlow,
+    WorkerNotSlow, CallsLost, CallsAnswered;
 extern const EventKind OverloadBegun, OverloadOver;
 } // namespace events
 
--- a/src/include/valveshelf/worker_life.h
+++ b/src/include/valveshelf/worker_life.h
@@ -13,10 +13,10 @@
 
 /// The newest life known of a worker.
 struct WorkerLife {
-  WallTime Born{};                ///< Its start, by its own clock; zero: not stated.
-  TimePoint LearnedAt{};          ///< When the first statement of this life was read.
-  Milliseconds Clock{0};          ///< The highest reading of its steady clock.
-  TimePoint ClockReadAt{};        ///< When the answer with that reading was received.
+  WallTime Born{};         ///< Its start, by its own clock; zero: not stated.
+  TimePoint LearnedAt{};   ///< When the first statement of this life was read.
+  Milliseconds Clock{0};   ///< The highest reading of its steady clock.
+  TimePoint ClockReadAt{}; ///< When the answer with that reading was received.
 };
 
 /// What an answer of a worker, or its entry in the platform's list, says of the life that wrote it.
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -195,8 +195,8 @@
   GangTimedOut, ///< The rest of its gang did not start in time.
 };
 
-/// One life of a worker, as listed by the platform. A restarted worker may have a new id or keep its
-/// own; `Born` tells its lives apart.
+/// One life of a worker, as listed by the platform. A restarted worker may have a new id or keep
+/// its own; `Born` tells its lives apart.
 struct WorkerInfo {
   std::string Id;
   WallTime Born{}; ///< Start of this life of the worker; zero: not stated.
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -2,9 +2,10 @@
 // Randomized simulation of the scheduler's decisions under faults: lost, late and unanswered calls,
 // workers that crash or are cut off, lost saves, takeovers with the old scheduler still active and,
 // depending on the scenario, tasks that crash their workers, changes of capacity, evacuations of
-// zones, and speculative steps on workers of uneven speed. Every start is checked against the
-// simulation's own records. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED set length and first
-// seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts, losses and crash counts of that job's tasks.
+// zones, speculative steps on workers of uneven speed, and workers that start again under their id.
+// Every start is checked against the simulation's own records. VALVESHELF_FUZZ_EVENTS and
+// VALVESHELF_FUZZ_SEED set length and first seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts,
+// losses and crash counts of that job's tasks.
 #include "standins/worker_model.h"
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_state.h"
@@ -53,6 +54,7 @@
   bool IsReplaced = false;         ///< It crashed, and another incarnation answers in its place.
   bool RefusesConnections = false; ///< It crashed, and connections to it are refused.
   bool Crashed = false;            ///< By a task; it does not answer until it is replaced.
+  bool WillReturn = false;         ///< It is dead and starts again under its id.
   Resources PreviousCapacity;      ///< Capacity that schedulers may still assume
   Milliseconds PreviousCapacityUntil{0}; ///< until this time, as they learn of a change late.
   Milliseconds UnreachableUntil{0};
@@ -75,19 +77,24 @@
 /// Faults beyond those of every world.
 enum class Scenario {
   FaultsOnly,
-  Crashes,     ///< Tasks crash their workers; capacities change.
-  Evacuations, ///< Availability zones are evacuated for a while.
-  Features,    ///< Features are switched at random; tickets state their lifetime.
-  Copies,      ///< As Features; steps may be speculative, and workers and runs slow.
+  Crashes,       ///< Tasks crash their workers; capacities change.
+  Evacuations,   ///< Availability zones are evacuated for a while.
+  Features,      ///< Features are switched at random; tickets state their lifetime.
+  Copies,        ///< As Features; steps may be speculative, and workers and runs slow.
+  Restarts,      ///< Workers start again under their id, holding and knowing nothing.
+  CrashRestarts, ///< As Crashes; workers that were crashed start again under their id.
 };
 
 class World {
 public:
   explicit World(uint64_t Seed, Scenario With = Scenario::FaultsOnly)
-      : Random(Seed), ScenarioRandom(Seed + 1), InjectsCrashes(With == Scenario::Crashes),
+      : Random(Seed), ScenarioRandom(Seed + 1),
+        InjectsCrashes(With == Scenario::Crashes || With == Scenario::CrashRestarts),
         InjectsEvacuations(With == Scenario::Evacuations),
         SwitchesFeatures(With == Scenario::Features || With == Scenario::Copies),
-        DrawsCopies(With == Scenario::Copies), StopTime(Seed % 2 ? 50 : 900) {
+        DrawsCopies(With == Scenario::Copies),
+        RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts),
+        StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
@@ -103,6 +110,7 @@
   int64_t GivenUp = 0;   ///< Jobs that failed because a task crashed its workers.
   int64_t Overloads = 0; ///< Times that a service became overloaded.
   int64_t Copies = 0;    ///< Starts of speculative tasks beside another run.
+  int64_t Restarts = 0;  ///< Lives that began under a known id.
   std::vector<std::string> Violations;
 
   void play(int64_t Count) {
@@ -169,6 +177,8 @@
     Made->Info.Zone = "z" + std::to_string(LastBox % 3);
     Made->Info.Labels = {LastBox % 2 ? "a" : "b", Rack};
     Made->Info.Capacity = {8000, 8000, 0};
+    if (RestartsWorkers)
+      Made->Info.Born = wall();
     Made->Model.Id = Id;
     Made->Model.Now = Milliseconds(upTo(100000));
     Made->Model.LongestLease = WorkerLease * 2;
@@ -401,16 +411,82 @@
           if (Of && !Of->HasEnded)
             workerSilent(Of->Cell, Which.Info.Id);
       });
+    Which.WillReturn = RestartsWorkers && Draw(0, 3) > 0ms;
     after(Draw(500, 1500), [this, &Which] {
-      if (!Current->HasEnded)
+      if (!Current->HasEnded && Which.Dead)
         workerUnlisted(Current->Cell, Which.Info.Id, steady());
     });
     after(Draw(300, 6000), [this, &Which] {
+      if (Which.WillReturn)
+        return beginLife(Which);
       Which.IsReplaced = true;
       addBox(Which.Info.Rack, &Which);
     });
   }
 
+  // The worker crashes unless it is dead, and starts again under its id. Calls that are on their
+  // way reach the new life.
+  void beginLife(Box &Of) {
+    if (!Of.Dead)
+      loseRuns(Of);
+    ++Restarts;
+    WorkerModel &Model = Of.Model;
+    Model.Now = Milliseconds(drawScenario(0, 3000));
+    Model.Fence = Model.LastEnd = 0;
+    Model.LeaseUntil = 0ms;
+    Model.Ended.clear();
+    Model.Barred.clear();
+    Of.Dead = Of.Crashed = Of.RefusesConnections = Of.WillReturn = Of.Info.Draining = false;
+    Of.Info.Born = std::max(wall(), Of.Info.Born + 1ms);
+    for (const ProcessPtr &To : {Current, Previous})
+      if (To)
+        after(Milliseconds(drawScenario(0, 1500)), [this, To, &Of, Entry = Of.Info] {
+          if (!Of.Dead && !To->HasEnded)
+            workerListed(To->Cell, Entry, steady());
+        });
+  }
+
+  // Everything on the worker dies; the other members of its gangs end.
+  void loseRuns(Box &Of) {
+    noteCrash(Of);
+    for (const auto &[Run, What] : std::exchange(Of.Model.Runs, {}))
+      if (specOf(Run.Task.Step).Gang)
+        ended(Run, RunOutcome::GangBroken);
+  }
+
+  // A worker starts again under its id: at once, after a while, behind a cut, twice in a row or
+  // during a takeover.
+  void restartOne() {
+    const auto Which =
+        std::next(Boxes.begin(), drawScenario(0, static_cast<int64_t>(Boxes.size()) - 1))->second;
+    if (Which->Dead)
+      return;
+    switch (drawScenario(0, 4)) {
+    case 0:
+      return beginLife(*Which);
+    case 1:
+      loseRuns(*Which);
+      Which->Dead = Which->WillReturn = true;
+      after(Milliseconds(drawScenario(500, 3000)), [this, Which] {
+        if (!Current->HasEnded && Which->Dead)
+          workerUnlisted(Current->Cell, Which->Info.Id, steady());
+      });
+      return after(Milliseconds(drawScenario(100, 8000)), [this, Which] { beginLife(*Which); });
+    case 2:
+      Which->UnreachableUntil = Now + Milliseconds(drawScenario(0, 6000));
+      return beginLife(*Which);
+    case 3:
+      beginLife(*Which);
+      return after(Milliseconds(drawScenario(1, 500)), [this, Which] {
+        if (!Which->Dead)
+          beginLife(*Which);
+      });
+    default:
+      takeOver();
+      return beginLife(*Which);
+    }
+  }
+
   // Checks what an organisation has running on all live boxes against the highest maximum that some
   // scheduler may still apply.
   void checkQuota(const JobSpec &Spec, const RunKey &Run) {
@@ -678,6 +754,8 @@
         return;
       checkForgottenEnds(*To, Fence, Forget);
       auto Report = To->Model.hold(Fence, Forget, Until);
+      if (Report)
+        Report->Born = To->Info.Born;
       if (How == CallOutcome::Delivered)
         after(Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20)),
               [=, this] { deliverReport(Of, Id, Report, AskedAt); });
@@ -688,7 +766,7 @@
           return;
         Effects Out;
         // A new incarnation at the same address says so at once.
-        if (To->Crashed ? To->IsReplaced : To->Dead && chance(0.5))
+        if (To->WillReturn ? false : To->Crashed ? To->IsReplaced : To->Dead && chance(0.5))
           workerEnded(Of->Cell, Id, steady(), Out);
         else
           workerSilent(Of->Cell, Id);
@@ -850,6 +928,7 @@
       if (!Entry->Dead && !chance(0.2))
         workerListed(Cell, Entry->Info, steady());
       WorkerInfo Noted = Entry->Info;
+      Noted.Born = {}; // records don't hold it
       if (chance(0.2))
         Noted.Capacity = {}; // as in records of earlier versions
       if (Records.count(Id))
@@ -1003,6 +1082,8 @@
         resizeOne();
       if (InjectsEvacuations && std::uniform_real_distribution<>(0, 1)(ScenarioRandom) < 0.002)
         changeZones();
+      if (RestartsWorkers && std::uniform_real_distribution<>(0, 1)(ScenarioRandom) < 0.001)
+        restartOne();
       if (SwitchesFeatures && std::uniform_real_distribution<>(0, 1)(ScenarioRandom) < 0.002)
         switchFeatures(Current->Cell);
     }
@@ -1107,6 +1188,7 @@
   const bool InjectsEvacuations;
   const bool SwitchesFeatures;
   const bool DrawsCopies;
+  const bool RestartsWorkers;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool FaultsOver = false;
@@ -1150,6 +1232,7 @@
   int64_t Events = fromEnvironment("VALVESHELF_FUZZ_EVENTS", 0);
   int64_t Worlds = 0, Broken = 0;
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0, Overloads = 0, Copies = 0;
+  int64_t Restarts = 0;
 
   WorldSeries(int64_t UsualEvents, Scenario With) {
     Events = Events == 0 ? UsualEvents : Events;
@@ -1158,7 +1241,7 @@
       play(static_cast<uint64_t>(First + Worlds), With);
     std::cout << Broken << " of " << Worlds << " worlds broke, " << Events << " events, " << Starts
               << " starts, " << Takeovers << " takeovers, " << Crashes << " crashes, " << GivenUp
-              << " jobs given up, " << Copies << " copies\n";
+              << " jobs given up, " << Copies << " copies, " << Restarts << " restarts\n";
   }
 
   void play(uint64_t Seed, Scenario With) {
@@ -1170,6 +1253,7 @@
     GivenUp += One.GivenUp;
     Overloads += One.Overloads;
     Copies += One.Copies;
+    Restarts += One.Restarts;
     Broken += One.Violations.empty() ? 0 : 1;
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1201,6 +1285,16 @@
   EXPECT_GT(Played.Copies, Played.Events / 1000);
 }
 
+TEST(SchedulerFuzz, HoldsItsInvariantsWhileWorkersRestartUnderTheirIds) {
+  const WorldSeries Played(400000, Scenario::Restarts);
+  EXPECT_GT(Played.Restarts, Played.Worlds * 5);
+}
+
+TEST(SchedulerFuzz, GivesUpTasksThatCrashWorkersWhichKeepTheirIds) {
+  const WorldSeries Played(200000, Scenario::CrashRestarts);
+  EXPECT_GT(Played.GivenUp, Played.Events / 20000);
+}
+
 TEST(SchedulerFuzz, SeedsThatLoseAWorkerUnderAPlannedGang) {
   // The plans of the other members must not stay booked.
   for (const uint64_t Seed : {5790U}) {
--- /dev/null
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: Apache-2.0
+// Workers that start again under their id: what the scheduler knows of an earlier life must not be
+// taken for the present one.
+#include "replay/crash_scene.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+StepSpec gangOf(uint32_t Count) {
+  StepSpec Step = tasks(Count, WorkerSize.MilliCores * 2 / 3, 60s); // one on each worker
+  Step.Gang = true;
+  return Step;
+}
+
+// Runs a job of one task on the only worker to its end.
+void completeJob(CrashScene &Given) {
+  const JobId Id = Given.submit(tasks(1, 1000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.completeRuns("w0");
+  Given.advance(200ms);
+  ASSERT_EQ(publicJobState(Given.Cell, Id), "completed");
+}
+
+// Guards against a task that runs twice because the end of its run, the first of the worker's new
+// life, is taken for one of the earlier life, which was processed.
+TEST(WorkerRestarts, TheFirstEndOfANewLifeIsNotAnOldOne) {
+  CrashScene Given(1);
+  completeJob(Given);
+  completeJob(Given);
+  Given.restart("w0");
+  const JobId Id = Given.submit(tasks(1, 1000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.completeRuns("w0");
+  Given.advance(500ms);
+  EXPECT_EQ(publicJobState(Given.Cell, Id), "completed");
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+}
+
+// Guards against the end of a run that a worker forgets unread: it is told to forget the ends of
+// its earlier life, and has ended the run meanwhile.
+TEST(WorkerRestarts, ANewLifeIsNotToldToForgetEndsOfTheEarlierOne) {
+  CrashScene Given(1);
+  completeJob(Given);
+  completeJob(Given);
+  Given.ReportsUnasked = false;
+  const JobId Id = Given.submit(tasks(1, 1000, 600ms));
+  Given.restart("w0");
+  Given.advance(100ms);
+  Given.completeRuns("w0");
+  Given.ReportsUnasked = true;
+  Given.advance(1s);
+  EXPECT_EQ(publicJobState(Given.Cell, Id), "completed");
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+}
+
+// Guards against a gang that is never started again: the run of the member whose worker restarted
+// stays booked, since neither its end nor its loss is ever reported.
+TEST(WorkerRestarts, AGangThatLosesAMemberIsStartedAgain) {
+  CrashScene Given(3);
+  const JobId Id = Given.submit(gangOf(2));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(2s);
+  const std::string Lost = Given.workerOf(Id, 0);
+  const std::string Other = Given.workerOf(Id, 1);
+  ASSERT_NE(Lost, Other);
+  Given.restart(Lost);
+  Given.endRunsAsBroken(Other);
+  Given.advance(3s);
+  EXPECT_EQ(Given.startsOf(Id), 4u);
+  EXPECT_FALSE(Given.workerOf(Id, 0).empty());
+  EXPECT_FALSE(Given.workerOf(Id, 1).empty());
+}
+
+// Guards against a run that waits until it counts as stalled although its worker is known, from the
+// list, to have started again.
+TEST(WorkerRestarts, ARunOfAnEarlierLifeIsLostWithIt) {
+  CrashScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(2s);
+  const std::string On = Given.workerOf(Id);
+  Given.restart(On);
+  Given.listWorker(On, Given.Ports.at(On));
+  Given.advance(1s);
+  EXPECT_EQ(Given.startsOf(Id), 2u);
+  ASSERT_EQ(Given.LostRuns.size(), 1u);
+  EXPECT_EQ(Given.LostRuns[0].Cause, WorkerEnd::Replaced);
+}
+
+// A start order that was on its way while the worker restarted may have been carried out by either
+// life. The run that the new life holds is kept.
+TEST(WorkerRestarts, ARunThatTheNewLifeCarriedOutIsKept) {
+  CrashScene Given(2);
+  Given.ReportsUnasked = false;
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  for (const char *Worker : {"w0", "w1"})
+    Given.restart(Worker);
+  Given.advance(100ms);
+  const std::string On = Given.workerOf(Id);
+  ASSERT_FALSE(On.empty());
+  Given.ReportsUnasked = true;
+  Given.advance(5s);
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+  EXPECT_EQ(Given.workerOf(Id), On);
+  EXPECT_TRUE(Given.LostRuns.empty());
+}
+
+// Guards against a report of an earlier life that arrives late and brings its runs back.
+TEST(WorkerRestarts, ALateReportOfAnEarlierLifeIsIgnored) {
+  CrashScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(2s);
+  const std::string On = Given.workerOf(Id);
+  const WorkerReport Old = Given.reportOf(On);
+  const TimePoint AskedAt = Given.Now;
+  Given.restart(On);
+  Given.advance(500ms);
+  ASSERT_EQ(Given.startsOf(Id), 2u);
+  Effects Out;
+  workerReported(Given.Cell, On, Old, AskedAt, Given.Now, Out);
+  EXPECT_TRUE(Out.Stops.empty());
+  Given.apply(Out);
+  Given.advance(500ms);
+  EXPECT_EQ(Given.startsOf(Id), 2u);
+}
+
+// Guards against a task that crashes worker after worker without being given up, because a worker
+// that answers again under its id is taken for one that was only cut off.
+TEST(WorkerRestarts, ATaskThatCrashesWorkersWhichKeepTheirIdsIsGivenUp) {
+  CrashScene Given(12);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  int Crashes = 0;
+  for (; Crashes < 12 && Given.advanceUntilRuns(Id); ++Crashes) {
+    Given.advance(10ms);
+    const std::string On = Given.workerOf(Id);
+    Given.fallSilent(On);
+    Given.advance(1s);
+    Given.restart(On);
+    Given.Silent.erase(On);
+    Given.advance(500ms);
+  }
+  EXPECT_EQ(Crashes, 3);
+  EXPECT_EQ(publicJobState(Given.Cell, Id), "failed");
+}
+
+// The same across takeovers: the crash that an earlier scheduler saw is confirmed by the new life,
+// and not taken back because the id answers.
+TEST(WorkerRestarts, ACrashSeenByAnEarlierSchedulerIsNotTakenBackByANewLife) {
+  CrashScene Given(4);
+  for (int I = 0; I < 4; ++I)
+    Given.restart("w" + std::to_string(I)); // every life states its start
+  Given.advance(1s);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(10ms);
+  const std::string On = Given.workerOf(Id);
+  Given.fallSilent(On);
+  Given.advance(100ms);
+  ASSERT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  Given.takeOver();
+  Given.restart(On);
+  Given.Silent.erase(On);
+  Given.advance(500ms);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 0u) << "the crash is certain";
+}
+
+// Tickets and advice hold for one life of a worker.
+TEST(WorkerRestarts, TicketsOfAnEarlierLifeAreNotUsed) {
+  CrashScene Given(1);
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  Given.advance(50ms);
+  StepState &Step = Given.Cell.Jobs.at(Id).Rounds.at(0).Steps[0];
+  adviceAnswered(Given.Cell, Step.Key, {"w0"}, {{"w0", "ticket"}}, 10s, Given.Now);
+  ASSERT_NE(findPermit(std::as_const(Step), Given.Cell.Workers.at("w0")), nullptr);
+  Given.restart("w0");
+  Given.listWorker("w0", 9000);
+  EXPECT_EQ(findPermit(std::as_const(Step), Given.Cell.Workers.at("w0")), nullptr);
+  EXPECT_FALSE(hasAdviceOn(Step, Given.Cell.Workers.at("w0")));
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -434,8 +434,8 @@
 static void noteStatement(CellState &Cell, Worker &On, const LifeStatement &Stated,
                           std::string_view By, TimePoint Now) {
   if (compareLives(On.Life, Stated) == LifeOrder::Newer)
-    Cell.NewRestarts.push_back({On.Info.Id, Stated.Born, On.Life.Born, By, On.Attempts.size(),
-                                On.UnsavedEnds.size()});
+    Cell.NewRestarts.push_back(
+        {On.Info.Id, Stated.Born, On.Life.Born, By, On.Attempts.size(), On.UnsavedEnds.size()});
   noteLife(On.Life, Stated, Now);
 }
 
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -31,6 +31,7 @@
   void listWorker(const std::string &Id, uint16_t Port, bool Draining = false) {
     WorkerInfo Info;
     Info.Id = Id;
+    Info.Born = Born[Id];
     Info.Service = "pool";
     Info.Address = {"10.0.0.1", Port};
     Info.Capacity = WorkerSize;
@@ -68,23 +69,43 @@
     return Spec->Id;
   }
 
-  // Delivers a report of the worker: its active runs, and \p Ends as new ends.
+  // Delivers a report of the worker: its active runs, its ends that it was not told to forget, and
+  // \p Ends as new ends.
   void report(const std::string &Id, std::vector<std::pair<RunKey, RunOutcome>> Ends = {}) {
-    WorkerReport Report;
+    const uint64_t Forgotten = Cell.Workers.at(Id).ForgetThrough;
+    std::erase_if(KeptEnds[Id], [&](const EndedRun &End) { return End.Number <= Forgotten; });
     for (const auto &End : std::exchange(UnreportedEnds[Id], {}))
       Ends.push_back(End);
     for (const auto &[Run, How] : Ends) {
       ActiveRuns[Id].erase(Run);
-      Report.Ended.push_back({++LastEndNumbers[Id], Run, How, ""});
+      KeptEnds[Id].push_back({++LastEndNumbers[Id], Run, How, ""});
     }
-    for (const RunKey &Run : ActiveRuns[Id])
-      Report.Active.push_back({Run, "", ReportedPercent});
+    const WorkerReport Report = reportOf(Id);
     Effects Out;
     workerLeased(Cell, Id, Now + Lease);
     workerReported(Cell, Id, Report, Now, Now, Out);
     apply(Out);
   }
 
+  // What the worker says of itself now.
+  WorkerReport reportOf(const std::string &Id) {
+    WorkerReport Report;
+    Report.Born = Born[Id];
+    for (const RunKey &Run : ActiveRuns[Id])
+      Report.Active.push_back({Run, "", ReportedPercent});
+    Report.Ended = KeptEnds[Id];
+    return Report;
+  }
+
+  // The worker crashes and starts again at once under its id. Nobody is told.
+  void restart(const std::string &Id) {
+    ActiveRuns.erase(Id);
+    UnreportedEnds.erase(Id);
+    KeptEnds.erase(Id);
+    LastEndNumbers.erase(Id);
+    Born[Id] = std::max(WallTime(std::chrono::seconds(1000)), Born[Id]) + Milliseconds(1);
+  }
+
   // All runs on the worker are done, which its next report shows.
   void completeRuns(const std::string &Id) {
     for (const RunKey &Run : ActiveRuns[Id])
@@ -228,6 +249,7 @@
 
   void removeWorker(const std::string &Id) {
     UnreportedEnds.erase(Id);
+    KeptEnds.erase(Id);
     Ports.erase(Id);
     ActiveRuns.erase(Id);
   }
@@ -270,6 +292,7 @@
   std::map<JobId, std::string> Progress; ///< As stored.
   std::map<JobId, JobPhase> Ended;
   std::map<std::string, uint16_t> Ports; ///< Of the workers that have not been removed.
+  std::map<std::string, WallTime> Born;  ///< Of the workers that have restarted.
   std::map<std::string, std::set<RunKey>> ActiveRuns;
   std::set<std::string> Silent;
   std::set<std::string> Refusing;
@@ -284,6 +307,7 @@
 protected:
   std::map<std::string, uint64_t> LastEndNumbers;
   std::map<std::string, std::vector<std::pair<RunKey, RunOutcome>>> UnreportedEnds;
+  std::map<std::string, std::vector<EndedRun>> KeptEnds; ///< Until the worker may forget them.
 
 private:
   JobId LastJob = 0;
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -36,7 +36,10 @@
     "advice-deaf": ("entry", 0.1), "store-down": ("store", 4.0),
     "store-loses-answers": ("store", 0.1), "advice-silent": ("entry", 2.0),
     "callers-reset": ("entry", 0.1), "worker-dies": ("worker", 0.1), "worker-reborn": ("worker", 0.1),
-    "worker-mute": ("worker", 2.0), "cancel-wave": ("cell", 0.1)}
+    "worker-mute": ("worker", 2.0), "worker-late": ("worker", 2.0), "cancel-wave": ("cell", 0.1),
+    "restart-quick": ("worker", 0.1), "restart-slow": ("worker", 3.0), "restart-twice": ("worker", 0.5),
+    "restart-behind-cut": ("worker", 3.0), "restart-while-late": ("worker", 1.0),
+    "restart-in-takeover": ("worker", 0.5)}
 
 # One job in so many crashes each worker that begins it.
 CRASHERS_ONE_IN = 25
@@ -204,6 +207,8 @@
             return self.strike_process(kind, target, duration)
         if kind.startswith("worker"):
             return self.strike_worker(kind, target, duration)
+        if kind.startswith("restart"):
+            return self.restart_worker(kind, target, duration)
         if kind == "store-down":
             self.cell.control({"store_down": True})
             time.sleep(duration)
@@ -234,14 +239,38 @@
         self.cell.restart(target)
 
     def strike_worker(self, kind, target, duration):
-        becomes = {"worker-dies": "dead", "worker-reborn": "reborn", "worker-mute": "mute"}[kind]
+        becomes = {"worker-dies": "dead", "worker-reborn": "reborn", "worker-mute": "mute",
+                   "worker-late": "late"}[kind]
         self.cell.control({"worker": target, "becomes": becomes})
         time.sleep(duration)
         if becomes == "dead":
             self.cell.control({"worker": target, "becomes": "reborn"})
-        if becomes == "mute":
+        if becomes in ("mute", "late"):
             self.cell.control({"worker": target, "becomes": "well"})
 
+    def restart_worker(self, kind, target, duration):
+        """The worker starts again under its id."""
+        before = {"restart-slow": "dead", "restart-behind-cut": "mute", "restart-while-late": "late"}.get(kind)
+        if before:
+            self.cell.control({"worker": target, "becomes": before})
+            time.sleep(duration / 2)
+        if kind == "restart-in-takeover":
+            scheduler = self.cell.entries.get(self.cell.scheduler())
+            if scheduler and scheduler.alive():
+                scheduler.kill()
+        self.cell.control({"worker": target, "becomes": "restarted"})
+        if kind == "restart-behind-cut":
+            self.cell.control({"worker": target, "becomes": "mute"})
+            time.sleep(duration / 2)
+            self.cell.control({"worker": target, "becomes": "well"})
+        if kind == "restart-twice":
+            time.sleep(duration)
+            self.cell.control({"worker": target, "becomes": "restarted"})
+        if kind == "restart-in-takeover":
+            time.sleep(duration)
+            if scheduler and not scheduler.alive():
+                self.cell.restart(scheduler.name)
+
     def strike_connections(self, kind, target, duration):
         proxy = {"store": self.stores, "advice": self.advices, "callers": self.fronts}[
             kind.split("-")[0]][target]
@@ -339,9 +368,9 @@
     finally:
         soak.cell.end()
     callers = soak.callers
-    print("seed %d: %d faults, %d switches, %d jobs accepted, %d refused, %d starts, %d copies, %s" % (
-        seed, len(plan), soak.switched, len(callers.accepted), len(callers.refused), found["starts"],
-        found["copies"],
+    print("seed %d: %d faults, %d switches, %d restarts, %d jobs accepted, %d refused, %d starts, %d copies, %s" % (
+        seed, len(plan), soak.switched, found["restarts"], len(callers.accepted), len(callers.refused),
+        found["starts"], found["copies"],
         "clean" if not breaks else "%d BROKEN" % len(breaks)), flush=True)
     for line in breaks[:20]:
         print("   " + line)
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -30,6 +30,10 @@
 // A task that crashes its worker does it so long after its start; the worker is back after a while.
 constexpr Milliseconds CrashAfter{10};
 constexpr Milliseconds BackAfter{1200};
+// A worker that starts again under its id writes its entry so long afterwards.
+constexpr Milliseconds EntryAfter{300};
+// Calls to a worker that is late are carried out after so long, and get no answer.
+constexpr Milliseconds LateBy{1500};
 // The operators' rule on such tasks: starts that are too many after so many crashes.
 constexpr int CrashesAllowed = 3;
 constexpr int StartsTooMany = 3;
@@ -261,6 +265,7 @@
 
 struct Seat {
   WorkerModel Model;
+  WallTime Born{}; ///< Tells the lives of the worker apart.
   std::string Address;
   std::string Rack;
   std::string Zone;
@@ -270,6 +275,7 @@
   bool Dead = false;        ///< It answers nothing.
   bool Crashed = false;     ///< By a task: its connections end at once. It is dead as well.
   bool Mute = false;        ///< It carries orders out and answers nothing.
+  bool Late = false;        ///< It carries orders out late and answers nothing.
   bool Draining = false;
   double Slowness = 1; ///< Factor on the time that its runs take.
   std::map<RunKey, Resources> Needs;
@@ -296,6 +302,7 @@
   int64_t Starts = 0;
   int64_t Advised = 0;
   int64_t Crashes = 0;                                    ///< By tasks.
+  int64_t Restarts = 0;                                   ///< Lives that began under a known id.
   std::map<valveshelf::sched::TaskKey, int> CrashesUnder; ///< Whoever was to blame.
   int64_t LongRunOneIn = 0;                               ///< 0: no run takes longer.
   int64_t LongRunTimes = 1;                               ///< How many times as long.
@@ -372,14 +379,37 @@
     Of.Model = WorkerModel();
     Of.Model.Id = "i-" + std::to_string(++LastLife);
     Of.Model.Now = Milliseconds(1000 * LastLife);
+    fillLife(Of);
+    list(Of);
+  }
+
+  // A life under the id of the one before, whose entry stays in the list until the new one is
+  // written. Calls on their way reach the new life.
+  void restart(Seat &Of) {
+    const std::string Id = Of.Model.Id;
+    Of.Model = WorkerModel();
+    Of.Model.Id = Id;
+    fillLife(Of);
+    ++Restarts;
+    asio::co_spawn(Io, listSoon(Of, Of.Born), asio::detached);
+  }
+
+  Awaitable<void> listSoon(Seat &Of, WallTime Born) {
+    SteadyTimer Timer(Io, EntryAfter);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (Of.Born == Born && !Of.Dead)
+      list(Of);
+  }
+
+  void fillLife(Seat &Of) {
+    Of.Born = std::max(wallNow(), Of.Born + Milliseconds(1));
     Of.Model.LongestLease = Milliseconds(6000);
     Seat *Raw = &Of;
     Of.Model.PlanOf = [this, Raw](const RunKey &Run) { return planOf(*Raw, Run); };
     Of.Model.OnStart = [this, Raw](const RunKey &Run) { judge(*Raw, Run); };
     Of.Model.OnEnd = [this](const RunKey &Run, RunOutcome How) { ended(Run, How); };
     Of.Needs.clear();
-    Of.Dead = Of.Crashed = Of.Mute = false;
-    list(Of);
+    Of.Dead = Of.Crashed = Of.Mute = Of.Late = false;
   }
 
   void list(const Seat &Of) {
@@ -389,6 +419,7 @@
                              {"version", "v1"},
                              {"state", Of.Draining ? "draining" : "ready"},
                              {"machine", "m-" + Of.Address},
+                             {"born", Of.Born.time_since_epoch().count()},
                              {"capacity", json::object{{"cpu", Of.Capacity.MilliCores},
                                                        {"mem_mb", Of.Capacity.MemoryMb},
                                                        {"gpu", 0}}},
@@ -420,6 +451,13 @@
     if (Meant != To->Model.Id)
       co_return answer(421, json::object());
     const json::object Body = parsed(Made.Body);
+    const bool IsLate = To->Late;
+    if (IsLate) {
+      SteadyTimer Timer(Io, LateBy);
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (To->Dead || Meant != To->Model.Id)
+        co_return HttpResponse{0, {}, ""};
+    }
     HttpResponse Answer = answer(404, json::object());
     if (Made.Path == "/api/run-start")
       Answer = start(*To, Body);
@@ -427,7 +465,7 @@
       Answer = stop(*To, Body);
     else if (Made.Path == "/api/hold")
       Answer = co_await hold(To, Body);
-    if (To->Mute || To->Dead)
+    if (To->Mute || To->Dead || IsLate)
       co_return HttpResponse{0, {}, ""};
     co_return Answer;
   }
@@ -529,7 +567,7 @@
     if (CrashesBy[Run.Task] >= CrashesAllowed && ++StartsAfter[Run.Task] >= StartsTooMany)
       broken("started too often after the crashes of its workers", Run);
     if (Step->CrashesWorkers)
-      asio::co_spawn(Io, crashSoon(On, On.Model.Id, Run), asio::detached);
+      asio::co_spawn(Io, crashSoon(On, On.Born, Run), asio::detached);
     if (Step->Gang)
       wakeGang(Run, Step->Count);
   }
@@ -550,10 +588,10 @@
       broken(std::string(Rule), Run);
   }
 
-  Awaitable<void> crashSoon(Seat &On, std::string Life, RunKey By) {
+  Awaitable<void> crashSoon(Seat &On, WallTime Life, RunKey By) {
     SteadyTimer Timer(Io, CrashAfter);
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (On.Dead || On.Model.Id != Life || !On.Model.Runs.count(By))
+    if (On.Dead || On.Born != Life || !On.Model.Runs.count(By))
       co_return;
     ++Crashes;
     ++CrashesBy[By.Task];
@@ -561,7 +599,9 @@
     On.Dead = On.Crashed = true;
     Timer.expires_after(BackAfter);
     co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (On.Dead && On.Model.Id == Life)
+    if (On.Dead && On.Born == Life && Crashes % 2 == 0)
+      restart(On);
+    else if (On.Dead && On.Born == Life)
       beginLife(On);
   }
 
@@ -643,13 +683,14 @@
     if (Body.contains("until_ms"))
       Until = Milliseconds(numberOf(Body, "until_ms"));
     const TimePoint Limit = Steady::now() + Milliseconds(numberOf(Body, "wait_ms"));
-    const std::string Life = To->Model.Id;
+    const WallTime Life = To->Born;
     noteForgotten(*To, Fence, Forget);
     auto Report = To->Model.hold(Fence, Forget, Until);
-    while (Report && Report->Ended.empty() && Steady::now() < Limit && To->Model.Id == Life &&
-           !To->Crashed) {
+    while (Report && Report->Ended.empty() && Steady::now() < Limit && !To->Crashed) {
       SteadyTimer Look(Io, Milliseconds(4));
       co_await Look.async_wait(asio::as_tuple(asio::use_awaitable));
+      if (To->Born != Life) // the last answer of a life that is over comes late
+        break;
       Report = To->Model.hold(Fence, Forget, std::nullopt);
     }
     if (!Report)
@@ -665,6 +706,7 @@
       Ended.push_back(json::array{End.Number, toString(End.Run.Task), End.Run.Run,
                                   Ways[static_cast<int>(End.Outcome)], End.Checkpoint});
     co_return answer(200, json::object{{"clock_ms", Report->WorkerClock.count()},
+                                       {"born", Life.time_since_epoch().count()},
                                        {"active", Active},
                                        {"ended_at", Ended}});
   }
@@ -737,8 +779,11 @@
     const std::string What = textOf(Body, "becomes");
     Which.Dead = What == "dead";
     Which.Mute = What == "mute";
-    if (What == "dead" || What == "reborn")
+    Which.Late = What == "late";
+    if (What == "dead" || What == "reborn" || What == "restarted")
       Workers.loseRuns(Which);
+    if (What == "restarted")
+      Workers.restart(Which);
     if (What == "dead")
       Store.remove("servers/" + Which.Model.Id);
     if (What == "reborn")
@@ -781,6 +826,7 @@
                                   {"running_by_worker", ByWorker},
                                   {"started_jobs", StartedJobs},
                                   {"crashes", Workers.Crashes},
+                                  {"restarts", Workers.Restarts},
                                   {"copies", Workers.Copies},
                                   {"jobs_that_may_fail", MayFail},
                                   {"store_calls", Store.Calls},
