Worker restarts: what belongs to an earlier life is not taken for the present one

What callers saw: jobs whose tasks ran twice, and gangs that were never started again though most room was free.

Cause: a worker that starts again under its id counts its ends and its clock anew. The scheduler took it for the worker that it knew: ends with low numbers counted as processed, reports were dropped until the new clock had passed the old one, and attempts of the earlier life stayed booked. A gang with a booked member is not planned again.

Change: a newer life is a worker of its own, with its own ends, clock, slot (and so tickets and advice) and fencing token. The earlier one is kept until the first report of the new life that was requested after it was learned of: runs that this report shows are taken over, since orders name the id only and the new life may have carried them out; all others are lost. The fencing token is now made of the term and the slot, so that calls for an earlier life, which may come seconds late, are refused; such refusals do not end the term. Reports of earlier lives are ignored. tick asks a new life that has not reported again.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -47,6 +47,13 @@
   return Found->second.WorkerClock + std::chrono::duration_cast<Milliseconds>(Since);
 }
 
+// Answers to calls that were meant for an earlier life of the worker tell nothing about this one; a
+// refusal of their fencing token does not come from a newer scheduler.
+bool SchedulerRunner::isForCurrentLife(const std::string &Id, uint64_t Fence) const {
+  const auto Found = Cell.Workers.find(Id);
+  return Found != Cell.Workers.end() && Fence == fencingToken(Cell, Found->second);
+}
+
 void SchedulerRunner::startHeartbeats() {
   for (const auto &[Id, On] : Cell.Workers) {
     if (!On.IsSelected)
@@ -79,7 +86,7 @@
     co_return HeartbeatOutcome::Ended;
   HeartbeatRequest Order;
   Order.To = {Id, Found->second.Info.Address};
-  Order.Fence = OwnClaim.Term;
+  Order.Fence = fencingToken(Cell, Found->second);
   Order.ForgetThrough = Found->second.ForgetThrough;
   Order.Wait = Wait;
   Order.Timeout = Deps.Settings.Timing.HeartbeatTimeout;
@@ -90,6 +97,7 @@
     workerLeased(Cell, Id, leaseEnd(clockAge(Id)));
   }
   const uint64_t Forgotten = Order.ForgetThrough;
+  const uint64_t Fence = Order.Fence;
   const TimePoint SentAt = Deps.Time.Now();
   const bool IsLongPoll = Wait.count() > 0;
   if (IsLongPoll)
@@ -105,15 +113,18 @@
   const TimePoint Now = Deps.Time.Now();
   Effects Out;
   if (ok(Report)) {
-    HeartbeatState &State = HeartbeatStates[Id];
-    // Answers on two connections may arrive out of order; older ones are ignored.
-    if (value(Report).WorkerClock >= State.WorkerClock) {
+    const LifeOrder Life = workerReported(Cell, Id, value(Report), SentAt, Now, Out);
+    if (Life == LifeOrder::Newer)
+      HeartbeatStates.erase(Id);
+    if (Life == LifeOrder::Same) {
+      HeartbeatState &State = HeartbeatStates[Id];
       State.WorkerClock = value(Report).WorkerClock;
       State.ReadAt = Now;
       State.AnsweredSentAt = std::max(State.AnsweredSentAt, SentAt);
-      workerReported(Cell, Id, value(Report), SentAt, Now, Out);
       State.ForgottenThrough = std::max(State.ForgottenThrough, Forgotten);
     }
+  } else if (!isForCurrentLife(Id, Fence)) {
+    co_return HeartbeatOutcome::NoAnswer;
   } else if (error(Report).Kind == ErrorKind::NotOwner) {
     Out.Deposed = true;
   } else if (error(Report).Kind == ErrorKind::NotFound) {
@@ -244,17 +255,20 @@
   const auto Found = Self->Cell.Workers.find(Order.Worker);
   if (Found == Self->Cell.Workers.end() || Self->Stopped || Self->wasSuspended())
     co_return;
+  // The worker may have started again since the order was decided.
+  const auto Entry = Found->second.Attempts.find(Order.Run);
+  if (Entry == Found->second.Attempts.end())
+    co_return;
   StartRun Start;
   Start.To = {Order.Worker, Found->second.Info.Address};
   Start.Run = Order.Run;
   Start.Job = Order.Job;
   Start.LeaseUntil = Self->workerTime(Order.Worker) + Self->Deps.Settings.Timing.WorkerLease;
-  Start.Fence = Self->OwnClaim.Term;
+  Start.Fence = fencingToken(Self->Cell, Found->second);
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
   // Only the first order has a short timeout: after the second one the run is stopped.
-  const auto Entry = Found->second.Attempts.find(Order.Run);
-  const bool IsRepeat = Entry != Found->second.Attempts.end() && Entry->second.Sends > 1;
+  const bool IsRepeat = Entry->second.Sends > 1;
   const bool Lost =
       areCallsBeingLost(Self->Losses, Self->Cell.Workers.size(), Self->Deps.Time.Now());
   Start.Timeout = startTimeout(Self->CallTimeout, Lost && !IsRepeat);
@@ -262,6 +276,7 @@
   workerLeased(Self->Cell, Order.Worker, Self->leaseEnd(Self->clockAge(Order.Worker)));
   Self->wakeHeartbeatLoop(Order.Worker);
   const TimePoint SentAt = Self->Deps.Time.Now();
+  const uint64_t Fence = Start.Fence;
   const uint64_t Call = noteSent(Self->CallTimeout);
   const StartResult What = co_await Self->Deps.Workers.Start(std::move(Start));
   const Steady::duration Took = Self->Deps.Time.Now() - SentAt;
@@ -284,6 +299,8 @@
   // An answer that only came after an early timeout is no loss.
   if (!Answered && !IsEarly)
     noteLoss(Self->Losses, Order.Worker, Self->Deps.Time.Now());
+  if (!Self->isForCurrentLife(Order.Worker, Fence))
+    co_return;
   Effects Out;
   startAnswered(Self->Cell, Order.Worker, Order.Run, What, Self->Deps.Time.Now(), Out);
   Self->executeEffects(Out);
@@ -299,12 +316,11 @@
                                 {"run", std::to_string(Order.Run.Run)},
                                 {"worker", Order.Worker},
                                 {"why", "\"" + Order.Why + "\""}});
-  StopRun Stop{{Order.Worker, Found->second.Info.Address},
-               Order.Run,
-               Self->OwnClaim.Term,
-               Self->CallTimeout.Current};
+  const uint64_t Fence = fencingToken(Self->Cell, Found->second);
+  StopRun Stop{
+      {Order.Worker, Found->second.Info.Address}, Order.Run, Fence, Self->CallTimeout.Current};
   Result<Done> Answer = co_await Self->Deps.Workers.Stop(std::move(Stop));
-  if (Self->Stopped)
+  if (Self->Stopped || !Self->isForCurrentLife(Order.Worker, Fence))
     co_return;
   Effects Out;
   if (ok(Answer))
--- a/src/cell/scheduler_worker_list.cpp
+++ b/src/cell/scheduler_worker_list.cpp
@@ -37,7 +37,8 @@
              {{"worker", Id},
               {"time_left_ms", std::to_string(value(Read).DrainTimeLeft.count())},
               {"revision", std::to_string(Item.Revision)}});
-  workerListed(Cell, value(Read), Now);
+  if (workerListed(Cell, value(Read), Now) == LifeOrder::Newer)
+    HeartbeatStates.erase(Id);
 }
 
 Awaitable<Result<Done>> SchedulerRunner::rereadWorkers() {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -159,13 +159,19 @@
   std::optional<ProgressBase> MeasuredFrom;
 };
 
-/// One incarnation of a worker and the attempts booked on it.
+/// One life of a worker and the attempts booked on it.
 /// Invariant: Booked is the sum of the needs of all attempts that are not Planned, Planned that of
 /// the others, Preemptible that of those that may be stopped; IsolatedStarts counts those
 /// `IsIsolatedStart`, WatchedStarts those `IsWatchedStart`.
 struct Worker {
   WorkerInfo Info;
   WorkerLife Life;
+  /// An earlier life was known to this scheduler. Answers to calls that were sent before this one
+  /// was learned of are ignored: such calls may still be carried out, in either life.
+  bool IsRestart = false;
+  /// Its worker has started again. Kept, under a key of its own, until a report of the new life
+  /// shows which of its orders that one has carried out.
+  bool IsEarlierLife = false;
   uint32_t Slot = 0;          ///< Index into `CellState::Slots`; not reused within a term.
   bool Listed = false;        ///< The platform lists it.
   bool IsSelected = false;    ///< To be used: it is recorded in the store, then asked for its runs.
@@ -389,7 +395,8 @@
   std::unordered_map<JobId, Job> Jobs;
   std::unordered_map<JobId, EndedJob> EndedJobs;
   std::deque<std::pair<WallTime, JobId>> EndedByAge; ///< Keys of EndedJobs, oldest first.
-  std::map<std::string, Worker> Workers;             ///< By id. Pointers to the values stay valid.
+  /// By id, and earlier lives by a key of their own. Pointers to the values stay valid.
+  std::map<std::string, Worker> Workers;
   std::vector<Worker *> Slots;           ///< Workers by slot; null: the worker was dropped.
   std::set<QueueKey> Queue;              ///< Steps with a task to place.
   TimePoint NextFullScan{};              ///< When all waiting steps are tried again.
@@ -623,20 +630,28 @@
 /// True if the platform and the operators allow new work there: it is listed, not draining, and not
 /// in an availability zone under evacuation.
 bool takesWork(const Worker &On);
-void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now);
+/// An entry of the list that is of an earlier life than the known one is ignored. The result is the
+/// life that the entry shows.
+LifeOrder workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now);
 void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint Now);
 /// Notes that an earlier scheduler may have runs there until \p LeaseEnd.
 void workerMayHoldRuns(CellState &Cell, const WorkerInfo &Info, TimePoint LeaseEnd);
-/// \p AskedAt: when the report was requested; it does not show later changes.
-void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
-                    TimePoint AskedAt, TimePoint Now, Effects &Out);
+/// \p AskedAt: when the report was requested; it does not show later changes. The result is the
+/// life that the report shows. `Older`: it was ignored, as it is of an earlier life, was requested
+/// before this life was known, or was overtaken by another. `Newer`: the worker has restarted, and
+/// a report of the new life is requested.
+LifeOrder workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
+                         TimePoint AskedAt, TimePoint Now, Effects &Out);
+/// The fencing token of orders to this life of a worker. It is higher than that of all earlier
+/// lives and terms, so that a worker which has seen it refuses calls that were meant for those.
+uint64_t fencingToken(const CellState &Cell, const Worker &To);
 /// An immediate heartbeat to the worker failed. Not called for a lost long poll.
 void workerSilent(CellState &Cell, const std::string &Id);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
 bool isIdle(const Worker &On);
 /// True if a worker of the service may hold runs of an earlier scheduler and has not reported yet.
 bool hasUnreportedWorkers(const CellState &Cell, const std::string &Service);
-/// Ends all attempts on the worker and removes it.
+/// Ends all attempts on the worker, or on the earlier life with that key, and removes it.
 void workerEnded(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out,
                  WorkerEnd How = WorkerEnd::Replaced);
 /// The worker may have received a lease that ends by \p End, on the scheduler's clock.
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -38,6 +38,8 @@
   };
   // What the attempt waits for: a report of its worker or, without an answer, the end of the lease.
   const Worker &On = *Task.AssignedWorker;
+  if (On.IsEarlierLife)
+    Text["waits_for"] = "a report of its worker, which has started again";
   Text["worker_answers"] = On.IsResponsive;
   if (On.ReportAskedAt != TimePoint{})
     Text["worker_reported_ms_ago"] = MillisSince(On.ReportAskedAt);
@@ -61,6 +63,8 @@
   int64_t WithoutCapacity = 0;
   int64_t Eligible = 0;
   for (const auto &[Id, On] : Cell.Workers) {
+    if (On.IsEarlierLife)
+      continue;
     if (On.Info.Service != Of.Spec->Service)
       ++ServesOtherService;
     else if (!On.HasReported || !On.IsResponsive)
--- /dev/null
+++ b/src/scheduler/worker_lives.cpp
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+// Hands the attempts of a worker's earlier lives over to its new life, or ends them.
+#include "scheduler/worker_lives.h"
+#include "scheduler/crashes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace valveshelf::sched {
+
+namespace {
+// Fencing tokens of a term: one for each life of a worker, by its slot.
+constexpr int TokenBits = 24;
+
+// Runs that both the report and the earlier life name.
+std::vector<RunKey> carriedOutRuns(const Worker &Was, const WorkerReport &Report) {
+  std::vector<RunKey> Found;
+  for (const ActiveRun &Row : Report.Active)
+    if (Was.Attempts.count(Row.Run))
+      Found.push_back(Row.Run);
+  for (const EndedRun &End : Report.Ended)
+    if (Was.Attempts.count(End.Run))
+      Found.push_back(End.Run);
+  return Found;
+}
+
+} // namespace
+
+uint64_t fencingToken(const CellState &Cell, const Worker &To) {
+  return (Cell.Fence << TokenBits) + To.Slot;
+}
+
+std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On) {
+  std::vector<std::string> Keys;
+  const std::string &Id = On.Info.Id;
+  for (auto At = Cell.Workers.lower_bound(Id);
+       At != Cell.Workers.end() && At->first.starts_with(Id); ++At)
+    if (At->second.IsEarlierLife && At->second.Info.Id == Id)
+      Keys.push_back(At->first);
+  return Keys;
+}
+
+Worker &beginNewLife(CellState &Cell, Worker &Was, const LifeStatement &Stated, std::string_view By,
+                     TimePoint Now) {
+  const std::string Id = Was.Info.Id;
+  Cell.NewRestarts.push_back(
+      {Id, Stated.Born, Was.Life.Born, By, Was.Attempts.size(), Was.UnsavedEnds.size()});
+  if (Cell.UnreportedWorkers.count(Id)) // what it held for an earlier scheduler is lost
+    Cell.ServicesWithLostWorkers.insert(Was.Info.Service);
+  // Calls to the earlier life may have granted the new one its longest lease.
+  const std::chrono::duration<double, std::milli> Longest =
+      Cell.Limits.WorkerLease * (1 + 2 * Cell.Limits.ClockDrift);
+  Was.LeaseEnd =
+      std::max(Was.LeaseEnd, Now + std::chrono::duration_cast<Steady::duration>(Longest) +
+                                 Cell.Limits.LeaseMargin);
+  // The end of a run that is not saved is saved all the same; nobody is left to be told.
+  Was.UnsavedEnds.clear();
+  Cell.SlotsWithUnsavedEnds.erase(Was.Slot);
+  auto Node = Cell.Workers.extract(Id);
+  Node.key() = Id + "#" + std::to_string(Was.Slot);
+  Cell.Workers.insert(std::move(Node));
+
+  Worker &Made = findOrAddWorker(Cell, Id);
+  Made.Info = Was.Info;
+  Made.Info.Born = Stated.Born;
+  Made.Listed = Was.Listed;
+  Made.IsSelected = Was.IsSelected;
+  Made.IsRecorded = Was.IsRecorded;
+  Made.LeaseEnd = Was.LeaseEnd;
+  Made.LeavesAt = Was.LeavesAt;
+  Made.SlowUntil = Was.SlowUntil;
+  Made.InEvacuatedZone = Was.InEvacuatedZone;
+  Made.UnlistedAt = Was.UnlistedAt;
+  Made.Speed = Was.Speed;
+  Made.IsRestart = true;
+  noteLife(Made.Life, Stated, Now);
+
+  Was.IsEarlierLife = true;
+  Was.IsSelected = Was.HasReported = Was.IsResponsive = false;
+  if (std::exchange(Was.Listed, false))
+    Was.UnlistedAt = Now;
+  return Made;
+}
+
+std::vector<ReleasedRun> settleEarlierLives(CellState &Cell, const Worker &On,
+                                            const WorkerReport &Report, TimePoint Now,
+                                            Effects &Out) {
+  std::vector<ReleasedRun> Released;
+  for (const std::string &Key : earlierLivesOf(Cell, On)) {
+    Worker &Was = Cell.Workers.at(Key);
+    for (const RunKey &Run : carriedOutRuns(Was, Report)) {
+      Released.push_back({Run, Was.Attempts.at(Run).Phase == AttemptPhase::Stopping});
+      retractCrash(Cell, Run.Task, Was.Info.Id, Out); // it was not on the life that crashed
+      unbook(Cell, Was, Run);
+    }
+    workerEnded(Cell, Key, Now, Out, WorkerEnd::Replaced);
+  }
+  return Released;
+}
+
+void stopUnwantedRuns(CellState &Cell, Worker &On, const std::vector<ReleasedRun> &Released,
+                      TimePoint Now, Effects &Out) {
+  for (const auto &[Run, WasStopping] : Released) {
+    const StepState *Step = findStep(Cell, Run.Task.Step);
+    const bool IsIncomplete = Step && Step->Spec->Gang && Step->BookedTasks < Step->OpenTasks;
+    if (WasStopping || IsIncomplete)
+      stopAttempt(Cell, On, Run,
+                  IsIncomplete ? "its gang lost members as the worker restarted"
+                               : "it was being stopped as the worker restarted",
+                  Now, Out);
+  }
+}
+
+} // namespace valveshelf::sched
--- /dev/null
+++ b/src/scheduler/worker_lives.h
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+// Workers that start again under their id. The new life is a worker of its own; the attempts of the
+// earlier one stay booked until a report shows which of them the new life holds after all.
+#pragma once
+
+#include "valveshelf/cell_state.h"
+
+namespace valveshelf::sched {
+
+/// Returns the worker with that id; adds it if there is none.
+Worker &findOrAddWorker(CellState &Cell, const std::string &Id);
+
+/// Makes the worker \p Was an earlier life and returns the new one, which has not reported.
+Worker &beginNewLife(CellState &Cell, Worker &Was, const LifeStatement &Stated, std::string_view By,
+                     TimePoint Now);
+
+/// Keys of the earlier lives of the worker that are not settled.
+std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On);
+
+/// An attempt of an earlier life that the new life carried out.
+struct ReleasedRun {
+  RunKey Run;
+  bool WasStopping = false;
+};
+
+/// Handles the first report of a new life: attempts of earlier lives that it shows are released, to
+/// be taken over from the report, and all others are lost.
+std::vector<ReleasedRun> settleEarlierLives(CellState &Cell, const Worker &On,
+                                            const WorkerReport &Report, TimePoint Now,
+                                            Effects &Out);
+/// Call after the released runs were taken over: stops those that were being stopped, and members
+/// of gangs that have lost others.
+void stopUnwantedRuns(CellState &Cell, Worker &On, const std::vector<ReleasedRun> &Released,
+                      TimePoint Now, Effects &Out);
+
+} // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -5,6 +5,7 @@
 #include "scheduler/forecast.h"
 #include "scheduler/overload.h"
 #include "scheduler/run_times.h"
+#include "scheduler/worker_lives.h"
 
 #include <algorithm>
 #include <utility>
@@ -420,8 +421,7 @@
   Out.Stops.push_back({On.Info.Id, Run, Why});
 }
 
-// Returns the worker with that id; adds it if there is none.
-static Worker &findOrAddWorker(CellState &Cell, const std::string &Id) {
+Worker &findOrAddWorker(CellState &Cell, const std::string &Id) {
   const auto [Place, New] = Cell.Workers.try_emplace(Id);
   if (New) {
     Place->second.Slot = static_cast<uint32_t>(Cell.Slots.size());
@@ -430,26 +430,23 @@
   return Place->second;
 }
 
-// Notes what an entry or a report says of the worker's life.
-static void noteStatement(CellState &Cell, Worker &On, const LifeStatement &Stated,
-                          std::string_view By, TimePoint Now) {
-  if (compareLives(On.Life, Stated) == LifeOrder::Newer)
-    Cell.NewRestarts.push_back(
-        {On.Info.Id, Stated.Born, On.Life.Born, By, On.Attempts.size(), On.UnsavedEnds.size()});
+LifeOrder workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now) {
+  const LifeStatement Stated{Info.Born, {}, {}};
+  Worker *Known = findWorker(Cell, Info.Id);
+  const LifeOrder Order = Known ? compareLives(Known->Life, Stated) : LifeOrder::Same;
+  if (Order == LifeOrder::Older)
+    return Order;
+  Worker &On = Order == LifeOrder::Newer ? beginNewLife(Cell, *Known, Stated, "entry", Now)
+                                         : findOrAddWorker(Cell, Info.Id);
   noteLife(On.Life, Stated, Now);
-}
-
-void workerListed(CellState &Cell, const WorkerInfo &Info, TimePoint Now) {
-  const bool New = !Cell.Workers.count(Info.Id);
-  Worker &On = findOrAddWorker(Cell, Info.Id);
-  noteStatement(Cell, On, {Info.Born, {}, {}}, "entry", Now);
   On.Info = Info;
   On.Listed = true;
   On.LeavesAt = Now + Info.DrainTimeLeft;
   On.SlowUntil = Now + Info.WarmUpTimeLeft;
   On.InEvacuatedZone = Cell.Evacuated.Names.count(Info.Zone) > 0;
-  if (New)
+  if (!Known)
     On.LeaseEnd = Now;
+  return Order;
 }
 
 void workerUnlisted(CellState &Cell, const std::string &Id, TimePoint Now) {
@@ -469,14 +466,25 @@
   Cell.UnreportedWorkers.emplace(Info.Id, On.Info.Service);
 }
 
-void workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
-                    TimePoint AskedAt, TimePoint Now, Effects &Out) {
+LifeOrder workerReported(CellState &Cell, const std::string &Id, const WorkerReport &Report,
+                         TimePoint AskedAt, TimePoint Now, Effects &Out) {
   Worker *On = findWorker(Cell, Id);
   if (!On)
-    return;
-  noteStatement(Cell, *On, {Report.Born, Report.WorkerClock, AskedAt}, "report", Now);
+    return LifeOrder::Older;
+  const LifeStatement Stated{Report.Born, Report.WorkerClock, AskedAt};
+  const LifeOrder Order = compareLives(On->Life, Stated);
+  if (Order == LifeOrder::Newer) {
+    requestReport(beginNewLife(Cell, *On, Stated, "report", Now), Now, Out);
+    return Order;
+  }
+  if (Order == LifeOrder::Older || (On->IsRestart && AskedAt <= On->Life.LearnedAt))
+    return LifeOrder::Older;
+  noteLife(On->Life, Stated, Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
+  const std::vector<ReleasedRun> Released = On->HasReported
+                                                ? std::vector<ReleasedRun>()
+                                                : settleEarlierLives(Cell, *On, Report, Now, Out);
   retractSuspicions(Cell, *On, AskedAt, Out);
   processEnds(Cell, *On, Report, WasResponsive, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
@@ -486,9 +494,11 @@
     else
       noteProgress(Cell, *On, Row, Found->second, {AskedAt, Now, Report.WorkerClock}, Out);
   }
+  stopUnwantedRuns(Cell, *On, Released, Now, Out);
   dropNeverStarted(Cell, *On, Report, AskedAt, Now, Out);
   On->HasReported = true;
   noteWorkerKnown(Cell, Id, Now, Out);
+  return Order;
 }
 
 void workerSilent(CellState &Cell, const std::string &Id) {
@@ -509,9 +519,13 @@
   if (!On)
     return;
   dropAttempts(Cell, *On, How, Now, Out);
+  const std::vector<std::string> Earlier =
+      How == WorkerEnd::Replaced ? earlierLivesOf(Cell, *On) : std::vector<std::string>();
   Cell.Slots[On->Slot] = nullptr;
   Cell.Workers.erase(Id);
   noteWorkerKnown(Cell, Id, Now, Out);
+  for (const std::string &Key : Earlier) // no call to the id reaches a worker any more
+    workerEnded(Cell, Key, Now, Out, How);
 }
 
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
@@ -693,7 +707,15 @@
   if (CheckForStalls)
     Cell.NextStallScan = Now + StallCheckInterval;
   std::vector<std::string> Over;
+  std::vector<std::string> SettledLives;
   for (auto &[Id, On] : Cell.Workers) {
+    if (On.IsEarlierLife) {
+      if (On.Attempts.empty() || Now > On.LeaseEnd)
+        SettledLives.push_back(Id);
+      continue;
+    }
+    if (On.IsRestart && !On.HasReported)
+      requestReport(On, Now, Out);
     countSilence(Cell, On, Now, Out);
     const bool Lapsed = !On.IsResponsive && Now > On.LeaseEnd;
     if ((Lapsed && !On.Listed) || canBeForgotten(On))
@@ -713,6 +735,8 @@
   }
   for (const std::string &Id : Over)
     workerEnded(Cell, Id, Now, Out, WorkerEnd::Unlisted);
+  for (const std::string &Id : SettledLives)
+    workerEnded(Cell, Id, Now, Out, WorkerEnd::Replaced);
   selectWorkers(Cell, Out);
   tickJobs(Cell, Now);
   if (Cell.InForce.ShareAdvice || Cell.InForce.OverloadOrder || Cell.InForce.Admission)
