Worker restarts: a new life is not told to forget ends that nobody has read

What callers saw: a job ran twice. The end of its first run was let go unread.

Cause: every heartbeat repeats the number up to which the worker may forget its ends. A worker that has started again under its id numbers its ends from one, so a heartbeat that was meant for the earlier life makes it forget the ends of runs which it was ordered to begin before its restart was known.

Change: the number is not sent again once the worker has answered a call with it, and an answer to a start order tells by the worker's clock that a new life has carried it out; a report of that life is then requested.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -87,7 +87,7 @@
   HeartbeatRequest Order;
   Order.To = {Id, Found->second.Info.Address};
   Order.Fence = fencingToken(Cell, Found->second);
-  Order.ForgetThrough = Found->second.ForgetThrough;
+  Order.ForgetThrough = acknowledgement(Found->second);
   Order.Wait = Wait;
   Order.Timeout = Deps.Settings.Timing.HeartbeatTimeout;
   // The lease of an unresponsive worker is not renewed: a renewal that may or may not arrive would
@@ -121,7 +121,7 @@
       State.WorkerClock = value(Report).WorkerClock;
       State.ReadAt = Now;
       State.AnsweredSentAt = std::max(State.AnsweredSentAt, SentAt);
-      State.ForgottenThrough = std::max(State.ForgottenThrough, Forgotten);
+      endsForgotten(Cell, Id, Forgotten);
     }
   } else if (!isForCurrentLife(Id, Fence)) {
     co_return HeartbeatOutcome::NoAnswer;
@@ -167,7 +167,7 @@
 bool SchedulerRunner::canSuspendHeartbeats(const Worker &On) const {
   const auto Known = HeartbeatStates.find(On.Info.Id);
   return Known != HeartbeatStates.end() && On.HasReported && isIdle(On) &&
-         Known->second.ForgottenThrough >= On.LastEndNumber &&
+         On.ForgottenThrough >= On.LastEndNumber &&
          Deps.Time.Now() - Known->second.LastBusyAt > Deps.Settings.Timing.HeartbeatWait;
 }
 
@@ -278,7 +278,8 @@
   const TimePoint SentAt = Self->Deps.Time.Now();
   const uint64_t Fence = Start.Fence;
   const uint64_t Call = noteSent(Self->CallTimeout);
-  const StartResult What = co_await Self->Deps.Workers.Start(std::move(Start));
+  const StartAnswer Answer = co_await Self->Deps.Workers.Start(std::move(Start));
+  const StartResult What = Answer.Result;
   const Steady::duration Took = Self->Deps.Time.Now() - SentAt;
   Self->Deps.Metrics.observe(metrics::StartSeconds, Took);
   Self->Deps.Metrics.count(metrics::Starts, std::to_string(static_cast<int>(What)));
@@ -302,7 +303,12 @@
   if (!Self->isForCurrentLife(Order.Worker, Fence))
     co_return;
   Effects Out;
-  startAnswered(Self->Cell, Order.Worker, Order.Run, What, Self->Deps.Time.Now(), Out);
+  const TimePoint Now = Self->Deps.Time.Now();
+  if (Answer.WorkerClock && orderAnswered(Self->Cell, Order.Worker, *Answer.WorkerClock, SentAt,
+                                          Now, Out) == LifeOrder::Newer)
+    Self->HeartbeatStates.erase(Order.Worker);
+  else
+    startAnswered(Self->Cell, Order.Worker, Order.Run, What, Now, Out);
   Self->executeEffects(Out);
   if (What != StartResult::Started)
     Self->schedulePlacement();
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -89,10 +89,9 @@
   static constexpr Milliseconds IdleHeartbeatInterval{30000};
   struct HeartbeatState {
     Milliseconds WorkerClock{0};
-    TimePoint ReadAt{};            ///< When WorkerClock was read.
-    TimePoint AnsweredSentAt{};    ///< When the latest heartbeat that was answered was sent.
-    TimePoint LastBusyAt{};        ///< When the worker was last known to have a run.
-    uint64_t ForgottenThrough = 0; ///< Ended runs up to this number were acknowledged.
+    TimePoint ReadAt{};         ///< When WorkerClock was read.
+    TimePoint AnsweredSentAt{}; ///< When the latest heartbeat that was answered was sent.
+    TimePoint LastBusyAt{};     ///< When the worker was last known to have a run.
   };
 
   // Loading and watching.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -38,6 +38,10 @@
     ClockBegan = Steady::now();
   }
 
+  Milliseconds clock() const {
+    return std::chrono::duration_cast<Milliseconds>(Steady::now() - ClockBegan);
+  }
+
   // False: refused by the fence.
   bool admits(uint64_t OrderFence) {
     if (OrderFence < Fence)
@@ -121,12 +125,12 @@
 
   WorkerLink workerLink() {
     WorkerLink Link;
-    Link.Start = [this](StartRun Order) -> Awaitable<StartResult> {
+    Link.Start = [this](StartRun Order) -> Awaitable<StartAnswer> {
       FakeWorker &To = Workers.at(Order.To.Id);
       Fences.push_back(Order.Fence);
       co_await sleepFor(std::exchange(StartDelay, 0ms));
       if (!To.admits(Order.Fence))
-        co_return StartResult::RefusedFence;
+        co_return StartAnswer{StartResult::RefusedFence, To.clock()};
       const auto Has = [&](const ActiveRun &Row) { return Row.Run == Order.Run; };
       if (std::none_of(To.Active.begin(), To.Active.end(), Has)) {
         To.Active.push_back({Order.Run, "", 0});
@@ -134,9 +138,9 @@
       }
       if (To.StartsToLose > 0) {
         --To.StartsToLose;
-        co_return StartResult::Unknown;
+        co_return StartAnswer{StartResult::Unknown, std::nullopt};
       }
-      co_return StartResult::Started;
+      co_return StartAnswer{StartResult::Started, To.clock()};
     };
     Link.Stop = [](StopRun) -> Awaitable<Result<Done>> { co_return Done{}; };
     Link.Heartbeat = [this](HeartbeatRequest Order) { return heartbeat(std::move(Order)); };
@@ -161,8 +165,7 @@
       if (To.Born != Life)
         co_return Error{ErrorKind::UpstreamCut, "the worker has crashed"};
     }
-    const auto Clock = std::chrono::duration_cast<Milliseconds>(Steady::now() - To.ClockBegan);
-    co_return WorkerReport{To.Born, Clock, To.Active, To.Ended};
+    co_return WorkerReport{To.Born, To.clock(), To.Active, To.Ended};
   }
 
   void submit(JobId Id, uint32_t Tasks) {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -189,8 +189,9 @@
   uint64_t LastEndNumber = 0; ///< Highest number of a processed end.
   /// Numbers of ends, each with that of the save that it waits for.
   std::deque<std::pair<uint64_t, uint64_t>> UnsavedEnds;
-  uint64_t ForgetThrough = 0; ///< Ends up to this number are saved; the worker may forget them.
-  TimePoint LeaseEnd{};       ///< By then the worker has killed all its runs.
+  uint64_t ForgetThrough = 0;    ///< Ends up to this number are saved; the worker may forget them.
+  uint64_t ForgottenThrough = 0; ///< It has answered a call that told it to forget these.
+  TimePoint LeaseEnd{};          ///< By then the worker has killed all its runs.
   int ConsecutiveFailures = 0;
   TimePoint QuarantinedUntil{}; ///< No work is placed here before.
   TimePoint ReportAskedAt{};    ///< When its last report was requested.
@@ -645,6 +646,12 @@
 /// The fencing token of orders to this life of a worker. It is higher than that of all earlier
 /// lives and terms, so that a worker which has seen it refuses calls that were meant for those.
 uint64_t fencingToken(const CellState &Cell, const Worker &To);
+/// The number up to which a heartbeat tells the worker to forget its ends; 0: none. A life that is
+/// not known yet would forget its own ends by it unread, so it is not sent again once it was
+/// answered.
+uint64_t acknowledgement(const Worker &On);
+/// The worker has answered a heartbeat that told it to forget the ends up to \p Through.
+void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Through);
 /// An immediate heartbeat to the worker failed. Not called for a lost long poll.
 void workerSilent(CellState &Cell, const std::string &Id);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
@@ -656,6 +663,11 @@
                  WorkerEnd How = WorkerEnd::Replaced);
 /// The worker may have received a lease that ends by \p End, on the scheduler's clock.
 void workerLeased(CellState &Cell, const std::string &Id, TimePoint End);
+/// The worker has answered an order that was sent at \p AskedAt; \p Clock is its steady clock. Call
+/// before `startAnswered`. `Newer`: a new life answered, and a report of it is requested, which
+/// settles the order.
+LifeOrder orderAnswered(CellState &Cell, const std::string &Id, Milliseconds Clock,
+                        TimePoint AskedAt, TimePoint Now, Effects &Out);
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out);
 void stopAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, bool Acked,
--- a/src/include/valveshelf/worker_link.h
+++ b/src/include/valveshelf/worker_link.h
@@ -51,11 +51,16 @@
   Milliseconds Timeout{0}; ///< For the answer, in addition to Wait.
 };
 
+struct StartAnswer {
+  sched::StartResult Result = sched::StartResult::Unknown;
+  std::optional<Milliseconds> WorkerClock; ///< The worker's steady clock; empty: not stated.
+};
+
 /// Errors of `Stop` and `Heartbeat`: NotOwner (the worker has seen a newer fencing token), NotFound
 /// (another instance answered), UpstreamUnavailable (not sent), UpstreamCut (outcome unknown: it
 /// may have been carried out, or may still be).
 struct WorkerLink {
-  std::function<Awaitable<sched::StartResult>(StartRun)> Start;
+  std::function<Awaitable<StartAnswer>(StartRun)> Start;
   std::function<Awaitable<Result<Done>>(StopRun)> Stop;
   std::function<Awaitable<Result<sched::WorkerReport>>(HeartbeatRequest)> Heartbeat;
 };
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -674,7 +674,8 @@
                                         Order.Checkpoint};
     const CallOutcome How = drawOutcome(*To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
-    after(Delay, [this, Of, To, Seen, How, Id = Order.Worker, Life = To->Info.Born] {
+    after(Delay, [this, Of, To, Seen, How, AskedAt = steady(), Id = Order.Worker,
+                  Life = To->Info.Born] {
       StartResult What = StartResult::Unknown;
       // A worker may refuse as unhealthy.
       if (How == CallOutcome::Delivered && !FaultsOver && chance(0.1))
@@ -687,24 +688,30 @@
         IsInevitable = false;
       }
       if (To->RefusesConnections && How != CallOutcome::Late)
-        return deliverStart(Of, Id, Seen, StartResult::NotSent);
+        return deliverStart(Of, Id, Seen, StartResult::NotSent, {});
       if (How != CallOutcome::Delivered)
         return;
-      after(Milliseconds(1 + upTo(5)),
-            [this, Of, Id, Seen, What] { deliverStart(Of, Id, Seen, What); });
+      after(Milliseconds(1 + upTo(5)), [this, Of, Id, Seen, What, AskedAt, Clock = To->Model.Now] {
+        deliverStart(Of, Id, Seen, What, {{}, Clock, AskedAt});
+      });
     });
     if (How != CallOutcome::Delivered)
       after(OrderTimeout, [this, Of, Id = Order.Worker, Seen] {
-        deliverStart(Of, Id, Seen, StartResult::Unknown);
+        deliverStart(Of, Id, Seen, StartResult::Unknown, {});
       });
   }
 
   void deliverStart(const ProcessPtr &Of, const std::string &Id,
-                    const standins::StartOrderSeen &Seen, StartResult What) {
+                    const standins::StartOrderSeen &Seen, StartResult What,
+                    const LifeStatement &Stated) {
     if (Of->HasEnded || tokenFor(*Of, Id) != Seen.Fence)
       return;
     Effects Out;
-    startAnswered(Of->Cell, Id, Seen.Run, What, steady(), Out);
+    if (Stated.Clock && orderAnswered(Of->Cell, Id, *Stated.Clock, *Stated.AskedAt, steady(),
+                                      Out) == LifeOrder::Newer)
+      Of->Clocks.erase(Id);
+    else
+      startAnswered(Of->Cell, Id, Seen.Run, What, steady(), Out);
     apply(Of, Out);
   }
 
@@ -766,7 +773,7 @@
       Until = workerTime(*Of, Id) + WorkerLease;
       workerLeased(Of->Cell, Id, leaseEnd());
     }
-    const uint64_t Forget = Known->second.ForgetThrough;
+    const uint64_t Forget = acknowledgement(Known->second);
     const uint64_t Fence = tokenFor(*Of, Id);
     const TimePoint AskedAt = steady();
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
@@ -778,8 +785,9 @@
       if (Report)
         Report->Born = To->Info.Born;
       if (How == CallOutcome::Delivered)
-        after(Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20)),
-              [=, this] { deliverReport(Of, Id, Report, AskedAt, Fence); });
+        after(Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20)), [=, this] {
+          deliverReport(Of, Id, Report, AskedAt, {Fence, Forget});
+        });
     });
     if (How != CallOutcome::Delivered)
       after(OrderTimeout, [this, Of, Id, To, Fence] {
@@ -795,20 +803,28 @@
       });
   }
 
+  struct SentHeartbeat {
+    uint64_t Fence = 0;
+    uint64_t Forget = 0;
+  };
+
   void deliverReport(const ProcessPtr &Of, const std::string &Id,
-                     const std::optional<WorkerReport> &Report, TimePoint AskedAt, uint64_t Fence) {
+                     const std::optional<WorkerReport> &Report, TimePoint AskedAt,
+                     const SentHeartbeat &Sent) {
     if (Of->HasEnded)
       return;
     Effects Out;
     if (!Report) {
-      Out.Deposed = tokenFor(*Of, Id) == Fence;
+      Out.Deposed = tokenFor(*Of, Id) == Sent.Fence;
       return apply(Of, Out);
     }
     const LifeOrder Life = workerReported(Of->Cell, Id, *Report, AskedAt, steady(), Out);
     if (Life == LifeOrder::Newer)
       Of->Clocks.erase(Id);
-    if (Life == LifeOrder::Same)
+    if (Life == LifeOrder::Same) {
       Of->Clocks[Id] = {Report->WorkerClock, Now};
+      endsForgotten(Of->Cell, Id, Sent.Forget);
+    }
     apply(Of, Out);
   }
 
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -501,6 +501,15 @@
   return Order;
 }
 
+uint64_t acknowledgement(const Worker &On) {
+  return On.ForgetThrough > On.ForgottenThrough ? On.ForgetThrough : 0;
+}
+
+void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Through) {
+  if (Worker *On = findWorker(Cell, Id))
+    On->ForgottenThrough = std::max(On->ForgottenThrough, Through);
+}
+
 void workerSilent(CellState &Cell, const std::string &Id) {
   if (Worker *On = findWorker(Cell, Id)) {
     On->IsResponsive = false;
@@ -528,6 +537,18 @@
     workerEnded(Cell, Key, Now, Out, How);
 }
 
+LifeOrder orderAnswered(CellState &Cell, const std::string &Id, Milliseconds Clock,
+                        TimePoint AskedAt, TimePoint Now, Effects &Out) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return LifeOrder::Older;
+  const LifeStatement Stated{{}, Clock, AskedAt};
+  const LifeOrder Order = compareLives(On->Life, Stated);
+  if (Order == LifeOrder::Newer)
+    requestReport(beginNewLife(Cell, *On, Stated, "order", Now), Now, Out);
+  return Order;
+}
+
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out) {
   if (Answer == StartResult::RefusedFence)
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -72,7 +72,7 @@
   // Delivers a report of the worker: its active runs, its ends that it was not told to forget, and
   // \p Ends as new ends.
   void report(const std::string &Id, std::vector<std::pair<RunKey, RunOutcome>> Ends = {}) {
-    const uint64_t Forgotten = Cell.Workers.at(Id).ForgetThrough;
+    const uint64_t Forgotten = acknowledgement(Cell.Workers.at(Id));
     std::erase_if(KeptEnds[Id], [&](const EndedRun &End) { return End.Number <= Forgotten; });
     for (const auto &End : std::exchange(UnreportedEnds[Id], {}))
       Ends.push_back(End);
@@ -83,7 +83,8 @@
     const WorkerReport Report = reportOf(Id);
     Effects Out;
     workerLeased(Cell, Id, Now + Lease);
-    workerReported(Cell, Id, Report, Now, Now, Out);
+    if (workerReported(Cell, Id, Report, Now, Now, Out) == LifeOrder::Same)
+      endsForgotten(Cell, Id, Forgotten);
     apply(Out);
   }
 
