Crash counts: name the lives of workers, not their ids

What callers saw: a task that crashes its workers went on crashing one after the other, and the jobs beside it with them.

Cause: crash counts name workers by their ids. A worker that starts again under its id and answers took back the doubt about its earlier life, also after a takeover, as if it had only been cut off.

Change: counts name a life, by the id and its start. A new life confirms the crashes of earlier lives that an earlier scheduler witnessed. Names without a start, as recorded before, stay as they are.

The fuzz listed a new life with the capacity that it had at its start, after a later change had been listed, which a store does not do; it lists what stands.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -237,7 +237,7 @@
   TimePoint NotBefore{};
   /// Consecutive workers that crashed, or are suspected to have crashed, during its startup.
   uint32_t StartupCrashes = 0;
-  /// Of these, the workers whose crash is not confirmed.
+  /// Of these, the lives of workers, by `lifeName`, whose crash is not confirmed.
   std::vector<std::string> SuspectWorkers;
   /// Of `SuspectWorkers`, those that fell silent while a run was certainly in startup there. A
   /// scheduler that finds such a worker dead confirms the crash.
--- a/src/include/valveshelf/worker_life.h
+++ b/src/include/valveshelf/worker_life.h
@@ -45,5 +45,7 @@
 
 /// Names a life in records: the worker's id, followed by `Born` if it is stated.
 std::string lifeName(const std::string &Id, WallTime Born);
+/// The beginning of all names of lives of the worker that state `Born`.
+std::string lifeNamePrefix(const std::string &Id);
 
 } // namespace valveshelf::sched
--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -65,7 +65,7 @@
 
 bool countsCrashOf(const TaskState &Task, const Worker &On) {
   const auto Names = [&](const std::vector<std::string> &Workers) {
-    return std::find(Workers.begin(), Workers.end(), On.Info.Id) != Workers.end();
+    return std::find(Workers.begin(), Workers.end(), lifeName(On)) != Workers.end();
   };
   return Names(Task.SuspectWorkers) || Names(Task.VanishedWorkers);
 }
@@ -79,7 +79,7 @@
 
 void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
                   TimePoint Now, Effects &Out) {
-  const std::string &Id = On.Info.Id;
+  const std::string Id = lifeName(On);
   changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
     ++Task.StartupCrashes;
     Task.SuspectWorkers.push_back(Id);
@@ -90,19 +90,18 @@
   });
 }
 
-void confirmCrash(CellState &Cell, const TaskKey &Key, const Worker &On, WorkerEnd How,
+void confirmCrash(CellState &Cell, const TaskKey &Key, const std::string &Life, WorkerEnd How,
                   TimePoint Now, Effects &Out) {
-  const std::string &Id = On.Info.Id;
-  changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
-    if (std::erase(Task.SuspectWorkers, Id) == 0)
+  changeCount(Cell, Key, Life, Out, [&](TaskState &Task) {
+    if (std::erase(Task.SuspectWorkers, Life) == 0)
       ++Task.StartupCrashes;
-    std::erase(Task.WitnessedSuspects, Id);
+    std::erase(Task.WitnessedSuspects, Life);
     if (How == WorkerEnd::Replaced) {
-      removeFromSuspectIndex(Cell, Key, Id);
+      removeFromSuspectIndex(Cell, Key, Life);
       return "crashed";
     }
-    Task.VanishedWorkers.push_back(Id);
-    indexSuspectWorker(Cell, Key, Id, Now);
+    Task.VanishedWorkers.push_back(Life);
+    indexSuspectWorker(Cell, Key, Life, Now);
     return "vanished";
   });
 }
@@ -147,9 +146,9 @@
   TaskState *Task = findTask(Cell, Key);
   Task->InheritedStartWorker.clear();
   const bool IsRecorded = Task->StartupCrashes > 0 || Task->MayHaveCrashedWorker;
-  if (!IsRecorded || Task->PendingStartWorker == On.Info.Id)
+  if (!IsRecorded || Task->PendingStartWorker == lifeName(On))
     return;
-  Task->PendingStartWorker = On.Info.Id;
+  Task->PendingStartWorker = lifeName(On);
   Job &Of = Cell.Jobs.at(Key.Step.Job);
   requestSave(Cell, Of, Out);
   Task->CrashCountSave = Of.PendingSave;
@@ -165,7 +164,7 @@
 }
 
 void noteNeverStarted(CellState &Cell, const TaskKey &Key, const Worker &On, Effects &Out) {
-  retractCrash(Cell, Key, On.Info.Id, Out);
+  retractCrash(Cell, Key, lifeName(On), Out);
   clearPendingStart(Cell, Key, Out);
 }
 
--- a/src/scheduler/crash_count.h
+++ b/src/scheduler/crash_count.h
@@ -7,6 +7,9 @@
 
 namespace valveshelf::sched {
 
+/// The name of a worker's life in crash counts. A worker that starts again under its id is another
+/// one: that it answers does not take back a crash of its earlier life.
+inline std::string lifeName(const Worker &On) { return lifeName(On.Info.Id, On.Life.Born); }
 /// Null if there is no such task.
 TaskState *findTask(CellState &Cell, const TaskKey &Key);
 /// Number of counted workers whose crash is not confirmed.
@@ -24,7 +27,7 @@
 void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
                   TimePoint Now, Effects &Out);
 /// The worker crashed during the startup of the task; it may have been a suspect before.
-void confirmCrash(CellState &Cell, const TaskKey &Key, const Worker &On, WorkerEnd How,
+void confirmCrash(CellState &Cell, const TaskKey &Key, const std::string &Life, WorkerEnd How,
                   TimePoint Now, Effects &Out);
 /// The worker has not crashed. Does nothing if it is not counted by name.
 void retractCrash(CellState &Cell, const TaskKey &Key, const std::string &Worker, Effects &Out);
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -121,22 +121,22 @@
   if (How == WorkerEnd::Replaced && wasRunningAtLoss(On, Entry, Now))
     Task->WeightedCrashes += Alone ? SoleRunCrashWeight : SharedCrashWeight;
   if (wasCertainlyInStartup(On, Entry, Now))
-    confirmCrash(Cell, Run.Task, On, How, Now, Out);
+    confirmCrash(Cell, Run.Task, lifeName(On), How, Now, Out);
   else if (isInStartup(Entry) && !countsCrashOf(*Task, On))
     suspectCrash(Cell, Run.Task, On, false, Now, Out);
 }
 
-// Confirms the crashes of the worker that an earlier scheduler witnessed.
-void confirmWitnessedCrashes(CellState &Cell, const Worker &On, WorkerEnd How, TimePoint Now,
+// Confirms the crashes of a worker's life, by name, that an earlier scheduler witnessed.
+void confirmWitnessedCrashes(CellState &Cell, const std::string &Life, WorkerEnd How, TimePoint Now,
                              Effects &Out) {
-  const auto Found = Cell.SuspectWorkers.find(On.Info.Id);
+  const auto Found = Cell.SuspectWorkers.find(Life);
   if (Found == Cell.SuspectWorkers.end())
     return;
   for (const TaskKey &Key : std::set(Found->second.Tasks)) {
     const std::vector<std::string> &Witnessed = findTask(Cell, Key)->WitnessedSuspects;
-    if (std::find(Witnessed.begin(), Witnessed.end(), On.Info.Id) == Witnessed.end())
+    if (std::find(Witnessed.begin(), Witnessed.end(), Life) == Witnessed.end())
       continue;
-    confirmCrash(Cell, Key, On, How, Now, Out);
+    confirmCrash(Cell, Key, Life, How, Now, Out);
     giveUpIfCrashing(Cell, Key, Now, Out);
   }
 }
@@ -215,11 +215,12 @@
     return;
   On.HasUncountedSilence = false;
   On.SilentSince = {};
-  const auto Found = Cell.SuspectWorkers.find(On.Info.Id);
+  const std::string Life = lifeName(On);
+  const auto Found = Cell.SuspectWorkers.find(Life);
   if (Found == Cell.SuspectWorkers.end() || AsOf < Found->second.LastSuspectedAt)
     return;
   for (const TaskKey &Key : std::set(Found->second.Tasks))
-    retractCrash(Cell, Key, On.Info.Id, Out);
+    retractCrash(Cell, Key, Life, Out);
 }
 
 void dropAttempts(CellState &Cell, Worker &On, WorkerEnd How, TimePoint Now, Effects &Out) {
@@ -241,7 +242,7 @@
   if (How == WorkerEnd::LeaseExpired)
     return; // it is still listed: more likely a cut link than a crash
   if (Crashed)
-    confirmWitnessedCrashes(Cell, On, How, Now, Out);
+    confirmWitnessedCrashes(Cell, lifeName(On), How, Now, Out);
   for (const RunKey &Run : Lost)
     giveUpIfCrashing(Cell, Run.Task, Now, Out);
 }
@@ -272,6 +273,18 @@
     giveUpIfCrashing(Cell, Key, Now, Out);
 }
 
+void confirmCrashesOfEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
+  const std::string Prefix = lifeNamePrefix(On.Info.Id);
+  const std::string Present = lifeName(On);
+  std::vector<std::string> Earlier;
+  for (auto At = Cell.SuspectWorkers.lower_bound(Prefix);
+       At != Cell.SuspectWorkers.end() && At->first.starts_with(Prefix); ++At)
+    if (At->first != Present)
+      Earlier.push_back(At->first);
+  for (const std::string &Life : Earlier)
+    confirmWitnessedCrashes(Cell, Life, WorkerEnd::Replaced, Now, Out);
+}
+
 void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out) {
   if (On.WatchedStarts == 0 || Now - On.ReportAskedAt < WatchInterval)
     return;
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -50,6 +50,8 @@
 void giveUpRestoredTasks(CellState &Cell, TimePoint Now, Effects &Out);
 /// Delays the restart of tasks that a silent worker may have completed.
 void delayPossiblyDoneTasks(CellState &Cell, const Worker &On, TimePoint Now);
+/// Confirms crashes of earlier lives of the worker that an earlier scheduler witnessed.
+void confirmCrashesOfEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
 /// Requests a report from a worker with watched starts whose last report is not recent.
 void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out);
 
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -447,10 +447,10 @@
     Of.Info.Born = std::max(wall(), Of.Info.Born + 1ms);
     for (const ProcessPtr &To : {Current, Previous})
       if (To)
-        after(Milliseconds(drawScenario(0, 1500)), [this, To, &Of, Entry = Of.Info] {
+        after(Milliseconds(drawScenario(0, 1500)), [this, To, &Of] {
           if (!Of.Dead && !To->HasEnded &&
-              workerListed(To->Cell, Entry, steady()) == LifeOrder::Newer)
-            To->Clocks.erase(Entry.Id);
+              workerListed(To->Cell, Of.Info, steady()) == LifeOrder::Newer)
+            To->Clocks.erase(Of.Info.Id);
         });
   }
 
--- a/src/scheduler/worker_life.cpp
+++ b/src/scheduler/worker_life.cpp
@@ -35,7 +35,9 @@
 }
 
 std::string lifeName(const std::string &Id, WallTime Born) {
-  return isStated(Born) ? Id + "@" + std::to_string(Born.time_since_epoch().count()) : Id;
+  return isStated(Born) ? lifeNamePrefix(Id) + std::to_string(Born.time_since_epoch().count()) : Id;
 }
 
+std::string lifeNamePrefix(const std::string &Id) { return Id + "@"; }
+
 } // namespace valveshelf::sched
--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -90,7 +90,7 @@
     Worker &Was = Cell.Workers.at(Key);
     for (const RunKey &Run : carriedOutRuns(Was, Report)) {
       Released.push_back({Run, Was.Attempts.at(Run).Phase == AttemptPhase::Stopping});
-      retractCrash(Cell, Run.Task, Was.Info.Id, Out); // it was not on the life that crashed
+      retractCrash(Cell, Run.Task, lifeName(Was), Out); // it was not on the life that crashed
       unbook(Cell, Was, Run);
     }
     workerEnded(Cell, Key, Now, Out, WorkerEnd::Replaced);
--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -177,6 +177,25 @@
   EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 0u) << "the crash is certain";
 }
 
+// A worker that fell silent and is heard again is alive, but not if it answers in a new life.
+TEST(WorkerRestarts, ADoubtAboutAnEarlierLifeIsNotTakenBackByTheNext) {
+  RestartScene Given(2);
+  Given.ReportedPercent = 0;
+  const JobId Id = Given.submit(tasks(1, 4000, 10ms)); // too short for a certain crash
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(400ms);
+  const std::string On = Given.workerOf(Id);
+  ASSERT_FALSE(On.empty());
+  Given.fallSilent(On);
+  Given.advance(100ms);
+  ASSERT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  Given.restart(On);
+  Given.Silent.erase(On);
+  Given.advance(100ms);
+  Given.report(On);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+}
+
 // Tickets and advice hold for one life of a worker.
 TEST(WorkerRestarts, TicketsOfAnEarlierLifeAreNotUsed) {
   RestartScene Given(1);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -218,7 +218,7 @@
 void noteRunNeverStarted(CellState &Cell, const RunKey &Run, const Worker &On, Effects &Out) {
   const auto Found = On.Attempts.find(Run);
   if (Found != On.Attempts.end() && Found->second.IsCopy)
-    retractCrash(Cell, Run.Task, On.Info.Id, Out);
+    retractCrash(Cell, Run.Task, lifeName(On), Out);
   else
     noteNeverStarted(Cell, Run.Task, On, Out);
 }
@@ -482,9 +482,11 @@
   noteLife(On->Life, Stated, Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
-  const std::vector<ReleasedRun> Released = On->HasReported
-                                                ? std::vector<ReleasedRun>()
-                                                : settleEarlierLives(Cell, *On, Report, Now, Out);
+  std::vector<ReleasedRun> Released;
+  if (!On->HasReported) {
+    Released = settleEarlierLives(Cell, *On, Report, Now, Out);
+    confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
+  }
   retractSuspicions(Cell, *On, AskedAt, Out);
   processEnds(Cell, *On, Report, WasResponsive, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
