Settings: the scheduler reckons with the platform's longest lease

An earlier life that no report settles is given up when the longest lease that the new life can have been granted is over. The limit stood at six seconds whatever `longest_worker_lease` said; nothing else reads it. In the crash scene a heartbeat lets go ends that came up after the last report, as a worker does: the mutant that repeats acknowledgements passed all unit tests before.

--- a/src/config/cell_settings.cpp
+++ b/src/config/cell_settings.cpp
@@ -64,6 +64,7 @@
   sched::SchedulerLimits &Limits = Settings.Scheduler;
   const Milliseconds MaxLease = Table.duration("longest_worker_lease", 6s, 1s, 10min);
   Settings.Timing.WorkerLease = std::min(Settings.Timing.WorkerLease, MaxLease);
+  Limits.WorkerLease = MaxLease;
   Limits.StopTime = Table.duration("stop_time", Limits.StopTime, 0ms, 1min);
   Limits.GangTimeout = Table.duration("gang_time", Limits.GangTimeout, 10ms, 10min);
   Limits.MaxEarlyStart = Table.duration("early_time", Limits.MaxEarlyStart, 0ms, 1min);
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -53,7 +53,7 @@
 
 /// Limits from the settings and the platform's bounds.
 struct SchedulerLimits {
-  /// A worker kills its runs when no call of the scheduler has reached it for this time.
+  /// The longest lease of a worker: it kills its runs when no call has reached it for this time.
   Milliseconds WorkerLease{6000};
   Milliseconds StopTime{200};             ///< Longest time a worker takes to stop a run.
   Milliseconds GangTimeout{3000};         ///< How long gang members wait for each other.
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -73,13 +73,13 @@
   // \p Ends as new ends.
   void report(const std::string &Id, std::vector<std::pair<RunKey, RunOutcome>> Ends = {}) {
     const uint64_t Forgotten = acknowledgement(Cell.Workers.at(Id));
-    std::erase_if(KeptEnds[Id], [&](const EndedRun &End) { return End.Number <= Forgotten; });
     for (const auto &End : std::exchange(UnreportedEnds[Id], {}))
       Ends.push_back(End);
     for (const auto &[Run, How] : Ends) {
       ActiveRuns[Id].erase(Run);
       KeptEnds[Id].push_back({++LastEndNumbers[Id], Run, How, ""});
     }
+    std::erase_if(KeptEnds[Id], [&](const EndedRun &End) { return End.Number <= Forgotten; });
     const WorkerReport Report = reportOf(Id);
     Effects Out;
     workerLeased(Cell, Id, Now + Lease);
