Worker restarts: runs that the new life holds are taken over, also those being stopped

A run that was being stopped and that the new life holds after all was stopped again. Nothing needed that: its task may take it over, and a run that is not wanted is stopped as it is taken over. The members of gangs that lost others are still stopped, which a test shows now, and a run that the new life has completed is not reported as lost.

--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -82,14 +82,13 @@
   return Made;
 }
 
-std::vector<ReleasedRun> settleEarlierLives(CellState &Cell, const Worker &On,
-                                            const WorkerReport &Report, TimePoint Now,
-                                            Effects &Out) {
-  std::vector<ReleasedRun> Released;
+std::vector<RunKey> settleEarlierLives(CellState &Cell, const Worker &On,
+                                       const WorkerReport &Report, TimePoint Now, Effects &Out) {
+  std::vector<RunKey> Released;
   for (const std::string &Key : earlierLivesOf(Cell, On)) {
     Worker &Was = Cell.Workers.at(Key);
     for (const RunKey &Run : carriedOutRuns(Was, Report)) {
-      Released.push_back({Run, Was.Attempts.at(Run).Phase == AttemptPhase::Stopping});
+      Released.push_back(Run);
       retractCrash(Cell, Run.Task, lifeName(Was), Out); // it was not on the life that crashed
       unbook(Cell, Was, Run);
     }
@@ -98,16 +97,12 @@
   return Released;
 }
 
-void stopUnwantedRuns(CellState &Cell, Worker &On, const std::vector<ReleasedRun> &Released,
-                      TimePoint Now, Effects &Out) {
-  for (const auto &[Run, WasStopping] : Released) {
+void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
+                         TimePoint Now, Effects &Out) {
+  for (const RunKey &Run : Released) {
     const StepState *Step = findStep(Cell, Run.Task.Step);
-    const bool IsIncomplete = Step && Step->Spec->Gang && Step->BookedTasks < Step->OpenTasks;
-    if (WasStopping || IsIncomplete)
-      stopAttempt(Cell, On, Run,
-                  IsIncomplete ? "its gang lost members as the worker restarted"
-                               : "it was being stopped as the worker restarted",
-                  Now, Out);
+    if (Step && Step->Spec->Gang && Step->BookedTasks < Step->OpenTasks)
+      stopAttempt(Cell, On, Run, "its gang lost members as the worker restarted", Now, Out);
   }
 }
 
--- a/src/scheduler/worker_lives.h
+++ b/src/scheduler/worker_lives.h
@@ -17,20 +17,12 @@
 /// Keys of the earlier lives of the worker that are not settled.
 std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On);
 
-/// An attempt of an earlier life that the new life carried out.
-struct ReleasedRun {
-  RunKey Run;
-  bool WasStopping = false;
-};
-
 /// Handles the first report of a new life: attempts of earlier lives that it shows are released, to
-/// be taken over from the report, and all others are lost.
-std::vector<ReleasedRun> settleEarlierLives(CellState &Cell, const Worker &On,
-                                            const WorkerReport &Report, TimePoint Now,
-                                            Effects &Out);
-/// Call after the released runs were taken over: stops those that were being stopped, and members
-/// of gangs that have lost others.
-void stopUnwantedRuns(CellState &Cell, Worker &On, const std::vector<ReleasedRun> &Released,
-                      TimePoint Now, Effects &Out);
+/// be taken over from the report, and all others are lost. Returns the released runs.
+std::vector<RunKey> settleEarlierLives(CellState &Cell, const Worker &On,
+                                       const WorkerReport &Report, TimePoint Now, Effects &Out);
+/// Call after the released runs were taken over: stops members of gangs that have lost others.
+void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
+                         TimePoint Now, Effects &Out);
 
 } // namespace valveshelf::sched
--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -65,6 +65,7 @@
   Given.advance(1s);
   EXPECT_EQ(publicJobState(Given.Cell, Id), "completed");
   EXPECT_EQ(Given.startsOf(Id), 1u);
+  EXPECT_TRUE(Given.LostRuns.empty()) << "the new life has run it";
 }
 
 // Guards against a gang that is never started again: the run of the member whose worker restarted
@@ -85,6 +86,22 @@
   EXPECT_FALSE(Given.workerOf(Id, 1).empty());
 }
 
+// Guards against a gang that waits for a member which the new life carried out and whose others
+// were lost with the earlier one.
+TEST(WorkerRestarts, AMemberThatTheNewLifeCarriedOutWithoutTheOthersIsStopped) {
+  RestartScene Given(1);
+  StepSpec Gang = tasks(2, 1000, 60s);
+  Gang.Gang = true;
+  const JobId Id = Given.submit(Gang);
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const RunKey Member = Given.Started.front().Run;
+  Given.restart("w0");
+  Given.ActiveRuns["w0"].insert(Member);
+  Given.advance(1s);
+  EXPECT_EQ(Given.startsOf(Id), 4u);
+  EXPECT_FALSE(Given.workerOf(Id, 1).empty());
+}
+
 // Guards against a run that waits until it counts as stalled although its worker is known, from the
 // list, to have started again.
 TEST(WorkerRestarts, ARunOfAnEarlierLifeIsLostWithIt) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -482,7 +482,7 @@
   noteLife(On->Life, Stated, Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
-  std::vector<ReleasedRun> Released;
+  std::vector<RunKey> Released;
   if (!On->HasReported) {
     Released = settleEarlierLives(Cell, *On, Report, Now, Out);
     confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
@@ -496,7 +496,7 @@
     else
       noteProgress(Cell, *On, Row, Found->second, {AskedAt, Now, Report.WorkerClock}, Out);
   }
-  stopUnwantedRuns(Cell, *On, Released, Now, Out);
+  stopIncompleteGangs(Cell, *On, Released, Now, Out);
   dropNeverStarted(Cell, *On, Report, AskedAt, Now, Out);
   On->HasReported = true;
   noteWorkerKnown(Cell, Id, Now, Out);
