--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -13,8 +13,9 @@
 namespace {
 // Delay before a failed call is repeated.
 constexpr Milliseconds RetryPause{150};
-// Limit of the exponential backoff for registering as a member, so that leadership claims get
-// through when hundreds of processes start at once.
+// Limit of the exponential backoff for registering as a member. Registering is not urgent, and the
+// store can't take in the entries of hundreds of processes that start at once; leadership claims
+// have to get through between them.
 constexpr Milliseconds MaxRegisterPause{2400};
 // Shortest time between two requested refreshes.
 constexpr Milliseconds RefreshPause{300};
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -12,7 +12,8 @@
 using namespace sched;
 
 namespace {
-// Interval at which a process checks whether it should claim leadership.
+// Interval at which a process checks whether it should claim leadership; a claim takes a few calls
+// to the store.
 constexpr Milliseconds ClaimPollInterval{40};
 // After a failed claim.
 constexpr Milliseconds RetryDelay{150};
@@ -26,7 +27,7 @@
 constexpr size_t MaxCandidatesContacted = 4;
 // Leadership is handed over to a member with this many times the power, or to an equal one if the
 // store has not served this process directly for IndirectHandOverDelay. A change interrupts
-// scheduling, so it must be rare.
+// scheduling for about half a second, so it must be rare.
 constexpr double HandOverPowerRatio = 1.5;
 constexpr Milliseconds IndirectHandOverDelay{1000};
 constexpr Milliseconds MinTermDuration{2000};
--- a/src/cell/suspicion.cpp
+++ b/src/cell/suspicion.cpp
@@ -6,10 +6,12 @@
 
 namespace valveshelf {
 namespace {
-// For accepting a connection, when there was no recent change.
+// For accepting a connection, when there was no recent change. A process that takes longer is dead
+// or cut off: connecting takes some 2 ms.
 constexpr Milliseconds BaseProbeTimeout{150};
 constexpr int ProbeTimeoutGrowth = 3;
-// Older changes are ignored.
+// Older changes are ignored: they tell nothing about the links now. Twice the longest outage of the
+// store.
 constexpr Milliseconds ChangeWindow{20000};
 } // namespace
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -75,21 +75,24 @@
   /// started in addition.
   double UrgentHeadroom = 0.25;
   Milliseconds PreemptionMargin{1500}; ///< Time allowed for placing a preempted task again.
-  uint32_t SpareWorkers = 150;         ///< Idle workers kept ready in addition to those in use.
-  uint32_t MaxNewWorkersPerTick = 64;  ///< Workers made ready in one tick.
+  /// Idle workers kept ready in addition to those in use; a gang of the usual size finds its
+  /// advised ones among them.
+  uint32_t SpareWorkers = 150;
+  uint32_t MaxNewWorkersPerTick = 64; ///< Workers made ready in one tick.
   /// How long a task avoids the worker on which it failed. A worker on which a task failed at once
   /// is quarantined for as long.
   Milliseconds FailureAvoidanceTime{1000};
   int MaxConsecutiveFailures = 3; ///< Failed runs in a row after which a worker is quarantined.
   /// A task is given up after this many consecutive startup crashes if at least
-  /// `MinConfirmedCrashes` of them are confirmed.
+  /// `MinConfirmedCrashes` of them are confirmed. Operators allow it from the second confirmed one.
   uint32_t MaxStartupCrashes = 3;
   uint32_t MinConfirmedCrashes = 2;
-  /// It is given up after this many even if none is confirmed.
+  /// It is given up after this many even if none is confirmed; operators allow five starts.
   uint32_t MaxUnconfirmedCrashes = 4;
   /// The same, with an inherited start counted (`TaskState::InheritedStartWorker`).
   uint32_t MaxCrashesWithInherited = 5;
-  /// It is given up at this `TaskState::WeightedCrashes` unless its step is long-running.
+  /// It is given up at this `TaskState::WeightedCrashes` unless its step is long-running. A sound
+  /// task that runs beside others is on a worker that crashes often enough to have a few.
   uint32_t MaxWeightedCrashes = 5;
   Milliseconds StartupTime{500}; ///< A run is in startup for this time after its start.
   /// Late and left-out steps of an overloaded service that wait longer than this are ordered by
--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -16,8 +16,8 @@
 namespace {
 // The platform's limit of workers named in one request.
 constexpr size_t MaxWorkersPerRequest = 100;
-// Workers named for a step of single tasks. Some are not permitted, and others have lost their free
-// capacity by the time the answer comes.
+// Workers named for a step of single tasks. About three in ten are not permitted, and others have
+// lost their free capacity by the time the answer comes.
 constexpr size_t MinWorkersPerRequest = 8;
 constexpr size_t WorkersPerTask = 6;
 // Tickets of waiting steps are renewed only if a request takes longer than this; otherwise
@@ -31,7 +31,8 @@
 // Pause after a failed request.
 constexpr Milliseconds AdviceRetryPause{50};
 // Ratio of the task capacity that a request should find to the tasks to place, since the number of
-// workers that turn out to be permitted varies.
+// workers that turn out to be permitted varies: by a tenth for a gang of 150 members if one worker
+// in four is permitted.
 constexpr double TaskCapacityMargin = 1.3;
 // Fraction of permitted workers assumed before the first answer, weight of a request of
 // MaxWorkersPerRequest workers in the moving average, and the smallest fraction assumed.
@@ -43,7 +44,8 @@
 constexpr double WaitingCapacityRatio = 4;
 // Further workers are named as long as they lengthen a request by no more than this ratio.
 constexpr double MaxExtraTimeRatio = 0.25;
-// Requests of one step may use 1 / StepShareDivisor of the advice concurrency.
+// Requests of one step may use 1 / StepShareDivisor of the advice concurrency, so that two gangs
+// leave half of it to others.
 constexpr uint32_t StepShareDivisor = 4;
 // Limits of outstanding requests, as ratios of the advice concurrency: for steps that are not
 // urgent, and for late ones. Further requests are not queued: they are made later, in the order of
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -15,7 +15,8 @@
 constexpr int MaxConsecutiveMisses = 40;
 // While a step waits for capacity, steps behind it that are not urgent are tried only in full scans
 // at this interval, gangs in every second one. Trying all of them in the same pass lets the order
-// of the queue decide who gets the capacity freed in between.
+// of the queue decide who gets the capacity freed in between. The tasks of such steps run for
+// seconds, so that the interval adds little to their wait.
 constexpr Milliseconds FullScanInterval{40};
 // The newest urgent task has a weight of 1 / UrgentMeanWeight in the mean.
 constexpr int64_t UrgentMeanWeight = 64;
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -9,9 +9,10 @@
 
 namespace valveshelf::sched {
 namespace {
-// Ratio of the size reserved for an urgent task to the mean size.
+// Ratio of the size reserved for an urgent task to the mean size; three of four tasks fit it.
 constexpr double UrgentSizeMargin = 1.3;
-// Number of further urgent tasks for which the cell should always have capacity.
+// Number of further urgent tasks for which the cell should always have capacity: two steps of the
+// usual width.
 constexpr int64_t MinUrgentTasks = 8;
 // Larger than the penalties of a distant rack and an earlier failure together: a task that has to
 // start alone would wait until the other runs on the worker have started.
