Worker restarts: a life that has not reported is asked each 400 ms, not in each tick

Read in the code: tick asked a new life for its first report each 50 ms, also while calls to it were lost: twenty calls a second and worker, with eight outstanding, for each one behind a cut. It asks again after the time in which a call is answered or fails, and not while the worker is silent; its heartbeats go on.

--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -86,6 +86,30 @@
   EXPECT_FALSE(Given.workerOf(Id, 1).empty());
 }
 
+// Guards against a restart that only the list has shown and that waits for a report which nobody
+// requests, and against calls in every tick to a worker that does not answer.
+TEST(WorkerRestarts, ARestartSeenInTheListIsAskedForItsReport) {
+  RestartScene Given(1);
+  Given.ReportsUnasked = false;
+  Given.restart("w0");
+  Given.Silent.insert("w0");
+  Given.listWorker("w0", 9000);
+  size_t Requests = 0;
+  for (int Tick = 0; Tick < 100; ++Tick) {
+    Given.Now += 10ms;
+    Effects Out;
+    tick(Given.Cell, Given.Now, WallTime(1100s), Out);
+    Requests += Out.ReportRequests.size();
+  }
+  EXPECT_GE(Requests, 2u);
+  EXPECT_LE(Requests, 3u);
+  workerSilent(Given.Cell, "w0");
+  Given.Now += 1s;
+  Effects Out;
+  tick(Given.Cell, Given.Now, WallTime(1100s), Out);
+  EXPECT_TRUE(Out.ReportRequests.empty()) << "heartbeats go on";
+}
+
 // Guards against a gang that waits for a member which the new life carried out and whose others
 // were lost with the earlier one.
 TEST(WorkerRestarts, AMemberThatTheNewLifeCarriedOutWithoutTheOthersIsStopped) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -31,6 +31,9 @@
 // A run that fails within 1/EarlyFailureDivisor of its estimate counts as failed early, which
 // points to the worker: faults of the task itself occur anywhere in its run time.
 constexpr int EarlyFailureDivisor = 10;
+// A worker that has restarted is asked again for its first report after this time, in which a call
+// is answered or fails. Its heartbeats go on as well.
+constexpr Milliseconds RestartReportDelay{400};
 // No work is placed for this time on a worker that refused a start as unhealthy or was not
 // reachable.
 constexpr Milliseconds UnavailableBackoff{500};
@@ -737,7 +740,8 @@
         SettledLives.push_back(Id);
       continue;
     }
-    if (On.IsRestart && !On.HasReported)
+    if (On.IsRestart && !On.HasReported && On.IsResponsive &&
+        Now - On.ReportRequestedAt >= RestartReportDelay)
       requestReport(On, Now, Out);
     countSilence(Cell, On, Now, Out);
     const bool Lapsed = !On.IsResponsive && Now > On.LeaseEnd;
