--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -199,8 +199,9 @@
                           "current timeout of a first start order."};
 const EventKind WorkerRestarted{
     2408, "info", "worker-restarted",
-    "The worker has started again under its id, as its `entry` in the list or its `report` shows: "
-    "the starts of both lives, the runs booked on the earlier one, and its ends not yet saved."};
+    "The worker has started again under its id, as its `entry` in the list, its `report` or its "
+    "answer to an `order` shows: the starts of both lives (0: not stated), the runs booked on the "
+    "earlier one, and its ends not yet saved."};
 const EventKind CallsAnswered{2407, "info", "calls-answered",
                               "Calls to workers are no longer being lost."};
 const EventKind OverloadBegun{
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -47,7 +47,7 @@
     "Runs lost with their worker, by `case`: how the loss was detected."};
 const MetricDescriptor WorkerRestarts{
     "worker_restarts_total", "counter",
-    "Workers that started again under their id, by `case`: what showed it, entry or report."};
+    "Workers that started again under their id, by `case`: what showed it (entry, report, order)."};
 const MetricDescriptor TasksGivenUp{
     "tasks_given_up_total", "counter",
     "Tasks abandoned, with their jobs, because they crash their workers."};
