Tests: a crash of a life that the scheduler never knew, a late entry of an earlier life

Two mutants passed all tests of restarts: crashes of earlier lives that were not confirmed at the first report, and entries of earlier lives that were taken.

--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -218,6 +218,40 @@
   EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 0u) << "the crash is certain";
 }
 
+// The same if the worker has restarted before the later scheduler reads the list, so that this one
+// never knew the life that crashed.
+TEST(WorkerRestarts, ACrashIsConfirmedByASchedulerThatNeverKnewThatLife) {
+  RestartScene Given(4);
+  const JobId Id = Given.submit(tasks(1, 4000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(10ms);
+  const std::string On = Given.workerOf(Id);
+  Given.fallSilent(On);
+  Given.advance(100ms);
+  ASSERT_EQ(Given.taskOf(Id).WitnessedSuspects.size(), 1u);
+  Given.restart(On);
+  Given.Silent.erase(On);
+  Given.takeOver();
+  Given.advance(500ms);
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 0u) << "the crash is certain";
+}
+
+// Guards against an entry of an earlier life that is read late and takes the new one's place.
+TEST(WorkerRestarts, ALateEntryOfAnEarlierLifeIsIgnored) {
+  RestartScene Given(1);
+  const WorkerInfo Old = Given.Cell.Workers.at("w0").Info;
+  Given.restart("w0");
+  Given.advance(500ms);
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  EXPECT_EQ(workerListed(Given.Cell, Old, Given.Now), LifeOrder::Older);
+  Given.advance(500ms);
+  EXPECT_EQ(Given.startsOf(Id), 1u);
+  EXPECT_EQ(Given.workerOf(Id), "w0");
+  EXPECT_EQ(Given.Cell.Workers.at("w0").Info.Born, Given.Born["w0"]);
+}
+
 // A worker that fell silent and is heard again is alive, but not if it answers in a new life.
 TEST(WorkerRestarts, ADoubtAboutAnEarlierLifeIsNotTakenBackByTheNext) {
   RestartScene Given(2);
