--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -142,6 +142,23 @@
   EXPECT_EQ(Given.LostRuns[0].Cause, WorkerEnd::Replaced);
 }
 
+// Guards against a run that waits for ever for the report of a worker that has restarted behind a
+// cut, and against one that is started elsewhere while the new life may still hold it.
+TEST(WorkerRestarts, ARunIsLostOnceTheLongestLeaseOfASilentLifeIsOver) {
+  RestartScene Given(2);
+  const JobId Id = Given.submit(tasks(1, 1000, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string On = Given.workerOf(Id);
+  Given.Cell.Workers.at(On).LeaseEnd = Given.Now;
+  Given.restart(On);
+  Given.Silent.insert(On);
+  Given.listWorker(On, Given.Ports.at(On));
+  Given.advance(Given.Cell.Limits.WorkerLease);
+  EXPECT_EQ(Given.startsOf(Id), 1u) << "the new life may have been granted the longest lease";
+  Given.advance(1s);
+  EXPECT_EQ(Given.startsOf(Id), 2u);
+}
+
 // A start order that was on its way while the worker restarted may have been carried out by either
 // life. The run that the new life holds is kept.
 TEST(WorkerRestarts, ARunThatTheNewLifeCarriedOutIsKept) {
