Scheduler fuzz: load ended jobs at the takeovers of all scenarios

Traced: the organisation's sum includes runs of cancelled jobs, ordered by term 1, whose ends were stored 84 ms and 391 ms before term 2 took over. Their workers had reported to term 2, which had stops under way for these runs and charged nothing for them (Attempt::Owner null, Charge 0), since its EndedJobs lacked the jobs.

The product loads ended jobs with their organisations at each takeover (SchedulerRunner::applyIntakeItem) and charges such a run the capacity of its worker. The fuzz did so in some scenarios only; now it does in all.

--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -979,11 +979,10 @@
         for (const auto &[Key, Tasks] : value(Saved))
           restoreStep(Cell, Key, Tasks);
       }
-    // As in production. Other scenarios omit it so that their seeds keep their sequences.
-    if (InjectsEvacuations || DrawsCopies || RestartsWorkers)
-      for (const auto &[Id, Row] : Store)
-        if (Row.Phase != JobPhase::Live)
-          Cell.EndedJobs[Id] = {Row.Phase, Row.Revision, wall(), Row.Spec->Organisation};
+    // As in production, so that runs of ended jobs are charged to their organisations.
+    for (const auto &[Id, Row] : Store)
+      if (Row.Phase != JobPhase::Live)
+        Cell.EndedJobs[Id] = {Row.Phase, Row.Revision, wall(), Row.Spec->Organisation};
     applyConfiguration(Cell, configuration());
     if (SwitchesFeatures) {
       Cell.AdviceConcurrency = static_cast<uint32_t>(StoreTerm % 4); // 0: not known
