Crash counts: an order without an answer is no crash beside a single accepted start

What callers saw: a gang that could be done was failed ("a task of it crashes its workers") after one real crash under it.

Cause: an order that met a worker which had died since its last report counted like a run that the worker had accepted, and a run whose end was unheard counted as certain while half of its estimate had not passed. With one real crash, three such orders, or one of them and one such end, reach the limits.

Change: a suspicion keeps what is known of the run, in the cell and in the store (`accepted`): the order was not answered, the start was accepted, or the run was certainly there. A task is given up at three accepted starts, or three crashes of which two are certain; at four, one certain and another accepted, or none answered; and at five. The estimate no longer makes a crash certain: it is if the silence was noticed before any run completes, or the start was watched and no report that was asked for after it was answered. workerSilent is told the time, which was that of the next tick. A start that is answered while the run is being stopped was accepted. The log tells `unanswered` orders.

Why it works: whatever dies between a report and an order leaves the order unanswered, and a task that crashes its workers has its start accepted, or never answered.

The crash scene no longer confirms stops on silent workers.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -168,7 +168,8 @@
     2308, "info", "crash-counted",
     "The number of workers in a row that crashed as the task started has changed: a worker stopped "
     "answering, crashed, left the list or answered again, or the task survived its start. `doubts` "
-    "of them may only have been unreachable."};
+    "of them may only have been unreachable; of these, `unanswered` left the start order without an"
+    " answer."};
 const EventKind CopyStarted{
     2310, "info", "copy-started",
     "A copy of a slow run was ordered on another worker: the slow run and its worker, and in how "
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -76,7 +76,7 @@
     return;
   if (Answered)
     logEvent(events::WorkerSilent, {{"worker", Id}, {"why", "\"" + Why.Detail + "\""}});
-  workerSilent(Cell, Id);
+  workerSilent(Cell, Id, Deps.Time.Now());
 }
 
 Awaitable<SchedulerRunner::HeartbeatOutcome> SchedulerRunner::sendHeartbeat(std::string Id,
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -411,6 +411,7 @@
                                {"ran_ms", std::to_string(What.RunTime.count())},
                                {"crashes", std::to_string(What.StartupCrashes)},
                                {"doubts", std::to_string(What.UnconfirmedCrashes)},
+                               {"unanswered", std::to_string(What.UnansweredOrders)},
                                {"losses", std::to_string(What.WeightedCrashes)}});
   }
   for (const WorkerRestart &What : Out.WorkerRestarts) {
@@ -428,7 +429,8 @@
                                     {"worker", What.Worker},
                                     {"why", std::string(What.Why)},
                                     {"crashes", std::to_string(What.StartupCrashes)},
-                                    {"doubts", std::to_string(What.UnconfirmedCrashes)}});
+                                    {"doubts", std::to_string(What.UnconfirmedCrashes)},
+                                    {"unanswered", std::to_string(What.UnansweredOrders)}});
   for (const Effects::OverloadChange &What : Out.OverloadChanges)
     logEvent(What.IsOverloaded ? events::OverloadBegun : events::OverloadOver,
              {{"service", What.Service},
@@ -446,6 +448,7 @@
     logEvent(events::TaskGivenUp, {{"task", toString(What.Task)},
                                    {"crashes", std::to_string(What.StartupCrashes)},
                                    {"doubts", std::to_string(What.UnconfirmedCrashes)},
+                               {"unanswered", std::to_string(What.UnansweredOrders)},
                                    {"losses", std::to_string(What.WeightedCrashes)}});
   }
 }
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -83,14 +83,17 @@
   /// is quarantined for as long.
   Milliseconds FailureAvoidanceTime{1000};
   int MaxConsecutiveFailures = 3; ///< Failed runs in a row after which a worker is quarantined.
-  /// A task is given up after this many consecutive startup crashes if at least
-  /// `MinConfirmedCrashes` of them are confirmed. Operators allow it from the second confirmed one.
+  /// A task is given up after this many consecutive startup crashes if all starts were accepted or
+  /// `MinConfirmedCrashes` are confirmed. Operators allow it from the second confirmed one.
   uint32_t MaxStartupCrashes = 3;
   uint32_t MinConfirmedCrashes = 2;
-  /// It is given up after this many even if none is confirmed; operators allow five starts.
+  /// It is given up after this many, not counting an inherited start
+  /// (`TaskState::InheritedStartWorker`), if one is confirmed and another start was accepted, or if
+  /// no start was answered. Beside a single accepted start, orders without an answer are no
+  /// evidence: they may have met workers that had just died.
   uint32_t MaxUnconfirmedCrashes = 4;
-  /// The same, with an inherited start counted (`TaskState::InheritedStartWorker`).
-  uint32_t MaxCrashesWithInherited = 5;
+  /// It is given up after this many of any kind: operators allow five starts.
+  uint32_t MaxCountedCrashes = 5;
   /// It is given up at this `TaskState::WeightedCrashes` unless its step is long-running. A sound
   /// task that runs beside others is on a worker that crashes often enough to have a few.
   uint32_t MaxWeightedCrashes = 5;
@@ -139,6 +142,7 @@
   int Percent = 0;
   TimePoint PhaseSince{}; ///< When the phase began.
   TimePoint StartedAt{};
+  TimePoint AcceptedAt{}; ///< When its start was confirmed by an answer, also during its stop.
   TimePoint StopSent{};
   bool StopAcked = false;
   bool IsPreempted = false; ///< It was stopped in favour of more urgent work.
@@ -207,8 +211,10 @@
   uint32_t WatchedStarts = 0;
   TimePoint ReportRequestedAt{}; ///< When a report was last requested for a watched start.
   TimePoint SilentSince{}; ///< When the current silence was first counted; zero if there is none.
-  /// The silence is still to be counted against the runs in startup here.
+  /// The silence is still to be counted against the runs in startup here. It was noticed at
+  /// SilenceNoticedAt.
   bool HasUncountedSilence = false;
+  TimePoint SilenceNoticedAt{};
 };
 
 /// The answers of the advice service for a step. Whether a worker may run a step never changes.
@@ -245,6 +251,9 @@
   /// Of `SuspectWorkers`, those that fell silent while a run was certainly in startup there. A
   /// scheduler that finds such a worker dead confirms the crash.
   std::vector<std::string> WitnessedSuspects;
+  /// Of the other `SuspectWorkers`, those that had accepted the start: the run was there, but may
+  /// have ended before the silence. The rest left the order unanswered and may not have had it.
+  std::vector<std::string> AcceptedSuspects;
   /// Of the counted workers, those that left the platform's list without notice. They count as
   /// crashed unless they answer again.
   std::vector<std::string> VanishedWorkers;
@@ -493,6 +502,7 @@
     Milliseconds RunTime{0}; ///< From the start order, or its answer, to the worker's last report.
     uint32_t StartupCrashes = 0;     ///< Of the task, as in `TaskState`.
     uint32_t UnconfirmedCrashes = 0; ///< The size of `TaskState::SuspectWorkers`.
+    uint32_t UnansweredOrders = 0;   ///< Of these, the workers that may not have had the order.
     uint32_t WeightedCrashes = 0;
   };
   /// For the log: a task that fails its job because it crashes its workers.
@@ -500,6 +510,7 @@
     TaskKey Task;
     uint32_t StartupCrashes = 0;
     uint32_t UnconfirmedCrashes = 0;
+    uint32_t UnansweredOrders = 0;
     uint32_t WeightedCrashes = 0;
   };
   /// For the log: a change of `TaskState::StartupCrashes`.
@@ -510,6 +521,7 @@
     std::string_view Why;
     uint32_t StartupCrashes = 0;
     uint32_t UnconfirmedCrashes = 0;
+    uint32_t UnansweredOrders = 0;
   };
   /// For metrics and log: the first start of a job with a forecast.
   struct ForecastError {
@@ -584,6 +596,7 @@
   uint32_t StartupCrashes = 0;
   std::vector<std::string> SuspectWorkers;
   std::vector<std::string> WitnessedSuspects;
+  std::vector<std::string> AcceptedSuspects;
   std::vector<std::string> VanishedWorkers;
   uint32_t WeightedCrashes = 0;
   std::string PendingStartWorker;
@@ -656,7 +669,7 @@
 /// The worker has answered a heartbeat that told it to forget the ends up to \p Through.
 void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Through);
 /// An immediate heartbeat to the worker failed. Not called for a lost long poll.
-void workerSilent(CellState &Cell, const std::string &Id);
+void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
 bool isIdle(const Worker &On);
 /// True if a worker of the service may hold runs of an earlier scheduler and has not reported yet.
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -95,6 +95,8 @@
       Note.add_doubted(Worker);
     for (const std::string &Worker : Task.WitnessedSuspects)
       Note.add_witnessed(Worker);
+    for (const std::string &Worker : Task.AcceptedSuspects)
+      Note.add_accepted(Worker);
     for (const std::string &Worker : Task.VanishedWorkers)
       Note.add_vanished(Worker);
     Note.set_may_begin(!Task.PendingStartWorker.empty());
@@ -134,6 +136,7 @@
     while (Task.SuspectWorkers.size() < Note.doubts())
       Task.SuspectWorkers.push_back(placeholderWorkerId(Task.SuspectWorkers.size()));
     Task.WitnessedSuspects.assign(Note.witnessed().begin(), Note.witnessed().end());
+    Task.AcceptedSuspects.assign(Note.accepted().begin(), Note.accepted().end());
     Task.VanishedWorkers.assign(Note.vanished().begin(), Note.vanished().end());
     const bool IsUnnamed = Note.may_begin() && Note.trial_on().empty();
     Task.PendingStartWorker =
--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -15,6 +15,10 @@
 // An unanswered request is repeated after this time.
 constexpr Milliseconds ReportRetryDelay{50};
 
+bool names(const std::vector<std::string> &Workers, const std::string &Worker) {
+  return std::find(Workers.begin(), Workers.end(), Worker) != Workers.end();
+}
+
 void removeFromSuspectIndex(CellState &Cell, const TaskKey &Key, const std::string &Worker) {
   const auto Found = Cell.SuspectWorkers.find(Worker);
   if (Found == Cell.SuspectWorkers.end())
@@ -43,7 +47,7 @@
   requestSave(Cell, *Of, Out);
   Task->CrashCountSave = Of->PendingSave;
   Out.CrashCountChanges.push_back(
-      {Key, Worker, Why, Task->StartupCrashes, unconfirmedCrashes(*Task)});
+      {Key, Worker, Why, Task->StartupCrashes, unconfirmedCrashes(*Task), unansweredOrders(*Task)});
 }
 
 // True if a single worker is suspected and none is known to have crashed. It may be a cut link,
@@ -63,11 +67,16 @@
   return static_cast<uint32_t>(Task.SuspectWorkers.size());
 }
 
+uint32_t unansweredOrders(const TaskState &Task) {
+  return static_cast<uint32_t>(std::count_if(
+      Task.SuspectWorkers.begin(), Task.SuspectWorkers.end(), [&](const auto &Worker) {
+        return !names(Task.WitnessedSuspects, Worker) && !names(Task.AcceptedSuspects, Worker);
+      }));
+}
+
 bool countsCrashOf(const TaskState &Task, const Worker &On) {
-  const auto Names = [&](const std::vector<std::string> &Workers) {
-    return std::find(Workers.begin(), Workers.end(), lifeName(On)) != Workers.end();
-  };
-  return Names(Task.SuspectWorkers) || Names(Task.VanishedWorkers);
+  const std::string Life = lifeName(On);
+  return names(Task.SuspectWorkers, Life) || names(Task.VanishedWorkers, Life);
 }
 
 void indexSuspectWorker(CellState &Cell, const TaskKey &Key, const std::string &Worker,
@@ -77,14 +86,16 @@
   Suspect.Tasks.insert(Key);
 }
 
-void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
+void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, StartupEvidence Known,
                   TimePoint Now, Effects &Out) {
   const std::string Id = lifeName(On);
   changeCount(Cell, Key, Id, Out, [&](TaskState &Task) {
     ++Task.StartupCrashes;
     Task.SuspectWorkers.push_back(Id);
-    if (IsWitnessed)
+    if (Known == StartupEvidence::Certain)
       Task.WitnessedSuspects.push_back(Id);
+    else if (Known == StartupEvidence::Accepted)
+      Task.AcceptedSuspects.push_back(Id);
     indexSuspectWorker(Cell, Key, Id, Now);
     return "silent";
   });
@@ -96,6 +107,7 @@
     if (std::erase(Task.SuspectWorkers, Life) == 0)
       ++Task.StartupCrashes;
     std::erase(Task.WitnessedSuspects, Life);
+    std::erase(Task.AcceptedSuspects, Life);
     if (How == WorkerEnd::Replaced) {
       removeFromSuspectIndex(Cell, Key, Life);
       return "crashed";
@@ -111,6 +123,7 @@
     if (std::erase(Task.SuspectWorkers, Worker) + std::erase(Task.VanishedWorkers, Worker) == 0)
       return {};
     std::erase(Task.WitnessedSuspects, Worker);
+    std::erase(Task.AcceptedSuspects, Worker);
     --Task.StartupCrashes;
     removeFromSuspectIndex(Cell, Key, Worker);
     return "heard";
@@ -127,6 +140,7 @@
     for (const std::string &Worker : std::exchange(Counted.VanishedWorkers, {}))
       removeFromSuspectIndex(Cell, Key, Worker);
     Counted.WitnessedSuspects.clear();
+    Counted.AcceptedSuspects.clear();
     Counted.StartupCrashes = 0;
     Counted.InheritedStartWorker.clear();
     return "stands";
--- a/src/scheduler/crash_count.h
+++ b/src/scheduler/crash_count.h
@@ -14,6 +14,8 @@
 TaskState *findTask(CellState &Cell, const TaskKey &Key);
 /// Number of counted workers whose crash is not confirmed.
 uint32_t unconfirmedCrashes(const TaskState &Task);
+/// Of these, the workers that left the start order unanswered.
+uint32_t unansweredOrders(const TaskState &Task);
 /// True if the worker is counted by name: as a suspect, or as vanished.
 bool countsCrashOf(const TaskState &Task, const Worker &On);
 /// Adds the task to the cell's index of counted workers that may be alive.
@@ -22,9 +24,14 @@
 /// Removes the tasks of a job that is being forgotten from that index.
 void removeJobFromSuspectIndex(CellState &Cell, const Job &Of);
 
-/// The worker may have crashed during the startup of the task. \p IsWitnessed: it was certainly in
-/// startup there.
-void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, bool IsWitnessed,
+/// What is known of a run in startup whose worker has fallen silent.
+enum class StartupEvidence {
+  Unanswered, ///< The start order was not answered: the worker may have been dead already.
+  Accepted,   ///< The run was there, and may have ended since.
+  Certain,    ///< The run was in startup as the silence began.
+};
+/// The worker may have crashed during the startup of the task.
+void suspectCrash(CellState &Cell, const TaskKey &Key, const Worker &On, StartupEvidence Known,
                   TimePoint Now, Effects &Out);
 /// The worker crashed during the startup of the task; it may have been a suspect before.
 void confirmCrash(CellState &Cell, const TaskKey &Key, const std::string &Life, WorkerEnd How,
--- /dev/null
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: Apache-2.0
+// Sequences of lost workers: which give up a job, with at least two runs on a worker that crashed,
+// and which must not.
+#include "replay/crash_scene.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <sstream>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+// How a worker with the job's runs is lost.
+enum class Loss {
+  Crash,             ///< It crashes after it answered the start.
+  CrashBeforeAnswer, ///< The start crashes it before it answers.
+  UnheardEnd,        ///< The runs end, and it is killed before it reports that.
+  DeadBeforeOrder,   ///< It dies after its last report and before the start is ordered.
+};
+std::string toString(Loss How) {
+  constexpr const char *Names[] = {"crash", "crash before answer", "unheard end",
+                                   "dead before order"};
+  return Names[static_cast<int>(How)];
+}
+
+constexpr Milliseconds OrderTimeout{300};
+
+StepSpec gang(Milliseconds Estimate, int64_t MilliCores = 30000) {
+  StepSpec Step = tasks(2, MilliCores, Estimate);
+  Step.Gang = true;
+  return Step;
+}
+
+// A job whose workers are lost one after the other.
+class EvidenceScene : public CrashScene {
+public:
+  explicit EvidenceScene(const StepSpec &Step, int Workers = 1) : CrashScene(Workers) {
+    Id = submit(Step);
+  }
+
+  bool hasFailed() const { return publicJobState(Cell, Id) == "failed"; }
+
+  // The next worker on which the job is started is lost.
+  void lose(Loss How) {
+    const size_t Changes = CrashCountChanges.size();
+    const std::string WorkerId = How == Loss::DeadBeforeOrder || How == Loss::CrashBeforeAnswer
+                                     ? orderWithoutAnswer(How == Loss::CrashBeforeAnswer)
+                                     : startAndLose(How == Loss::UnheardEnd);
+    Trace << "\n" << toString(How) << " of " << WorkerId << ": " << knowledgeOf(WorkerId);
+    if (IsUnlisted) {
+      workerUnlisted(Cell, WorkerId, Now);
+      advance(8s); // until its lease expires
+      const uint16_t Port = Ports.at(WorkerId);
+      removeWorker(WorkerId);
+      addWorker(WorkerId + "+", Port);
+    } else {
+      advance(1s);
+      replace(WorkerId);
+    }
+    save();
+    for (size_t I = Changes; I < CrashCountChanges.size(); ++I)
+      if (const Effects::CrashCountChange &Change = CrashCountChanges[I]; Change.Task.Index == 0)
+        Trace << "; counted \"" << Change.Why << "\" " << Change.StartupCrashes << ", unconfirmed "
+              << Change.UnconfirmedCrashes;
+  }
+
+  // The number of lost workers after which the job fails, at most 8.
+  int lossesUntilFailure(Loss How) {
+    int Losses = 0;
+    for (; Losses < 8 && !hasFailed(); ++Losses)
+      lose(How);
+    return Losses;
+  }
+
+  // The job runs on the present worker and completes.
+  void expectCompletes() {
+    ASSERT_FALSE(hasFailed()) << Trace.str();
+    ASSERT_TRUE(advanceUntilRuns(Id)) << Trace.str();
+    completeRuns(workerOf(Id));
+    advance(200ms);
+    EXPECT_EQ(publicJobState(Cell, Id), "completed") << Trace.str();
+  }
+
+  JobId Id = 0;
+  bool IsUnlisted = false;     ///< Lost workers leave the list and are not replaced.
+  Milliseconds CrashDelay{10}; ///< From the answer to a start to the crash.
+  std::ostringstream Trace;
+
+private:
+  TimePoint OrderedAt{}; ///< Of the last start that was not answered.
+
+  // Orders the job on a worker that does not answer. It is alive until the order if \p Crashes.
+  std::string orderWithoutAnswer(bool Crashes) {
+    const std::string WorkerId = Ports.begin()->first;
+    if (!Crashes) {
+      waitForGangScan();
+      Silent.insert(WorkerId);
+    }
+    CrashesBeforeAnswers = Crashes;
+    const size_t Before = startsOf(Id);
+    for (Milliseconds T{0}; T < 1s && startsOf(Id) == Before; T += 10ms)
+      advance(10ms);
+    CrashesBeforeAnswers = false;
+    OrderedAt = Now;
+    for (int Sends = 0; Sends < 2; ++Sends) {
+      advance(OrderTimeout);
+      timeOutStarts(WorkerId);
+      fallSilent(WorkerId);
+      advance(10ms);
+    }
+    return WorkerId;
+  }
+
+  // Waits until just after the gang was tried in vain. It is tried again 50 ms later, so that the
+  // last report will be that old when the start is ordered.
+  void waitForGangScan() {
+    std::vector<TaskState> &Tasks = Cell.Jobs.at(Id).Rounds.at(0).Steps[0].Tasks;
+    for (TaskState &Task : Tasks)
+      Task.NotBefore = Now + 1s;
+    const uint64_t First = Cell.FullScans + 2;
+    while (Cell.FullScans < First || Cell.FullScans % 2 != 0)
+      advance(10ms);
+    for (TaskState &Task : Tasks)
+      Task.NotBefore = Now;
+  }
+
+  void timeOutStarts(const std::string &WorkerId) {
+    for (const auto &[Run, Entry] : std::map(Cell.Workers.at(WorkerId).Attempts)) {
+      if (Entry.Phase == AttemptPhase::Planned)
+        continue;
+      Effects Out;
+      startAnswered(Cell, WorkerId, Run, StartResult::Unknown, Now, Out);
+      apply(Out);
+    }
+  }
+
+  // The worker accepts the job's runs and crashes, or is killed after the runs have ended.
+  std::string startAndLose(bool RunsEnd) {
+    EXPECT_TRUE(advanceUntilRuns(Id)) << Trace.str();
+    const std::string WorkerId = workerOf(Id);
+    if (RunsEnd) {
+      ReportsUnasked = false;
+      advance(70ms);
+      completeRuns(WorkerId);
+      Silent.insert(WorkerId);
+      advance(30ms);
+      ReportsUnasked = true;
+    } else {
+      advance(CrashDelay);
+    }
+    fallSilent(WorkerId);
+    for (const auto &[Other, Port] : std::map(Ports))
+      if (!Silent.count(Other))
+        endRunsAsBroken(Other);
+    advance(10ms);
+    return WorkerId;
+  }
+
+  // What the scheduler knows of the first task's run on a lost worker.
+  std::string knowledgeOf(const std::string &WorkerId) const {
+    const Worker &On = Cell.Workers.at(WorkerId);
+    const auto Found = On.Attempts.lower_bound({{{Id, 0, 0}, 0}, 0});
+    if (Found == On.Attempts.end() || Found->second.Phase == AttemptPhase::Planned)
+      return "not ordered";
+    const auto Since = [](TimePoint From, TimePoint To) {
+      return std::to_string(std::chrono::duration_cast<Milliseconds>(To - From).count()) + " ms";
+    };
+    const Attempt &Entry = Found->second;
+    if (Entry.StartedAt == TimePoint{})
+      return "ordered " + Since(On.ReportAskedAt, OrderedAt) + " after the last report, no answer";
+    return "answered, last report " + Since(Entry.StartedAt, On.ReportAskedAt) +
+           " and silence noticed " + Since(Entry.StartedAt, On.SilentSince) + " after that";
+  }
+};
+
+// Loses workers in the order of \p Losses, with a takeover before the third if \p IsTakenOver. The
+// estimate is far longer than the runs.
+void expectSurvives(const std::vector<Loss> &Losses, bool IsTakenOver = false,
+                    bool IsUnlisted = false) {
+  EvidenceScene Given(gang(60s));
+  Given.IsUnlisted = IsUnlisted;
+  for (size_t I = 0; I < Losses.size() && !Given.hasFailed(); ++I) {
+    if (IsTakenOver && I == 2)
+      Given.takeOver();
+    Given.lose(Losses[I]);
+  }
+  Given.expectCompletes();
+}
+
+class OneCrashAndThreeDeadWorkers : public testing::TestWithParam<int> {
+protected:
+  static std::vector<Loss> losses() {
+    std::vector<Loss> Losses(4, Loss::DeadBeforeOrder);
+    Losses[static_cast<size_t>(GetParam())] = Loss::Crash;
+    return Losses;
+  }
+};
+INSTANTIATE_TEST_SUITE_P(CrashEvidence, OneCrashAndThreeDeadWorkers, testing::Range(0, 4));
+
+// Guards against orders to dead workers that give up a job with a single crash.
+TEST_P(OneCrashAndThreeDeadWorkers, DoNotGiveUpAGang) { expectSurvives(losses()); }
+
+// The same for workers that leave the list and are not replaced.
+TEST_P(OneCrashAndThreeDeadWorkers, DoNotGiveUpAGangWhenTheyAreUnlisted) {
+  expectSurvives(losses(), false, true);
+}
+
+class OneCrashOneEndOneDeadWorker : public testing::TestWithParam<int> {
+protected:
+  // The permutation of the three with this number.
+  static std::vector<Loss> losses() {
+    std::vector<Loss> Losses{Loss::Crash, Loss::UnheardEnd, Loss::DeadBeforeOrder};
+    for (int I = 0; I < GetParam(); ++I)
+      std::next_permutation(Losses.begin(), Losses.end());
+    return Losses;
+  }
+};
+INSTANTIATE_TEST_SUITE_P(CrashEvidence, OneCrashOneEndOneDeadWorker, testing::Range(0, 6));
+
+// Guards against an end that counts as a certain crash by an estimate that is far too long.
+TEST_P(OneCrashOneEndOneDeadWorker, DoNotGiveUpAGang) { expectSurvives(losses()); }
+
+// The same with two of the losses known only from the store.
+TEST_P(OneCrashOneEndOneDeadWorker, DoNotGiveUpAGangAfterATakeover) {
+  expectSurvives(losses(), true);
+}
+
+// Guards against a task that crashes more workers than three that accepted it.
+TEST(CrashEvidence, ThreeAcceptedStartsThatCrashGiveUpTheJob) {
+  EXPECT_EQ(EvidenceScene(tasks(1, 4000, 60s)).lossesUntilFailure(Loss::Crash), 3);
+  EXPECT_EQ(EvidenceScene(gang(60s)).lossesUntilFailure(Loss::Crash), 3);
+}
+
+// Guards against a task that goes on crashing workers since none of them answers its start.
+TEST(CrashEvidence, FourStartsThatCrashBeforeTheirAnswersGiveUpTheJob) {
+  EXPECT_EQ(EvidenceScene(tasks(1, 4000, 60s)).lossesUntilFailure(Loss::CrashBeforeAnswer), 4);
+  EXPECT_EQ(EvidenceScene(gang(60s)).lossesUntilFailure(Loss::CrashBeforeAnswer), 4);
+}
+
+// Guards against crashes that are no longer confirmed if the run works for a while before.
+TEST(CrashEvidence, LaterCrashesWithinARightEstimateGiveUpTheJob) {
+  for (const StepSpec &Step : {tasks(1, 4000, 2s), gang(2s)}) {
+    EvidenceScene Given(Step);
+    Given.CrashDelay = 300ms;
+    EXPECT_EQ(Given.lossesUntilFailure(Loss::Crash), 3) << Given.Trace.str();
+  }
+}
+
+// The same without an estimate.
+TEST(CrashEvidence, LaterCrashesWithoutAnEstimateGiveUpTheJob) {
+  for (const StepSpec &Step : {tasks(1, 4000, 0ms), gang(0ms)}) {
+    EvidenceScene Given(Step);
+    Given.CrashDelay = 300ms;
+    EXPECT_EQ(Given.lossesUntilFailure(Loss::Crash), 3) << Given.Trace.str();
+  }
+}
+
+// Guards against a crashing member whose count is cleared by the others of its gang.
+TEST(CrashEvidence, AMemberThatCrashesItsWorkerEachTimeGivesUpItsGang) {
+  EvidenceScene Given(gang(2s, 40000), 2);
+  EXPECT_EQ(Given.lossesUntilFailure(Loss::Crash), 3) << Given.Trace.str();
+}
+
+// Guards against crashes that are forgotten when the scheduler is replaced after each of them.
+TEST(CrashEvidence, ACrasherIsGivenUpWithATakeoverAfterEachCrash) {
+  for (const Loss How : {Loss::Crash, Loss::CrashBeforeAnswer}) {
+    EvidenceScene Given(gang(2s));
+    int Losses = 0;
+    for (; Losses < 8 && !Given.hasFailed(); ++Losses) {
+      Given.lose(How);
+      Given.takeOver();
+    }
+    EXPECT_LE(Losses, 5) << Given.Trace.str();
+  }
+}
+
+// Guards against an accepted start that counts as an order without an answer because the answer
+// came while the run was being stopped.
+TEST(CrashEvidence, AStartThatIsAnsweredDuringItsStopWasAccepted) {
+  CrashScene Given(1);
+  const JobId Id = Given.submit(gang(60s));
+  Given.Silent.insert("w0");
+  Given.advance(20ms);
+  ASSERT_EQ(Given.Started.size(), 2u);
+  const auto Answer = [&](size_t Order, StartResult What) {
+    Effects Out;
+    startAnswered(Given.Cell, "w0", Given.Started[Order].Run, What, Given.Now, Out);
+    Given.apply(Out);
+  };
+  Answer(1, StartResult::RefusedUnhealthy);
+  Answer(0, StartResult::Started);
+  Given.advance(100ms);
+  Given.fallSilent("w0");
+  Given.advance(20ms);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 1u);
+  EXPECT_EQ(Given.taskOf(Id).AcceptedSuspects.size(), 1u);
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -37,15 +37,24 @@
   return On.Info.Draining || (!On.Listed && On.ReportAskedAt > On.UnlistedAt);
 }
 
+// True if the startup crashes of the task can't be those of a sound task that met workers which
+// died for other reasons.
+bool crashesAtStartup(const SchedulerLimits &Limits, const TaskState &Task) {
+  const uint32_t Inherited = Task.InheritedStartWorker.empty() ? 0 : 1;
+  const uint32_t Crashes = Task.StartupCrashes - Inherited;
+  const uint32_t Confirmed = Task.StartupCrashes - unconfirmedCrashes(Task);
+  const uint32_t Unanswered = unansweredOrders(Task) - Inherited;
+  const uint32_t Accepted = Crashes - Unanswered;
+  // A task that crashes workers before they answer does so each time.
+  const bool IsSeenTwice = Confirmed >= 1 && Accepted >= 2;
+  return Accepted >= Limits.MaxStartupCrashes ||
+         (Crashes >= Limits.MaxStartupCrashes && Confirmed >= Limits.MinConfirmedCrashes) ||
+         (Crashes >= Limits.MaxUnconfirmedCrashes && (Accepted == 0 || IsSeenTwice)) ||
+         Task.StartupCrashes >= Limits.MaxCountedCrashes;
+}
+
 bool crashesWorkers(const SchedulerLimits &Limits, const TaskState &Task, bool IsLasting) {
-  const uint32_t WithoutInherited =
-      Task.StartupCrashes - (Task.InheritedStartWorker.empty() ? 0 : 1);
-  const bool IsConfirmed =
-      WithoutInherited >= Limits.MaxStartupCrashes &&
-      Task.StartupCrashes - unconfirmedCrashes(Task) >= Limits.MinConfirmedCrashes;
-  const bool IsOverStartLimit = WithoutInherited >= Limits.MaxUnconfirmedCrashes ||
-                                Task.StartupCrashes >= Limits.MaxCrashesWithInherited;
-  return IsConfirmed || IsOverStartLimit ||
+  return crashesAtStartup(Limits, Task) ||
          (!IsLasting && Task.WeightedCrashes >= Limits.MaxWeightedCrashes);
 }
 
@@ -57,8 +66,8 @@
   if (!Of || Task->Done || Of->Phase != JobPhase::Live ||
       !crashesWorkers(Cell.Limits, *Task, findStep(Cell, Key.Step)->Spec->LongRunning))
     return;
-  Out.TasksGivenUp.push_back(
-      {Key, Task->StartupCrashes, unconfirmedCrashes(*Task), Task->WeightedCrashes});
+  Out.TasksGivenUp.push_back({Key, Task->StartupCrashes, unconfirmedCrashes(*Task),
+                              unansweredOrders(*Task), Task->WeightedCrashes});
   endJob(Cell, *Of, JobPhase::Failed, "a task of it crashes its workers", Now, Out);
 }
 
@@ -71,7 +80,8 @@
   const TimePoint Began = Entry.StartedAt == TimePoint{} ? Entry.PhaseSince : Entry.StartedAt;
   const auto Ran = std::chrono::duration_cast<Milliseconds>(On.ReportAskedAt - Began);
   Out.LostRuns.push_back({Run, On.Info.Id, How, std::max(Ran, Milliseconds(0)),
-                          Task->StartupCrashes, unconfirmedCrashes(*Task), Task->WeightedCrashes});
+                          Task->StartupCrashes, unconfirmedCrashes(*Task), unansweredOrders(*Task),
+                          Task->WeightedCrashes});
 }
 
 // True if the run may have completed by \p Then if its worker has been silent since it started.
@@ -89,25 +99,24 @@
   return Entry.ConfirmedAt != TimePoint{} && SilentAt - Entry.ConfirmedAt < Least;
 }
 
-// True if the run was on the worker and, by its estimate, can't have ended before the worker fell
-// silent. An end just before the silence would not have been reported.
-bool wasInStartupAtLoss(const Worker &On, const Attempt &Entry, TimePoint Now) {
-  const TimePoint SilentAt = On.SilentSince >= Entry.ConfirmedAt ? On.SilentSince : Now;
-  const auto Least = std::max<std::chrono::duration<double, std::milli>>(
-      Entry.Estimate * MinDoneFraction, MinRunTime);
-  return wasRunningAtLoss(On, Entry, Now) && SilentAt - Entry.StartedAt < Least;
+// True if the worker accepted the start and was lost before the run can have ended: the silence was
+// noticed before any run completes, or the start was watched and none of the reports that were
+// requested after it was answered.
+bool wasLostAtStart(const Worker &On, const Attempt &Entry, TimePoint Now) {
+  if (Entry.AcceptedAt == TimePoint{})
+    return false;
+  const TimePoint SilentAt = On.SilentSince >= Entry.AcceptedAt ? On.SilentSince : Now;
+  return SilentAt - Entry.AcceptedAt < MinRunTime ||
+         (Entry.IsWatchedStart && On.ReportAskedAt - Entry.AcceptedAt < MinRunTime);
 }
 
-// True if the worker confirmed a watched start and answered none of the reports that were requested
-// after it: it was lost as the run began.
-bool wasLostAtWatchedStart(const Worker &On, const Attempt &Entry) {
-  return Entry.IsWatchedStart && Entry.StartedAt != TimePoint{} &&
-         On.ReportAskedAt - Entry.StartedAt < MinRunTime;
-}
-
-bool wasCertainlyInStartup(const Worker &On, const Attempt &Entry, TimePoint Now) {
-  return isInStartup(Entry) &&
-         (wasInStartupAtLoss(On, Entry, Now) || wasLostAtWatchedStart(On, Entry));
+// Of a run that is in startup as far as is known.
+StartupEvidence evidenceOf(const Worker &On, const Attempt &Entry, TimePoint Now) {
+  if (wasLostAtStart(On, Entry, Now))
+    return StartupEvidence::Certain;
+  const bool IsKnown =
+      std::max({Entry.StartedAt, Entry.AcceptedAt, Entry.ConfirmedAt}) != TimePoint{};
+  return IsKnown ? StartupEvidence::Accepted : StartupEvidence::Unanswered;
 }
 
 // Counts the crash of a worker against a run. \p Alone: it was the only one there.
@@ -120,10 +129,13 @@
   // Saved with the next save of the job.
   if (How == WorkerEnd::Replaced && wasRunningAtLoss(On, Entry, Now))
     Task->WeightedCrashes += Alone ? SoleRunCrashWeight : SharedCrashWeight;
-  if (wasCertainlyInStartup(On, Entry, Now))
+  if (!isInStartup(Entry))
+    return;
+  const StartupEvidence Known = evidenceOf(On, Entry, Now);
+  if (Known == StartupEvidence::Certain)
     confirmCrash(Cell, Run.Task, lifeName(On), How, Now, Out);
-  else if (isInStartup(Entry) && !countsCrashOf(*Task, On))
-    suspectCrash(Cell, Run.Task, On, false, Now, Out);
+  else if (!countsCrashOf(*Task, On))
+    suspectCrash(Cell, Run.Task, On, Known, Now, Out);
 }
 
 // Confirms the crashes of a worker's life, by name, that an earlier scheduler witnessed.
@@ -202,11 +214,11 @@
     return;
   On.HasUncountedSilence = false;
   if (On.SilentSince == TimePoint{})
-    On.SilentSince = Now;
+    On.SilentSince = On.SilenceNoticedAt;
   for (auto &[Run, Entry] : On.Attempts) {
     const TaskState *Task = findTask(Cell, Run.Task);
     if (Task && isInStartup(Entry) && !countsCrashOf(*Task, On))
-      suspectCrash(Cell, Run.Task, On, wasCertainlyInStartup(On, Entry, Now), Now, Out);
+      suspectCrash(Cell, Run.Task, On, evidenceOf(On, Entry, Now), Now, Out);
   }
 }
 
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -8,6 +8,9 @@
 //  - A task with a count is started in isolation, on a worker where no other run is in startup.
 //    The worker is asked for a report just before the start, and often while the run is in startup:
 //    otherwise an order that met a dead worker, or a run that had ended, would count as a crash.
+//  - What is known of a run whose worker fell silent is kept with the suspicion: the order was not
+//    answered, the start was accepted, or the run was certainly there (`StartupEvidence`). Workers
+//    that have just died leave orders unanswered, so that these add nothing to a single crash.
 //  - A worker that falls silent is suspected at once, so that the suspicion is saved if this
 //    scheduler ends. It is confirmed, by this or a later scheduler, when another incarnation
 //    answers in the worker's place and the run was certainly in startup as the silence began. It is
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -270,6 +270,7 @@
     Task.StartupCrashes = Saved.StartupCrashes;
     Task.SuspectWorkers = Saved.SuspectWorkers;
     Task.WitnessedSuspects = Saved.WitnessedSuspects;
+    Task.AcceptedSuspects = Saved.AcceptedSuspects;
     Task.VanishedWorkers = Saved.VanishedWorkers;
     Task.InheritedStartWorker = Saved.PendingStartWorker;
     if (!Saved.PendingStartWorker.empty()) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -515,11 +515,13 @@
     On->ForgottenThrough = std::max(On->ForgottenThrough, Through);
 }
 
-void workerSilent(CellState &Cell, const std::string &Id) {
-  if (Worker *On = findWorker(Cell, Id)) {
-    On->IsResponsive = false;
-    On->HasUncountedSilence = true;
-  }
+void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  On->IsResponsive = false;
+  if (!std::exchange(On->HasUncountedSilence, true))
+    On->SilenceNoticedAt = Now;
 }
 
 void workerLeased(CellState &Cell, const std::string &Id, TimePoint End) {
@@ -571,6 +573,8 @@
   if (Found == On->Attempts.end())
     return;
   Attempt &Entry = Found->second;
+  if (Answer == StartResult::Started && Entry.AcceptedAt == TimePoint{})
+    Entry.AcceptedAt = Now;
   if (Entry.Phase != AttemptPhase::Starting && Entry.Phase != AttemptPhase::Uncertain)
     return;
   if (Answer == StartResult::Started) {
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -140,6 +140,8 @@
     for (const Effects::Start &Order : std::vector(Out.Starts)) {
       Started.push_back(Order);
       workerLeased(Cell, Order.Worker, Now + Lease);
+      if (CrashesBeforeAnswers)
+        Silent.insert(Order.Worker);
       if (Refusing.count(Order.Worker)) {
         Effects Next;
         startAnswered(Cell, Order.Worker, Order.Run, StartResult::RefusedUnhealthy, Now, Next);
@@ -152,12 +154,16 @@
       }
     }
     for (const Effects::Stop &Order : std::vector(Out.Stops)) {
+      if (Silent.count(Order.Worker))
+        continue;
       Effects Next;
       stopAnswered(Cell, Order.Worker, Order.Run, true, Now, Next);
       if (ActiveRuns[Order.Worker].count(Order.Run))
         report(Order.Worker, {{Order.Run, RunOutcome::Stopped}});
     }
     LostRuns.insert(LostRuns.end(), Out.LostRuns.begin(), Out.LostRuns.end());
+    CrashCountChanges.insert(CrashCountChanges.end(), Out.CrashCountChanges.begin(),
+                             Out.CrashCountChanges.end());
     for (const std::string &Id : std::vector(Out.ReportRequests))
       if (!Silent.count(Id) && Cell.Workers.count(Id))
         report(Id);
@@ -178,7 +184,7 @@
 
   void fallSilent(const std::string &Id) {
     Silent.insert(Id);
-    workerSilent(Cell, Id);
+    workerSilent(Cell, Id, Now);
   }
 
   // Another incarnation answers at the worker's address.
@@ -239,7 +245,7 @@
     apply(Out);
     for (const auto &[Id, Port] : std::map(Ports))
       if (Silent.count(Id))
-        workerSilent(Cell, Id);
+        workerSilent(Cell, Id, Now);
       else
         report(Id);
   }
@@ -289,6 +295,7 @@
   TimePoint Now = TimePoint{} + Milliseconds(1000000);
   std::vector<Effects::Start> Started;
   std::vector<Effects::LostRun> LostRuns;
+  std::vector<Effects::CrashCountChange> CrashCountChanges;
   std::map<JobId, JobSpecPtr> Specs;
   std::map<JobId, std::string> Progress; ///< As stored.
   std::map<JobId, JobPhase> Ended;
@@ -301,9 +308,10 @@
   Milliseconds UnlistDelay{4500};
   Milliseconds RestartDelay{3000};
   std::multimap<TimePoint, std::function<void()>> ScheduledEvents;
-  int ReportedPercent = 50;   ///< Progress of each run in reports.
-  bool StoreAvailable = true; ///< If false, nothing is saved.
-  bool ReportsUnasked = true; ///< If false, workers report only when they are asked.
+  int ReportedPercent = 50;          ///< Progress of each run in reports.
+  bool StoreAvailable = true;        ///< If false, nothing is saved.
+  bool ReportsUnasked = true;        ///< If false, workers report only when they are asked.
+  bool CrashesBeforeAnswers = false; ///< Each start order crashes its worker before the answer.
 
 protected:
   std::map<std::string, uint64_t> LastEndNumbers;
