Gangs: a member with a crash count is started in isolation

What callers saw: a gang that could be done was failed though other tasks had crashed its workers.

Cause: single tasks with a crash count are started where no other run is in startup, members of gangs were not. A task that crashed a worker on which a counted gang had just started, or was just being started, made its crash count against the gang, and a counted gang that crashes its workers took others along.

Change: a planned member with a count keeps other starts off its worker, as that of a single task does, and the gang is started once no run of others is in startup there. Workers without such runs are preferred, workers with other plans are left out.

AGangAfterACrashStartsApartFromOtherStartups fails without it.

--- a/src/scheduler/crash_count.cpp
+++ b/src/scheduler/crash_count.cpp
@@ -211,7 +211,8 @@
   Attempt &Entry = On.Attempts.at(Run);
   // A task that had just started on a worker that was cut off is restarted at once. A gang, which
   // has to be planned anew anyway, is not.
-  const bool IsRestartedAtOnce = Entry.IsIsolatedStart && hasSingleSuspicion(Task);
+  const bool IsRestartedAtOnce =
+      !findStep(Cell, Run.Task.Step)->Spec->Gang && hasSingleSuspicion(Task);
   if (Entry.IsWatchedStart && !IsRestartedAtOnce && !isKnownAlive(On, Entry, Now, Out))
     return "a worker is asked for a report before the start";
   return nullptr;
--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -276,6 +276,27 @@
   }
 }
 
+// Guards against a gang that is started, or stays in startup, beside a run that crashes the worker:
+// the crash would count against the gang as well.
+TEST(CrashEvidence, AGangAfterACrashStartsApartFromOtherStartups) {
+  EvidenceScene Given(gang(60s, 4000), 2);
+  Given.lose(Loss::Crash);
+  Milliseconds Waited{0};
+  for (; Given.workerOf(Given.Id).empty() && Waited < 3s; Waited += 20ms) {
+    Given.submit(tasks(1, 500, 60s));
+    Given.advance(20ms);
+  }
+  ASSERT_FALSE(Given.workerOf(Given.Id).empty()) << "other starts keep the gang waiting";
+  for (Milliseconds T{0}; T < 400ms; T += 20ms) {
+    for (const auto &[Run, Entry] : Given.Cell.Workers.at(Given.workerOf(Given.Id)).Attempts)
+      EXPECT_TRUE(Run.Task.Step.Job == Given.Id || Entry.SurvivedStartup ||
+                  Entry.Phase == AttemptPhase::Planned)
+          << T.count() << " ms after the start of the gang";
+    Given.submit(tasks(1, 500, 60s));
+    Given.advance(20ms);
+  }
+}
+
 // Guards against an accepted start that counts as an order without an answer because the answer
 // came while the run was being stopped.
 TEST(CrashEvidence, AStartThatIsAnsweredDuringItsStopWasAccepted) {
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -166,13 +166,19 @@
   return "";
 }
 
-bool needsIsolatedStart(const StepState &Step, const TaskState &Task) {
-  return Task.StartupCrashes > 0 && !Step.Spec->Gang;
+bool needsIsolatedStart(const TaskState &Task) { return Task.StartupCrashes > 0; }
+
+bool hasIsolatedMembers(const StepState &Step) {
+  return Step.Spec->Gang && std::any_of(Step.Tasks.begin(), Step.Tasks.end(), needsIsolatedStart);
 }
 
-bool hasNoOtherStartups(const Worker &On, const RunKey *Run) {
+bool hasNoOtherStartups(const Worker &On, const RunKey *Run, bool IsGang) {
+  const auto IsExempt = [&](const RunKey &Other) {
+    return Run && (Other == *Run ||
+                   (IsGang && Other.Task.Step == Run->Task.Step && Other.Run == Run->Run));
+  };
   return std::all_of(On.Attempts.begin(), On.Attempts.end(), [&](const auto &Entry) {
-    return !isInStartup(Entry.second) || (Run && Entry.first == *Run);
+    return !isInStartup(Entry.second) || IsExempt(Entry.first);
   });
 }
 
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -5,9 +5,10 @@
 // tell which task is at fault. Three rules tell them apart:
 //  - A crash is counted in `TaskState::StartupCrashes` only for runs that were in startup. A run
 //    that survives its startup clears the count of its task.
-//  - A task with a count is started in isolation, on a worker where no other run is in startup.
-//    The worker is asked for a report just before the start, and often while the run is in startup:
-//    otherwise an order that met a dead worker, or a run that had ended, would count as a crash.
+//  - A task with a count is started in isolation, on a worker where no other run is in startup,
+//    except those of its gang. The worker is asked for a report just before the start, and often
+//    while the run is in startup: otherwise an order that met a dead worker, or a run that had
+//    ended, would count as a crash.
 //  - What is known of a run whose worker fell silent is kept with the suspicion: the order was not
 //    answered, the start was accepted, or the run was certainly there (`StartupEvidence`). Workers
 //    that have just died leave orders unanswered, so that these add nothing to a single crash.
@@ -24,11 +25,13 @@
 
 namespace valveshelf::sched {
 
-/// True if the task must be started on a worker where no other run is in startup. Members of a gang
-/// are started together in any case.
-bool needsIsolatedStart(const StepState &Step, const TaskState &Task);
-/// True if no run on the worker but \p Run is in startup.
-bool hasNoOtherStartups(const Worker &On, const RunKey *Run = nullptr);
+/// True if the task must be started on a worker where no run is in startup but those of its gang.
+bool needsIsolatedStart(const TaskState &Task);
+/// True if the same holds for a member of the gang.
+bool hasIsolatedMembers(const StepState &Step);
+/// True if no run on the worker is in startup but \p Run and, if it is of a gang, the other
+/// members.
+bool hasNoOtherStartups(const Worker &On, const RunKey *Run = nullptr, bool IsGang = false);
 /// When a worker made a report. WorkerClock was read by the worker between AskedAt and ReadAt.
 struct ReportTimes {
   TimePoint AskedAt{};
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -14,8 +14,9 @@
 // A worker and the number of the gang's tasks that fit there.
 struct GangCandidate {
   Worker *W = nullptr;
-  int64_t FreeTasks = 0; ///< In its free capacity.
-  int64_t MaxTasks = 0;  ///< With preemption, if the plan may preempt.
+  bool HasStartups = false; ///< It has runs in startup, and the gang must not start beside them.
+  int64_t FreeTasks = 0;    ///< In its free capacity.
+  int64_t MaxTasks = 0;     ///< With preemption, if the plan may preempt.
 };
 
 std::vector<GangCandidate> findGangCandidates(PlacementPass &Pass, const Job &J,
@@ -25,6 +26,7 @@
   if (Step.Spec->MaxPerWorker > 0)
     Limit = std::min<int64_t>(Limit, Step.Spec->MaxPerWorker);
   const Resources Need = needOf(Step);
+  const bool IsIsolated = hasIsolatedMembers(Step);
   std::set<const Worker *> Avoided;
   for (const TaskState &Task : Step.Tasks)
     if (Task.FailedOn && hasRecentlyFailedOn(Pass, Task, *Task.FailedOn))
@@ -32,8 +34,11 @@
   forEachAdvisedWorker(Pass, J, Step, [&](Worker &W) {
     if (!isUsable(Pass, W, J, Step) || Avoided.count(&W) || !canPlan(Pass, J, Step, W))
       return;
+    if (IsIsolated && W.Planned != Resources{})
+      return;
     const Resources Room = freeCapacityFor(Pass, W, J, Step);
-    GangCandidate Candidate{&W, countFitting(Need, Room, Limit), 0};
+    const bool HasStartups = IsIsolated && !hasNoOtherStartups(W);
+    GangCandidate Candidate{&W, HasStartups, countFitting(Need, Room, Limit), 0};
     Candidate.MaxTasks = Candidate.FreeTasks;
     if (Preempts)
       Candidate.MaxTasks =
@@ -72,7 +77,8 @@
   // Most free capacity first, which needs the fewest workers and the least preemption.
   std::sort(Candidates.begin(), Candidates.end(),
             [](const GangCandidate &A, const GangCandidate &B) {
-              return std::pair(A.FreeTasks, A.MaxTasks) > std::pair(B.FreeTasks, B.MaxTasks);
+              return std::tuple(B.HasStartups, A.FreeTasks, A.MaxTasks) >
+                     std::tuple(A.HasStartups, B.FreeTasks, B.MaxTasks);
             });
   uint32_t Run = std::max(Pass.Cell.FirstRun, Step.GangRun + 1);
   for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
@@ -112,6 +118,15 @@
   return Reason;
 }
 
+// The planned attempts of the gang on the worker that are to be started in isolation.
+uint32_t countIsolatedStarts(const StepState &Step, const Worker &W) {
+  uint32_t Count = 0;
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    if (Step.Tasks[I].AssignedWorker == &W)
+      Count += W.Attempts.at({{Step.Key, I}, Step.GangRun}).IsIsolatedStart ? 1 : 0;
+  return Count;
+}
+
 // Starts a planned gang if every member has its resources and its ticket. Returns false if not.
 bool launchGang(PlacementPass &Pass, const Job &J, StepState &Step) {
   std::set<Worker *> Workers;
@@ -123,11 +138,15 @@
   std::vector<std::string> NoTicket;
   bool HasTickets = true;
   bool HasRoom = true;
+  bool IsApart = true;
+  const RunKey AnyMember{{Step.Key, 0}, Step.GangRun};
   for (Worker *W : Workers) {
-    if (!isUsable(Pass, *W, J, Step)) {
+    const uint32_t Isolated = countIsolatedStarts(Step, *W);
+    if (W->IsolatedStarts > Isolated || !isEligible(Pass, *W, J, Step)) {
       dropPlan(Pass, Step);
       return false;
     }
+    IsApart = IsApart && (Isolated == 0 || hasNoOtherStartups(*W, &AnyMember, true));
     HasTickets = HasTickets && hasTicket(Pass, J, Step, *W);
     if (!hasTicket(Pass, J, Step, *W, Latency))
       NoTicket.push_back(W->Info.Id);
@@ -136,9 +155,11 @@
       Needed += needOf(Step);
     HasRoom = HasRoom && fits(Needed, W->Info.Capacity - W->Booked);
   }
-  const char *WaitReason = !HasRoom      ? "its resources are not free yet"
-                           : !HasTickets ? "tickets are missing"
-                                         : whyNotLaunch(Pass, Step);
+  const char *WaitReason =
+      !HasRoom      ? "its resources are not free yet"
+      : !HasTickets ? "tickets are missing"
+      : !IsApart ? "other runs are in startup on a worker of a member that is started in isolation"
+                 : whyNotLaunch(Pass, Step);
   if (WaitReason) {
     Step.WaitReason = WaitReason;
     requestAdvice(Pass, J, Step, std::move(NoTicket));
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -138,8 +138,8 @@
       continue;
     }
     Worker *W = selectWorker(Pass, J, Step, Task);
-    const bool Preempts = !W && !needsIsolatedStart(Step, Task) &&
-                          !Step.Queued->isDeprioritized() && benefitsFromPreemption(Pass, J, Step);
+    const bool Preempts = !W && !needsIsolatedStart(Task) && !Step.Queued->isDeprioritized() &&
+                          benefitsFromPreemption(Pass, J, Step);
     if (Preempts)
       W = selectWorkerToPreempt(Pass, J, Step, Task);
     if (!W) {
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -214,7 +214,7 @@
   // The slowest task decides when a job ends: workers that are still warming up come last.
   Value.Penalty += W.SlowUntil > Pass.Now ? SlowWorkerPenalty : 0;
   // A task that may crash its worker goes where it can start alone and affects the fewest runs.
-  const bool Isolated = needsIsolatedStart(Step, Task);
+  const bool Isolated = needsIsolatedStart(Task);
   Value.Penalty += Isolated && !hasNoOtherStartups(W) ? BusyStartupPenalty : 0;
   if (PrefersFast)
     Value.Speed = W.Speed;
@@ -229,7 +229,7 @@
   Worker *Best = nullptr;
   Score BestScore;
   const Resources Need = needOf(Step);
-  const bool Isolated = needsIsolatedStart(Step, Task);
+  const bool Isolated = needsIsolatedStart(Task);
   const bool PrefersFast = !Isolated && prefersFastWorker(Pass.Cell, J, Step);
   forEachAdvisedWorker(Pass, J, Step, [&](Worker &W) {
     if (Isolated && W.Planned != Resources{})
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -313,7 +313,7 @@
   Made.Objective = Of.Objective;
   Made.Estimate = Step.Spec->Estimate;
   Made.Expected = expectedRunTimeOn(Cell, Step, On);
-  Made.IsIsolatedStart = needsIsolatedStart(Step, Step.Tasks[Index]);
+  Made.IsIsolatedStart = needsIsolatedStart(Step.Tasks[Index]);
   On.IsolatedStarts += Made.IsIsolatedStart ? 1 : 0;
   Made.IsWatchedStart = Step.Tasks[Index].StartupCrashes > 0;
   On.WatchedStarts += Made.IsWatchedStart ? 1 : 0;
