Crash counts: an inherited start counts before the task is started again

What callers saw: a task that crashes its workers was started once more after a takeover, and what ran beside it was lost with the worker.

Cause: a start that an earlier scheduler had recorded is left out of the limits, since it may never have been ordered. It was left out until the next start of the task, which was then ordered without a look at the limits.

Change: once all workers of a service are known after a takeover, the recorded starts that none of them reported count like other orders without an answer, and the limits are applied.

--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -319,5 +319,22 @@
   EXPECT_EQ(Given.taskOf(Id).AcceptedSuspects.size(), 1u);
 }
 
+// Guards against one more crash after a takeover: a recorded start whose worker is found dead
+// counts before the task is started again.
+TEST(CrashEvidence, AnInheritedStartOnADeadWorkerCountsBeforeTheNextStart) {
+  EvidenceScene Given(tasks(1, 4000, 60s));
+  Given.lose(Loss::Crash);
+  Given.lose(Loss::Crash);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id));
+  const std::string WorkerId = Given.workerOf(Given.Id);
+  Given.Silent.insert(WorkerId); // it has crashed, which this scheduler does not notice
+  Given.takeOver();
+  EXPECT_FALSE(Given.hasFailed());
+  Given.replace(WorkerId);
+  Given.advance(3s);
+  EXPECT_EQ(Given.startsOf(Given.Id), 3u);
+  EXPECT_TRUE(Given.hasFailed());
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -152,6 +152,17 @@
     giveUpIfCrashing(Cell, Key, Now, Out);
   }
 }
+
+std::vector<TaskKey> countedTasks(const CellState &Cell) {
+  std::vector<TaskKey> Counted;
+  for (const auto &[Id, Of] : Cell.Jobs)
+    for (const auto &[Number, Round] : Of.Rounds)
+      for (const StepState &Step : Round.Steps)
+        for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+          if (Step.Tasks[I].StartupCrashes > 0)
+            Counted.push_back({Step.Key, I});
+  return Counted;
+}
 } // namespace
 
 std::string_view toString(WorkerEnd How) {
@@ -280,17 +291,23 @@
 // If each scheduler ends before the last suspicion is settled, none of them would otherwise apply
 // the limits.
 void giveUpRestoredTasks(CellState &Cell, TimePoint Now, Effects &Out) {
-  std::vector<TaskKey> Counted;
-  for (const auto &[Id, Of] : Cell.Jobs)
-    for (const auto &[Number, Round] : Of.Rounds)
-      for (const StepState &Step : Round.Steps)
-        for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
-          if (Step.Tasks[I].StartupCrashes > 0)
-            Counted.push_back({Step.Key, I});
-  for (const TaskKey &Key : Counted)
+  for (const TaskKey &Key : countedTasks(Cell))
     giveUpIfCrashing(Cell, Key, Now, Out);
 }
 
+void countInheritedStarts(CellState &Cell, const std::string &Service, TimePoint Now,
+                          Effects &Out) {
+  for (const TaskKey &Key : countedTasks(Cell)) {
+    if (Cell.Jobs.at(Key.Step.Job).Spec->Service != Service)
+      continue;
+    TaskState &Task = *findTask(Cell, Key);
+    if (Task.InheritedStartWorker.empty())
+      continue;
+    Task.InheritedStartWorker.clear();
+    giveUpIfCrashing(Cell, Key, Now, Out);
+  }
+}
+
 void confirmCrashesOfEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
   const std::string Prefix = lifeNamePrefix(On.Info.Id);
   const std::string Present = lifeName(On);
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -54,6 +54,9 @@
 void dropAttempts(CellState &Cell, Worker &On, WorkerEnd How, TimePoint Now, Effects &Out);
 /// Gives up restored tasks whose saved counts have reached the limits.
 void giveUpRestoredTasks(CellState &Cell, TimePoint Now, Effects &Out);
+/// All workers of the service are known: inherited starts that none of them reported are counted
+/// like other orders without an answer.
+void countInheritedStarts(CellState &Cell, const std::string &Service, TimePoint Now, Effects &Out);
 /// Delays the restart of tasks that a silent worker may have completed.
 void delayPossiblyDoneTasks(CellState &Cell, const Worker &On, TimePoint Now);
 /// Confirms crashes of earlier lives of the worker that an earlier scheduler witnessed.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -76,6 +76,7 @@
         queueStep(Cell, Of, Step, Now);
       }
   }
+  countInheritedStarts(Cell, Service, Now, Out);
 }
 
 // Charges the attempt to the quota of its organisation.
