Crash counts: the end of a worker applies the limits to all tasks counted for it

What callers saw: a task that crashes its workers was never stopped if their leases expired before they were replaced or left the list.

Cause: with the lease the attempts of a worker are dropped. As it ended later, only crashes that had been witnessed were looked at; a suspicion of an accepted or an unanswered start stayed a number that nothing compared with the limits.

Change: when a worker's life is over, its witnessed crashes are confirmed, and the limits are applied to all tasks that are counted for it.

Measured: ACrasherIsGivenUpIfLeasesExpireBeforeItsWorkersAreReplaced: 3 starts if they are answered, 4 if not. Further tests guard what mutants of the evidence and of isolated gangs showed to be untested.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -448,7 +448,7 @@
     logEvent(events::TaskGivenUp, {{"task", toString(What.Task)},
                                    {"crashes", std::to_string(What.StartupCrashes)},
                                    {"doubts", std::to_string(What.UnconfirmedCrashes)},
-                               {"unanswered", std::to_string(What.UnansweredOrders)},
+                                   {"unanswered", std::to_string(What.UnansweredOrders)},
                                    {"losses", std::to_string(What.WeightedCrashes)}});
   }
 }
--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -329,12 +329,114 @@
   const std::string WorkerId = Given.workerOf(Given.Id);
   Given.Silent.insert(WorkerId); // it has crashed, which this scheduler does not notice
   Given.takeOver();
-  EXPECT_FALSE(Given.hasFailed());
   Given.replace(WorkerId);
   Given.advance(3s);
   EXPECT_EQ(Given.startsOf(Given.Id), 3u);
   EXPECT_TRUE(Given.hasFailed());
 }
 
+// Guards against a crasher that goes on if the leases of its workers expire before they are
+// replaced or leave the list.
+TEST(CrashEvidence, ACrasherIsGivenUpIfLeasesExpireBeforeItsWorkersAreReplaced) {
+  for (const bool IsAnswered : {true, false})
+    for (const StepSpec &Step : {tasks(1, 4000, 0ms), tasks(1, 4000, 2s), gang(0ms), gang(60s)}) {
+      EvidenceScene Given(Step);
+      Given.CrashesBeforeAnswers = !IsAnswered;
+      const auto IsOrderedOn = [&](const std::string &WorkerId) {
+        return std::any_of(Given.Started.begin(), Given.Started.end(),
+                           [&](const Effects::Start &Order) { return Order.Worker == WorkerId; });
+      };
+      int Losses = 0;
+      for (; Losses < 8 && !Given.hasFailed(); ++Losses) {
+        const std::string WorkerId = Given.Ports.begin()->first;
+        for (Milliseconds T{0}; T < 8s && !IsOrderedOn(WorkerId); T += 10ms)
+          Given.advance(10ms);
+        Given.advance(IsAnswered ? 300ms : 10ms);
+        Given.fallSilent(WorkerId);
+        Given.advance(8s);
+        Given.replace(WorkerId);
+        Given.advance(10ms);
+      }
+      EXPECT_LE(Losses, IsAnswered ? 3 : 4) << "estimate " << Step.Estimate.count();
+    }
+}
+
+// Gives the tasks of the job a count, without a crash.
+void setCounted(CrashScene &Given, JobId Id) {
+  for (TaskState &Task : Given.Cell.Jobs.at(Id).Rounds.at(0).Steps[0].Tasks)
+    Task.StartupCrashes = 1;
+}
+
+// Guards against a gang that starts beside a run in startup on the only worker.
+TEST(CrashEvidence, AGangAfterACrashWaitsForStartupsOnItsWorker) {
+  CrashScene Given(1);
+  const JobId Other = Given.submit(tasks(1, 500, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Other));
+  const JobId Id = Given.submit(gang(2s, 1000));
+  setCounted(Given, Id);
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  for (const auto &[Run, Entry] : Given.Cell.Workers.at("w0").Attempts)
+    EXPECT_TRUE(Run.Task.Step.Job == Id || Entry.SurvivedStartup);
+}
+
+// Guards against a gang that waits for startups while another worker has none.
+TEST(CrashEvidence, AGangAfterACrashPrefersWorkersWithoutStartups) {
+  CrashScene Given(2);
+  const JobId Other = Given.submit(tasks(1, 500, 60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Other));
+  const JobId Id = Given.submit(gang(2s, 1000));
+  setCounted(Given, Id);
+  ASSERT_TRUE(Given.advanceUntilRuns(Id, 200ms));
+  EXPECT_NE(Given.workerOf(Id), Given.workerOf(Other));
+}
+
+// Guards against accepted starts that a later scheduler takes for orders without an answer.
+TEST(CrashEvidence, AcceptedStartsSurviveATakeover) {
+  EvidenceScene Given(gang(2s));
+  Given.CrashDelay = 300ms;
+  Given.lose(Loss::Crash);
+  Given.lose(Loss::Crash);
+  EXPECT_EQ(Given.taskOf(Given.Id).AcceptedSuspects.size(), 2u);
+  Given.takeOver();
+  Given.lose(Loss::Crash);
+  EXPECT_TRUE(Given.hasFailed()) << Given.Trace.str();
+}
+
+// Guards against a late tick that makes a certain crash a suspicion.
+TEST(CrashEvidence, ASilenceBeginsWhenItIsNoticed) {
+  CrashScene Given(1);
+  const JobId Id = Given.submit(gang(60s));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.Now += 30ms;
+  Given.fallSilent("w0");
+  Given.advance(20ms);
+  EXPECT_EQ(Given.taskOf(Id).WitnessedSuspects.size(), 1u);
+}
+
+// Guards against a fifth start after two accepted ones of which one certainly crashed, and against
+// giving up a task that certainly crashed no worker.
+TEST(CrashEvidence, TwoUnansweredOrdersGiveUpAJobOnlyBesideACertainCrash) {
+  EvidenceScene Given(gang(60s));
+  for (const Loss How : {Loss::Crash, Loss::UnheardEnd, Loss::DeadBeforeOrder})
+    Given.lose(How);
+  EXPECT_FALSE(Given.hasFailed());
+  Given.lose(Loss::DeadBeforeOrder);
+  EXPECT_TRUE(Given.hasFailed()) << Given.Trace.str();
+  expectSurvives(
+      {Loss::UnheardEnd, Loss::UnheardEnd, Loss::DeadBeforeOrder, Loss::DeadBeforeOrder});
+}
+
+// Guards against a recorded start that counts before its worker was heard.
+TEST(CrashEvidence, AnInheritedStartWaitsForTheReportOfItsWorker) {
+  EvidenceScene Given(tasks(1, 4000, 60s));
+  Given.lose(Loss::Crash);
+  Given.lose(Loss::Crash);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id));
+  Given.takeOver();
+  Given.advance(20ms);
+  EXPECT_FALSE(Given.hasFailed());
+  Given.expectCompletes();
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -138,17 +138,17 @@
     suspectCrash(Cell, Run.Task, On, Known, Now, Out);
 }
 
-// Confirms the crashes of a worker's life, by name, that an earlier scheduler witnessed.
-void confirmWitnessedCrashes(CellState &Cell, const std::string &Life, WorkerEnd How, TimePoint Now,
-                             Effects &Out) {
+// A worker's life, by name, is over: confirms its crashes that were witnessed, by this or an
+// earlier scheduler, and applies the limits to all tasks that are counted for it.
+void settleSuspicions(CellState &Cell, const std::string &Life, WorkerEnd How, TimePoint Now,
+                      Effects &Out) {
   const auto Found = Cell.SuspectWorkers.find(Life);
   if (Found == Cell.SuspectWorkers.end())
     return;
   for (const TaskKey &Key : std::set(Found->second.Tasks)) {
     const std::vector<std::string> &Witnessed = findTask(Cell, Key)->WitnessedSuspects;
-    if (std::find(Witnessed.begin(), Witnessed.end(), Life) == Witnessed.end())
-      continue;
-    confirmCrash(Cell, Key, Life, How, Now, Out);
+    if (std::find(Witnessed.begin(), Witnessed.end(), Life) != Witnessed.end())
+      confirmCrash(Cell, Key, Life, How, Now, Out);
     giveUpIfCrashing(Cell, Key, Now, Out);
   }
 }
@@ -271,7 +271,7 @@
   if (How == WorkerEnd::LeaseExpired)
     return; // it is still listed: more likely a cut link than a crash
   if (Crashed)
-    confirmWitnessedCrashes(Cell, lifeName(On), How, Now, Out);
+    settleSuspicions(Cell, lifeName(On), How, Now, Out);
   for (const RunKey &Run : Lost)
     giveUpIfCrashing(Cell, Run.Task, Now, Out);
 }
@@ -317,7 +317,7 @@
     if (At->first != Present)
       Earlier.push_back(At->first);
   for (const std::string &Life : Earlier)
-    confirmWitnessedCrashes(Cell, Life, WorkerEnd::Replaced, Now, Out);
+    settleSuspicions(Cell, Life, WorkerEnd::Replaced, Now, Out);
 }
 
 void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out) {
