Isolated starts: isolation ends with the startup time, also without progress

What callers saw: jobs wait ("no advised worker has room") while workers are mostly free, if a gang with a crash count on them reports no progress.

Cause: a member of a gang survives its startup once it shows progress, and until then its isolated start kept all other starts off its worker; a counted gang also waited for members of other gangs without progress. A first percent takes 36 s at an estimate of an hour, and a gang that lasts may report none. Found in review of the isolation of gangs.

Evidence: a gang with an estimate of an hour at 0 percent, a worker with 8 of 64 cores booked: no other start in 30 s, before the isolation of gangs at once.

Change: a run that has been listed for the startup time no longer keeps other starts off its worker, and no isolated start waits for it. Its crash still counts.

Measured: AGangWithoutProgressIsNotIsolatedForGood: the other job starts within 1.5 s.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -154,6 +154,9 @@
   /// for at that time listed it.
   TimePoint ConfirmedAt{};
   bool SurvivedStartup = false; ///< Its worker did not crash during the run's startup.
+  /// It has been listed for `SchedulerLimits::StartupTime`: it no longer keeps other starts off its
+  /// worker, nor does an isolated start wait for it. A member of a gang may still be in startup.
+  bool IsPastStartupTime = false;
   /// No other run is started on its worker while this is set. Counted in `Worker::IsolatedStarts`.
   bool IsIsolatedStart = false;
   /// Its task has a crash count, and the run has not survived its startup: its worker is asked for
--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -361,6 +361,18 @@
     }
 }
 
+// Guards against a gang with a count that keeps all other work off its workers for as long as it
+// reports no progress.
+TEST(CrashEvidence, AGangWithoutProgressIsNotIsolatedForGood) {
+  EvidenceScene Given(gang(3600s, 4000));
+  Given.ReportedPercent = 0;
+  Given.lose(Loss::Crash);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id));
+  const JobId Other = Given.submit(tasks(1, 500, 1s));
+  EXPECT_TRUE(Given.advanceUntilRuns(Other, 1500ms));
+  Given.endRunsAsBroken(Given.workerOf(Given.Id));
+}
+
 // Gives the tasks of the job a count, without a crash.
 void setCounted(CrashScene &Given, JobId Id) {
   for (TaskState &Task : Given.Cell.Jobs.at(Id).Rounds.at(0).Steps[0].Tasks)
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -189,7 +189,7 @@
                    (IsGang && Other.Task.Step == Run->Task.Step && Other.Run == Run->Run));
   };
   return std::all_of(On.Attempts.begin(), On.Attempts.end(), [&](const auto &Entry) {
-    return !isInStartup(Entry.second) || IsExempt(Entry.first);
+    return !isInStartup(Entry.second) || Entry.second.IsPastStartupTime || IsExempt(Entry.first);
   });
 }
 
@@ -204,12 +204,13 @@
   if (When.AskedAt - Entry.StartedAt < Cell.Limits.StartupTime &&
       When.WorkerClock - *Entry.FirstListed < Cell.Limits.StartupTime)
     return;
+  Entry.IsPastStartupTime = true;
+  On.IsolatedStarts -= Entry.IsIsolatedStart ? 1 : 0;
+  Entry.IsIsolatedStart = false;
   // Members of a gang start their work when all of them are there.
   if (Step->Spec->Gang && Entry.Percent == 0)
     return;
   Entry.SurvivedStartup = true;
-  On.IsolatedStarts -= Entry.IsIsolatedStart ? 1 : 0;
-  Entry.IsIsolatedStart = false;
   On.WatchedStarts -= Entry.IsWatchedStart ? 1 : 0;
   Entry.IsWatchedStart = false;
   clearCrashCount(Cell, Run.Task, Out);
