Records: a pending start on a worker that is counted already is counted once

A record whose pending start names a worker that is among its suspects was read as two crashes, and the number of unanswered orders could fall below zero, so that the task was given up on load. No sequence of calls that writes such a record is known; found in review. APendingStartOnACountedWorkerIsCountedOnce fails without the change.

--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -450,5 +450,18 @@
   Given.expectCompletes();
 }
 
+// Guards against a record whose pending start names a worker that is counted already.
+TEST(CrashEvidence, APendingStartOnACountedWorkerIsCountedOnce) {
+  CrashScene Given(1);
+  const JobId Id = Given.submit(gang(60s));
+  SavedTask Saved;
+  Saved.StartupCrashes = 2;
+  Saved.SuspectWorkers = Saved.AcceptedSuspects = {"a", "b"};
+  Saved.PendingStartWorker = "b";
+  restoreStep(Given.Cell, {Id, 0, 0}, {Saved});
+  EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 2u);
+  EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 2u);
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -272,8 +272,11 @@
     Task.WitnessedSuspects = Saved.WitnessedSuspects;
     Task.AcceptedSuspects = Saved.AcceptedSuspects;
     Task.VanishedWorkers = Saved.VanishedWorkers;
-    Task.InheritedStartWorker = Saved.PendingStartWorker;
-    if (!Saved.PendingStartWorker.empty()) {
+    // A worker is counted once, also if it had been suspected before the start was recorded.
+    const bool IsCounted = std::find(Saved.SuspectWorkers.begin(), Saved.SuspectWorkers.end(),
+                                     Saved.PendingStartWorker) != Saved.SuspectWorkers.end();
+    if (!Saved.PendingStartWorker.empty() && !IsCounted) {
+      Task.InheritedStartWorker = Saved.PendingStartWorker;
       ++Task.StartupCrashes;
       Task.SuspectWorkers.push_back(Saved.PendingStartWorker);
     }
