Comments and lint: crash rules, order of gang candidates, moves in a test

The head comment of crashes.h said three rules where there are more; confirmCrashesOfEarlierLives and the order of candidates said less than they do. No change of behaviour.

--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -93,7 +93,7 @@
 
   // Orders the job on a worker that does not answer. It is alive until the order if \p Crashes.
   std::string orderWithoutAnswer(bool Crashes) {
-    const std::string WorkerId = Ports.begin()->first;
+    std::string WorkerId = Ports.begin()->first;
     if (!Crashes) {
       waitForGangScan();
       Silent.insert(WorkerId);
@@ -139,7 +139,7 @@
   // The worker accepts the job's runs and crashes, or is killed after the runs have ended.
   std::string startAndLose(bool RunsEnd) {
     EXPECT_TRUE(advanceUntilRuns(Id)) << Trace.str();
-    const std::string WorkerId = workerOf(Id);
+    std::string WorkerId = workerOf(Id);
     if (RunsEnd) {
       ReportsUnasked = false;
       advance(70ms);
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -2,7 +2,7 @@
 // Lost workers, and the tasks that may have crashed them. Private to src/scheduler.
 //
 // A task that crashes its worker takes all other runs there with it, so that one crash does not
-// tell which task is at fault. Three rules tell them apart:
+// tell which task is at fault. These rules tell them apart:
 //  - A crash is counted in `TaskState::StartupCrashes` only for runs that were in startup. A run
 //    that survives its startup clears the count of its task.
 //  - A task with a count is started in isolation, on a worker where no other run is in startup,
@@ -59,7 +59,8 @@
 void countInheritedStarts(CellState &Cell, const std::string &Service, TimePoint Now, Effects &Out);
 /// Delays the restart of tasks that a silent worker may have completed.
 void delayPossiblyDoneTasks(CellState &Cell, const Worker &On, TimePoint Now);
-/// Confirms crashes of earlier lives of the worker that an earlier scheduler witnessed.
+/// Confirms crashes of earlier lives of the worker that were witnessed, and applies the limits to
+/// all tasks that are counted for these lives.
 void confirmCrashesOfEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
 /// Requests a report from a worker with watched starts whose last report is not recent.
 void requestReportsOfStarts(Worker &On, TimePoint Now, Effects &Out);
--- a/src/scheduler/gangs.cpp
+++ b/src/scheduler/gangs.cpp
@@ -74,7 +74,8 @@
 
 void planGang(PlacementPass &Pass, const Job &J, StepState &Step,
               std::vector<GangCandidate> Candidates, bool Preempts) {
-  // Most free capacity first, which needs the fewest workers and the least preemption.
+  // Workers beside whose runs the gang need not wait first, then most free capacity, which needs
+  // the fewest workers and the least preemption.
   std::sort(Candidates.begin(), Candidates.end(),
             [](const GangCandidate &A, const GangCandidate &B) {
               return std::tuple(B.HasStartups, A.FreeTasks, A.MaxTasks) >
