Crash counts: a silent worker that holds the task counts when its end is known

What callers saw: a single task that could be done was failed after one real crash.

Cause: once the limits are applied to all tasks counted for a worker that ended, a task whose present worker was only silent was judged by that silence as well, which may be a cut link.

Change: the suspicion of the worker that still holds the task's attempt is left out of the limits; it counts with the worker's end, or with a takeover.

ASilentWorkerThatHoldsTheTaskIsNotCountedForAnEarlierOnesEnd fails without it.

--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -463,5 +463,31 @@
   EXPECT_EQ(Given.taskOf(Id).SuspectWorkers.size(), 2u);
 }
 
+// Guards against a task that is given up as an earlier worker's end is learned of while the present
+// one is only silent, which may be a cut link.
+TEST(CrashEvidence, ASilentWorkerThatHoldsTheTaskIsNotCountedForAnEarlierOnesEnd) {
+  EvidenceScene Given(gang(2s));
+  Given.CrashDelay = 300ms;
+  Given.lose(Loss::Crash);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id));
+  const std::string Second = Given.workerOf(Given.Id);
+  Given.advance(300ms);
+  Given.fallSilent(Second);
+  Given.advance(7s); // its lease expires
+  Given.addWorker("third", 9300);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id, 5s));
+  ASSERT_EQ(Given.workerOf(Given.Id), "third");
+  Given.advance(300ms);
+  Given.fallSilent("third");
+  Given.advance(20ms);
+  ASSERT_EQ(Given.taskOf(Given.Id).StartupCrashes, 3u);
+  Given.replace(Second);
+  Given.advance(20ms);
+  EXPECT_FALSE(Given.hasFailed());
+  Given.replace("third");
+  Given.advance(20ms);
+  EXPECT_TRUE(Given.hasFailed());
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -39,7 +39,12 @@
 
 // True if the startup crashes of the task can't be those of a sound task that met workers which
 // died for other reasons.
-bool crashesAtStartup(const SchedulerLimits &Limits, const TaskState &Task) {
+bool crashesAtStartup(const SchedulerLimits &Limits, TaskState Task) {
+  // A silent worker that still holds the task may be cut off: it counts when its end is known.
+  if (Task.AssignedWorker) {
+    const std::string Life = lifeName(*Task.AssignedWorker);
+    Task.StartupCrashes -= static_cast<uint32_t>(std::erase(Task.SuspectWorkers, Life));
+  }
   const uint32_t Inherited = Task.InheritedStartWorker.empty() ? 0 : 1;
   const uint32_t Crashes = Task.StartupCrashes - Inherited;
   const uint32_t Confirmed = Task.StartupCrashes - unconfirmedCrashes(Task);
