--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1434,5 +1434,15 @@
   }
 }
 
+// Guards against a task that goes on crashing workers, an end that is forgotten before it is saved,
+// a sound task that is given up and a worker over its capacity, while workers restart.
+TEST(SchedulerFuzz, SeedsWithCrashesAndRestarts) {
+  for (const uint64_t Seed : {222U, 416U, 432U, 527U}) {
+    World One(Seed, Scenario::CrashRestarts);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
