Advice lanes: queued requests are sent when a backoff ends

Cause: AdviceLanes::dispatch was called by a new request, by a change of the members and by the end of a request. If all lanes fail together, the requests go back into the queue and none of these events comes: their steps do not ask again while a request is outstanding.

Change: a timer until the first backoff of an idle lane ends, while requests are queued and no lane is free. Requests that are put back are logged (advice-retried), which were silent before.

Without queued requests no timer runs (NothingWaitsForABackoff...).

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -171,6 +171,10 @@
     "change of scheduler, or the task survived its start. `doubts` "
     "of them may only have been unreachable; of these, `unanswered` left the start order without an"
     " answer."};
+const EventKind AdviceRetried{
+    2309, "info", "advice-retried",
+    "A box got no advice for a step; the request waits for another box or for the end of this "
+    "box's backoff."};
 const EventKind CopyStarted{
     2310, "info", "copy-started",
     "A copy of a slow run was ordered on another worker: the slow run and its worker, and in how "
@@ -277,6 +281,7 @@
                               &RunLost,
                               &TaskGivenUp,
                               &CrashCounted,
+                              &AdviceRetried,
                               &CopyStarted,
                               &CopyEnded,
                               &ForecastMissed,
--- a/src/cell/advice_lanes.cpp
+++ b/src/cell/advice_lanes.cpp
@@ -2,7 +2,10 @@
 // Lane selection. Long requests never occupy all lanes.
 #include "cell/advice_lanes.h"
 
+#include "valveshelf/events.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace valveshelf {
 using namespace sched;
@@ -22,7 +25,8 @@
 } // namespace
 
 AdviceLanes::AdviceLanes(Executor Where, Clock Time, AskThrough Ask, Answered OnAnswer)
-    : Where(Where), Time(std::move(Time)), Ask(std::move(Ask)), OnAnswer(std::move(OnAnswer)) {}
+    : Where(Where), Time(std::move(Time)), Ask(std::move(Ask)), OnAnswer(std::move(OnAnswer)),
+      BackoffTimer(Where) {}
 
 void AdviceLanes::setLanes(const std::set<std::string> &Names) {
   std::erase_if(Lanes, [&](const auto &L) { return !L.second.Busy && !Names.count(L.first); });
@@ -46,6 +50,7 @@
 void AdviceLanes::stop() {
   Stopped = true;
   *Alive = false;
+  BackoffTimer.cancel();
   Queues.clear();
 }
 
@@ -59,15 +64,21 @@
 
 // Prefers lanes whose last request succeeded, so that with few requests in a large cell unreachable
 // members are not tried over and over.
-std::map<std::string, AdviceLanes::Lane>::iterator AdviceLanes::freeLane() {
-  auto Best = Lanes.end();
+AdviceLanes::LaneChoice AdviceLanes::chooseLane() {
+  const TimePoint Now = Time.Now();
+  LaneChoice Best{Lanes.end()};
   for (auto At = Lanes.begin(); At != Lanes.end(); ++At) {
-    if (At->second.Busy || At->second.BackoffUntil > Time.Now())
+    const Lane &Of = At->second;
+    if (Of.Busy)
+      continue;
+    if (Of.BackoffUntil > Now) {
+      Best.BackoffEnd = std::min(Best.BackoffEnd, Of.BackoffUntil);
       continue;
-    if (At->second.LastSucceeded)
-      return At;
-    if (Best == Lanes.end() || At->second.ConsecutiveFailures < Best->second.ConsecutiveFailures)
-      Best = At;
+    }
+    if (Of.LastSucceeded)
+      return {At};
+    if (Best.Free == Lanes.end() || Of.ConsecutiveFailures < Best.Free->second.ConsecutiveFailures)
+      Best.Free = At;
   }
   return Best;
 }
@@ -94,11 +105,31 @@
   return Best;
 }
 
+// Replaces an earlier call; the largest time ends it.
+void AdviceLanes::dispatchAt(TimePoint When) {
+  if (When == DispatchesAt)
+    return;
+  DispatchesAt = When;
+  if (When == TimePoint::max()) {
+    BackoffTimer.cancel();
+    return;
+  }
+  BackoffTimer.expires_after(When - Time.Now());
+  BackoffTimer.async_wait([this, StillAlive = Alive, When](boost::system::error_code Cancelled) {
+    if (Cancelled || !*StillAlive || DispatchesAt != When)
+      return;
+    DispatchesAt = TimePoint::max();
+    dispatch();
+  });
+}
+
 void AdviceLanes::dispatch() {
   while (!Stopped) {
-    const auto Free = Queues.empty() ? Lanes.end() : freeLane();
+    if (Queues.empty())
+      return dispatchAt(TimePoint::max());
+    const auto [Free, BackoffEnd] = chooseLane();
     if (Free == Lanes.end())
-      return;
+      return dispatchAt(BackoffEnd);
     const auto Next = next();
     if (!Next)
       return;
@@ -113,6 +144,17 @@
   }
 }
 
+void AdviceLanes::logRetry(const PendingRequest &What, const std::string &Name,
+                           const Error &Why) const {
+  const auto Backoff = Lanes.at(Name).BackoffUntil - Time.Now();
+  logEvent(events::AdviceRetried,
+           {{"step", toString(What.Request.Step)},
+            {"through", Name},
+            {"tries", std::to_string(What.Tries)},
+            {"why", "\"" + Why.Detail + "\""},
+            {"backoff_ms", std::to_string(std::chrono::ceil<Milliseconds>(Backoff).count())}});
+}
+
 Awaitable<void> AdviceLanes::ask(std::string Name, PendingRequest What) {
   const auto StillAlive = Alive;
   const Milliseconds Timeout = What.Request.ExpectedTime * 3 / 2 + TimeoutSlack;
@@ -130,9 +172,10 @@
   else
     Used.BackoffUntil =
         Time.Now() + LaneBackoff * (1 << std::min(Used.ConsecutiveFailures++, MaxBackoffDoublings));
-  if (!ok(Answer) && ++What.Tries < MaxTries && Lanes.size() > 1)
+  if (!ok(Answer) && ++What.Tries < MaxTries && Lanes.size() > 1) {
+    logRetry(What, Name, error(Answer));
     enqueue(std::move(What));
-  else
+  } else
     OnAnswer(What.Request, Answer, Name, Time.Now() - What.AddedAt);
   dispatch();
 }
--- a/src/cell/advice_lanes.h
+++ b/src/cell/advice_lanes.h
@@ -8,6 +8,7 @@
 
 #include "valveshelf/cell_state.h"
 #include "valveshelf/coroutines.h"
+#include "valveshelf/steady_timer.h"
 #include "valveshelf/worker_link.h"
 
 #include <functional>
@@ -65,14 +66,23 @@
 
   using Requests = std::map<QueueKey, PendingRequest>;
 
+  /// The lane for the next request.
+  struct LaneChoice {
+    std::map<std::string, Lane>::iterator Free; ///< The end of `Lanes`: there is none.
+    /// When the first backoff of an idle lane ends; the largest time: none has one.
+    TimePoint BackoffEnd = TimePoint::max();
+  };
+
   void enqueue(PendingRequest What);
   /// The request to send next, in the queue of its service; empty if none may be sent.
   std::optional<std::pair<std::map<std::string, Requests>::iterator, Requests::iterator>> next();
   void dispatch();
-  std::map<std::string, Lane>::iterator freeLane();
+  void dispatchAt(TimePoint When);
+  LaneChoice chooseLane();
   bool isLong(const sched::Effects::AdviceRequest &Request) const;
   size_t maxLongInFlight() const;
   Awaitable<void> ask(std::string Name, PendingRequest What);
+  void logRetry(const PendingRequest &What, const std::string &Name, const Error &Why) const;
 
   const Executor Where;
   const Clock Time;
@@ -85,6 +95,11 @@
   uint64_t NextNumber = 0;
   size_t LongInFlight = 0;
   bool Stopped = false;
+  /// Invariant: while requests are queued and the only idle lanes are in backoff, the timer runs
+  /// until `DispatchesAt`, the first end of a backoff. Nothing else would send the requests if all
+  /// lanes had failed.
+  SteadyTimer BackoffTimer;
+  TimePoint DispatchesAt = TimePoint::max(); ///< The largest time: the timer does not run.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/advice_lanes_test.cpp
+++ b/src/cell/advice_lanes_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <deque>
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace valveshelf {
 namespace {
@@ -20,10 +21,10 @@
     Result<Advice> Answer = Advice{};
   };
   boost::asio::io_context Io;
-  TimePoint Now = TimePoint{} + 1000s;
-  std::deque<Call> Calls; ///< In the order sent.
+  std::optional<TimePoint> Now = TimePoint{} + 1000s; ///< Empty: real time.
+  std::deque<Call> Calls;                             ///< In the order sent.
   std::vector<StepKey> Ended;
-  AdviceLanes Lanes{Io.get_executor(), Clock{[this] { return Now; }},
+  AdviceLanes Lanes{Io.get_executor(), Clock{[this] { return Now.value_or(Steady::now()); }},
                     [this](std::string, StepKey Step, std::vector<std::string>, Milliseconds) {
                       return call(Step);
                     },
@@ -69,6 +70,14 @@
     Io.restart();
     Io.poll();
   }
+  /// Runs for at most \p Most, until \p Count calls have been sent in all.
+  void runUntilSent(size_t Count, Milliseconds Most) {
+    const TimePoint Limit = Steady::now() + Most;
+    while (Calls.size() < Count && Steady::now() < Limit) {
+      Io.restart();
+      Io.run_one_until(std::chrono::steady_clock::now() + 5ms);
+    }
+  }
   std::vector<JobId> sent() const {
     std::vector<JobId> Jobs;
     for (const Call &Of : Calls)
@@ -143,5 +152,75 @@
             2);
 }
 
+const Error ConnectionReset{ErrorKind::UpstreamCut, "connection reset"};
+// The longest backoff of a lane that has failed once, and time for a busy machine to notice its
+// end.
+constexpr Milliseconds FirstBackoffLimit{5000};
+
+// All connections to the advice service are reset at once while requests are queued. The steps that
+// made them do not ask again while their requests are outstanding, so if no other step asks and the
+// members stay the same, only the end of a backoff can send them.
+TEST(AdviceLanes, LanesThatFailTogetherServeTheirQueueAfterTheirBackoff) {
+  Bench Given(2);
+  Given.Now.reset();
+  for (JobId Job = 1; Job <= 5; ++Job)
+    Given.add("", Job, 20ms);
+  Given.answer(0, ConnectionReset);
+  Given.answer(1, ConnectionReset);
+  EXPECT_EQ(Given.sent(), (std::vector<JobId>{1, 2}));
+  for (size_t Answered = 2; Answered < 7; ++Answered) {
+    Given.runUntilSent(Answered + 1, FirstBackoffLimit);
+    ASSERT_GT(Given.Calls.size(), Answered) << "the queued requests are never sent";
+    Given.answer(Answered);
+  }
+  std::vector<JobId> Ended;
+  for (const StepKey &Step : Given.Ended)
+    Ended.push_back(Step.Job);
+  std::sort(Ended.begin(), Ended.end());
+  EXPECT_EQ(Ended, (std::vector<JobId>{1, 2, 3, 4, 5}));
+}
+
+// The same with one member: its request fails at once, and the step asks again during the backoff.
+TEST(AdviceLanes, TheOnlyLaneServesItsQueueAfterItsBackoff) {
+  Bench Given(1);
+  Given.Now.reset();
+  Given.add("", 1, 20ms);
+  Given.answer(0, ConnectionReset);
+  ASSERT_EQ(Given.Ended.size(), 1u);
+  Given.add("", 1, 20ms);
+  EXPECT_EQ(Given.Calls.size(), 1u);
+  Given.runUntilSent(2, FirstBackoffLimit);
+  EXPECT_EQ(Given.sent(), (std::vector<JobId>{1, 1}));
+}
+
+// While the advice service is away, a lane sends no request before its backoff is over.
+TEST(AdviceLanes, LanesThatGoOnFailingSendOneRequestPerBackoff) {
+  constexpr size_t Count = 3;
+  constexpr Milliseconds FirstBackoff{700};
+  Bench Given(Count);
+  Given.Now.reset();
+  for (JobId Job = 1; Job <= 30; ++Job)
+    Given.add("", Job, 20ms);
+  const TimePoint FailedAt = Steady::now();
+  for (size_t I = 0; I < Count; ++I)
+    Given.answer(I, ConnectionReset);
+  EXPECT_EQ(Given.Calls.size(), Count);
+  Given.runUntilSent(Count + 1, FirstBackoffLimit);
+  EXPECT_GE(Steady::now() - FailedAt, FirstBackoff);
+  Given.runUntilSent(Count * 2, FirstBackoffLimit);
+  EXPECT_EQ(Given.Calls.size(), Count * 2);
+}
+
+// A backoff alone causes no work: without queued requests nothing waits for its end.
+TEST(AdviceLanes, NothingWaitsForABackoffWithoutQueuedRequests) {
+  Bench Given(2);
+  Given.Now.reset();
+  Given.add("", 1, 20ms);
+  Given.answer(0, ConnectionReset);
+  Given.answer(1);
+  Given.run();
+  EXPECT_TRUE(Given.Io.stopped()) << "a timer is pending";
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -36,6 +36,7 @@
 extern const EventKind JobKept, CallRefused, JobTaken, JobRefusedOverload;
 extern const EventKind StepPlaced, RunStopped, StartNotConfirmed;
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
+extern const EventKind AdviceRetried;
 extern const EventKind CopyStarted, CopyEnded;
 extern const EventKind ForecastMissed;
 extern const EventKind WorkerSilent, WorkerLeaving, WorkerReplaced, WorkerRestarted, WorkerSlow,
