Workers: a new life refuses an earlier life's late acknowledgement

What callers saw: a task that was done ran again, or was reported lost, after its worker had restarted under its id (an end was forgotten before it was saved, SchedulerFuzz.SeedsWithCrashesAndRestarts).

Cause: an acknowledgement names a number of an end and the worker's id.

Change: a start raises its worker's token while an acknowledgement is not answered; calls that were sent before are told apart from those of an earlier life. The clock in an order's answer is compared with where the known life's clock must stand, both ways.

The platform can do it: "a call that got no answer ... may be carried out seconds later, after newer calls", and a worker that comes back under its id knows nothing from before.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -47,11 +47,15 @@
   return Found->second.WorkerClock + std::chrono::duration_cast<Milliseconds>(Since);
 }
 
-// Answers to calls that were meant for an earlier life of the worker tell nothing about this one; a
-// refusal of their fencing token does not come from a newer scheduler.
+// Answers to calls that were meant for an earlier life of the worker tell nothing about this one.
 bool SchedulerRunner::isForCurrentLife(const std::string &Id, uint64_t Fence) const {
-  const auto Found = Cell.Workers.find(Id);
-  return Found != Cell.Workers.end() && Fence == fencingToken(Cell, Found->second);
+  return compareToken(Cell, Id, Fence) != TokenState::OtherLife;
+}
+
+// False if the call was refused for the token of a later one of this scheduler.
+bool SchedulerRunner::isRefusedForNewerScheduler(const std::string &Id, uint64_t Fence,
+                                                 const Error &Why) const {
+  return Why.Kind == ErrorKind::NotOwner && compareToken(Cell, Id, Fence) == TokenState::Current;
 }
 
 void SchedulerRunner::startHeartbeats() {
@@ -87,7 +91,7 @@
   HeartbeatRequest Order;
   Order.To = {Id, Found->second.Info.Address};
   Order.Fence = fencingToken(Cell, Found->second);
-  Order.ForgetThrough = acknowledgement(Found->second);
+  Order.ForgetThrough = beginAcknowledgement(Found->second);
   Order.Wait = Wait;
   Order.Timeout = Deps.Settings.Timing.HeartbeatTimeout;
   // The lease of an unresponsive worker is not renewed: a renewal that may or may not arrive would
@@ -121,12 +125,12 @@
       State.WorkerClock = value(Report).WorkerClock;
       State.ReadAt = Now;
       State.AnsweredSentAt = std::max(State.AnsweredSentAt, SentAt);
-      endsForgotten(Cell, Id, Forgotten);
+      endsForgotten(Cell, Id, Fence, Forgotten);
     }
   } else if (!isForCurrentLife(Id, Fence)) {
     co_return HeartbeatOutcome::NoAnswer;
   } else if (error(Report).Kind == ErrorKind::NotOwner) {
-    Out.Deposed = true;
+    Out.Deposed = isRefusedForNewerScheduler(Id, Fence, error(Report));
   } else if (error(Report).Kind == ErrorKind::NotFound) {
     logEvent(events::WorkerReplaced, {{"worker", Id}});
     workerEnded(Cell, Id, Now, Out);
@@ -264,7 +268,7 @@
   Start.Run = Order.Run;
   Start.Job = Order.Job;
   Start.LeaseUntil = Self->workerTime(Order.Worker) + Self->Deps.Settings.Timing.WorkerLease;
-  Start.Fence = fencingToken(Self->Cell, Found->second);
+  Start.Fence = raiseTokenForStart(Self->Cell, Found->second);
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
   // Only the first order has a short timeout: after the second one the run is stopped.
@@ -308,7 +312,8 @@
                                           Now, Out) == LifeOrder::Newer)
     Self->HeartbeatStates.erase(Order.Worker);
   else
-    startAnswered(Self->Cell, Order.Worker, Order.Run, What, Now, Out);
+    startAnswered(Self->Cell, Order.Worker, Order.Run,
+                  resultOfStart(What, compareToken(Self->Cell, Order.Worker, Fence)), Now, Out);
   Self->executeEffects(Out);
   if (What != StartResult::Started)
     Self->schedulePlacement();
@@ -332,7 +337,7 @@
   if (ok(Answer))
     stopAnswered(Self->Cell, Order.Worker, Order.Run, true, Self->Deps.Time.Now(), Out);
   else if (error(Answer).Kind == ErrorKind::NotOwner)
-    Out.Deposed = true;
+    Out.Deposed = Self->isRefusedForNewerScheduler(Order.Worker, Fence, error(Answer));
   else if (error(Answer).Kind == ErrorKind::NotFound)
     workerEnded(Self->Cell, Order.Worker, Self->Deps.Time.Now(), Out);
   else
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -121,6 +121,7 @@
   };
   Awaitable<HeartbeatOutcome> sendHeartbeat(std::string Id, Milliseconds Wait);
   bool isForCurrentLife(const std::string &Id, uint64_t Fence) const;
+  bool isRefusedForNewerScheduler(const std::string &Id, uint64_t Fence, const Error &Why) const;
   void heartbeatFailed(const std::string &Id, const Error &Why, bool MayBeHealthy);
   static Awaitable<void> waitForWake(SelfPtr Self, std::string Id, Milliseconds Most);
   Milliseconds unsavedHeartbeatDelay() const;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -182,8 +182,13 @@
   /// Its worker has started again. Kept, under a key of its own, until a report of the new life
   /// shows which of its orders that one has carried out.
   bool IsEarlierLife = false;
-  uint32_t Slot = 0;          ///< Index into `CellState::Slots`; not reused within a term.
-  bool Listed = false;        ///< The platform lists it.
+  uint32_t Slot = 0; ///< Index into `CellState::Slots`; not reused within a term.
+  /// Lower part of the fencing token of calls to this life, at first and now.
+  /// Invariant: higher than those of all earlier lives of the id in this term.
+  uint32_t FirstToken = 0;
+  uint32_t Token = 0;
+  uint32_t OpenAcknowledgements = 0; ///< Sent under `Token` and not answered.
+  bool Listed = false;               ///< The platform lists it.
   bool IsSelected = false;    ///< To be used: it is recorded in the store, then asked for its runs.
   bool HasReported = false;   ///< It has reported to this scheduler; its attempts are known.
   bool IsResponsive = true;   ///< The last call to it was answered.
@@ -434,6 +439,7 @@
   /// By id, and earlier lives by a key of their own. Pointers to the values stay valid.
   std::map<std::string, Worker> Workers;
   std::vector<Worker *> Slots;           ///< Workers by slot; null: the worker was dropped.
+  uint32_t NextToken = 0;                ///< `Worker::FirstToken` of the next worker or life.
   std::set<QueueKey> Queue;              ///< Steps with a task to place.
   TimePoint NextFullScan{};              ///< When all waiting steps are tried again.
   uint64_t FullScans = 0;                ///< Number of full scans so far.
@@ -686,12 +692,26 @@
 /// The fencing token of orders to this life of a worker. It is higher than that of all earlier
 /// lives and terms, so that a worker which has seen it refuses calls that were meant for those.
 uint64_t fencingToken(const CellState &Cell, const Worker &To);
-/// The number up to which a heartbeat tells the worker to forget its ends; 0: none. A life that is
-/// not known yet would forget its own ends by it unread, so it is not sent again once it was
-/// answered.
-uint64_t acknowledgement(const Worker &On);
-/// The worker has answered a heartbeat that told it to forget the ends up to \p Through.
-void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Through);
+/// The same for a start order, which raises the token if an acknowledgement is not answered: a life
+/// that carries out the order then refuses the acknowledgement, by which it would forget ends of
+/// its own unread if it is not the life that reported the acknowledged ones.
+uint64_t raiseTokenForStart(const CellState &Cell, Worker &To);
+/// What the token of a call tells about its answer.
+enum class TokenState {
+  Current,
+  Superseded, ///< The call was meant for this life; it may have been refused for a later call.
+  OtherLife,  ///< The call was not meant for the life that is known now.
+};
+TokenState compareToken(const CellState &Cell, const std::string &Id, uint64_t Token);
+/// The result of a start order that was sent under a token in state \p Token.
+StartResult resultOfStart(StartResult Answer, TokenState Token);
+/// The number up to which a heartbeat tells the worker to forget its ends; 0: none. Call once for
+/// each heartbeat. A life that is not known yet would forget its own ends by it unread, so it is
+/// not sent again once it was answered.
+uint64_t beginAcknowledgement(Worker &On);
+/// The worker has answered a heartbeat, sent under \p Token, that told it to forget the ends up to
+/// \p Through; 0: none.
+void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Token, uint64_t Through);
 /// An immediate heartbeat to the worker failed. Not called for a lost long poll.
 void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
--- a/src/include/valveshelf/worker_life.h
+++ b/src/include/valveshelf/worker_life.h
@@ -13,10 +13,11 @@
 
 /// The newest life known of a worker.
 struct WorkerLife {
-  WallTime Born{};         ///< Its start, by its own clock; zero: not stated.
-  TimePoint LearnedAt{};   ///< When the first statement of this life was read.
-  Milliseconds Clock{0};   ///< The highest reading of its steady clock.
-  TimePoint ClockReadAt{}; ///< When the answer with that reading was received.
+  WallTime Born{};          ///< Its start, by its own clock; zero: not stated.
+  TimePoint LearnedAt{};    ///< When the first statement of this life was read.
+  Milliseconds Clock{0};    ///< The highest reading of its steady clock.
+  TimePoint ClockReadAt{};  ///< When the answer with that reading was received,
+  TimePoint ClockAskedAt{}; ///< and when its call was sent.
 };
 
 /// What an answer of a worker, or its entry in the platform's list, says of the life that wrote it.
@@ -40,6 +41,12 @@
 ///    any statement, unless the clock contradicts: it does not go back during a life.
 LifeOrder compareLives(const WorkerLife &Known, const LifeStatement &Stated);
 
+/// True if the clock of the known life can't have stood at \p Clock between \p AskedAt and
+/// \p AnsweredAt: the answer is of another life. \p Drift: the largest rate error of a clock
+/// relative to true time. For answers that state no `Born`.
+bool contradictsClock(const WorkerLife &Known, Milliseconds Clock, TimePoint AskedAt,
+                      TimePoint AnsweredAt, double Drift);
+
 /// Notes a statement of the known life, or the first one of a newer life.
 void noteLife(WorkerLife &Known, const LifeStatement &Stated, TimePoint Now);
 
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -188,7 +188,10 @@
       Made->Slowness = drawScenario(0, 3) == 0 ? 4 : 1;
     Made->Model.PlanOf = [this, Raw](const RunKey &Run) { return planOf(*Raw, Run); };
     Made->Model.OnStart = [this, Raw](const RunKey &Run) { checkStart(*Raw, Run); };
-    Made->Model.OnEnd = [this](const RunKey &Run, RunOutcome How) { ended(Run, How); };
+    Made->Model.OnEnd = [this, Raw](const RunKey &Run, RunOutcome How) {
+      traceRun(*Raw, Run, How == RunOutcome::Done ? "done" : "ended");
+      ended(Run, How);
+    };
     Boxes[Id] = std::move(Made);
     if (Current && !Current->HasEnded)
       after(Milliseconds(upTo(300)), [this, Id] {
@@ -250,6 +253,7 @@
   // Checks the invariants at the start of a run.
   void checkStart(Box &On, const RunKey &Run) {
     ++Starts;
+    traceRun(On, Run, IsInevitable ? "begun, ordered from an earlier life" : "begun");
     if (IsInevitable) {
       InevitableRuns.insert({On.Info.Born, Run});
       if (specOf(Run.Task.Step).Gang)
@@ -628,6 +632,10 @@
     for (const Effects::Start &What : Out.Starts)
       if (What.Run.Task.Step.Job == TracedJob)
         Line(What.Run.Task) << "run " << What.Run.Run << " ordered on " << What.Worker << "\n";
+    for (const Effects::Stop &What : Out.Stops)
+      if (What.Run.Task.Step.Job == TracedJob)
+        Line(What.Run.Task) << "run " << What.Run.Run << " stopped on " << What.Worker << ": "
+                            << What.Why << "\n";
     for (const Effects::LostRun &What : Out.LostRuns)
       if (What.Run.Task.Step.Job == TracedJob)
         Line(What.Run.Task) << "run " << What.Run.Run << " lost with " << What.Worker << ", "
@@ -639,6 +647,14 @@
                         << ", doubts " << What.UnconfirmedCrashes << "\n";
   }
 
+  void traceRun(const Box &On, const RunKey &Run, const char *What) const {
+    if (Run.Task.Step.Job == TracedJob)
+      std::cout << Now.count() << " ms: " << toString(Run.Task) << " run " << Run.Run << " " << What
+                << " on " << On.Info.Id << ", life of " << On.Info.Born.time_since_epoch().count()
+                << ", token " << (On.Model.Fence >> 24) << "." << (On.Model.Fence & 0xffffff)
+                << ", " << On.Model.LastEnd << " ends\n";
+  }
+
   enum class CallOutcome { Delivered, AnswerLost, Lost, Late };
   CallOutcome drawOutcome(const Box &To) {
     if (To.Dead || To.UnreachableUntil > Now)
@@ -669,9 +685,11 @@
     const auto To = Found->second;
     checkOrder(Order);
     workerLeased(Of->Cell, Order.Worker, leaseEnd());
-    const standins::StartOrderSeen Seen{Order.Run, tokenFor(*Of, Order.Worker),
-                                        workerTime(*Of, Order.Worker) + WorkerLease,
-                                        Order.Checkpoint};
+    const auto Known = Of->Cell.Workers.find(Order.Worker);
+    const uint64_t Token =
+        Known == Of->Cell.Workers.end() ? 0 : raiseTokenForStart(Of->Cell, Known->second);
+    const standins::StartOrderSeen Seen{
+        Order.Run, Token, workerTime(*Of, Order.Worker) + WorkerLease, Order.Checkpoint};
     const CallOutcome How = drawOutcome(*To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     after(Delay, [this, Of, To, Seen, How, AskedAt = steady(), Id = Order.Worker,
@@ -704,14 +722,15 @@
   void deliverStart(const ProcessPtr &Of, const std::string &Id,
                     const standins::StartOrderSeen &Seen, StartResult What,
                     const LifeStatement &Stated) {
-    if (Of->HasEnded || tokenFor(*Of, Id) != Seen.Fence)
+    const TokenState Token = compareToken(Of->Cell, Id, Seen.Fence);
+    if (Of->HasEnded || Token == TokenState::OtherLife)
       return;
     Effects Out;
     if (Stated.Clock && orderAnswered(Of->Cell, Id, *Stated.Clock, *Stated.AskedAt, steady(),
                                       Out) == LifeOrder::Newer)
       Of->Clocks.erase(Id);
     else
-      startAnswered(Of->Cell, Id, Seen.Run, What, steady(), Out);
+      startAnswered(Of->Cell, Id, Seen.Run, resultOfStart(What, Token), steady(), Out);
     apply(Of, Out);
   }
 
@@ -725,10 +744,11 @@
     const uint64_t Fence = tokenFor(*Of, Order.Worker);
     const auto Answer = [this, Of, Fence, Id = Order.Worker, Run = Order.Run](bool Acked,
                                                                               bool Refused) {
-      if (Of->HasEnded || tokenFor(*Of, Id) != Fence)
+      const TokenState Token = compareToken(Of->Cell, Id, Fence);
+      if (Of->HasEnded || Token == TokenState::OtherLife)
         return;
       Effects Out;
-      Out.Deposed = Refused;
+      Out.Deposed = Refused && Token == TokenState::Current;
       if (!Refused)
         stopAnswered(Of->Cell, Id, Run, Acked, steady(), Out);
       apply(Of, Out);
@@ -773,8 +793,8 @@
       Until = workerTime(*Of, Id) + WorkerLease;
       workerLeased(Of->Cell, Id, leaseEnd());
     }
-    const uint64_t Forget = acknowledgement(Known->second);
-    const uint64_t Fence = tokenFor(*Of, Id);
+    const uint64_t Fence = fencingToken(Of->Cell, Known->second);
+    const uint64_t Forget = beginAcknowledgement(Known->second);
     const TimePoint AskedAt = steady();
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     after(Delay, [=, this] {
@@ -791,7 +811,7 @@
     });
     if (How != CallOutcome::Delivered)
       after(OrderTimeout, [this, Of, Id, To, Fence] {
-        if (Of->HasEnded || tokenFor(*Of, Id) != Fence)
+        if (Of->HasEnded || compareToken(Of->Cell, Id, Fence) == TokenState::OtherLife)
           return;
         Effects Out;
         // A new incarnation at the same address says so at once.
@@ -815,7 +835,7 @@
       return;
     Effects Out;
     if (!Report) {
-      Out.Deposed = tokenFor(*Of, Id) == Sent.Fence;
+      Out.Deposed = compareToken(Of->Cell, Id, Sent.Fence) == TokenState::Current;
       return apply(Of, Out);
     }
     const LifeOrder Life = workerReported(Of->Cell, Id, *Report, AskedAt, steady(), Out);
@@ -823,7 +843,7 @@
       Of->Clocks.erase(Id);
     if (Life == LifeOrder::Same) {
       Of->Clocks[Id] = {Report->WorkerClock, Now};
-      endsForgotten(Of->Cell, Id, Sent.Forget);
+      endsForgotten(Of->Cell, Id, Sent.Fence, Sent.Forget);
     }
     apply(Of, Out);
   }
@@ -832,6 +852,8 @@
     if (Fence < On.Model.Fence)
       return;
     for (const EndedRun &End : On.Model.Ended) {
+      if (End.Number <= Through)
+        traceRun(On, End.Run, "end forgotten");
       // An end that was not called for can't be kept from an acknowledgement that is late as well.
       if (End.Number > Through || InevitableRuns.count({On.Info.Born, End.Run}))
         continue;
--- a/src/scheduler/worker_life.cpp
+++ b/src/scheduler/worker_life.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 bool isStated(WallTime Born) { return Born != WallTime{}; }
+// Of readings in whole milliseconds.
+constexpr Milliseconds ClockRounding{2};
 } // namespace
 
 LifeOrder compareLives(const WorkerLife &Known, const LifeStatement &Stated) {
@@ -21,6 +23,18 @@
   return AskedLater ? LifeOrder::Newer : LifeOrder::Older;
 }
 
+bool contradictsClock(const WorkerLife &Known, Milliseconds Clock, TimePoint AskedAt,
+                      TimePoint AnsweredAt, double Drift) {
+  if (Known.ClockReadAt == TimePoint{} || AskedAt < Known.ClockReadAt)
+    return false;
+  using FloatMilliseconds = std::chrono::duration<double, std::milli>;
+  const FloatMilliseconds Passed = Clock - Known.Clock;
+  // The rates of two clocks, this one and the worker's, can differ by twice the error.
+  const FloatMilliseconds Least = (AskedAt - Known.ClockReadAt) * (1 - 2 * Drift);
+  const FloatMilliseconds Most = (AnsweredAt - Known.ClockAskedAt) * (1 + 2 * Drift);
+  return Passed < Least - ClockRounding || Passed > Most + ClockRounding;
+}
+
 void noteLife(WorkerLife &Known, const LifeStatement &Stated, TimePoint Now) {
   if (compareLives(Known, Stated) == LifeOrder::Newer)
     Known = {Stated.Born, Now};
@@ -31,6 +45,7 @@
   if (Stated.Clock && *Stated.Clock >= Known.Clock) {
     Known.Clock = *Stated.Clock;
     Known.ClockReadAt = Now;
+    Known.ClockAskedAt = Stated.AskedAt.value_or(Known.LearnedAt);
   }
 }
 
--- a/src/scheduler/worker_life_test.cpp
+++ b/src/scheduler/worker_life_test.cpp
@@ -54,5 +54,25 @@
   EXPECT_EQ(lifeName("i-1", {}), "i-1");
 }
 
+// A worker's clock may run 2 % slow, and so may this one; a reading is taken while its call is out.
+TEST(WorkerLife, AClockContradictsALifeOnlyBeyondDriftAndDelay) {
+  constexpr double Drift = 0.02;
+  WorkerLife Life;
+  noteLife(Life, {First, 1000ms, at(0ms)}, at(2000ms)); // held for up to two seconds
+  const auto Contradicts = [&](Milliseconds Clock) {
+    return contradictsClock(Life, Clock, at(12000ms), at(12100ms), Drift);
+  };
+  EXPECT_FALSE(Contradicts(11000ms)); // read at its end
+  EXPECT_FALSE(Contradicts(13100ms)); // read at its beginning
+  EXPECT_FALSE(Contradicts(10600ms)); // the worker's clock is slow
+  EXPECT_FALSE(Contradicts(13580ms)); // this one is
+  EXPECT_TRUE(Contradicts(10590ms));
+  EXPECT_TRUE(Contradicts(13590ms));
+  EXPECT_TRUE(Contradicts(20ms));
+  EXPECT_FALSE(contradictsClock(Life, 20ms, at(1000ms), at(1100ms), Drift))
+      << "the call was sent before the reading was known";
+  EXPECT_FALSE(contradictsClock({}, 20ms, at(1000ms), at(1100ms), Drift)) << "nothing was read";
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -9,9 +9,6 @@
 namespace valveshelf::sched {
 
 namespace {
-// Fencing tokens of a term: one for each life of a worker, by its slot.
-constexpr int TokenBits = 24;
-
 // Runs that both the report and the earlier life name.
 std::vector<RunKey> carriedOutRuns(const Worker &Was, const WorkerReport &Report) {
   std::vector<RunKey> Found;
@@ -26,10 +23,6 @@
 
 } // namespace
 
-uint64_t fencingToken(const CellState &Cell, const Worker &To) {
-  return (Cell.Fence << TokenBits) + To.Slot;
-}
-
 std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On) {
   std::vector<std::string> Keys;
   const std::string &Id = On.Info.Id;
@@ -58,6 +51,7 @@
   auto Node = Cell.Workers.extract(Id);
   Node.key() = Id + "#" + std::to_string(Was.Slot);
   Cell.Workers.insert(std::move(Node));
+  retireToken(Cell, Was);
 
   Worker &Made = findOrAddWorker(Cell, Id);
   Made.Info = Was.Info;
--- a/src/scheduler/worker_lives.h
+++ b/src/scheduler/worker_lives.h
@@ -10,6 +10,11 @@
 /// Returns the worker with that id; adds it if there is none.
 Worker &findOrAddWorker(CellState &Cell, const std::string &Id);
 
+/// Gives a new worker its first fencing token, and keeps later ones above that of \p From, which is
+/// removed or becomes an earlier life.
+void assignToken(CellState &Cell, Worker &To);
+void retireToken(CellState &Cell, const Worker &From);
+
 /// Makes the worker \p Was an earlier life and returns the new one, which has not reported.
 Worker &beginNewLife(CellState &Cell, Worker &Was, const LifeStatement &Stated, std::string_view By,
                      TimePoint Now);
--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -2,6 +2,7 @@
 // Workers that start again under their id: what the scheduler knows of an earlier life must not be
 // taken for the present one.
 #include "replay/crash_scene.h"
+#include "standins/worker_model.h"
 
 #include <gtest/gtest.h>
 
@@ -303,5 +304,101 @@
   EXPECT_FALSE(hasAdviceOn(Step, Given.Cell.Workers.at("w0")));
 }
 
+// Brings w0 to where one of its ends is saved and not acknowledged.
+void completeUnacknowledged(RestartScene &Given) {
+  const JobId Id = Given.submit(tasks(1, 1000, 600ms));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.ReportsUnasked = false;
+  Given.completeRuns("w0");
+  Given.report("w0");
+  Given.advance(50ms);
+  ASSERT_EQ(publicJobState(Given.Cell, Id), "completed");
+}
+
+// Guards against an end that a worker forgets before anybody has read it. An acknowledgement gets
+// no answer, the worker starts again under its id, and a start is ordered before the scheduler
+// learns of it; the new life ends that run, as number 1, and then carries the acknowledgement of
+// the earlier life out. The task was started again, or lost.
+TEST(WorkerRestarts, ALateAcknowledgementIsRefusedByALifeThatHasRuns) {
+  RestartScene Given(1);
+  completeUnacknowledged(Given);
+  Worker &Known = Given.Cell.Workers.at("w0");
+  const uint64_t LateToken = fencingToken(Given.Cell, Known);
+  const uint64_t Acknowledged = beginAcknowledgement(Known);
+  ASSERT_EQ(Acknowledged, 1u);
+
+  standins::WorkerModel NewLife;
+  const RunKey Run{{{7, 0, 0}, 0}, 1};
+  const uint64_t StartToken = raiseTokenForStart(Given.Cell, Known);
+  ASSERT_EQ(NewLife.start({Run, StartToken, 3000ms, ""}), StartResult::Started);
+  NewLife.advance(200ms);
+  ASSERT_EQ(NewLife.Ended.size(), 1u);
+  EXPECT_FALSE(NewLife.hold(LateToken, Acknowledged, {})) << "it was carried out";
+  EXPECT_EQ(NewLife.Ended.size(), 1u);
+  EXPECT_EQ(raiseTokenForStart(Given.Cell, Known), StartToken) << "nothing is open any more";
+}
+
+// An answered acknowledgement is not carried out again, so that tokens don't rise with each end.
+TEST(WorkerRestarts, AnAnsweredAcknowledgementDoesNotRaiseTheToken) {
+  RestartScene Given(1);
+  completeUnacknowledged(Given);
+  const uint64_t Before = fencingToken(Given.Cell, Given.Cell.Workers.at("w0"));
+  Given.report("w0");
+  EXPECT_EQ(raiseTokenForStart(Given.Cell, Given.Cell.Workers.at("w0")), Before);
+  EXPECT_EQ(beginAcknowledgement(Given.Cell.Workers.at("w0")), 0u);
+}
+
+// Calls that were sent before the token rose are still answered, or refused if a later one came
+// first; that is no sign of a newer scheduler. Those of an earlier life are told apart.
+TEST(WorkerRestarts, ARaisedTokenKeepsAnswersToEarlierCalls) {
+  RestartScene Given(1);
+  completeUnacknowledged(Given);
+  const uint64_t First = fencingToken(Given.Cell, Given.Cell.Workers.at("w0"));
+  beginAcknowledgement(Given.Cell.Workers.at("w0"));
+  const uint64_t Raised = raiseTokenForStart(Given.Cell, Given.Cell.Workers.at("w0"));
+  EXPECT_GT(Raised, First);
+  EXPECT_EQ(compareToken(Given.Cell, "w0", First), TokenState::Superseded);
+  EXPECT_EQ(compareToken(Given.Cell, "w0", Raised), TokenState::Current);
+  EXPECT_EQ(resultOfStart(StartResult::RefusedFence, TokenState::Superseded),
+            StartResult::RefusedStaleRun);
+  EXPECT_EQ(resultOfStart(StartResult::Started, TokenState::Superseded), StartResult::Started);
+  EXPECT_EQ(resultOfStart(StartResult::RefusedFence, TokenState::Current),
+            StartResult::RefusedFence);
+
+  Given.restart("w0");
+  Given.report("w0");
+  EXPECT_EQ(compareToken(Given.Cell, "w0", Raised), TokenState::OtherLife);
+  EXPECT_GT(fencingToken(Given.Cell, Given.Cell.Workers.at("w0")), Raised);
+}
+
+// A worker that is removed and listed again may be the same life, which has seen the raised token.
+TEST(WorkerRestarts, AWorkerThatIsListedAgainHasAHigherToken) {
+  RestartScene Given(1);
+  completeUnacknowledged(Given);
+  beginAcknowledgement(Given.Cell.Workers.at("w0"));
+  const uint64_t Raised = raiseTokenForStart(Given.Cell, Given.Cell.Workers.at("w0"));
+  Effects Out;
+  workerEnded(Given.Cell, "w0", Given.Now, Out, WorkerEnd::Unlisted);
+  Given.listWorker("w0", 9000);
+  EXPECT_GT(fencingToken(Given.Cell, Given.Cell.Workers.at("w0")), Raised);
+}
+
+// An order's answer states no start of a life, so only the clock can show that a new life has
+// carried it out: it is either behind where the known one must be by now, or too far ahead.
+TEST(WorkerRestarts, AnAnswerWithAnotherClockIsOfANewLife) {
+  for (const Milliseconds Clock : {2000ms, 900000ms}) {
+    RestartScene Given(1);
+    const TimePoint AskedAt = Given.Now;
+    Effects Out;
+    const WorkerReport Report{Given.Born["w0"], 1000ms, {}, {}};
+    ASSERT_EQ(workerReported(Given.Cell, "w0", Report, AskedAt, AskedAt + 10ms, Out),
+              LifeOrder::Same);
+    const TimePoint Later = AskedAt + 5s;
+    EXPECT_EQ(orderAnswered(Given.Cell, "w0", 5995ms, Later, Later + 10ms, Out), LifeOrder::Same);
+    EXPECT_EQ(orderAnswered(Given.Cell, "w0", Clock, Later, Later + 10ms, Out), LifeOrder::Newer);
+    EXPECT_EQ(Out.ReportRequests, std::vector<std::string>{"w0"});
+  }
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -424,6 +424,7 @@
   if (New) {
     Place->second.Slot = static_cast<uint32_t>(Cell.Slots.size());
     Cell.Slots.push_back(&Place->second);
+    assignToken(Cell, Place->second);
   }
   return Place->second;
 }
@@ -501,15 +502,6 @@
   return Order;
 }
 
-uint64_t acknowledgement(const Worker &On) {
-  return On.ForgetThrough > On.ForgottenThrough ? On.ForgetThrough : 0;
-}
-
-void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Through) {
-  if (Worker *On = findWorker(Cell, Id))
-    On->ForgottenThrough = std::max(On->ForgottenThrough, Through);
-}
-
 void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now) {
   Worker *On = findWorker(Cell, Id);
   if (!On)
@@ -534,6 +526,7 @@
   const std::vector<std::string> Earlier =
       How == WorkerEnd::Replaced ? earlierLivesOf(Cell, *On) : std::vector<std::string>();
   Cell.Slots[On->Slot] = nullptr;
+  retireToken(Cell, *On);
   Cell.Workers.erase(Id);
   noteWorkerKnown(Cell, Id, Now, Out);
   for (const std::string &Key : Earlier) // no call to the id reaches a worker any more
@@ -546,7 +539,10 @@
   if (!On)
     return LifeOrder::Older;
   const LifeStatement Stated{{}, Clock, AskedAt};
-  const LifeOrder Order = compareLives(On->Life, Stated);
+  LifeOrder Order = compareLives(On->Life, Stated);
+  if (Order == LifeOrder::Same &&
+      contradictsClock(On->Life, Clock, AskedAt, Now, Cell.Limits.ClockDrift))
+    Order = LifeOrder::Newer;
   if (Order == LifeOrder::Newer)
     requestReport(beginNewLife(Cell, *On, Stated, "order", Now), Now, Out);
   return Order;
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -73,7 +73,8 @@
   // Delivers a report of the worker: its active runs, its ends that it was not told to forget, and
   // \p Ends as new ends.
   void report(const std::string &Id, std::vector<std::pair<RunKey, RunOutcome>> Ends = {}) {
-    const uint64_t Forgotten = acknowledgement(Cell.Workers.at(Id));
+    const uint64_t Token = fencingToken(Cell, Cell.Workers.at(Id));
+    const uint64_t Forgotten = beginAcknowledgement(Cell.Workers.at(Id));
     for (const auto &End : std::exchange(UnreportedEnds[Id], {}))
       Ends.push_back(End);
     for (const auto &[Run, How] : Ends) {
@@ -85,7 +86,7 @@
     Effects Out;
     workerLeased(Cell, Id, Now + Lease);
     if (workerReported(Cell, Id, Report, Now, Now, Out) == LifeOrder::Same)
-      endsForgotten(Cell, Id, Forgotten);
+      endsForgotten(Cell, Id, Token, Forgotten);
     apply(Out);
   }
 
