Leases: no clock of a removed worker for its next life

Cause: a heartbeat loop that waits while its worker is removed and listed again kept the reading of the removed life's clock. The first lease of a new life was reckoned by it, cut by the worker to its longest, and so longer than the scheduler reckoned with. The simulation kept readings of removed workers for good.

Change: the reading goes when a worker without a report is met with a waiting loop; the simulation drops its readings likewise. No check changed.

Evidence: SchedulerRunner.AWorkerThatIsListedAgainHasNoLeaseBefore... fails without the change.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -62,10 +62,14 @@
   for (const auto &[Id, On] : Cell.Workers) {
     if (!On.IsSelected)
       continue;
-    if (HeartbeatLoops.insert(Id).second)
+    if (HeartbeatLoops.insert(Id).second) {
       spawnLater(Deps.Where, heartbeatLoop(shared_from_this(), Id));
-    else if (!On.HasReported)
-      wakeHeartbeatLoop(Id); // removed and listed again; its loop may still be waiting
+    } else if (!On.HasReported) {
+      // Removed and listed again while its loop is waiting. It may be a new life, to which the
+      // clock of the one that was removed does not apply.
+      HeartbeatStates.erase(Id);
+      wakeHeartbeatLoop(Id);
+    }
   }
 }
 
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -78,6 +78,7 @@
   bool LosesListWatch = false;  ///< Watches of that list that wait get no answer.
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
   std::vector<uint64_t> Fences; ///< Of the start orders.
+  std::vector<HeartbeatRequest> Heartbeats;
 
   Bench() {
     Settings.Member = "a";
@@ -149,6 +150,7 @@
 
   Awaitable<Result<WorkerReport>> heartbeat(HeartbeatRequest Order) {
     FakeWorker &To = Workers.at(Order.To.Id);
+    Heartbeats.push_back(Order);
     if (To.IsReplaced)
       co_return Error{ErrorKind::NotFound, "another incarnation"};
     if (To.LosesLongPolls && Order.Wait.count() > 0) {
@@ -301,6 +303,36 @@
   EXPECT_FALSE(Given.HasEnded);
 }
 
+// Guards against a lease that a new life takes for longer than the scheduler reckons with, so that
+// its runs go on when they count as over: the worker was removed and listed again while its
+// heartbeat was held, and the lease was reckoned by the clock of the life that was removed.
+TEST(SchedulerRunner, AWorkerThatIsListedAgainHasNoLeaseBeforeItsFirstReport) {
+  Bench Given;
+  Given.Workers.erase("w1");
+  Given.Store.remove(std::string(WorkerPrefix) + "w1");
+  FakeWorker &On = Given.Workers.at("w0");
+  On.Born = wallNow();
+  Given.start();
+  Given.submit(1, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  On.end(0);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.isComplete(1) && On.Ended.empty(); }));
+  Given.runUntil([] { return false; }, 100ms);
+  ASSERT_GT(Given.Heartbeats.back().Wait.count(), 0) << "heartbeats are held after a run";
+  ASSERT_TRUE(Given.Heartbeats.back().LeaseUntil);
+  const uint64_t Removed = Given.Heartbeats.back().Fence;
+  Given.Store.remove(std::string(WorkerPrefix) + "w0");
+  Given.runUntil([] { return false; }, 400ms);
+  Given.Store.put(std::string(WorkerPrefix) + "w0", "listed", 0);
+  Given.runUntil([] { return false; }, 400ms);
+  ASSERT_EQ(Given.Heartbeats.back().Fence, Removed) << "the heartbeat is no longer held";
+  const size_t Before = Given.Heartbeats.size();
+  On.restart();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Heartbeats.size() > Before; }));
+  EXPECT_GT(Given.Heartbeats[Before].Fence, Removed);
+  EXPECT_FALSE(Given.Heartbeats[Before].LeaseUntil);
+}
+
 TEST(SchedulerRunner, SavesJobEndWhileProgressSaveIsInFlight) {
   Bench Given;
   Given.submit(1, 2);
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -196,10 +196,18 @@
     if (Current && !Current->HasEnded)
       after(Milliseconds(upTo(300)), [this, Id] {
         if (Boxes.count(Id) && !Boxes[Id]->Dead && Current)
-          workerListed(Current->Cell, Boxes[Id]->Info, steady());
+          list(*Current, *Boxes[Id]);
       });
   }
 
+  // The scheduler reads the worker's entry. As in the runner, the clock of an earlier life is not
+  // applied to a new one, also if the worker was removed in between.
+  void list(Process &To, const Box &Of) {
+    if (workerListed(To.Cell, Of.Info, steady()) == LifeOrder::Newer ||
+        !To.Cell.Workers.at(Of.Info.Id).HasReported)
+      To.Clocks.erase(Of.Info.Id);
+  }
+
   int64_t drawScenario(int64_t Least, int64_t Most) {
     return std::uniform_int_distribution<int64_t>(Least, Most)(ScenarioRandom);
   }
@@ -398,7 +406,7 @@
     after(Milliseconds(Draw(1500)), [this, Which] {
       for (const ProcessPtr &Of : {Current, Previous})
         if (Of && !Of->HasEnded && !Which->Dead)
-          workerListed(Of->Cell, Which->Info, steady());
+          list(*Of, *Which);
     });
   }
 
@@ -452,9 +460,8 @@
     for (const ProcessPtr &To : {Current, Previous})
       if (To)
         after(Milliseconds(drawScenario(0, 1500)), [this, To, &Of] {
-          if (!Of.Dead && !To->HasEnded &&
-              workerListed(To->Cell, Of.Info, steady()) == LifeOrder::Newer)
-            To->Clocks.erase(Of.Info.Id);
+          if (!Of.Dead && !To->HasEnded)
+            list(*To, Of);
         });
   }
 
@@ -1105,7 +1112,7 @@
     Which->Info.Draining = true;
     Which->Info.DrainTimeLeft = Milliseconds(upTo(2000));
     if (!Current->HasEnded)
-      workerListed(Current->Cell, Which->Info, steady());
+      list(*Current, *Which);
     after(Which->Info.DrainTimeLeft, [this, Which] {
       if (!Which->Dead)
         removeBox(*Which);
@@ -1191,7 +1198,7 @@
     workerUnlisted(Current->Cell, Which->Info.Id, steady());
     after(Milliseconds(upTo(3000)), [this, Which] {
       if (!Which->Dead && !Current->HasEnded)
-        workerListed(Current->Cell, Which->Info, steady());
+        list(*Current, *Which);
     });
   }
 
