Scheduler fuzz: a crashing task crashes its worker however it was ordered

A repeated order of a crashing task, sent to a worker that crashed under it, was carried out late by the worker's next life. The simulation exempted such a start from the check of the order, which no call can prevent, and by the same early return from the crash: the run lived on, its startup counted as survived, and the scheduler cleared the count, as it should.

The crash is injected for these starts too. No check changes; the worlds are harsher than before.

--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -264,6 +264,7 @@
     traceRun(On, Run, IsInevitable ? "begun, ordered from an earlier life" : "begun");
     if (IsInevitable) {
       InevitableRuns.insert({On.Info.Born, Run});
+      crashIfCrasher(On, Run);
       if (specOf(Run.Task.Step).Gang)
         wakeGang(Run);
       return;
@@ -303,13 +304,17 @@
       addViolation("BUDGET", Run);
     if (CrashesBy[Run.Task] >= 3 && ++StartsAfter[Run.Task] >= 3)
       addViolation("BUDGET (three more after three crashes)", Run);
+    crashIfCrasher(On, Run);
+    if (Step.Gang)
+      wakeGang(Run);
+  }
+
+  void crashIfCrasher(Box &On, const RunKey &Run) {
     if (isCrasher(Run.Task))
       after(10ms, [this, &On, Run] {
         if (!On.Dead && On.Model.Runs.count(Run))
           crashBox(On, Run.Task);
       });
-    if (Step.Gang)
-      wakeGang(Run);
   }
 
   // Checks the start of a run of a speculative task: at most two at the same time, and none after
