Quota: a run of unknown size on a worker of unknown capacity counts

Cause: a run of an ended job is charged the capacity of its worker. A worker that is known from the record of an earlier version only, which holds none, has the capacity zero until it is listed.

Change: such a run is charged the whole maximum of its organisation until it has ended.

--- a/src/scheduler/organisations_test.cpp
+++ b/src/scheduler/organisations_test.cpp
@@ -241,6 +241,28 @@
   EXPECT_EQ(Given.pass().size(), 6u);
 }
 
+// Guards against an organisation above its maximum: records of earlier versions don't hold the
+// capacity of their worker, so that what it may run is not known until the worker is listed.
+TEST(Organisations, ARunOfAnEndedJobOnAWorkerOfUnknownCapacityCountsUntilItHasEnded) {
+  Scene Given(2, 20000);
+  Given.Cell.EndedJobs[77] = {JobPhase::Cancelled, 1, {}, "north"};
+  WorkerInfo Recorded = workerOf("x0");
+  Recorded.Capacity = {};
+  workerMayHoldRuns(Given.Cell, Recorded, Given.Now + 5s);
+  Given.load();
+  Given.reportAllExcept("x0");
+  const RunKey Run{{{77, 0, 0}, 0}, 7};
+  WorkerReport Report;
+  Report.Active.push_back({Run, "", 10});
+  Given.report("x0", Report);
+  Given.submit("north", 10, 1000);
+  EXPECT_EQ(Given.pass().size(), 0u) << "it may use the whole maximum";
+  WorkerReport End;
+  End.Ended.push_back({1, Run, RunOutcome::Stopped, ""});
+  Given.report("x0", End);
+  EXPECT_EQ(Given.pass().size(), 10u);
+}
+
 // Guards against a new scheduler that gives away the quota which runs of a job that ended right
 // before the takeover still use on a worker without a report.
 TEST(Organisations, RunsOfAJobThatHasJustEndedCountUntilTheirWorkersReport) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -81,6 +81,13 @@
     Owner->Usage += Amount;
 }
 
+// Charges a run of unknown size: the capacity of its worker is the most that it can take, or all
+// that the organisation may use if that is not known either.
+void chargeStrayRun(Attempt &Stray, OrganisationState *Owner, const Worker &On) {
+  const bool IsKnown = On.Info.Capacity != Resources{};
+  chargeAttempt(Stray, Owner, IsKnown || !Owner ? On.Info.Capacity : Owner->Maximum);
+}
+
 // Handles a reported run that this scheduler did not start: adopts it if its task needs a run, else
 // stops it.
 void adopt(CellState &Cell, Worker &On, const ActiveRun &Row, TimePoint Now, Effects &Out) {
@@ -93,9 +100,8 @@
     Attempt &Stray = On.Attempts[Row.Run];
     Stray.Phase = AttemptPhase::Running;
     Stray.StartedAt = Stray.PhaseSince = Now;
-    // Charge the capacity of the worker, the most that the run can take.
     if (const auto Was = Cell.EndedJobs.find(Row.Run.Task.Step.Job); Was != Cell.EndedJobs.end())
-      chargeAttempt(Stray, findOrAddOrganisation(Cell, Was->second.Organisation), On.Info.Capacity);
+      chargeStrayRun(Stray, findOrAddOrganisation(Cell, Was->second.Organisation), On);
     stopAttempt(Cell, On, Row.Run, "its job has ended", Now, Out);
     return;
   }
