Worker lives: a life is learned of when its start is stated

Cause: a life that an order's answer had shown, without its start, took the first start that was stated, which may be of the next life, and kept the time at which it was learned of. A late report of the life before was asked for after that time, and so counted as a newer life; the runs of the present one were lost with it.

Change: that time is set anew with the first start.

--- a/src/scheduler/worker_life.cpp
+++ b/src/scheduler/worker_life.cpp
@@ -38,7 +38,9 @@
 void noteLife(WorkerLife &Known, const LifeStatement &Stated, TimePoint Now) {
   if (compareLives(Known, Stated) == LifeOrder::Newer)
     Known = {Stated.Born, Now};
-  if (Known.LearnedAt == TimePoint{})
+  // Answers that state no start may have been of an earlier life.
+  const bool IsFirstStart = isStated(Stated.Born) && !isStated(Known.Born);
+  if (Known.LearnedAt == TimePoint{} || IsFirstStart)
     Known.LearnedAt = Now;
   if (isStated(Stated.Born))
     Known.Born = Stated.Born;
--- a/src/scheduler/worker_life_test.cpp
+++ b/src/scheduler/worker_life_test.cpp
@@ -74,5 +74,15 @@
   EXPECT_FALSE(contradictsClock({}, 20ms, at(1000ms), at(1100ms), Drift)) << "nothing was read";
 }
 
+// Guards against a late answer of an earlier life that is taken for the newest one: an order's
+// answer has shown a life without its start, and the first start that is stated is of the next.
+TEST(WorkerLife, ALifeIsLearnedOfWhenItsStartIsStated) {
+  WorkerLife Life;
+  noteLife(Life, {{}, 20ms, at(0ms)}, at(10ms));
+  noteLife(Life, {Second, 30ms, at(200ms)}, at(210ms));
+  EXPECT_EQ(compareLives(Life, {First, 70ms, at(50ms)}), LifeOrder::Older);
+  EXPECT_EQ(compareLives(Life, {First, 70ms, at(211ms)}), LifeOrder::Newer);
+}
+
 } // namespace
 } // namespace valveshelf::sched
