Crash counts: a run whose stop must be over is no accepted start

Cause: a run counted as in startup until its end was listed, however long ago its stop had been confirmed. As its worker was lost it counted as an accepted start, three of which give the job up.

Change: if the silence is noticed later than the longest time of a confirmed stop, the start counts as one without an answer.

Evidence: CrashEvidence.AStoppedRunIsNoAcceptedStartOnceItsStopIsOver fails without the change; ARunThatIsBeingStoppedIsAnAcceptedStart guards the other side.

--- a/src/scheduler/crash_evidence_test.cpp
+++ b/src/scheduler/crash_evidence_test.cpp
@@ -489,5 +489,43 @@
   EXPECT_TRUE(Given.hasFailed());
 }
 
+// A task with one crash and one run that ended unheard is started once more; its worker is seen
+// with the run, confirms the stop of it and answers nothing more from \p Silence after that on.
+void loseWhileStopping(EvidenceScene &Given, Milliseconds Silence) {
+  Given.lose(Loss::Crash);
+  Given.lose(Loss::UnheardEnd);
+  ASSERT_TRUE(Given.advanceUntilRuns(Given.Id)) << Given.Trace.str();
+  Given.advance(110ms);
+  const std::string On = Given.workerOf(Given.Id);
+  const RunKey Run = Given.Started.back().Run;
+  Effects Out;
+  stopAttempt(Given.Cell, Given.Cell.Workers.at(On), Run, "its room is needed", Given.Now, Out);
+  stopAnswered(Given.Cell, On, Run, true, Given.Now, Out);
+  Given.Silent.insert(On);
+  Given.advance(Silence);
+  Given.fallSilent(On);
+  Given.advance(1s);
+  Given.replace(On);
+  Given.save();
+  Given.Trace << "\nstopped on " << On << ": " << Given.CrashCountChanges.back().Why << " "
+              << Given.CrashCountChanges.back().StartupCrashes << ", unconfirmed "
+              << Given.CrashCountChanges.back().UnconfirmedCrashes << ", unanswered "
+              << Given.CrashCountChanges.back().UnansweredOrders;
+}
+
+// Guards against a sound task that is given up for a run that was over: a stop takes only so long.
+TEST(CrashEvidence, AStoppedRunIsNoAcceptedStartOnceItsStopIsOver) {
+  EvidenceScene Given(tasks(1, 30000, 100ms));
+  loseWhileStopping(Given, Given.Cell.Limits.StopTime + 100ms);
+  Given.expectCompletes();
+}
+
+// Guards against a task that crashes its workers while it is being stopped, and goes on.
+TEST(CrashEvidence, ARunThatIsBeingStoppedIsAnAcceptedStart) {
+  EvidenceScene Given(tasks(1, 30000, 100ms));
+  loseWhileStopping(Given, 50ms);
+  EXPECT_TRUE(Given.hasFailed()) << Given.Trace.str();
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -115,10 +115,19 @@
          (Entry.IsWatchedStart && On.ReportAskedAt - Entry.AcceptedAt < MinRunTime);
 }
 
+// True if the run is over by \p Then unless its worker was lost before: its stop was confirmed, and
+// no stop takes longer.
+bool isStopOver(const SchedulerLimits &Limits, const Attempt &Entry, TimePoint Then) {
+  return Entry.StopAcked && Then - Entry.StopAckedAt > Limits.StopTime;
+}
+
 // Of a run that is in startup as far as is known.
-StartupEvidence evidenceOf(const Worker &On, const Attempt &Entry, TimePoint Now) {
+StartupEvidence evidenceOf(const SchedulerLimits &Limits, const Worker &On, const Attempt &Entry,
+                           TimePoint Now) {
   if (wasLostAtStart(On, Entry, Now))
     return StartupEvidence::Certain;
+  if (isStopOver(Limits, Entry, On.SilentSince >= Entry.StopAckedAt ? On.SilentSince : Now))
+    return StartupEvidence::Unanswered;
   const bool IsKnown =
       std::max({Entry.StartedAt, Entry.AcceptedAt, Entry.ConfirmedAt}) != TimePoint{};
   return IsKnown ? StartupEvidence::Accepted : StartupEvidence::Unanswered;
@@ -136,7 +145,7 @@
     Task->WeightedCrashes += Alone ? SoleRunCrashWeight : SharedCrashWeight;
   if (!isInStartup(Entry))
     return;
-  const StartupEvidence Known = evidenceOf(On, Entry, Now);
+  const StartupEvidence Known = evidenceOf(Cell.Limits, On, Entry, Now);
   if (Known == StartupEvidence::Certain)
     confirmCrash(Cell, Run.Task, lifeName(On), How, Now, Out);
   else if (!countsCrashOf(*Task, On))
@@ -257,7 +266,7 @@
   for (auto &[Run, Entry] : On.Attempts) {
     const TaskState *Task = findTask(Cell, Run.Task);
     if (Task && isInStartup(Entry) && !countsCrashOf(*Task, On))
-      suspectCrash(Cell, Run.Task, On, evidenceOf(On, Entry, Now), Now, Out);
+      suspectCrash(Cell, Run.Task, On, evidenceOf(Cell.Limits, On, Entry, Now), Now, Out);
   }
 }
 
