--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -13,6 +13,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
+#include <initializer_list>
 #include <memory>
 #include <random>
 
@@ -1478,5 +1479,32 @@
   }
 }
 
+void expectHolds(std::initializer_list<uint64_t> Seeds) {
+  for (const uint64_t Seed : Seeds) {
+    World One(Seed, Scenario::CrashRestarts);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
+// Guards against an end that is forgotten unread: a life that the scheduler does not know yet
+// carries a start out, with a clock that stands where the earlier life's would, and then the
+// acknowledgement of an end of the earlier life.
+TEST(SchedulerFuzz, SeedsThatAcknowledgeAnEndToTheNextLife) { expectHolds({3812U}); }
+
+// Guards against a worker over its capacity: it has restarted unnoticed, and carries out an order
+// of the scheduler before (1802) or a late one of its earlier life beside those of the present.
+TEST(SchedulerFuzz, SeedsThatMeetOrdersForAnEarlierLife) { expectHolds({1802U, 6650U, 7584U}); }
+
+// Guards against a crash that does not count since the worker had answered after it left the list,
+// as one does that leaves without notice.
+TEST(SchedulerFuzz, SeedsThatCrashAWorkerThatIsOffTheList) { expectHolds({5730U}); }
+
+// Guards against a sound job that is given up: a watched start behind a cut link whose run was over
+// before its worker crashed (6170), and accepted starts whose runs were over, unheard.
+TEST(SchedulerFuzz, SeedsThatGiveUpSoundJobsBesideRestarts) {
+  expectHolds({6170U, 9607U, 3000560U, 3002749U});
+}
+
 } // namespace
 } // namespace valveshelf::sched
