--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1506,5 +1506,12 @@
   expectHolds({6170U, 9607U, 3000560U, 3002749U});
 }
 
+// An end that is forgotten (2001881, 2003436), a worker over its capacity (3319, 2005485), a task
+// that goes on crashing workers (2001412, 2003478) and a sound job that is given up (2004628).
+// Their causes are not known.
+TEST(SchedulerFuzz, SeedsWithCrashesAndRestartsThatAreNotTraced) {
+  expectHolds({3319U, 2001412U, 2001881U, 2003436U, 2003478U, 2004628U, 2005485U});
+}
+
 } // namespace
 } // namespace valveshelf::sched
