Scheduled jobs: rounds are known before workers report them

Cause: the successor made the rounds of scheduled jobs in its first tick, 50 ms after it had begun to ask the workers. Ends reported until then were taken for those of an unknown job and acknowledged, runs were stopped, and the rounds made afterwards counted as never started, also for workers that had not reported.

Change: due rounds are made while the state is loaded; a reported round is made if it is not known, and placed when it is due here; tasks of inherited rounds wait for unreported workers; rounds that may be due by another clock are charged to their organisation meanwhile.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -62,6 +62,8 @@
   /// Largest rate error of a clock relative to true time. The rates of two clocks, the scheduler's
   /// and a worker's, can differ by twice this.
   double ClockDrift = 0.02;
+  /// The most by which the time of day of two processes may differ; it may jump by seconds.
+  Milliseconds MaxClockDifference{5000};
   Milliseconds LeaseMargin{300};     ///< Added to every lease before it counts as expired.
   Milliseconds QuarantineTime{4000}; ///< How long a worker gets no work after repeated
                                      ///< failures or a stalled run.
@@ -367,14 +369,17 @@
   JobSpecPtr Spec;
   OrganisationState *Owner = nullptr; ///< Null: it was submitted without a key.
   bool IsOverShare = false;           ///< It was submitted beyond its organisation's share.
+  bool IsInherited = false;           ///< An earlier scheduler may have started runs of it.
   uint64_t Revision = 0;              ///< Of its key in the store.
   uint64_t ProgressRevision = 0;      ///< Of its progress record in the store; 0: none is known.
   bool ProgressSent = false;          ///< A write of its progress may have taken effect.
   JobPhase Phase = JobPhase::Live;
   bool Begun = false; ///< A run of it has started.
   bool CancelRequested = false;
+  /// Invariant: of a scheduled job, those before `NextRound` and those that an earlier scheduler
+  /// has begun or may have begun. Only the first kind is placed.
   std::map<uint32_t, RoundState> Rounds;
-  uint32_t NextRound = 0;
+  uint32_t NextRound = 0; ///< The first that is not due by this process's clock.
   uint32_t RoundsDone = 0;
   TimePoint Objective{};          ///< When it has to be complete to count in full.
   Milliseconds ObjectiveChain{0}; ///< The longest chain of steps that Objective was derived from.
@@ -782,11 +787,15 @@
 /// end. Late steps are queued behind those that can still be
 /// in time, separately within and beyond their organisation's share.
 bool isLate(const Job &J, const StepState &Step, TimePoint Now);
-/// Puts the step into the placement queue if it is runnable and has open tasks, else removes it.
+/// Puts the step into the placement queue if its round is due, it is runnable and it has open
+/// tasks, else removes it.
 void queueStep(CellState &Cell, Job &J, StepState &Step, TimePoint Now);
 void requestSave(CellState &Cell, Job &J, Effects &Out);
 /// Ends the job unless it has ended: stops its runs and requests the save of its end.
 void endJob(CellState &Cell, Job &J, JobPhase Phase, const char *Why, TimePoint Now, Effects &Out);
+/// Call before a reported run is handled: makes its round if this scheduler has not made it yet. An
+/// earlier one, whose clock may differ, has begun it.
+void ensureReportedRound(CellState &Cell, const StepKey &Key, TimePoint Now);
 /// Records the end of a run in the task and the job. \p W may be null.
 void runEnded(CellState &Cell, const RunKey &Run, RunOutcome How, const std::string &Checkpoint,
               Worker *W, TimePoint Now, Effects &Out);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -39,11 +39,26 @@
       Cell.WallAt + (Due - Cell.Wall) + spanOfChain(Spec, J.ObjectiveChain) + Spec.ObjectiveSlack;
 }
 
+// A round that was saved or reported may be due later by this process's clock.
+bool isDue(const Job &J, const RoundState &Round) {
+  return J.Spec->Repetitions == 0 || Round.Number < J.NextRound;
+}
+
 bool isRunnable(const RoundState &Round, const StepState &Step) {
   return std::all_of(Step.Spec->DependsOn.begin(), Step.Spec->DependsOn.end(),
                      [&](uint32_t Earlier) { return Round.Steps[Earlier].OpenTasks == 0; });
 }
 
+// Whether a task may have been started, or may still be, by an earlier scheduler. Rounds that are
+// made during the term may be due earlier by the clock of the scheduler before.
+void markPossibleEarlierStart(const CellState &Cell, const Job &J, TaskState &Task) {
+  const bool HasUnreported = !Cell.UnreportedWorkers.empty();
+  if (J.IsInherited)
+    Task.MayRunOnUnreportedWorker = !Cell.Loaded || HasUnreported;
+  else
+    Task.MayBeStartedByPredecessor = HasUnreported;
+}
+
 RoundState &makeRound(CellState &Cell, Job &J, uint32_t Number, TimePoint Now) {
   RoundState &Round = J.Rounds[Number];
   Round.Number = Number;
@@ -55,6 +70,8 @@
     Step.Spec = &Specs[I];
     Step.Tasks.resize(Specs[I].Count);
     Step.OpenTasks = Specs[I].Count;
+    for (TaskState &Task : Step.Tasks)
+      markPossibleEarlierStart(Cell, J, Task);
     updateExpectedRunTime(Cell, J, Step);
   }
   for (StepState &Step : Round.Steps)
@@ -213,7 +230,8 @@
     Cell.Queue.erase(*Step.Queued);
   Step.Queued.reset();
   const RoundState &Round = J.Rounds.at(Step.Key.Round);
-  if (J.Phase != JobPhase::Live || Step.OpenTasks == 0 || !isRunnable(Round, Step))
+  if (J.Phase != JobPhase::Live || Step.OpenTasks == 0 || !isDue(J, Round) ||
+      !isRunnable(Round, Step))
     return;
   if (Step.RunnableSince == TimePoint{})
     Step.RunnableSince = Now;
@@ -227,18 +245,15 @@
     return;
   Job &J = Cell.Jobs[Id];
   J.Spec = Spec;
+  J.IsInherited = !Fresh;
   J.Owner = findOrAddOrganisation(Cell, Spec->Organisation);
   if (J.Owner && Fresh)
     J.IsOverShare = !consumeShare(*J.Owner, Spec->AcceptedAt);
   J.Revision = Revision;
   setObjective(Cell, J, Spec->Repetitions ? Spec->FirstDue : Spec->AcceptedAt);
   if (Spec->Repetitions > 0)
-    return; // rounds are made when they are due
-  RoundState &Round = makeRound(Cell, J, 0, Now);
-  for (StepState &Step : Round.Steps)
-    for (TaskState &Task : Step.Tasks)
-      (Fresh ? Task.MayBeStartedByPredecessor : Task.MayRunOnUnreportedWorker) =
-          !Fresh || !Cell.UnreportedWorkers.empty();
+    return; // rounds are made when they are due or a worker reports one
+  makeRound(Cell, J, 0, Now);
   if (Fresh)
     noteAccepted(Cell, J, Now);
 }
@@ -249,12 +264,8 @@
     return;
   Job &J = Found->second;
   J.Begun = true;
-  if (!J.Rounds.count(Key.Round)) {
-    RoundState &Round = makeRound(Cell, J, Key.Round, Cell.WallAt);
-    for (StepState &Step : Round.Steps)
-      for (TaskState &Task : Step.Tasks)
-        Task.MayRunOnUnreportedWorker = true;
-  }
+  if (!J.Rounds.count(Key.Round))
+    makeRound(Cell, J, Key.Round, Cell.WallAt);
   StepState *Step = findStep(Cell, Key);
   if (!Step)
     return;
@@ -306,11 +317,56 @@
     J->IsOverShare = !consumeShare(*J->Owner, J->Spec->AcceptedAt);
 }
 
+static WallTime dueTime(const JobSpec &Spec, uint32_t Round) {
+  return Spec.FirstDue + Spec.Interval * Round;
+}
+
+// Makes the rounds that are due, and queues those that were made before they were.
+static void startDueRounds(CellState &Cell, Job &J, TimePoint Now) {
+  const JobSpec &Spec = *J.Spec;
+  while (J.Phase == JobPhase::Live && J.NextRound < Spec.Repetitions) {
+    const WallTime Due = dueTime(Spec, J.NextRound);
+    if (Cell.Wall < Due)
+      return;
+    setObjective(Cell, J, Due);
+    const uint32_t Number = J.NextRound++;
+    const auto Made = J.Rounds.find(Number);
+    if (Made == J.Rounds.end()) {
+      makeRound(Cell, J, Number, Now);
+      continue;
+    }
+    for (StepState &Step : Made->second.Steps)
+      queueStep(Cell, J, Step, Now);
+  }
+}
+
+// Makes the rounds that were due by the clock of the scheduler before if it was ahead. Until all
+// workers have reported, the runs that they may hold are charged to the job's organisation.
+static void makePossiblyBegunRounds(CellState &Cell, Job &J, TimePoint Now) {
+  if (!J.IsInherited || Cell.UnreportedWorkers.empty())
+    return;
+  const WallTime LastDue = Cell.Wall + Cell.Limits.MaxClockDifference;
+  for (uint32_t Number = J.NextRound;
+       Number < J.Spec->Repetitions && dueTime(*J.Spec, Number) <= LastDue; ++Number)
+    if (!J.Rounds.count(Number))
+      makeRound(Cell, J, Number, Now);
+}
+
+void ensureReportedRound(CellState &Cell, const StepKey &Key, TimePoint Now) {
+  const auto Found = Cell.Jobs.find(Key.Job);
+  if (Found == Cell.Jobs.end())
+    return;
+  Job &J = Found->second;
+  if (Key.Round < J.Spec->Repetitions && !J.Rounds.count(Key.Round))
+    makeRound(Cell, J, Key.Round, Now);
+}
+
 void finishLoading(CellState &Cell, TimePoint Now, Effects &Out) {
-  Cell.Loaded = true;
   Cell.Forecasts.LoadedAt = Now;
   assignShares(Cell);
   for (auto &[Id, J] : Cell.Jobs) {
+    startDueRounds(Cell, J, Now); // before workers report runs of them
+    makePossiblyBegunRounds(Cell, J, Now);
     for (auto &[Number, Round] : J.Rounds) {
       Round.Done = std::all_of(Round.Steps.begin(), Round.Steps.end(),
                                [](const StepState &Step) { return Step.OpenTasks == 0; });
@@ -321,6 +377,7 @@
     if (J.Phase == JobPhase::Live && J.RoundsDone >= std::max<uint32_t>(J.Spec->Repetitions, 1))
       endJob(Cell, J, JobPhase::Completed, "the job is complete", Now, Out);
   }
+  Cell.Loaded = true;
   giveUpRestoredTasks(Cell, Now, Out);
 }
 
@@ -447,20 +504,6 @@
   queueStep(Cell, J, *Step, Now);
 }
 
-// Makes the rounds that are due.
-static void startDueRounds(CellState &Cell, Job &J, TimePoint Now) {
-  const JobSpec &Spec = *J.Spec;
-  while (J.Phase == JobPhase::Live && J.NextRound < Spec.Repetitions) {
-    const WallTime Due = Spec.FirstDue + Spec.Interval * J.NextRound;
-    if (Cell.Wall < Due)
-      return;
-    setObjective(Cell, J, Due);
-    if (!J.Rounds.count(J.NextRound))
-      makeRound(Cell, J, J.NextRound, Now);
-    ++J.NextRound;
-  }
-}
-
 void tickJobs(CellState &Cell, TimePoint Now) {
   for (auto &[Id, J] : Cell.Jobs)
     if (J.Spec->Repetitions > 0)
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -2,7 +2,8 @@
 // Randomized simulation of the scheduler's decisions under faults: lost, late and unanswered calls,
 // workers that crash or are cut off, lost saves, takeovers with the old scheduler still active and,
 // depending on the scenario, tasks that crash their workers, changes of capacity, evacuations of
-// zones, speculative steps on workers of uneven speed, and workers that start again under their id.
+// zones, speculative steps on workers of uneven speed, workers that start again under their id, and
+// scheduled jobs under schedulers whose clocks differ.
 // Every start is checked against the simulation's own records. VALVESHELF_FUZZ_EVENTS and
 // VALVESHELF_FUZZ_SEED set length and first seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts,
 // losses and crash counts of that job's tasks.
@@ -38,6 +39,8 @@
 constexpr Milliseconds StopLimit{4000};
 // Effects of faults that are over, such as late calls and cuts, last at most so long.
 constexpr Milliseconds FaultsLast{15000};
+// How far the time of day of a scheduler may be off, in either direction.
+constexpr Milliseconds MaxClockError{1500};
 
 // A job in the store.
 struct StoredJob {
@@ -72,6 +75,7 @@
   std::set<std::pair<JobId, bool>> Saving; ///< Saves in progress: job, and whether it is its end.
   /// By worker: its clock, and the simulation's at that time.
   std::map<std::string, std::pair<Milliseconds, Milliseconds>> Clocks;
+  Milliseconds ClockError{0}; ///< Of its time of day.
 };
 using ProcessPtr = std::shared_ptr<Process>;
 
@@ -84,6 +88,7 @@
   Copies,        ///< As Features; steps may be speculative, and workers and runs slow.
   Restarts,      ///< Workers start again under their id, holding and knowing nothing.
   CrashRestarts, ///< As Crashes; workers that were crashed start again under their id.
+  Rounds,        ///< Half of the jobs are scheduled; the time of day of schedulers is off.
 };
 
 class World {
@@ -95,7 +100,7 @@
         SwitchesFeatures(With == Scenario::Features || With == Scenario::Copies),
         DrawsCopies(With == Scenario::Copies),
         RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts),
-        StopTime(Seed % 2 ? 50 : 900) {
+        SchedulesJobs(With == Scenario::Rounds), StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
@@ -108,10 +113,11 @@
   int64_t Starts = 0;
   int64_t Takeovers = 0;
   int64_t Crashes = 0;
-  int64_t GivenUp = 0;   ///< Jobs that failed because a task crashed its workers.
-  int64_t Overloads = 0; ///< Times that a service became overloaded.
-  int64_t Copies = 0;    ///< Starts of speculative tasks beside another run.
-  int64_t Restarts = 0;  ///< Lives that began under a known id.
+  int64_t GivenUp = 0;     ///< Jobs that failed because a task crashed its workers.
+  int64_t Overloads = 0;   ///< Times that a service became overloaded.
+  int64_t Copies = 0;      ///< Starts of speculative tasks beside another run.
+  int64_t Restarts = 0;    ///< Lives that began under a known id.
+  int64_t LaterRounds = 0; ///< Starts in rounds after the first.
   std::vector<std::string> Violations;
 
   void play(int64_t Count) {
@@ -297,8 +303,10 @@
       addViolation("TWICE (after its end was noted)", Run);
     for (const uint32_t Earlier : Step.DependsOn)
       for (uint32_t I = 0; I < Of.Spec->Steps[Earlier].Count; ++I)
-        if (!ActuallyDone.count({{Run.Task.Step.Job, 0, Earlier}, I}))
+        if (!ActuallyDone.count({{Run.Task.Step.Job, Run.Task.Step.Round, Earlier}, I}))
           addViolation("ORDER", Run);
+    if (Of.Spec->Repetitions > 0)
+      checkRound(*Of.Spec, Run);
     const auto Failures = ForgottenFailures.find(Run.Task);
     if (!Step.Speculative && Failures != ForgottenFailures.end() &&
         Failures->second.size() >= static_cast<size_t>(Of.Spec->MaxAttempts))
@@ -310,6 +318,13 @@
       wakeGang(Run);
   }
 
+  void checkRound(const JobSpec &Spec, const RunKey &Run) {
+    const uint32_t Round = Run.Task.Step.Round;
+    LaterRounds += Round > 0 ? 1 : 0;
+    if (Round >= Spec.Repetitions || wall() + MaxClockError < Spec.FirstDue + Spec.Interval * Round)
+      addViolation("ORDER (before its time)", Run);
+  }
+
   void crashIfCrasher(Box &On, const RunKey &Run) {
     if (isCrasher(Run.Task))
       after(10ms, [this, &On, Run] {
@@ -627,8 +642,10 @@
       Overloads += Change.IsOverloaded ? 1 : 0;
     for (const Effects::Start &Order : Out.Starts)
       sendStart(Of, Order);
-    for (const Effects::Stop &Order : Out.Stops)
+    for (const Effects::Stop &Order : Out.Stops) {
+      checkStop(Order);
       sendStop(Of, Order);
+    }
     for (const Effects::AdviceRequest &Question : Out.AdviceRequests)
       sendAsk(Of, Question);
     for (const std::string &Id : Out.ReportRequests)
@@ -637,6 +654,13 @@
       after(Milliseconds(upTo(30)), [this, Of] { save(Of); });
   }
 
+  // Schedulers know all jobs here: none may be taken for ended before it is.
+  void checkStop(const Effects::Stop &Order) {
+    const StoredJob &Of = Store.at(Order.Run.Task.Step.Job);
+    if (Order.Why == "its job has ended" && Of.Phase == JobPhase::Live && !Of.Cancelled)
+      addViolation("LOST (stopped without cause)", Order.Run);
+  }
+
   void trace(const Process &Of, const Effects &Out) const {
     const auto Line = [&](const TaskKey &Task) -> std::ostream & {
       return std::cout << Now.count() << " ms, term " << Of.Cell.Fence << ": " << toString(Task)
@@ -938,6 +962,8 @@
       if (IsApplied && Row.Phase == JobPhase::Live) {
         if (Phase == JobPhase::Failed)
           checkFailure(*Row.Spec);
+        if (Phase == JobPhase::Completed)
+          checkCompletion(*Row.Spec);
         Row.Phase = Phase;
         Row.Progress = Progress;
         Row.Revision = ++Revision;
@@ -981,6 +1007,14 @@
     addViolation("LOST (failed without cause)", {{{Spec.Id, 0, 0}, 0}, 0});
   }
 
+  void checkCompletion(const JobSpec &Spec) {
+    for (uint32_t Round = 0; Round < std::max(Spec.Repetitions, 1U); ++Round)
+      for (uint32_t Step = 0; Step < Spec.Steps.size(); ++Step)
+        for (uint32_t I = 0; I < Spec.Steps[Step].Count; ++I)
+          if (const TaskKey Task{{Spec.Id, Round, Step}, I}; !ActuallyDone.count(Task))
+            return addViolation("MIXED (completed before its tasks)", {Task, 0});
+  }
+
   // Starts a new scheduler. The old one may go on for a while.
   void takeOver() {
     ++Takeovers;
@@ -995,7 +1029,9 @@
     Cell.Limits.PlanTimeout = 1000ms;
     Cell.Fence = ++StoreTerm;
     Cell.FirstRun = static_cast<uint32_t>((StoreTerm - 1) * 1000 + 1);
-    Cell.Wall = wall();
+    if (SchedulesJobs)
+      Next->ClockError = drawClockError();
+    Cell.Wall = wall() + Next->ClockError;
     Cell.WallAt = steady();
     for (const auto &[Id, Entry] : Boxes) {
       if (!Entry->Dead && !chance(0.2))
@@ -1033,6 +1069,10 @@
     apply(Next, Out);
   }
 
+  Milliseconds drawClockError() {
+    return Milliseconds(drawScenario(-MaxClockError.count(), MaxClockError.count()));
+  }
+
   void submit() {
     auto Spec = std::make_shared<JobSpec>();
     Spec->Id = ++LastJob;
@@ -1064,6 +1104,11 @@
     }
     if (DrawsCopies)
       drawSpeculativeSteps(*Spec);
+    if (SchedulesJobs && drawScenario(0, 1) == 0) {
+      Spec->Repetitions = static_cast<uint32_t>(drawScenario(1, 3));
+      Spec->FirstDue = wall() + Milliseconds(drawScenario(0, 3000));
+      Spec->Interval = Milliseconds(drawScenario(0, 2000));
+    }
     Store[Spec->Id] = {Spec, JobPhase::Live, "", ++Revision, false};
     const ProcessPtr To = Current;
     after(Milliseconds(upTo(50)), [this, To, Spec, At = Revision] {
@@ -1158,6 +1203,8 @@
         restartOne();
       if (SwitchesFeatures && std::uniform_real_distribution<>(0, 1)(ScenarioRandom) < 0.002)
         switchFeatures(Current->Cell);
+      if (SchedulesJobs)
+        disturbRounds();
     }
     if (Current->HasEnded && !TakeoverScheduled) {
       TakeoverScheduled = true;
@@ -1184,6 +1231,14 @@
       runSchedulers();
   }
 
+  // Takeovers in addition, and jumps of the scheduler's time of day.
+  void disturbRounds() {
+    if (drawScenario(1, 2000) == 1)
+      takeOver();
+    if (drawScenario(1, 2000) == 1)
+      Current->ClockError = drawClockError();
+  }
+
   // Records workers before their first use, and removes the records of workers that were dropped.
   void updateRecords(Process &Of) {
     if (StoreTerm != Of.Cell.Fence)
@@ -1219,7 +1274,7 @@
       }
       updateRecords(*Of);
       Effects Out;
-      tick(Of->Cell, steady(), wall(), Out);
+      tick(Of->Cell, steady(), wall() + Of->ClockError, Out);
       place(Of->Cell, steady(), Out);
       apply(Of, Out);
       for (const auto &[Id, Entry] : Boxes)
@@ -1261,6 +1316,7 @@
   const bool SwitchesFeatures;
   const bool DrawsCopies;
   const bool RestartsWorkers;
+  const bool SchedulesJobs;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool FaultsOver = false;
@@ -1306,7 +1362,7 @@
   int64_t Events = fromEnvironment("VALVESHELF_FUZZ_EVENTS", 0);
   int64_t Worlds = 0, Broken = 0;
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0, Overloads = 0, Copies = 0;
-  int64_t Restarts = 0;
+  int64_t Restarts = 0, LaterRounds = 0;
 
   WorldSeries(int64_t UsualEvents, Scenario With) {
     Events = Events == 0 ? UsualEvents : Events;
@@ -1328,6 +1384,7 @@
     Overloads += One.Overloads;
     Copies += One.Copies;
     Restarts += One.Restarts;
+    LaterRounds += One.LaterRounds;
     Broken += One.Violations.empty() ? 0 : 1;
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1369,6 +1426,13 @@
   EXPECT_GT(Played.GivenUp, Played.Events / 20000);
 }
 
+// Guards against rounds of scheduled jobs that a takeover starts again, stops or loses.
+TEST(SchedulerFuzz, KeepsRoundsOfScheduledJobsOverTakeovers) {
+  const WorldSeries Played(400000, Scenario::Rounds);
+  EXPECT_GT(Played.LaterRounds, Played.Events / 1000);
+  EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
+}
+
 TEST(SchedulerFuzz, SeedsThatLoseAWorkerUnderAPlannedGang) {
   // The plans of the other members must not stay booked.
   for (const uint64_t Seed : {5790U}) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -201,6 +201,7 @@
     if (End.Number <= On.LastEndNumber)
       continue;
     On.LastEndNumber = End.Number;
+    ensureReportedRound(Cell, End.Run.Task.Step, Now);
     updateQuarantine(Cell, On, End, Now);
     if (End.Outcome == RunOutcome::Done)
       noteRunDone(Cell, On, End.Run, WasResponsive, Now, Out);
@@ -496,6 +497,7 @@
   processEnds(Cell, *On, Report, WasResponsive, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
+    ensureReportedRound(Cell, Row.Run.Task.Step, Now);
     if (Found == On->Attempts.end())
       adopt(Cell, *On, Row, Now, Out);
     else
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -67,9 +67,9 @@
             "fails": fails}
 
 
-def job_body(steps, max_attempts=0):
+def job_body(steps, max_attempts=0, **times):
     """The stand-in's workers read what the tasks do from the spec, and judge their attempts by
-    `max_attempts` of the queue if it is given."""
+    `max_attempts` of the queue if it is given. `times` are the fields of a scheduled job."""
     spec = [{k: (int(v) if isinstance(v, bool) else v) for k, v in s.items()} for s in steps]
     for row in spec:
         row["max_attempts"] = max_attempts
@@ -79,7 +79,7 @@
         if one["after"]:
             row["after_revision"] = one["after"]
         wire.append(row)
-    return json.dumps({"spec": json.dumps(spec), "steps": wire})
+    return json.dumps(dict(times, spec=json.dumps(spec), steps=wire))
 
 
 class PlatformCell:
@@ -156,11 +156,11 @@
                                        fields, timeout)
         return status, headers, answer
 
-    def submit(self, entry, queue, steps, job=None):
+    def submit(self, entry, queue, steps, job=None, **times):
         """Hands a job in once and notes what the caller may rely on."""
         with self.lock:
             job = job or "%016x" % self.random.getrandbits(64)
-        status, _, _ = self.ask(entry, "POST", queue, job, job_body(steps, MAX_ATTEMPTS.get(queue, 0)))
+        status, _, _ = self.ask(entry, "POST", queue, job, job_body(steps, MAX_ATTEMPTS.get(queue, 0), **times))
         with self.lock:
             if status == 200:
                 self.accepted[job] = queue
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -47,6 +47,8 @@
 SLOW_WORKERS, SLOW_PERCENT = 2, 400
 SPECULATIVE_MS = 500  # Runs on slow workers end after the objective of their job.
 LONG_RUNS = {"long_runs_one_in": 10, "times": 4}
+# Of the jobs with --scheduled, one in so many has times, with rounds that may overlap.
+SCHEDULED_ONE_IN, MAX_ROUNDS, MAX_DUE_IN_MS, INTERVALS_MS = 2, 3, 1500, (200, 1200)
 
 
 def make_plan(seed, seconds, entries, workers):
@@ -67,8 +69,8 @@
     """Callers who keep connections open, ask again after answers that are missing, and note what
     they may rely on."""
 
-    def __init__(self, cell, fronts, seed):
-        self.cell, self.fronts, self.seed = cell, fronts, seed
+    def __init__(self, cell, fronts, seed, scheduled):
+        self.cell, self.fronts, self.seed, self.scheduled = cell, fronts, seed, scheduled
         self.over, self.lock = threading.Event(), threading.Lock()
         self.accepted, self.refused, self.cancelled, self.shown = {}, set(), set(), {}
         self.breaks = []
@@ -98,6 +100,7 @@
 
     def submit(self, number):
         rng, kept = random.Random(self.seed * 31 + number), {}
+        timed = random.Random(self.seed * 53 + number)
         crashes, copies = random.Random(self.seed * 37 + number), random.Random(self.seed * 43 + number)
         while not self.over.is_set():
             queue, steps = self.job(rng)
@@ -106,10 +109,15 @@
             elif queue == "check" and copies.randrange(2) == 0:
                 steps[0].update(speculative=True, fails=int(copies.randrange(4) == 0), work_ms=SPECULATIVE_MS,
                                 estimated_ms=SPECULATIVE_MS)
+            times = {}
+            if self.scheduled and timed.randrange(SCHEDULED_ONE_IN) == 0:
+                times = {"repetitions": timed.randint(1, MAX_ROUNDS),
+                         "first_run_ms": int(time.time() * 1000) + timed.randrange(MAX_DUE_IN_MS),
+                         "interval_ms": timed.choice(INTERVALS_MS)}
             job, front, may_run = "%016x" % rng.getrandbits(64), rng.choice(sorted(self.fronts)), False
             for _ in range(6):
                 status, _ = self.ask(kept, front, "POST", PREFIXES[queue] + job,
-                                     job_body(steps, MAX_ATTEMPTS[queue]))
+                                     job_body(steps, MAX_ATTEMPTS[queue], **times))
                 if status == 200:
                     with self.lock:
                         self.accepted[job] = queue
@@ -179,7 +187,7 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, entries, workers):
+    def __init__(self, folder, seed, entries, workers, scheduled):
         self.proxies = ProxyThread()
         self.stores, self.advices, self.fronts = {}, {}, {}
         # The proxies listen before the cell looks for free ports, so that it takes others.
@@ -194,7 +202,7 @@
             self.advices[name].target = "127.0.0.1:%d" % (self.cell.store + 1)
             self.fronts[name].target = entry.address
             self.cell.point(name, store=self.stores[name].port, advice=self.advices[name].port)
-        self.callers = Callers(self.cell, self.fronts, seed)
+        self.callers = Callers(self.cell, self.fronts, seed, scheduled)
         self.switched = 0  # Configurations that switched features.
 
     def all_proxies(self):
@@ -359,10 +367,12 @@
         return found, found["breaks"] + self.callers.breaks + ran + wrong
 
 
-def play(seed, seconds, entries, workers, keep, verbose):
+def play(seed, given):
+    seconds, entries, workers, keep, verbose = (given.seconds, given.entries, given.workers, given.keep,
+                                                given.verbose)
     folder = tempfile.mkdtemp(prefix="valveshelf-soak-%d-" % seed)
     plan = make_plan(seed, seconds, entries, workers)
-    soak = Soak(folder, seed, entries, workers)
+    soak = Soak(folder, seed, entries, workers, given.scheduled)
     try:
         found, breaks = soak.run(plan, seconds, verbose)
     finally:
@@ -390,10 +400,10 @@
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--keep", action="store_true", help="keep the logs of clean seeds too")
+    parser.add_argument("--scheduled", action="store_true", help="half of the jobs have times")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     given = parser.parse_args()
-    good = [play(given.seed + i, given.seconds, given.entries, given.workers, given.keep, given.verbose)
-            for i in range(given.seeds)]
+    good = [play(given.seed + i, given) for i in range(given.seeds)]
     return 0 if all(good) else 1
 
 
