--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -129,6 +129,18 @@
     2105, "warn", "fleet-behind",
     "The list of workers is out of date; no task is started until it is current again."};
 const EventKind FleetKnown{2106, "info", "fleet-known", "The list of workers is current again."};
+const EventKind LeadershipUnconfirmed{2107, "warn", "leadership-unconfirmed",
+                                      "Neither the store nor all peers have confirmed this "
+                                      "scheduler's leadership: it starts nothing, "
+                                      "and leases of workers end."};
+const EventKind LeadershipConfirmed{2108, "info", "leadership-confirmed",
+                                    "This scheduler's leadership is confirmed again."};
+const EventKind PredecessorUnknown{
+    2109, "warn", "predecessor-unknown",
+    "No process that the scheduler before relied on knows of this term: its work on workers that "
+    "can't be reached is waited for longer."};
+const EventKind ClaimFailed{2110, "info", "claim-failed",
+                            "This process could not become the scheduler; the reason follows."};
 const EventKind JobKept{2201, "info", "job-kept",
                         "The job was written durably; its caller was told so."};
 const EventKind CallRefused{
@@ -269,6 +281,10 @@
                               &SchedulerGone,
                               &FleetBehind,
                               &FleetKnown,
+                              &LeadershipUnconfirmed,
+                              &LeadershipConfirmed,
+                              &PredecessorUnknown,
+                              &ClaimFailed,
                               &JobKept,
                               &CallRefused,
                               &JobTaken,
--- a/src/cell/cell_link.cpp
+++ b/src/cell/cell_link.cpp
@@ -74,6 +74,7 @@
   VALVESHELF_CELL_CALL(Announce);
   VALVESHELF_CELL_CALL(StoreCall);
   VALVESHELF_CELL_CALL(Candidate);
+  VALVESHELF_CELL_CALL(Term);
   VALVESHELF_CELL_CALL(Configuration);
 #undef VALVESHELF_CELL_CALL
   Link.Probe = [](Endpoint To, Milliseconds Timeout) { return probe(std::move(To), Timeout); };
@@ -94,6 +95,7 @@
     VALVESHELF_CELL_METHOD(Announce);
     VALVESHELF_CELL_METHOD(StoreCall);
     VALVESHELF_CELL_METHOD(Candidate);
+    VALVESHELF_CELL_METHOD(Term);
     VALVESHELF_CELL_METHOD(Configuration);
 #undef VALVESHELF_CELL_METHOD
   }
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -36,6 +36,8 @@
 constexpr Milliseconds AnnounceTimeout{200};
 // For asking a peer whether it can schedule.
 constexpr Milliseconds CandidateTimeout{150};
+// For asking a peer about a term; a retransmission on a busy link fits in.
+constexpr Milliseconds TermTimeout{400};
 // Added to the timeout of a relayed store call, for the round trip between the peers.
 constexpr Milliseconds RelayOverhead{100};
 // For asking the scheduler to explain a job.
@@ -147,6 +149,16 @@
           co_await Peers.Candidate(std::move(To), Request, CandidateTimeout);
       co_return ok(Reply) && value(Reply).could_schedule();
     };
+    Callbacks.AskTerm = [this](Endpoint To, uint64_t Term,
+                               bool IsClaimed) -> Awaitable<std::optional<TermAnswer>> {
+      cell::TermRequest Request;
+      Request.set_term(Term);
+      Request.set_claimed(IsClaimed);
+      Result<cell::TermReply> Reply = co_await Peers.Term(std::move(To), Request, TermTimeout);
+      if (!ok(Reply))
+        co_return std::nullopt;
+      co_return TermAnswer{value(Reply).member(), value(Reply).newest()};
+    };
     Callbacks.IsStoreDirectlyReachable = [this] { return Router.isDirectlyReachable(); };
     return Callbacks;
   }
@@ -345,6 +357,13 @@
       Reply.set_could_schedule(Lead.canSchedule(Request.gone_term()));
       co_return Reply;
     };
+    Handlers.Term = [this](cell::TermRequest Request) -> Awaitable<cell::TermReply> {
+      const TermAnswer Answer = Lead.answerTerm(Request.term(), Request.claimed());
+      cell::TermReply Reply;
+      Reply.set_member(Answer.Member);
+      Reply.set_newest(Answer.IsNewest);
+      co_return Reply;
+    };
     Handlers.Configuration = [this](cell::ConfigurationRequest Request) {
       return handleConfiguration(std::move(Request));
     };
--- a/src/cell/cell_view.cpp
+++ b/src/cell/cell_view.cpp
@@ -36,6 +36,7 @@
   if (Item.Key == LeaderKey) {
     Snapshot.Leader.reset();
     Snapshot.LeaderRevision = IsRemoved ? 0 : Item.Revision;
+    Snapshot.LeaderLease = IsRemoved ? 0 : Item.Lease;
     Result<Leader> Read = IsRemoved ? Result<Leader>(Error{}) : decodeLeader(Item.Value);
     if (ok(Read))
       Snapshot.Leader = value(Read);
--- a/src/cell/cell_view.h
+++ b/src/cell/cell_view.h
@@ -21,6 +21,7 @@
   sched::Roster Roster; ///< As stored.
   std::optional<sched::Leader> Leader;
   uint64_t LeaderRevision = 0; ///< Of the leader key; 0: the key does not exist.
+  uint64_t LeaderLease = 0;    ///< That the leader key is bound to; 0: none.
   bool IsLoaded = false;       ///< The store has been read.
 };
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -3,8 +3,10 @@
 #include "cell/leadership.h"
 
 #include "valveshelf/events.h"
+#include "valveshelf/steady_timer.h"
 
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
 
@@ -19,6 +21,10 @@
 constexpr Milliseconds RetryDelay{150};
 // Renewals in the lifetime of a lease; two may be lost.
 constexpr int RenewalsPerLease = 4;
+// Peers are asked to confirm a term that the store has not confirmed for longer than this, at this
+// interval.
+constexpr Milliseconds MaxRenewalAge{750};
+constexpr Milliseconds ConfirmInterval{250};
 // Time limit for saving pending state before leadership is given up.
 constexpr Milliseconds FlushTimeout{600};
 // Added to the claim delay of a process that reaches the store only through peers.
@@ -137,6 +143,111 @@
   return !Stopped && View.snapshot().IsLoaded && Callbacks.IsStoreDirectlyReachable();
 }
 
+TermAnswer Leadership::answerTerm(uint64_t Term, bool IsClaimed) {
+  const std::optional<Leader> &Known = View.snapshot().Leader;
+  if (IsClaimed) {
+    NewestClaim = std::max(NewestClaim, Term);
+    if (Runner && CurrentTerm < Term)
+      Runner->replaced();
+  }
+  // A process that has restarted knows the newest term once it has read it.
+  const bool IsNewest =
+      !IsClaimed && !Stopped && !Runner && Known && Known->Term == Term && NewestClaim <= Term;
+  return {Tools.Settings.Member, IsNewest};
+}
+
+// Asks the members at the same time, until \p Enough have answered or each has or has not. Answers
+// of others at their addresses are left out.
+Awaitable<std::vector<TermAnswer>> Leadership::askMembers(std::map<std::string, Member> Members,
+                                                          uint64_t Term, bool IsClaimed,
+                                                          size_t Enough) {
+  struct Round {
+    size_t Outstanding = 0;
+    std::vector<TermAnswer> Answers;
+    SteadyTimer Done;
+  };
+  const auto State = std::make_shared<Round>(
+      Round{Members.size(), {}, SteadyTimer(Tools.Where, TimePoint::max())});
+  for (const auto &[Name, One] : Members)
+    spawnLater(Tools.Where,
+               [](std::shared_ptr<Round> State, LeadershipCallbacks Callbacks, Member To,
+                  uint64_t Term, bool IsClaimed, size_t Enough) -> Awaitable<void> {
+                 std::optional<TermAnswer> Answer =
+                     co_await Callbacks.AskTerm(To.Peers, Term, IsClaimed);
+                 if (Answer && Answer->Member == To.Name)
+                   State->Answers.push_back(std::move(*Answer));
+                 if (--State->Outstanding == 0 || State->Answers.size() == Enough)
+                   State->Done.cancel();
+               }(State, Callbacks, One, Term, IsClaimed, Enough));
+  if (State->Outstanding > 0)
+    co_await State->Done.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  co_return State->Answers;
+}
+
+// While renewals are not answered: asks all members that could take over whether one has.
+Awaitable<void> Leadership::confirmLoop(std::shared_ptr<SchedulerRunner> Current,
+                                        std::shared_ptr<MemberList> List, Claim Own) {
+  while (Runner == Current) {
+    co_await sleepFor(ConfirmInterval);
+    const TimePoint AskedAt = Tools.Time.Now();
+    // The roster is known once the own claim, which is newer, has been read.
+    const bool KnowsRoster = View.snapshot().LeaderRevision == Own.LeaderRevision;
+    if (Runner != Current || !KnowsRoster ||
+        AskedAt - Current->leadershipConfirmedAt() <= MaxRenewalAge)
+      continue;
+    const auto Asked =
+        membersToAsk(View.snapshot().Roster, List->possiblyWritten(), Tools.Settings.Member);
+    const std::vector<TermAnswer> Answers =
+        co_await askMembers(Asked, Own.Term, false, Asked.size());
+    const bool AllConfirm = !Asked.empty() && Answers.size() == Asked.size() &&
+                            std::all_of(Answers.begin(), Answers.end(),
+                                        [](const TermAnswer &Answer) { return Answer.IsNewest; });
+    if (AllConfirm && Runner == Current)
+      Current->leadershipConfirmedByPeers(AskedAt);
+  }
+}
+
+// Tells members of the stored roster that this process has claimed \p Term. They no longer confirm
+// the term before, nor does this process if it is one of them. If none can be told, returns how
+// much longer the scheduler before may go on.
+Awaitable<Milliseconds> Leadership::announceClaim(uint64_t Term) {
+  Result<KeyValue> Read = Error{};
+  while (!ok(Read) && !Stopped) {
+    Read = co_await Tools.Store.Get(std::string(RosterKey));
+    if (!ok(Read))
+      co_await sleepFor(RetryDelay);
+  }
+  if (!ok(Read) || value(Read).Value.empty())
+    co_return Milliseconds(0); // there was no roster, without which no peer confirms a term
+  const Result<Roster> Stored = decodeRoster(value(Read).Value);
+  std::map<std::string, Member> Others;
+  if (ok(Stored))
+    for (const Member &One : value(Stored).Members) {
+      if (One.Name == Tools.Settings.Member)
+        co_return Milliseconds(0);
+      Others[One.Name] = One;
+    }
+  const std::vector<TermAnswer> Answers = co_await askMembers(Others, Term, true, 1);
+  if (!Answers.empty())
+    co_return Milliseconds(0);
+  const Milliseconds Wait = Tools.Settings.Timing.MaxOutage;
+  logEvent(events::PredecessorUnknown, {{"term", std::to_string(Term)},
+                                        {"asked", std::to_string(Others.size())},
+                                        {"wait_ms", std::to_string(Wait.count())}});
+  co_return Wait;
+}
+
+// Ends the lease of a scheduler that is considered failed, so that none of its renewals is answered
+// once this process has claimed. \p Lease 0: there is none.
+Awaitable<Result<Done>> Leadership::endLease(uint64_t Lease) {
+  if (Lease == 0)
+    co_return Done{};
+  Result<Done> Ended = co_await Tools.Store.RevokeLease(Lease);
+  if (!ok(Ended) && error(Ended).Kind != ErrorKind::NotFound)
+    co_return error(Ended);
+  co_return Done{};
+}
+
 // True if another member should take over and can.
 Awaitable<bool> Leadership::hasBetterCandidate(TimePoint TermStart) {
   const TimePoint Now = Tools.Time.Now();
@@ -182,23 +293,33 @@
     co_await sleepFor(ownClaimDelay());
     if (!mayClaim() || Stopped)
       continue;
-    Result<Claim> Own = co_await claim(View.snapshot().LeaderRevision);
-    if (ok(Own) && !Stopped)
+    Result<Claim> Own = co_await claim(View.snapshot().LeaderRevision, View.snapshot().LeaderLease);
+    if (ok(Own) && !Stopped) {
       co_await runTerm(value(Own));
-    else
-      co_await sleepFor(RetryDelay);
+      continue;
+    }
+    if (!ok(Own))
+      logEvent(events::ClaimFailed, {{"why", "\"" + error(Own).Detail + "\""}});
+    co_await sleepFor(RetryDelay);
   }
 }
 
-// \p ExpectedRevision is the revision of the leader key when the claim was decided on. The claim
-// fails if another process has written the key since.
-Awaitable<Result<Claim>> Leadership::claim(uint64_t ExpectedRevision) {
-  Result<KeyValue> Term = co_await Tools.Store.Get(std::string(TermKey));
+// \p ExpectedRevision is the revision of the leader key when the claim was decided on, \p
+// LeaseBefore the lease that the key is bound to. The claim fails if another process has written
+// the key since.
+Awaitable<Result<Claim>> Leadership::claim(uint64_t ExpectedRevision, uint64_t LeaseBefore) {
+  using namespace boost::asio::experimental::awaitable_operators;
+  const auto [Ended, Term, Lease] =
+      co_await (endLease(LeaseBefore) && Tools.Store.Get(std::string(TermKey)) &&
+                Tools.Store.GrantLease(Tools.Settings.Timing.LeaderLease));
+  if (!ok(Ended))
+    co_return error(Ended);
   if (!ok(Term))
     co_return error(Term);
-  Result<uint64_t> Lease = co_await Tools.Store.GrantLease(Tools.Settings.Timing.LeaderLease);
   if (!ok(Lease))
     co_return error(Lease);
+  if (LeaseBefore != 0)
+    ExpectedRevision = 0; // the key is gone with its lease
   const std::string &Last = value(Term).Value;
   Claim Own;
   Own.Lease = value(Lease);
@@ -209,6 +330,7 @@
   Put.Conditions.push_back({std::string(TermKey), value(Term).Revision});
   Put.Puts.push_back({std::string(LeaderKey), encodeLeader(Self), 0, Own.Lease});
   Put.Puts.push_back({std::string(TermKey), std::to_string(Own.Term), 0, 0});
+  Own.SentAt = Tools.Time.Now();
   Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
   // If the write was applied after all, the lease expires or the key is this process's own.
   if (!ok(Written))
@@ -222,9 +344,12 @@
 }
 
 Awaitable<void> Leadership::runTerm(Claim Own) {
+  NewestClaim = std::max(NewestClaim, Own.Term);
+  Own.PredecessorOutage = co_await announceClaim(Own.Term);
   bool RunnerEnded = false;
   Runner = std::make_shared<SchedulerRunner>(Tools, Own, [&RunnerEnded] { RunnerEnded = true; });
   CurrentLease = Own.Lease;
+  CurrentTerm = Own.Term;
   Runner->setMembers(memberNames());
   if (Config)
     Runner->setConfiguration(*Config);
@@ -240,6 +365,7 @@
                                             Own.LeaderRevision, std::move(ListCallbacks));
   AllMembers->start();
   const auto Current = Runner;
+  spawnLater(Tools.Where, confirmLoop(Current, AllMembers, Own));
   const TimePoint TermStart = Tools.Time.Now();
   const char *Reason = "claim-lapsed";
   while (!RunnerEnded && !Stopped) {
@@ -247,7 +373,10 @@
     const auto &Seen = View.snapshot().Leader;
     if (Seen && Seen->Term > Own.Term)
       break;
+    const TimePoint SentAt = Tools.Time.Now();
     Result<Done> Kept = co_await Tools.Store.RenewLease(Own.Lease);
+    if (ok(Kept))
+      Current->leadershipRenewed(SentAt);
     if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
       break;
     // After repeated direct failures, calls go through peers. If the renewal fails there too, the
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -9,10 +9,19 @@
 #include "cell/suspicion.h"
 #include "valveshelf/cell_link.h"
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace valveshelf {
 
+/// A peer's answer about a term.
+struct TermAnswer {
+  std::string Member;    ///< Who answers.
+  bool IsNewest = false; ///< It knows no newer term and does not schedule.
+};
+
 /// Queries to other processes and to the store router.
 struct LeadershipCallbacks {
   /// Probes whether a process accepts connections at an address.
@@ -20,6 +29,10 @@
   /// Asks a process whether it can schedule, and reports that the scheduler of \p FailedTerm
   /// appears to have failed; 0: none. False if there is no answer.
   std::function<Awaitable<bool>(Endpoint To, uint64_t FailedTerm)> CanSchedule;
+  /// Asks a process whether \p Term is the newest that it knows or, if \p IsClaimed, tells it that
+  /// this process has claimed the term. Empty if there is no answer.
+  std::function<Awaitable<std::optional<TermAnswer>>(Endpoint To, uint64_t Term, bool IsClaimed)>
+      AskTerm;
   /// Whether the store serves this process without a relay.
   std::function<bool()> IsStoreDirectlyReachable;
 };
@@ -43,6 +56,9 @@
   /// Answers a peer that asks whether this process can schedule. \p ReportedTerm is the term of a
   /// scheduler that appears to have failed; 0: none.
   bool canSchedule(uint64_t ReportedTerm);
+  /// Answers a peer that schedules under \p Term or, if \p IsClaimed, has claimed it: a scheduler
+  /// of an earlier term in this process ends.
+  TermAnswer answerTerm(uint64_t Term, bool IsClaimed);
   /// Steps down: saves pending state and ends the lease, so that another process can claim at once.
   Awaitable<void> leave();
   /// The scheduler, if it runs in this process and has loaded its state; else null.
@@ -52,12 +68,18 @@
   Awaitable<void> loop();
   bool mayClaim() const;
   Milliseconds ownClaimDelay() const;
-  Awaitable<Result<Claim>> claim(uint64_t ExpectedRevision);
+  Awaitable<Result<Claim>> claim(uint64_t ExpectedRevision, uint64_t LeaseBefore);
   Awaitable<void> runTerm(Claim Own);
   std::set<std::string> memberNames() const;
   void notifyStrongerMembers(const sched::Leader &Failed);
   std::vector<sched::Member> membersByPower() const;
   Awaitable<bool> hasBetterCandidate(TimePoint TermStart);
+  Awaitable<Result<Done>> endLease(uint64_t Lease);
+  Awaitable<Milliseconds> announceClaim(uint64_t Term);
+  Awaitable<std::vector<TermAnswer>> askMembers(std::map<std::string, sched::Member> Members,
+                                                uint64_t Term, bool IsClaimed, size_t Enough);
+  Awaitable<void> confirmLoop(std::shared_ptr<SchedulerRunner> Current,
+                              std::shared_ptr<MemberList> List, Claim Own);
   Awaitable<void> handOver(std::shared_ptr<SchedulerRunner> Current);
 
   const SchedulerDependencies Tools;
@@ -66,7 +88,9 @@
   TimePoint LastHandOverAt{};
   TimePoint LastDirectlyReachable{}; ///< When the store last served this process without a relay.
   TermHistory Terms;                 ///< Changes of term that this process has seen.
-  uint64_t FailedTerm = 0;           ///< Term of a scheduler that is considered failed; 0: none.
+  uint64_t NewestClaim =
+      0; ///< The newest term that this process or, as it said, a peer has claimed.
+  uint64_t FailedTerm = 0; ///< Term of a scheduler that is considered failed; 0: none.
   bool Probing = false;
   bool ProbedAtStart = false; ///< The first known scheduler has been probed.
   std::shared_ptr<SchedulerRunner> Runner;
@@ -74,6 +98,7 @@
   sched::ConfigurationPtr Config;         ///< Null until one has been read.
   sched::EvacuatedZones Evacuated;
   uint64_t CurrentLease = 0;
+  uint64_t CurrentTerm = 0; ///< Of `Runner`, or of the last one.
   bool Stopped = false;
 };
 
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -8,6 +8,10 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+#include <optional>
+
 namespace valveshelf {
 namespace {
 using namespace sched;
@@ -25,7 +29,10 @@
   std::vector<Milliseconds> ProbeTimes;
   bool PeerCouldSchedule = true;
   bool IsStoreDirectlyReachable = true;
-  Roster Published; ///< Lists the members that a test adds.
+  /// By port: what peers answer about a term. Others don't answer.
+  std::map<uint16_t, TermAnswer> Terms;
+  std::vector<std::pair<uint16_t, bool>> AskedTerms; ///< By port, and whether it was claimed.
+  Roster Published;                                  ///< Lists the members that a test adds.
   std::vector<std::pair<Endpoint, uint64_t>>
       Asked; ///< Peers asked whether they can schedule, with the failed term.
 
@@ -59,6 +66,12 @@
       Asked.emplace_back(To, FailedTerm);
       co_return PeerCouldSchedule;
     };
+    Callbacks.AskTerm = [this](Endpoint To, uint64_t,
+                               bool IsClaimed) -> Awaitable<std::optional<TermAnswer>> {
+      AskedTerms.emplace_back(To.Port, IsClaimed);
+      const auto Found = Terms.find(To.Port);
+      co_return Found == Terms.end() ? std::nullopt : std::optional(Found->second);
+    };
     Callbacks.IsStoreDirectlyReachable = [this] { return IsStoreDirectlyReachable; };
     Lead = std::make_unique<Leadership>(Tools, *View, Callbacks);
   }
@@ -70,8 +83,8 @@
       Io.run_for(5ms);
     return Holds();
   }
-  void addMember(const std::string &Name, double Power) {
-    const Member One{Name, {"127.0.0.1", 9}, "z", Power};
+  void addMember(const std::string &Name, double Power, uint16_t Port = 9) {
+    const Member One{Name, {"127.0.0.1", Port}, "z", Power};
     Store.put(memberKey(Name), encodeMember(One), 0);
     Published.Members.push_back(One);
     Store.put(std::string(RosterKey), encodeRoster(Published), 0);
@@ -240,5 +253,135 @@
   EXPECT_EQ(Given.leaderName(), "a");
 }
 
+// A scheduler of the peers "b" and "c", which have as much power.
+struct SchedulerWithPeers : Bench {
+  SchedulerWithPeers() : Bench("a") {
+    Settings.Power = 0.5;
+    addMember("a", 0.5, 1);
+    addMember("b", 0.5, 11);
+    addMember("c", 0.5, 12);
+    Terms[11] = {"b", true};
+    Terms[12] = {"c", true};
+    View->start();
+    Lead->start();
+    EXPECT_TRUE(runUntil([&] { return Lead->scheduler() != nullptr; }));
+    Io.run_for(300ms);
+  }
+  // How long ago its leadership was confirmed, after an outage of the store for 1.5 s.
+  Steady::duration ageAfterOutage() {
+    Store.Down = true;
+    Io.run_for(1500ms);
+    return Steady::now() - Lead->scheduler()->leadershipConfirmedAt();
+  }
+};
+
+// Guards against work that is lost in an outage of the store that all processes share.
+TEST(Leadership, AllPeersConfirmAnotherWhileTheStoreIsDown) {
+  SchedulerWithPeers Given;
+  EXPECT_LT(Given.ageAfterOutage(), 1100ms);
+}
+
+// Guards against leases given by a scheduler that is cut off, while a member that it can't ask has
+// taken over.
+TEST(Leadership, APeerThatDoesNotAnswerConfirmsNothing) {
+  SchedulerWithPeers Given;
+  Given.Terms.erase(12);
+  EXPECT_GE(Given.ageAfterOutage(), 1400ms);
+}
+
+TEST(Leadership, APeerThatKnowsANewerTermConfirmsNothing) {
+  SchedulerWithPeers Given;
+  Given.Terms[12].IsNewest = false;
+  EXPECT_GE(Given.ageAfterOutage(), 1400ms);
+}
+
+// A new machine may have the address of one that was removed.
+TEST(Leadership, AnotherMemberAtAPeersAddressConfirmsNothing) {
+  SchedulerWithPeers Given;
+  Given.Terms[12].Member = "d";
+  EXPECT_GE(Given.ageAfterOutage(), 1400ms);
+}
+
+TEST(Leadership, AProcessWithoutPeersIsNotConfirmed) {
+  Bench Given("a");
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.Store.Down = true;
+  Given.Io.run_for(1500ms);
+  EXPECT_GE(Steady::now() - Given.Lead->scheduler()->leadershipConfirmedAt(), 1400ms);
+}
+
+TEST(Leadership, ConfirmsOnlyTheTermThatItKnowsAsTheNewest) {
+  Bench Given("b");
+  EXPECT_FALSE(Given.Lead->answerTerm(3, false).IsNewest) << "it has read nothing yet";
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.View->snapshot().Leader.has_value(); }));
+  EXPECT_TRUE(Given.Lead->answerTerm(3, false).IsNewest);
+  EXPECT_EQ(Given.Lead->answerTerm(3, false).Member, "b");
+  EXPECT_FALSE(Given.Lead->answerTerm(2, false).IsNewest);
+  Given.Lead->answerTerm(4, true);
+  EXPECT_FALSE(Given.Lead->answerTerm(3, false).IsNewest) << "a newer one was claimed";
+}
+
+TEST(Leadership, EndsItsTermWhenANewerOneWasClaimed) {
+  Bench Given("a");
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_FALSE(Given.Lead->answerTerm(1, false).IsNewest) << "it schedules itself";
+  Given.Store.Down = true;
+  Given.Lead->answerTerm(2, true);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() == nullptr; }));
+}
+
+// Guards against renewals that the store answers to a scheduler which has been replaced: they would
+// confirm it.
+TEST(Leadership, EndsTheLeaseOfAFailedSchedulerBeforeItClaims) {
+  Bench Given("b");
+  const KeyValueStore Ops = Given.Store.ops();
+  uint64_t Lease = 0;
+  spawnLater(Given.Io.get_executor(), [](KeyValueStore Ops, uint64_t &Lease) -> Awaitable<void> {
+    Lease = value(co_await Ops.GrantLease(1500ms));
+  }(Ops, Lease));
+  ASSERT_TRUE(Given.runUntil([&] { return Lease != 0; }));
+  Given.Io.restart(); // it stopped when nothing was left to do
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), Lease);
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.PeerListens = false;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.leaderName() == "b"; }));
+  bool IsRenewed = true;
+  bool HasAnswer = false;
+  spawnLater(
+      Given.Io.get_executor(),
+      [](KeyValueStore Ops, uint64_t Lease, bool &IsRenewed, bool &HasAnswer) -> Awaitable<void> {
+        IsRenewed = ok(co_await Ops.RenewLease(Lease));
+        HasAnswer = true;
+      }(Ops, Lease, IsRenewed, HasAnswer));
+  ASSERT_TRUE(Given.runUntil([&] { return HasAnswer; }));
+  EXPECT_FALSE(IsRenewed);
+}
+
+// A claimant that the scheduler before has never heard of tells a process that it relies on.
+TEST(Leadership, TellsTheRosterOfAClaimUnlessItIsAMember) {
+  for (const bool IsMember : {false, true}) {
+    Bench Given("new");
+    Given.addMember("a", 0.5, 11);
+    if (IsMember)
+      Given.addMember("new", 0.5, 1);
+    Given.View->start();
+    Given.Lead->start();
+    ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+    const bool IsTold = std::find(Given.AskedTerms.begin(), Given.AskedTerms.end(),
+                                  std::pair(uint16_t{11}, true)) != Given.AskedTerms.end();
+    EXPECT_EQ(IsTold, !IsMember);
+  }
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/member_list.cpp
+++ b/src/cell/member_list.cpp
@@ -90,8 +90,20 @@
       Transaction Write;
       Write.Conditions.push_back({std::string(LeaderKey), Me->LeaderRevision});
       Write.Puts.push_back({std::string(RosterKey), encodeRoster(*Next), 0, 0});
+      const auto Before = Me->PossiblyWritten;
+      for (const Member &One : Next->Members)
+        Me->PossiblyWritten[One.Name] = One;
       // A failed write is repeated in the next round; the watch delivers the result.
-      co_await Me->Store.Commit(std::move(Write));
+      Result<TransactionResult> Written = co_await Me->Store.Commit(std::move(Write));
+      if (ok(Written) && value(Written).Applied && !Me->IsWriteUncertain) {
+        Me->PossiblyWritten.clear();
+        for (const Member &One : Next->Members)
+          Me->PossiblyWritten[One.Name] = One;
+      } else if (!ok(Written) && error(Written).Kind == ErrorKind::StoreUnavailable) {
+        Me->PossiblyWritten = Before; // nothing was written
+      } else if (!ok(Written)) {
+        Me->IsWriteUncertain = true;
+      }
     }
     co_await sleepFor(PublishInterval);
   }
--- a/src/cell/member_list.h
+++ b/src/cell/member_list.h
@@ -28,6 +28,8 @@
   void stop() { Stopped = true; }
   /// By name; empty until the list has been read.
   const std::map<std::string, sched::Member> &members() const { return Members; }
+  /// By name: the members of all rosters that this term has written or may have.
+  const std::map<std::string, sched::Member> &possiblyWritten() const { return PossiblyWritten; }
 
 private:
   using Self = std::shared_ptr<MemberList>;
@@ -42,7 +44,9 @@
   const uint64_t LeaderRevision;
   const Callbacks Owner;
   std::map<std::string, sched::Member> Members;
-  uint64_t Revision = 0; ///< The watch resumes from here; 0: everything must be read.
+  std::map<std::string, sched::Member> PossiblyWritten;
+  uint64_t Revision = 0;         ///< The watch resumes from here; 0: everything must be read.
+  bool IsWriteUncertain = false; ///< A write of the roster may still be applied.
   bool Stopped = false;
 };
 
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -26,13 +26,30 @@
 
 // The latest time at which a lease granted now expires, allowing for clock drift during the lease
 // and since the worker's clock was read \p ClockAge ago.
-TimePoint SchedulerRunner::leaseEnd(Steady::duration ClockAge) const {
-  const std::chrono::duration<double, std::milli> Lease = Deps.Settings.Timing.WorkerLease;
-  const auto Drift = (Lease + ClockAge) * (2 * Cell.Limits.ClockDrift);
-  return Deps.Time.Now() + std::chrono::duration_cast<Steady::duration>(Lease + Drift) +
+TimePoint SchedulerRunner::leaseEnd(Milliseconds Lease, Steady::duration ClockAge) const {
+  const std::chrono::duration<double, std::milli> Time = Lease;
+  const auto Drift = (Time + ClockAge) * (2 * Cell.Limits.ClockDrift);
+  return Deps.Time.Now() + std::chrono::duration_cast<Steady::duration>(Time + Drift) +
          Cell.Limits.LeaseMargin;
 }
 
+// By the worker's clock, the end of the longest lease that may be given now; empty: none may be. An
+// order or heartbeat that is late carries the end as it was decided.
+std::optional<Milliseconds> SchedulerRunner::leaseUntil(const std::string &Id) const {
+  const Milliseconds Lease =
+      permittedLease(Evidence, Deps.Settings.Timing.WorkerLease, Deps.Time.Now());
+  if (Lease == Milliseconds(0))
+    return std::nullopt;
+  return workerTime(Id) + Lease;
+}
+
+// The longest lease is on its way to the worker.
+void SchedulerRunner::noteLeased(const std::string &Id) {
+  const Milliseconds Lease =
+      permittedLease(Evidence, Deps.Settings.Timing.WorkerLease, Deps.Time.Now());
+  workerLeased(Cell, Id, leaseEnd(Lease, clockAge(Id)));
+}
+
 Steady::duration SchedulerRunner::clockAge(const std::string &Id) const {
   const auto Found = HeartbeatStates.find(Id);
   return Found == HeartbeatStates.end() ? Steady::duration(0)
@@ -100,10 +117,10 @@
   Order.Timeout = Deps.Settings.Timing.HeartbeatTimeout;
   // The lease of an unresponsive worker is not renewed: a renewal that may or may not arrive would
   // postpone indefinitely the time at which its runs are known to have ended.
-  if (HeartbeatStates.count(Id) && Found->second.IsResponsive) {
-    Order.LeaseUntil = workerTime(Id) + Deps.Settings.Timing.WorkerLease;
-    workerLeased(Cell, Id, leaseEnd(clockAge(Id)));
-  }
+  if (HeartbeatStates.count(Id) && Found->second.IsResponsive)
+    Order.LeaseUntil = leaseUntil(Id);
+  if (Order.LeaseUntil)
+    noteLeased(Id);
   const uint64_t Forgotten = Order.ForgetThrough;
   const uint64_t Fence = Order.Fence;
   const TimePoint SentAt = Deps.Time.Now();
@@ -183,7 +200,8 @@
   HeartbeatOutcome Last = HeartbeatOutcome::Answered;
   while (!Self->Stopped) {
     auto Found = Self->Cell.Workers.find(Id);
-    if (Found != Self->Cell.Workers.end() && !Found->second.UnsavedEnds.empty()) {
+    if (Found != Self->Cell.Workers.end() &&
+        (!Found->second.UnsavedEnds.empty() || Found->second.AwaitsJobs)) {
       // Wakes when the known ends are saved; the delay applies while the store is unavailable.
       co_await waitForWake(Self, Id, Self->unsavedHeartbeatDelay());
       Found = Self->Cell.Workers.find(Id);
@@ -199,7 +217,7 @@
     if (!First && !isIdle(Found->second))
       State->second.LastBusyAt = Self->Deps.Time.Now();
     const bool Waits = !First && Last == HeartbeatOutcome::Answered &&
-                       Found->second.UnsavedEnds.empty() &&
+                       Found->second.UnsavedEnds.empty() && !Found->second.AwaitsJobs &&
                        !Self->canSuspendHeartbeats(Found->second);
     const Milliseconds Wait = Waits ? Self->Deps.Settings.Timing.HeartbeatWait : Milliseconds(0);
     Last = co_await Self->sendHeartbeat(Id, Wait);
@@ -267,11 +285,17 @@
   const auto Entry = Found->second.Attempts.find(Order.Run);
   if (Entry == Found->second.Attempts.end())
     co_return;
+  const std::optional<Milliseconds> LeaseUntil = Self->leaseUntil(Order.Worker);
+  if (!LeaseUntil || !mayStartRuns(Self->Evidence, Self->Deps.Time.Now())) {
+    Effects Out;
+    startWithheld(Self->Cell, Order.Worker, Order.Run, Self->Deps.Time.Now(), Out);
+    co_return Self->executeEffects(Out);
+  }
   StartRun Start;
   Start.To = {Order.Worker, Found->second.Info.Address};
   Start.Run = Order.Run;
   Start.Job = Order.Job;
-  Start.LeaseUntil = Self->workerTime(Order.Worker) + Self->Deps.Settings.Timing.WorkerLease;
+  Start.LeaseUntil = *LeaseUntil;
   Start.Fence = raiseTokenForStart(Self->Cell, Found->second);
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
@@ -281,7 +305,7 @@
       areCallsBeingLost(Self->Losses, Self->Cell.Workers.size(), Self->Deps.Time.Now());
   Start.Timeout = startTimeout(Self->CallTimeout, Lost && !IsRepeat);
   const bool IsEarly = Start.Timeout < Self->CallTimeout.Current;
-  workerLeased(Self->Cell, Order.Worker, Self->leaseEnd(Self->clockAge(Order.Worker)));
+  Self->noteLeased(Order.Worker);
   Self->wakeHeartbeatLoop(Order.Worker);
   const TimePoint SentAt = Self->Deps.Time.Now();
   const uint64_t Fence = Start.Fence;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -54,6 +54,8 @@
             }),
       SaveTimer(Deps.Where, TimePoint::max()), PlacementTimer(Deps.Where) {
   Cell.Limits = Deps.Settings.Scheduler;
+  noteRenewed(Evidence, OwnClaim.SentAt);
+  Cell.PredecessorMayStart = OwnClaim.Term > 1;
   Cell.Fence = OwnClaim.Term;
   Cell.FirstRun = static_cast<uint32_t>((OwnClaim.Term - 1) * RunsPerTerm + 1);
   Cell.Wall = Deps.Time.Wall();
@@ -86,6 +88,12 @@
   OnEnd();
 }
 
+void SchedulerRunner::leadershipRenewed(TimePoint SentAt) { noteRenewed(Evidence, SentAt); }
+
+void SchedulerRunner::leadershipConfirmedByPeers(TimePoint AskedAt) {
+  noteConfirmedByPeers(Evidence, AskedAt, Deps.Settings.Timing.MaxOutage);
+}
+
 void SchedulerRunner::setMembers(const std::set<std::string> &Names) {
   Cell.AdviceConcurrency = static_cast<uint32_t>(Names.size());
   Lanes.setLanes(Names);
@@ -156,7 +164,8 @@
       continue;
     }
     WorkerRecords[Id] = Item.Revision;
-    workerMayHoldRuns(Cell, value(Info), leaseEnd(IdleHeartbeatInterval));
+    const Milliseconds Lease = Deps.Settings.Timing.WorkerLease + OwnClaim.PredecessorOutage;
+    workerMayHoldRuns(Cell, value(Info), leaseEnd(Lease, IdleHeartbeatInterval));
   }
 }
 
@@ -194,6 +203,7 @@
   for (const KeyValue &Item : value(Evacuated).Items)
     Zones.Names.insert(keySuffix(Item.Key, Deps.EvacuationPrefix));
   setEvacuatedZones(std::move(Zones));
+  PredecessorStartsUntil = predecessorStartsUntil(Deps.Time.Now());
   loadRunTimes(value(Runs));
   loadWorkers(value(Listed), value(Runs));
   loadJobs(value(Intake), value(Runs));
@@ -276,19 +286,45 @@
 }
 
 Awaitable<Result<uint64_t>> SchedulerRunner::rereadIntake() {
+  const TimePoint SentAt = Deps.Time.Now();
   Result<KeyRange> Read = co_await Deps.Store.Range(std::string(IntakePrefix), false);
   if (!ok(Read))
     co_return error(Read);
   for (const KeyValue &Item : value(Read).Items)
     applyIntakeItem(Item, true);
+  noteIntakeKnown(SentAt);
   schedulePlacement();
   co_return value(Read).Revision;
 }
 
+TimePoint SchedulerRunner::predecessorStartsUntil(TimePoint LoadedAt) const {
+  const std::chrono::duration<double, std::milli> Time =
+      MaxStartEvidenceAge + OwnClaim.PredecessorOutage;
+  return LoadedAt + std::chrono::ceil<Milliseconds>(Time * (1 + 2 * Cell.Limits.ClockDrift)) +
+         Cell.Limits.LeaseMargin;
+}
+
+// Until the scheduler before can start nothing more, a watch ends in time for the one that settles
+// which jobs it can have known.
+Milliseconds SchedulerRunner::intakeWatchTime(TimePoint Now) const {
+  const Milliseconds Usual = Deps.Settings.Timing.WatchTime;
+  if (!Cell.PredecessorMayStart)
+    return Usual;
+  const auto Left = std::chrono::ceil<Milliseconds>(PredecessorStartsUntil - Now);
+  return std::clamp(Left, Milliseconds(0), Usual);
+}
+
+// All jobs are known that were accepted before \p Until.
+void SchedulerRunner::noteIntakeKnown(TimePoint Until) {
+  if (Until >= PredecessorStartsUntil)
+    predecessorEnded(Cell);
+}
+
 Awaitable<void> SchedulerRunner::watchIntake(SelfPtr Self, uint64_t From) {
   while (!Self->Stopped) {
+    const TimePoint SentAt = Self->Deps.Time.Now();
     Result<KeyChanges> Read = co_await Self->Deps.Store.Watch(std::string(IntakePrefix), From,
-                                                              Self->Deps.Settings.Timing.WatchTime);
+                                                              Self->intakeWatchTime(SentAt));
     if (Self->Stopped)
       co_return;
     if (ok(Read)) {
@@ -296,6 +332,8 @@
         if (!Change.IsRemoved)
           Self->applyIntakeItem(Change.Item, true);
       From = std::max(From, value(Read).Revision);
+      if (!mayBeTruncated(value(Read)))
+        Self->noteIntakeKnown(SentAt);
       Self->schedulePlacement();
       // Jobs are also announced; the pause batches changes to limit the number of calls.
       if (!value(Read).Changes.empty() && !mayBeTruncated(value(Read)))
@@ -469,7 +507,7 @@
 
 void SchedulerRunner::runPlacement() {
   const TimePoint Begun = Deps.Time.Now();
-  if (isWorkerListStale())
+  if (isWorkerListStale() || !mayStartRuns(Evidence, Begun))
     return;
   Effects Out;
   place(Cell, Begun, Out);
@@ -478,6 +516,15 @@
   executeEffects(Out);
 }
 
+void SchedulerRunner::noteConfirmation(TimePoint Now) {
+  const bool IsConfirmed = mayStartRuns(Evidence, Now);
+  if (IsConfirmed == std::exchange(WasConfirmed, IsConfirmed))
+    return;
+  const auto Age = std::chrono::duration_cast<Milliseconds>(Now - Evidence.ConfirmedAt);
+  logEvent(IsConfirmed ? events::LeadershipConfirmed : events::LeadershipUnconfirmed,
+           {{"term", std::to_string(OwnClaim.Term)}, {"age_ms", std::to_string(Age.count())}});
+}
+
 Awaitable<void> SchedulerRunner::tickLoop(SelfPtr Self) {
   while (!Self->Stopped) {
     co_await sleepFor(TickInterval);
@@ -486,11 +533,13 @@
     if (Self->wasSuspended())
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
+    Self->noteConfirmation(Self->LastTick);
     Self->Deps.Metrics.set(metrics::Jobs, static_cast<double>(Self->Cell.Jobs.size()));
     Self->Deps.Metrics.set(metrics::Waiting, static_cast<double>(Self->Cell.Queue.size()));
     Self->Deps.Metrics.set(metrics::LeftOut, Self->Cell.Overload.LeftOutSteps);
     Self->Deps.Metrics.set(metrics::Workers, static_cast<double>(Self->Cell.Workers.size()));
     Self->Deps.Metrics.set(metrics::WorkersSlow, Self->Cell.RunTimes.SlowWorkers);
+    Self->Cell.ConfirmedAt = Self->Evidence.ConfirmedAt;
     Effects Out;
     tick(Self->Cell, Self->Deps.Time.Now(), Self->Deps.Time.Wall(), Out);
     Self->executeEffects(Out);
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -7,6 +7,7 @@
 #include "cell/adaptive_timeout.h"
 #include "cell/advice_lanes.h"
 #include "cell/call_losses.h"
+#include "cell/leadership_evidence.h"
 #include "cell/list_age.h"
 #include "valveshelf/burn.h"
 #include "valveshelf/cell_metrics.h"
@@ -20,6 +21,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -49,6 +51,10 @@
   uint64_t Term = 0;
   uint64_t LeaderRevision = 0; ///< Of the leader key that this process wrote.
   uint64_t Lease = 0;
+  TimePoint SentAt{}; ///< When the claim was sent.
+  /// How much longer than for a lease to wait for workers that can't be reached: the scheduler
+  /// before may have gone on without the store.
+  Milliseconds PredecessorOutage{0};
 };
 
 /// The scheduler of one term. Not thread-safe: all calls come from its strand.
@@ -62,6 +68,14 @@
   /// For a planned stop: waits until all pending saves are durable, for at most \p Time.
   Awaitable<void> flush(Milliseconds Time);
   void setMembers(const std::set<std::string> &Names);
+  /// The store has answered a renewal of the claim's lease that was sent at \p SentAt.
+  void leadershipRenewed(TimePoint SentAt);
+  /// All peers have confirmed this term after they were asked at \p AskedAt.
+  void leadershipConfirmedByPeers(TimePoint AskedAt);
+  /// When it was last certain that no other process had taken over.
+  TimePoint leadershipConfirmedAt() const { return Evidence.ConfirmedAt; }
+  /// Another process has claimed a newer term.
+  void replaced() { endTerm("another process has claimed leadership"); }
   /// Passes on a job that became durable at \p Revision, or a cancellation, ahead of the watch.
   void announceJob(const std::string &Bytes, uint64_t Revision);
   void announceCancel(sched::JobId Id);
@@ -105,6 +119,9 @@
   void applyIntakeItem(const KeyValue &Item, bool Fresh);
   void applyWorkerItem(const KeyValue &Item, bool IsRemoved);
   Awaitable<Result<uint64_t>> rereadIntake();
+  TimePoint predecessorStartsUntil(TimePoint LoadedAt) const;
+  Milliseconds intakeWatchTime(TimePoint Now) const;
+  void noteIntakeKnown(TimePoint Until);
   Awaitable<Result<Done>> rereadWorkers();
   void applyWorkerChanges(const KeyChanges &Read, TimePoint SentAt, Milliseconds Wait);
   static Awaitable<void> refreshWorkerList(SelfPtr Self);
@@ -137,7 +154,9 @@
   static Awaitable<void> sendStart(SelfPtr Self, sched::Effects::Start Order);
   static Awaitable<void> sendStop(SelfPtr Self, sched::Effects::Stop Order);
   Milliseconds workerTime(const std::string &Id) const;
-  TimePoint leaseEnd(Steady::duration ClockAge) const;
+  TimePoint leaseEnd(Milliseconds Lease, Steady::duration ClockAge) const;
+  std::optional<Milliseconds> leaseUntil(const std::string &Id) const;
+  void noteLeased(const std::string &Id);
   Steady::duration clockAge(const std::string &Id) const;
 
   // Saving.
@@ -161,6 +180,7 @@
 
   // Decisions.
   static Awaitable<void> tickLoop(SelfPtr Self);
+  void noteConfirmation(TimePoint Now);
   void executeEffects(sched::Effects &Out);
   void reportEffects(const sched::Effects &Out);
   void reportCopies(const sched::Effects &Out);
@@ -175,6 +195,9 @@
   const Claim OwnClaim;
   const std::function<void()> OnEnd;
   sched::CellState Cell;
+  LeadershipEvidence Evidence;
+  bool WasConfirmed = true;           ///< At the last tick, runs could be started.
+  TimePoint PredecessorStartsUntil{}; ///< The scheduler before may start runs until then.
   AdviceLanes Lanes;
   std::unordered_map<std::string, HeartbeatState> HeartbeatStates; ///< By worker.
   std::unordered_set<std::string> HeartbeatLoops;       ///< Workers with a running heartbeat loop.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -23,6 +23,7 @@
   int StartsToLose = 0;        ///< Number of starts that are carried out without an answer.
   bool LosesLongPolls = false; ///< Long polls get no answer.
   bool IsReplaced = false;     ///< Another instance answers at its address.
+  bool IsCut = false;          ///< No call reaches it.
   uint64_t Fence = 0;          ///< Highest fencing token seen in this life.
   uint64_t LastEnd = 0;
   WallTime Born{};
@@ -79,6 +80,9 @@
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
   std::vector<uint64_t> Fences; ///< Of the start orders.
   std::vector<HeartbeatRequest> Heartbeats;
+  std::vector<Milliseconds> LeasesLeft;    ///< That heartbeats and starts gave, when they arrived.
+  bool IsRenewed = true;                   ///< The claim is renewed all the time.
+  Claim Own{1, 2, 0, {}, Milliseconds(0)}; ///< The leader key is the first of the constructor.
 
   Bench() {
     Settings.Member = "a";
@@ -129,6 +133,7 @@
     Link.Start = [this](StartRun Order) -> Awaitable<StartAnswer> {
       FakeWorker &To = Workers.at(Order.To.Id);
       Fences.push_back(Order.Fence);
+      LeasesLeft.push_back(Order.LeaseUntil - To.clock());
       co_await sleepFor(std::exchange(StartDelay, 0ms));
       if (!To.admits(Order.Fence))
         co_return StartAnswer{StartResult::RefusedFence, To.clock()};
@@ -151,6 +156,10 @@
   Awaitable<Result<WorkerReport>> heartbeat(HeartbeatRequest Order) {
     FakeWorker &To = Workers.at(Order.To.Id);
     Heartbeats.push_back(Order);
+    if (Order.LeaseUntil)
+      LeasesLeft.push_back(*Order.LeaseUntil - To.clock());
+    if (To.IsCut)
+      co_return Error{ErrorKind::UpstreamUnavailable, "no answer"};
     if (To.IsReplaced)
       co_return Error{ErrorKind::NotFound, "another incarnation"};
     if (To.LosesLongPolls && Order.Wait.count() > 0) {
@@ -187,7 +196,6 @@
   }
 
   void start() {
-    constexpr uint64_t LeaderRevision = 2; // of the first key written by the constructor
     SchedulerDependencies Deps{
         Io.get_executor(),
         Clock{[this] { return Steady::now() + Suspended; }, Clock{}.Wall},
@@ -210,14 +218,16 @@
         Metrics,
         Burn,
         [this] { return !Store.Down; }};
-    Runner = std::make_shared<SchedulerRunner>(Deps, Claim{1, LeaderRevision, 0},
-                                               [this] { HasEnded = true; });
+    Own.SentAt = Deps.Time.Now();
+    Runner = std::make_shared<SchedulerRunner>(Deps, Own, [this] { HasEnded = true; });
     Runner->start();
   }
 
   bool runUntil(const std::function<bool()> &Holds, Milliseconds Most = 5s) {
     const TimePoint Limit = Steady::now() + Most;
     while (!Holds() && Steady::now() < Limit) {
+      if (IsRenewed && Runner)
+        Runner->leadershipRenewed(Steady::now() + Suspended);
       Io.restart();
       Io.run_for(2ms);
     }
@@ -570,5 +580,77 @@
   EXPECT_EQ(Given.Workers.at("w1").Active.size(), 0u);
 }
 
+// Guards against a scheduler that was cut off together with a worker and goes on extending its
+// lease while a successor takes it for over.
+TEST(SchedulerRunner, LeasesEndWithTheLastConfirmationOfLeadership) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 1500ms;
+  Given.Settings.Timing.HeartbeatWait = 20ms;
+  Given.submit(1, 1);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  Given.IsRenewed = false;
+  const TimePoint Confirmed = Given.Runner->leadershipConfirmedAt();
+  Given.LeasesLeft.clear();
+  Given.runUntil([] { return false; }, 800ms);
+  ASSERT_FALSE(Given.LeasesLeft.empty());
+  EXPECT_LE(Given.LeasesLeft.back(), 1500ms - 700ms);
+  Given.runUntil([&] { return Steady::now() > Confirmed + 1500ms; });
+  Given.LeasesLeft.clear();
+  const size_t Before = Given.Heartbeats.size();
+  Given.runUntil([] { return false; }, 200ms);
+  EXPECT_GT(Given.Heartbeats.size(), Before) << "reports are asked for";
+  EXPECT_TRUE(Given.LeasesLeft.empty());
+  Given.IsRenewed = true;
+  Given.runUntil([] { return false; }, 100ms);
+  EXPECT_FALSE(Given.LeasesLeft.empty());
+}
+
+// Peers confirm a scheduler in an outage of the store, but not for ever: a successor waits for
+// that.
+TEST(SchedulerRunner, PeersConfirmLeadershipForTheLongestOutage) {
+  Bench Given;
+  Given.Settings.Timing.MaxOutage = 1s;
+  Given.start();
+  const TimePoint Renewed = Given.Runner->leadershipConfirmedAt();
+  Given.Runner->leadershipConfirmedByPeers(Renewed + 700ms);
+  EXPECT_EQ(Given.Runner->leadershipConfirmedAt(), Renewed + 700ms);
+  Given.Runner->leadershipConfirmedByPeers(Renewed + 1700ms);
+  EXPECT_EQ(Given.Runner->leadershipConfirmedAt(), Renewed + 1s);
+}
+
+// Guards against starts by a scheduler whose successor takes a job for one that nobody has started.
+TEST(SchedulerRunner, StartsNothingUnlessItsLeadershipIsConfirmed) {
+  Bench Given;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Heartbeats.size() >= 2; }));
+  Given.IsRenewed = false;
+  Given.runUntil([] { return false; }, MaxStartEvidenceAge + 50ms);
+  Given.submit(1, 1);
+  Given.runUntil([] { return false; }, 500ms);
+  EXPECT_EQ(Given.running(), 0U);
+  Given.IsRenewed = true;
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+}
+
+// Guards against a start on another worker while the scheduler before goes on in an outage and
+// nobody who knows of this term can be asked by it.
+TEST(SchedulerRunner, WaitsLongerForAPredecessorThatMayGoOnWithoutTheStore) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 100ms;
+  Given.Own.PredecessorOutage = 2s;
+  WorkerInfo Cut;
+  Cut.Id = "cut";
+  Cut.Service = "pool";
+  Cut.Address = {"127.0.0.1", 1};
+  Given.Store.put(workerKey("cut"), encodeWorkerRecord(Cut), 0);
+  Given.Workers["cut"].IsCut = true;
+  Given.submit(1, 1);
+  const TimePoint Begun = Steady::now();
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 8s));
+  EXPECT_GE(Steady::now() - Begun, 2100ms);
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/include/valveshelf/cell_link.h
+++ b/src/include/valveshelf/cell_link.h
@@ -30,6 +30,7 @@
   std::function<Awaitable<cell::AnnounceReply>(cell::AnnounceRequest)> Announce;
   std::function<Awaitable<cell::StoreCallReply>(cell::StoreCallRequest)> StoreCall;
   std::function<Awaitable<cell::CandidateReply>(cell::CandidateRequest)> Candidate;
+  std::function<Awaitable<cell::TermReply>(cell::TermRequest)> Term;
   std::function<Awaitable<cell::ConfigurationReply>(cell::ConfigurationRequest)> Configuration;
 };
 
@@ -47,6 +48,7 @@
   Call<cell::AnnounceRequest, cell::AnnounceReply> Announce;
   Call<cell::StoreCallRequest, cell::StoreCallReply> StoreCall;
   Call<cell::CandidateRequest, cell::CandidateReply> Candidate;
+  Call<cell::TermRequest, cell::TermReply> Term;
   Call<cell::ConfigurationRequest, cell::ConfigurationReply> Configuration;
   /// Probes whether a process accepts connections at an address. A suspended process still does;
   /// one that has exited or is unreachable doesn't.
--- a/src/include/valveshelf/cell_settings.h
+++ b/src/include/valveshelf/cell_settings.h
@@ -18,9 +18,12 @@
   Milliseconds HeartbeatTimeout{400}; ///< Added to HeartbeatWait. Must exceed LeaderLease / 4, for
                                       ///< which a replaced scheduler may go on unaware.
   Milliseconds WorkerLease{5000};     ///< Tasks keep running for this long without a scheduler.
-  Milliseconds SaveDelay{20};         ///< How long changes are collected before they are saved.
-  Milliseconds SubmitTimeout{800};    ///< A submission is accepted or refused within this time.
-  Milliseconds StopGrace{6000};       ///< From SIGTERM to SIGKILL.
+  /// For how long a scheduler goes on without the store if all its peers confirm it. A successor
+  /// that none of them knows of waits so much longer for workers that it can't reach.
+  Milliseconds MaxOutage{20000};
+  Milliseconds SaveDelay{20};      ///< How long changes are collected before they are saved.
+  Milliseconds SubmitTimeout{800}; ///< A submission is accepted or refused within this time.
+  Milliseconds StopGrace{6000};    ///< From SIGTERM to SIGKILL.
   /// Callers' keys are refused once the configuration has not been confirmed for this long. If
   /// empty, a process that reaches neither the store nor a peer keeps accepting the keys that it
   /// knows.
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -191,8 +191,10 @@
   uint32_t Token = 0;
   uint32_t OpenAcknowledgements = 0; ///< Sent under `Token` and not answered.
   bool Listed = false;               ///< The platform lists it.
-  bool IsSelected = false;    ///< To be used: it is recorded in the store, then asked for its runs.
-  bool HasReported = false;   ///< It has reported to this scheduler; its attempts are known.
+  bool IsSelected = false;  ///< To be used: it is recorded in the store, then asked for its runs.
+  bool HasReported = false; ///< It has reported to this scheduler; its attempts are known.
+  /// Its reports name jobs that are not known yet. They are taken once these can't exist.
+  bool AwaitsJobs = false;
   bool IsResponsive = true;   ///< The last call to it was answered.
   bool IsRecorded = false;    ///< The store records that it may hold runs of this cell.
   bool HasUnsizedRun = false; ///< It holds a run of unknown size; nothing is placed on it.
@@ -254,6 +256,7 @@
   /// The previous scheduler may still start it on a worker that does not know this one yet.
   bool MayBeStartedByPredecessor = false;
   TimePoint NotBefore{};
+  TimePoint LostAt{}; ///< When a run of it was last lost with its worker, which is dead.
   /// Consecutive workers that crashed, or are suspected to have crashed, during its startup.
   uint32_t StartupCrashes = 0;
   /// Of these, the lives of workers, by `lifeName`, whose crash is not confirmed.
@@ -462,8 +465,16 @@
   /// `VanishedWorkers`.
   std::map<std::string, SuspectWorker> SuspectWorkers;
   std::set<RunKey> OrphanedRuns; ///< Runs on workers whose job was not known when reported.
-  bool Loaded = false;           ///< The store was read; nothing is placed before.
-  uint64_t LastSave = 0;         ///< Number of the newest save.
+  /// When there was last certainly no newer scheduler; empty: now. A worker's lease counts as over
+  /// only if it was by then, and what is lost with a dead worker is started again only once this is
+  /// later: a newer scheduler may have learned of the runs' ends.
+  std::optional<TimePoint> ConfirmedAt;
+  TimePoint LostUnreportedAt{}; ///< When a worker was last found dead before it had reported.
+  /// The scheduler before may still start runs where no call of this one has arrived. Jobs that
+  /// become known meanwhile may be among them.
+  bool PredecessorMayStart = false;
+  bool Loaded = false;                     ///< The store was read; nothing is placed before.
+  uint64_t LastSave = 0;                   ///< Number of the newest save.
   std::map<uint64_t, JobId> PendingSaves;  ///< Saves that are not durable yet, by number.
   std::set<uint32_t> SlotsWithUnsavedEnds; ///< Of workers with ends that wait for a save.
   std::vector<WorkerRestart> NewRestarts;  ///< Since the last tick.
@@ -619,7 +630,7 @@
 
 // Jobs.
 
-/// Adds a job that the store holds. \p Fresh: no earlier scheduler can have started any of it.
+/// Adds a job that the store holds. \p Fresh: it was accepted after this scheduler's claim.
 void addJob(CellState &Cell, JobSpecPtr Spec, uint64_t Revision, bool Fresh, TimePoint Now);
 /// The state of a task as an earlier scheduler saved it.
 struct SavedTask {
@@ -638,6 +649,8 @@
 };
 /// Restores the tasks of a step of a job that was added.
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
+/// The scheduler before can start nothing more, and all jobs that it can have known are known.
+void predecessorEnded(CellState &Cell);
 /// Call once after all jobs were added and restored.
 void finishLoading(CellState &Cell, TimePoint Now, Effects &Out);
 /// A cancellation of a job that is not known yet is kept until the job is added.
@@ -735,6 +748,9 @@
                         TimePoint AskedAt, TimePoint Now, Effects &Out);
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out);
+/// A start order was not sent, nor will be.
+void startWithheld(CellState &Cell, const std::string &Id, const RunKey &Run, TimePoint Now,
+                   Effects &Out);
 void stopAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, bool Acked,
                   TimePoint Now, Effects &Out);
 
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -32,7 +32,8 @@
     EvacuationOver;
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
-extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone, FleetBehind, FleetKnown;
+extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone, FleetBehind, FleetKnown,
+    LeadershipUnconfirmed, LeadershipConfirmed, PredecessorUnknown, ClaimFailed;
 extern const EventKind JobKept, CallRefused, JobTaken, JobRefusedOverload;
 extern const EventKind StepPlaced, RunStopped, StartNotConfirmed;
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -296,7 +296,11 @@
     if (Crashed)
       countCrash(Cell, On, Run, How, Lost.size() == 1, Now, Out);
     noteLostRun(Cell, On, Run, How, Out);
+    const bool MayHaveRun = On.Attempts.at(Run).Phase != AttemptPhase::Planned;
     unbook(Cell, On, Run);
+    if (StepState *Step = findStep(Cell, Run.Task.Step);
+        Step && Run.Task.Index < Step->Tasks.size() && MayHaveRun && How != WorkerEnd::LeaseExpired)
+      Step->Tasks[Run.Task.Index].LostAt = Now;
     runEnded(Cell, Run, RunOutcome::LeaseExpired, "", &On, Now, Out);
   }
   if (How == WorkerEnd::LeaseExpired)
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -245,7 +245,7 @@
     return;
   Job &J = Cell.Jobs[Id];
   J.Spec = Spec;
-  J.IsInherited = !Fresh;
+  J.IsInherited = !Fresh || Cell.PredecessorMayStart;
   J.Owner = findOrAddOrganisation(Cell, Spec->Organisation);
   if (J.Owner && Fresh)
     J.IsOverShare = !consumeShare(*J.Owner, Spec->AcceptedAt);
@@ -361,6 +361,8 @@
     makeRound(Cell, J, Key.Round, Now);
 }
 
+void predecessorEnded(CellState &Cell) { Cell.PredecessorMayStart = false; }
+
 void finishLoading(CellState &Cell, TimePoint Now, Effects &Out) {
   Cell.Forecasts.LoadedAt = Now;
   assignShares(Cell);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -77,6 +77,14 @@
   return At != Cell.OrphanedRuns.end() && At->Task == Task;
 }
 
+// True if a newer scheduler may have learned of the end of a run that was lost with a dead worker.
+static bool awaitsConfirmation(const CellState &Cell, const TaskState &Task) {
+  if (!Cell.ConfirmedAt)
+    return false;
+  return Task.LostAt > *Cell.ConfirmedAt ||
+         (Task.MayRunOnUnreportedWorker && Cell.LostUnreportedAt > *Cell.ConfirmedAt);
+}
+
 bool isPlaceable(const PlacementPass &Pass, const Job &J, const StepState &Step, uint32_t Index) {
   const TaskState &Task = Step.Tasks[Index];
   const std::string &Service = J.Spec->Service;
@@ -84,7 +92,8 @@
       (Task.MayRunOnUnreportedWorker && Pass.UnreportedServices.count(Service) > 0) ||
       (Task.MayBeStartedByPredecessor && Pass.ReportPendingServices.count(Service) > 0);
   return !Task.Done && !Task.AssignedWorker && !MayRun && Task.NotBefore <= Pass.Now &&
-         !awaitsCrashCountSave(Pass.Cell, Task) && !hasOrphanedRun(Pass.Cell, {Step.Key, Index});
+         !awaitsCrashCountSave(Pass.Cell, Task) && !awaitsConfirmation(Pass.Cell, Task) &&
+         !hasOrphanedRun(Pass.Cell, {Step.Key, Index});
 }
 
 namespace {
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -3,10 +3,11 @@
 // workers that crash or are cut off, lost saves, takeovers with the old scheduler still active and,
 // depending on the scenario, tasks that crash their workers, changes of capacity, evacuations of
 // zones, speculative steps on workers of uneven speed, workers that start again under their id, and
-// scheduled jobs under schedulers whose clocks differ.
-// Every start is checked against the simulation's own records. VALVESHELF_FUZZ_EVENTS and
-// VALVESHELF_FUZZ_SEED set length and first seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts,
-// losses and crash counts of that job's tasks.
+// scheduled jobs under schedulers whose clocks differ, and schedulers that are cut off together
+// with some workers. Every start is checked against the simulation's own records.
+// VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED set length and first seed;
+// VALVESHELF_FUZZ_TRACE=JOB prints the starts, losses and crash counts of that job's tasks.
+#include "cell/leadership_evidence.h"
 #include "standins/worker_model.h"
 #include "valveshelf/cell_records.h"
 #include "valveshelf/cell_state.h"
@@ -39,6 +40,10 @@
 constexpr Milliseconds StopLimit{4000};
 // Effects of faults that are over, such as late calls and cuts, last at most so long.
 constexpr Milliseconds FaultsLast{15000};
+// In worlds with partitions, a scheduler is cut off for at most this time, and schedulers on both
+// sides learn of a new job within the other.
+constexpr Milliseconds MaxCutTime{8000};
+constexpr Milliseconds MaxNewsTime{400};
 // How far the time of day of a scheduler may be off, in either direction.
 constexpr Milliseconds MaxClockError{1500};
 
@@ -63,7 +68,9 @@
   Milliseconds PreviousCapacityUntil{0}; ///< until this time, as they learn of a change late.
   Milliseconds UnreachableUntil{0};
   bool ListedGone = false;
-  int64_t Slowness = 1; ///< Factor on the time that its runs take.
+  int64_t Slowness = 1;                   ///< Factor on the time that its runs take.
+  Milliseconds LastWithoutLease{0};       ///< When it last had no lease.
+  std::map<RunKey, Milliseconds> EndedAt; ///< Of the ends that it holds.
 };
 
 // A scheduler process.
@@ -76,6 +83,11 @@
   /// By worker: its clock, and the simulation's at that time.
   std::map<std::string, std::pair<Milliseconds, Milliseconds>> Clocks;
   Milliseconds ClockError{0}; ///< Of its time of day.
+  LeadershipEvidence Evidence;
+  bool IsCutOff = false;             ///< From the store; another one has taken over.
+  std::set<std::string> Unreachable; ///< Boxes that its calls don't reach until CutUntil.
+  Milliseconds CutUntil{0};
+  Milliseconds PredecessorEndsAt{0}; ///< The one before may start runs until then.
 };
 using ProcessPtr = std::shared_ptr<Process>;
 
@@ -89,6 +101,7 @@
   Restarts,      ///< Workers start again under their id, holding and knowing nothing.
   CrashRestarts, ///< As Crashes; workers that were crashed start again under their id.
   Rounds,        ///< Half of the jobs are scheduled; the time of day of schedulers is off.
+  Partitions,    ///< As Rounds; replaced schedulers are cut off together with some workers.
 };
 
 class World {
@@ -100,7 +113,8 @@
         SwitchesFeatures(With == Scenario::Features || With == Scenario::Copies),
         DrawsCopies(With == Scenario::Copies),
         RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts),
-        SchedulesJobs(With == Scenario::Rounds), StopTime(Seed % 2 ? 50 : 900) {
+        SchedulesJobs(With == Scenario::Rounds || With == Scenario::Partitions),
+        CutsSchedulersOff(With == Scenario::Partitions), StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
@@ -113,11 +127,12 @@
   int64_t Starts = 0;
   int64_t Takeovers = 0;
   int64_t Crashes = 0;
-  int64_t GivenUp = 0;     ///< Jobs that failed because a task crashed its workers.
-  int64_t Overloads = 0;   ///< Times that a service became overloaded.
-  int64_t Copies = 0;      ///< Starts of speculative tasks beside another run.
-  int64_t Restarts = 0;    ///< Lives that began under a known id.
-  int64_t LaterRounds = 0; ///< Starts in rounds after the first.
+  int64_t GivenUp = 0;           ///< Jobs that failed because a task crashed its workers.
+  int64_t Overloads = 0;         ///< Times that a service became overloaded.
+  int64_t Copies = 0;            ///< Starts of speculative tasks beside another run.
+  int64_t Restarts = 0;          ///< Lives that began under a known id.
+  int64_t StartsWhileCutOff = 0; ///< Ordered by schedulers that are cut off.
+  int64_t LaterRounds = 0;       ///< Starts in rounds after the first.
   std::vector<std::string> Violations;
 
   void play(int64_t Count) {
@@ -197,6 +212,7 @@
     Made->Model.OnStart = [this, Raw](const RunKey &Run) { checkStart(*Raw, Run); };
     Made->Model.OnEnd = [this, Raw](const RunKey &Run, RunOutcome How) {
       traceRun(*Raw, Run, How == RunOutcome::Done ? "done" : "ended");
+      Raw->EndedAt[Run] = Now;
       ended(Run, How);
     };
     Boxes[Id] = std::move(Made);
@@ -654,7 +670,7 @@
       after(Milliseconds(upTo(30)), [this, Of] { save(Of); });
   }
 
-  // Schedulers know all jobs here: none may be taken for ended before it is.
+  // No job may be taken for ended before it is.
   void checkStop(const Effects::Stop &Order) {
     const StoredJob &Of = Store.at(Order.Run.Task.Step.Job);
     if (Order.Why == "its job has ended" && Of.Phase == JobPhase::Live && !Of.Cancelled)
@@ -693,8 +709,9 @@
   }
 
   enum class CallOutcome { Delivered, AnswerLost, Lost, Late };
-  CallOutcome drawOutcome(const Box &To) {
-    if (To.Dead || To.UnreachableUntil > Now)
+  CallOutcome drawOutcome(const Process &Of, const Box &To) {
+    const bool IsCut = Now < Of.CutUntil && Of.Unreachable.count(To.Info.Id) > 0;
+    if (To.Dead || To.UnreachableUntil > Now || IsCut)
       return CallOutcome::Lost;
     if (FaultsOver || !chance(0.08))
       return CallOutcome::Delivered;
@@ -713,6 +730,14 @@
     const auto Found = Of.Cell.Workers.find(Id);
     return Found == Of.Cell.Workers.end() ? 0 : fencingToken(Of.Cell, Found->second);
   }
+  // The lease that the scheduler may give now; 0: none.
+  Milliseconds permittedLease(const Process &Of) const {
+    return CutsSchedulersOff ? valveshelf::permittedLease(Of.Evidence, WorkerLease, steady())
+                             : WorkerLease;
+  }
+  bool mayStart(const Process &Of) const {
+    return !CutsSchedulersOff || mayStartRuns(Of.Evidence, steady());
+  }
   TimePoint leaseEnd() const { return steady() + WorkerLease * 104 / 100 + 200ms; }
 
   void sendStart(const ProcessPtr &Of, const Effects::Start &Order) {
@@ -720,14 +745,20 @@
     if (Found == Boxes.end())
       return;
     const auto To = Found->second;
+    if (!mayStart(*Of)) {
+      Effects Out;
+      startWithheld(Of->Cell, Order.Worker, Order.Run, steady(), Out);
+      return apply(Of, Out);
+    }
+    StartsWhileCutOff += Of->IsCutOff ? 1 : 0;
     checkOrder(Order);
     workerLeased(Of->Cell, Order.Worker, leaseEnd());
     const auto Known = Of->Cell.Workers.find(Order.Worker);
     const uint64_t Token =
         Known == Of->Cell.Workers.end() ? 0 : raiseTokenForStart(Of->Cell, Known->second);
     const standins::StartOrderSeen Seen{
-        Order.Run, Token, workerTime(*Of, Order.Worker) + WorkerLease, Order.Checkpoint};
-    const CallOutcome How = drawOutcome(*To);
+        Order.Run, Token, workerTime(*Of, Order.Worker) + permittedLease(*Of), Order.Checkpoint};
+    const CallOutcome How = drawOutcome(*Of, *To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     after(Delay, [this, Of, To, Seen, How, AskedAt = steady(), Id = Order.Worker,
                   Life = To->Info.Born] {
@@ -776,7 +807,7 @@
     if (Found == Boxes.end())
       return;
     const auto To = Found->second;
-    const CallOutcome How = drawOutcome(*To);
+    const CallOutcome How = drawOutcome(*Of, *To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     const uint64_t Fence = tokenFor(*Of, Order.Worker);
     const auto Answer = [this, Of, Fence, Id = Order.Worker, Run = Order.Run](bool Acked,
@@ -823,11 +854,12 @@
     if (Of->HasEnded || Found == Boxes.end() || Known == Of->Cell.Workers.end())
       return;
     const auto To = Found->second;
-    const CallOutcome How = drawOutcome(*To);
-    const bool Extends = Of->Clocks.count(Id) && Known->second.IsResponsive;
+    const CallOutcome How = drawOutcome(*Of, *To);
+    const bool Extends =
+        Of->Clocks.count(Id) && Known->second.IsResponsive && permittedLease(*Of) > 0ms;
     std::optional<Milliseconds> Until;
     if (Extends) {
-      Until = workerTime(*Of, Id) + WorkerLease;
+      Until = workerTime(*Of, Id) + permittedLease(*Of);
       workerLeased(Of->Cell, Id, leaseEnd());
     }
     const uint64_t Fence = fencingToken(Of->Cell, Known->second);
@@ -904,16 +936,25 @@
       }
       if (End.Outcome != RunOutcome::Done)
         continue;
+      if (!isDurable(End.Run.Task))
+        addViolation("an end was forgotten before it was saved", End.Run);
+      if (hadNoLeaseSince(On, End.Run))
+        continue;
       for (uint32_t I = 0; I < Step.Count; ++I)
         if (Step.Gang || I == End.Run.Task.Index) {
           ForgottenDone.insert({End.Run.Task.Step, I});
           DoneNotedAt.try_emplace({End.Run.Task.Step, I}, Now);
         }
-      if (!isDurable(End.Run.Task))
-        addViolation("an end was forgotten before it was saved", End.Run);
     }
   }
 
+  // By the platform's rules an end does not count as noted if the lease of its worker has lapsed
+  // between the two. Two schedulers may then judge of the task on either side of a partition.
+  bool hadNoLeaseSince(const Box &On, const RunKey &Run) const {
+    const auto Ended = On.EndedAt.find(Run);
+    return CutsSchedulersOff && Ended != On.EndedAt.end() && On.LastWithoutLease >= Ended->second;
+  }
+
   bool isDurable(const TaskKey &Task) {
     const StoredJob &Of = Store.at(Task.Step.Job);
     if (Of.Phase != JobPhase::Live)
@@ -952,6 +993,8 @@
     const bool LosesAnswer = !FaultsOver && chance(0.1);
     const bool IsApplied = !LosesAnswer || chance(0.5);
     after(Milliseconds(2 + upTo(20)), [=, this] {
+      if (Of->IsCutOff)
+        return; // its saves reach nobody
       if (StoreTerm != Of->Cell.Fence) {
         Of->HasEnded = true;
         return;
@@ -1023,6 +1066,11 @@
     if (Current && Current->StopsAt == Now)
       Current->HasEnded = true;
     auto Next = std::make_shared<Process>();
+    if (CutsSchedulersOff) {
+      cutOff(*Next);
+      Next->Cell.PredecessorMayStart = true;
+      Next->PredecessorEndsAt = Now + MaxStartEvidenceAge + MaxNewsTime;
+    }
     CellState &Cell = Next->Cell;
     Cell.Limits.StopTime = StopTime;
     Cell.Limits.QuarantineTime = 1000ms;
@@ -1041,7 +1089,7 @@
       if (chance(0.2))
         Noted.Capacity = {}; // as in records of earlier versions
       if (Records.count(Id))
-        workerMayHoldRuns(Cell, Noted, leaseEnd() + 4000ms);
+        workerMayHoldRuns(Cell, Noted, leaseEnd() + (CutsSchedulersOff ? 0ms : 4000ms));
     }
     for (const auto &[Id, Row] : Store)
       if (Row.Phase == JobPhase::Live) {
@@ -1069,6 +1117,28 @@
     apply(Next, Out);
   }
 
+  // The present scheduler may go on with some of the workers, which the next one can't reach.
+  void cutOff(Process &Next) {
+    if (!Current || Current->HasEnded)
+      return;
+    Isolated = Current;
+    Isolated->IsCutOff = true;
+    Isolated->StopsAt = Now + Milliseconds(drawScenario(500, MaxCutTime.count()));
+    Isolated->CutUntil = Next.CutUntil = Isolated->StopsAt;
+    for (const auto &[Id, Entry] : Boxes)
+      (drawScenario(0, 2) == 0 ? Next : *Isolated).Unreachable.insert(Id);
+  }
+
+  // Schedulers on both sides of a partition learn of the job, in any order.
+  void announce(const JobSpecPtr &Spec) {
+    for (const ProcessPtr &To : {Current, Isolated})
+      if (To)
+        after(Milliseconds(drawScenario(0, MaxNewsTime.count())), [this, To, Spec, At = Revision] {
+          if (!To->HasEnded)
+            addJob(To->Cell, Spec, At, true, steady());
+        });
+  }
+
   Milliseconds drawClockError() {
     return Milliseconds(drawScenario(-MaxClockError.count(), MaxClockError.count()));
   }
@@ -1110,6 +1180,8 @@
       Spec->Interval = Milliseconds(drawScenario(0, 2000));
     }
     Store[Spec->Id] = {Spec, JobPhase::Live, "", ++Revision, false};
+    if (CutsSchedulersOff)
+      return announce(Spec);
     const ProcessPtr To = Current;
     after(Milliseconds(upTo(50)), [this, To, Spec, At = Revision] {
       if (!To->HasEnded && To == Current)
@@ -1220,8 +1292,11 @@
     else
       Now = std::max(Now, PendingEvents.begin()->first);
     for (const auto &[Id, Entry] : Boxes)
-      if (!Entry->Dead)
+      if (!Entry->Dead) {
         Entry->Model.advance(Entry->Model.Now + (Now - Before));
+        if (Entry->Model.Now > Entry->Model.LeaseUntil)
+          Entry->LastWithoutLease = Now;
+      }
     if (!PendingEvents.empty() && PendingEvents.begin()->first <= Now) {
       auto What = std::move(PendingEvents.begin()->second);
       PendingEvents.erase(PendingEvents.begin());
@@ -1265,17 +1340,24 @@
 
   // Periodic work of each scheduler: tick, placement, report requests, saves.
   void runSchedulers() {
-    for (const ProcessPtr &Of : {Current, Previous}) {
+    for (const ProcessPtr &Of : {Current, Isolated ? Isolated : Previous}) {
       if (!Of || Of->HasEnded)
         continue;
       if (Now >= Of->StopsAt) {
         Of->HasEnded = true;
         continue;
       }
+      if (!Of->IsCutOff)
+        noteRenewed(Of->Evidence, steady());
+      if (CutsSchedulersOff)
+        Of->Cell.ConfirmedAt = Of->Evidence.ConfirmedAt;
+      if (Of->Cell.PredecessorMayStart && Now >= Of->PredecessorEndsAt)
+        predecessorEnded(Of->Cell);
       updateRecords(*Of);
       Effects Out;
       tick(Of->Cell, steady(), wall() + Of->ClockError, Out);
-      place(Of->Cell, steady(), Out);
+      if (mayStart(*Of))
+        place(Of->Cell, steady(), Out);
       apply(Of, Out);
       for (const auto &[Id, Entry] : Boxes)
         if (chance(0.15))
@@ -1317,6 +1399,7 @@
   const bool DrawsCopies;
   const bool RestartsWorkers;
   const bool SchedulesJobs;
+  const bool CutsSchedulersOff;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool FaultsOver = false;
@@ -1332,7 +1415,8 @@
   int LastBox = 0;
   ProcessPtr Current;
   ProcessPtr Previous;
-  EvacuatedZones Zones;                               ///< Evacuated zones, as stored,
+  ProcessPtr Isolated;  ///< The last scheduler that was cut off; in worlds with partitions.
+  EvacuatedZones Zones; ///< Evacuated zones, as stored,
   std::map<std::string, Milliseconds> EvacuatedSince; ///< and since when.
   /// By organisation: its maxima, each with the time until which a scheduler may apply it.
   std::map<std::string, std::vector<std::pair<Milliseconds, int64_t>>> QuotaHistory;
@@ -1362,7 +1446,7 @@
   int64_t Events = fromEnvironment("VALVESHELF_FUZZ_EVENTS", 0);
   int64_t Worlds = 0, Broken = 0;
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0, Overloads = 0, Copies = 0;
-  int64_t Restarts = 0, LaterRounds = 0;
+  int64_t Restarts = 0, LaterRounds = 0, StartsWhileCutOff = 0;
 
   WorldSeries(int64_t UsualEvents, Scenario With) {
     Events = Events == 0 ? UsualEvents : Events;
@@ -1385,6 +1469,7 @@
     Copies += One.Copies;
     Restarts += One.Restarts;
     LaterRounds += One.LaterRounds;
+    StartsWhileCutOff += One.StartsWhileCutOff;
     Broken += One.Violations.empty() ? 0 : 1;
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1433,6 +1518,14 @@
   EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
 }
 
+// Guards against leases and starts of a scheduler that is cut off, beyond what its successor waits
+// for, and against jobs that it learns of first.
+TEST(SchedulerFuzz, HoldsItsInvariantsWhileSchedulersAreCutOffWithWorkers) {
+  const WorldSeries Played(400000, Scenario::Partitions);
+  EXPECT_GT(Played.StartsWhileCutOff, Played.Worlds);
+  EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
+}
+
 TEST(SchedulerFuzz, SeedsThatLoseAWorkerUnderAPlannedGang) {
   // The plans of the other members must not stay booked.
   for (const uint64_t Seed : {5790U}) {
@@ -1570,6 +1663,17 @@
   expectHolds({6170U, 9607U, 3000560U, 3002749U});
 }
 
+// Guards against an organisation over its maximum while a scheduler is cut off: each side starts
+// within it (1088206, 4088130), or runs of an ended job are on a worker that has not reported
+// (1088248).
+TEST(SchedulerFuzz, SeedsThatExceedAMaximumInAPartition) {
+  for (const uint64_t Seed : {1088206U, 1088248U, 4088130U}) {
+    World One(Seed, Scenario::Partitions);
+    One.play(20000);
+    EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
+  }
+}
+
 // An end that is forgotten (2001881, 2003436), a worker over its capacity (3319, 2005485), a task
 // that goes on crashing workers (2001412, 2003478) and a sound job that is given up (2004628).
 // Their causes are not known.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -228,6 +228,17 @@
     noteNeverStarted(Cell, Run.Task, On, Out);
 }
 
+// True if the report has a run of a job that is neither known nor known to have ended. The
+// scheduler before may have learned of it first.
+bool namesUnknownJob(const CellState &Cell, const WorkerReport &Report) {
+  const auto IsUnknown = [&](const auto &Row) {
+    const JobId Job = Row.Run.Task.Step.Job;
+    return !Cell.Jobs.count(Job) && !Cell.EndedJobs.count(Job);
+  };
+  return std::any_of(Report.Active.begin(), Report.Active.end(), IsUnknown) ||
+         std::any_of(Report.Ended.begin(), Report.Ended.end(), IsUnknown);
+}
+
 // Drops runs that were stopped before they started: the worker lists neither them nor their ends.
 void dropNeverStarted(CellState &Cell, Worker &On, const WorkerReport &Report, TimePoint AskedAt,
                       TimePoint Now, Effects &Out) {
@@ -275,6 +286,15 @@
   queueStep(Cell, Cell.Jobs.at(Step->Key.Job), *Step, Now);
 }
 
+// The order may have been carried out, and is not sent again.
+void stopUncertainStart(CellState &Cell, Worker &On, const RunKey &Run, TimePoint Now,
+                        Effects &Out) {
+  StepState *Step = findStep(Cell, Run.Task.Step);
+  if (Step && Step->Spec->Gang)
+    return stopGang(Cell, *Step, Run.Run, "a member's start is uncertain", Now, Out);
+  stopAttempt(Cell, On, Run, "its start is uncertain", Now, Out);
+}
+
 // Repeats a start order that got no answer, with the same run number and the latest checkpoint. The
 // caller limits the repeats.
 void resendStart(CellState &Cell, Worker &On, const RunKey &Run, Attempt &Entry, Effects &Out) {
@@ -488,6 +508,9 @@
   noteLife(On->Life, Stated, Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
+  On->AwaitsJobs = !On->HasReported && Cell.PredecessorMayStart && namesUnknownJob(Cell, Report);
+  if (On->AwaitsJobs)
+    return Order;
   std::vector<RunKey> Released;
   if (!On->HasReported) {
     Released = settleEarlierLives(Cell, *On, Report, Now, Out);
@@ -530,6 +553,8 @@
   if (!On)
     return;
   noteLostBeforeReport(Cell, *On, How);
+  if (Cell.UnreportedWorkers.count(Id))
+    Cell.LostUnreportedAt = Now;
   dropAttempts(Cell, *On, How, Now, Out);
   const std::vector<std::string> Earlier =
       How == WorkerEnd::Replaced ? earlierLivesOf(Cell, *On) : std::vector<std::string>();
@@ -598,10 +623,21 @@
   // The refusal of a repeated order does not prove that the first one was not carried out.
   if (Answer != StartResult::Unknown && Entry.Sends == 1)
     return startRefused(Cell, *On, Run, Answer, Now, Out);
-  StepState *Step = findStep(Cell, Run.Task.Step);
-  if (Step && Step->Spec->Gang)
-    return stopGang(Cell, *Step, Run.Run, "a member's start is uncertain", Now, Out);
-  stopAttempt(Cell, *On, Run, "its start is uncertain", Now, Out);
+  stopUncertainStart(Cell, *On, Run, Now, Out);
+}
+
+void startWithheld(CellState &Cell, const std::string &Id, const RunKey &Run, TimePoint Now,
+                   Effects &Out) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return;
+  const auto Found = On->Attempts.find(Run);
+  if (Found == On->Attempts.end())
+    return;
+  if (Found->second.Phase == AttemptPhase::Starting && Found->second.Sends == 1)
+    startRefused(Cell, *On, Run, StartResult::RefusedExpired, Now, Out);
+  else if (Found->second.Phase == AttemptPhase::Uncertain)
+    stopUncertainStart(Cell, *On, Run, Now, Out);
 }
 
 void stopAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, bool Acked,
@@ -736,11 +772,12 @@
   const bool CheckForStalls = Now >= Cell.NextStallScan;
   if (CheckForStalls)
     Cell.NextStallScan = Now + StallCheckInterval;
+  const TimePoint Certain = std::min(Now, Cell.ConfirmedAt.value_or(Now));
   std::vector<std::string> Over;
   std::vector<std::string> SettledLives;
   for (auto &[Id, On] : Cell.Workers) {
     if (On.IsEarlierLife) {
-      if (On.Attempts.empty() || Now > On.LeaseEnd)
+      if (On.Attempts.empty() || Certain > On.LeaseEnd)
         SettledLives.push_back(Id);
       continue;
     }
@@ -748,7 +785,7 @@
         Now - On.ReportRequestedAt >= RestartReportDelay)
       requestReport(On, Now, Out);
     countSilence(Cell, On, Now, Out);
-    const bool Lapsed = !On.IsResponsive && Now > On.LeaseEnd;
+    const bool Lapsed = !On.IsResponsive && Certain > On.LeaseEnd;
     if ((Lapsed && !On.Listed) || canBeForgotten(On))
       Over.push_back(Id);
     else if (Lapsed) {
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -13,6 +13,7 @@
 import time
 
 from cell import BIN, Process, call, free_ports
+from proxy import Proxy, ProxyThread
 
 HOST = "queue.example"
 PREFIXES = {"check": "/check/", "scan": "/scan/", "rebuild": "/rebuild/", "nowhere": "/nowhere/"}
@@ -260,3 +261,19 @@
             if process.alive():
                 process.signal(signal.SIGCONT)
                 process.kill()
+
+
+def put_store_behind_proxies(cell):
+    """Starts all entries again, each with a proxy of its own before the store; returns the proxies by
+    entry."""
+    proxies, thread = {}, ProxyThread()
+    for entry in cell.entries.values():
+        entry.kill()
+        proxies[entry.name] = proxy = Proxy(free_ports(1)[0])
+        proxy.target = cell.platform.address
+        thread.add(proxy)
+        cell.point(entry.name, store=proxy.port)
+    for entry in cell.entries.values():
+        entry.start()
+    cell.wait_ready(30)
+    return proxies
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -13,6 +13,7 @@
 
 #include <cmath>
 #include <iostream>
+#include <limits>
 #include <set>
 
 namespace standins {
@@ -277,6 +278,9 @@
   bool Mute = false;        ///< It carries orders out and answers nothing.
   bool Late = false;        ///< It carries orders out late and answers nothing.
   bool Draining = false;
+  /// Calls with other fencing tokens don't reach it: it is on one side of a partition.
+  uint64_t LeastToken = 0;
+  uint64_t MostToken = std::numeric_limits<uint64_t>::max();
   double Slowness = 1; ///< Factor on the time that its runs take.
   std::map<RunKey, Resources> Needs;
 };
@@ -451,6 +455,9 @@
     if (Meant != To->Model.Id)
       co_return answer(421, json::object());
     const json::object Body = parsed(Made.Body);
+    const auto Token = static_cast<uint64_t>(numberOf(Body, "fencing_token"));
+    if (Token < To->LeastToken || Token > To->MostToken)
+      co_return HttpResponse{0, {}, ""};
     const bool IsLate = To->Late;
     if (IsLate) {
       SteadyTimer Timer(Io, LateBy);
@@ -771,6 +778,12 @@
     Workers.LongRunOneIn = numberOf(Body, "long_runs_one_in");
     Workers.LongRunTimes = numberOf(Body, "times", 1);
   }
+  if (Body.contains("tokens_of")) {
+    Seat &Which = *Workers.Seats.at(static_cast<size_t>(numberOf(Body, "tokens_of")));
+    Which.LeastToken = static_cast<uint64_t>(numberOf(Body, "least", 0));
+    Which.MostToken =
+        static_cast<uint64_t>(numberOf(Body, "most", std::numeric_limits<int64_t>::max()));
+  }
   for (const json::value &Id : rowsOf(Body, "shown_completed"))
     if (const auto Job = parseJobId(Id.as_string()))
       Workers.showCompleted(*Job);
