Leadership: a successor that waits publishes no roster meanwhile

What callers would see: a task on two workers, after two takeovers in a row. If it published a roster and was lost, a member of that roster would take over without the longer wait, and the first scheduler, which has never heard of it, could still be there.

Change: the roster is not written before that time; a further claimant is then in the first scheduler's roster, tells one of its members, or waits as well.

--- a/src/cell/compacted_history_test.cpp
+++ b/src/cell/compacted_history_test.cpp
@@ -88,7 +88,7 @@
     Given.Store.put(memberKey(Name), encodeMember({Name, {"127.0.0.1", 2}, "z", 1}), 0);
   Roster Standing;
   auto List = std::make_shared<MemberList>(
-      Given.Io.get_executor(), Given.Store.ops(), Given.Settings, 0,
+      Given.Io.get_executor(), Given.Store.ops(), Given.Settings, 0, Milliseconds(0),
       MemberList::Callbacks{[] {}, [&]() -> const Roster & { return Standing; }});
   List->start();
   Given.play(30ms);
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -21,9 +21,10 @@
 constexpr Milliseconds RetryDelay{150};
 // Renewals in the lifetime of a lease; two may be lost.
 constexpr int RenewalsPerLease = 4;
-// Peers are asked to confirm a term that the store has not confirmed for longer than this, at this
-// interval.
-constexpr Milliseconds MaxRenewalAge{750};
+// Peers are asked to confirm the term if it was last confirmed longer ago than this; two renewals
+// may be late.
+constexpr Milliseconds MaxConfirmationAge{750};
+// Interval at which that is checked.
 constexpr Milliseconds ConfirmInterval{250};
 // Time limit for saving pending state before leadership is given up.
 constexpr Milliseconds FlushTimeout{600};
@@ -184,7 +185,7 @@
   co_return State->Answers;
 }
 
-// While renewals are not answered: asks all members that could take over whether one has.
+// While renewals get no answer, asks all other members of the roster whether one has taken over.
 Awaitable<void> Leadership::confirmLoop(std::shared_ptr<SchedulerRunner> Current,
                                         std::shared_ptr<MemberList> List, Claim Own) {
   while (Runner == Current) {
@@ -193,7 +194,7 @@
     // The roster is known once the own claim, which is newer, has been read.
     const bool KnowsRoster = View.snapshot().LeaderRevision == Own.LeaderRevision;
     if (Runner != Current || !KnowsRoster ||
-        AskedAt - Current->leadershipConfirmedAt() <= MaxRenewalAge)
+        AskedAt - Current->leadershipConfirmedAt() <= MaxConfirmationAge)
       continue;
     const auto Asked =
         membersToAsk(View.snapshot().Roster, List->possiblyWritten(), Tools.Settings.Member);
@@ -361,8 +362,9 @@
       View.setAllMembers(AllMembers->members());
   };
   ListCallbacks.CurrentRoster = [this]() -> const Roster & { return View.snapshot().Roster; };
-  AllMembers = std::make_shared<MemberList>(Tools.Where, Tools.Store, Tools.Settings,
-                                            Own.LeaderRevision, std::move(ListCallbacks));
+  AllMembers =
+      std::make_shared<MemberList>(Tools.Where, Tools.Store, Tools.Settings, Own.LeaderRevision,
+                                   Own.PredecessorOutage, std::move(ListCallbacks));
   AllMembers->start();
   const auto Current = Runner;
   spawnLater(Tools.Where, confirmLoop(Current, AllMembers, Own));
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -88,9 +88,8 @@
   TimePoint LastHandOverAt{};
   TimePoint LastDirectlyReachable{}; ///< When the store last served this process without a relay.
   TermHistory Terms;                 ///< Changes of term that this process has seen.
-  uint64_t NewestClaim =
-      0; ///< The newest term that this process or, as it said, a peer has claimed.
-  uint64_t FailedTerm = 0; ///< Term of a scheduler that is considered failed; 0: none.
+  uint64_t NewestClaim = 0; ///< The newest term known to be claimed, by this process or a peer.
+  uint64_t FailedTerm = 0;  ///< Term of a scheduler that is considered failed; 0: none.
   bool Probing = false;
   bool ProbedAtStart = false; ///< The first known scheduler has been probed.
   std::shared_ptr<SchedulerRunner> Runner;
--- a/src/cell/member_list.cpp
+++ b/src/cell/member_list.cpp
@@ -14,12 +14,17 @@
 constexpr Milliseconds BatchDelay{250};
 // Between two updates of the roster, each of which is sent to every process.
 constexpr Milliseconds PublishInterval{500};
+
+void addMembers(std::map<std::string, Member> &To, const Roster &From) {
+  for (const Member &One : From.Members)
+    To[One.Name] = One;
+}
 } // namespace
 
 MemberList::MemberList(Executor Where, KeyValueStore Store, const CellSettings &Settings,
-                       uint64_t LeaderRevision, Callbacks Owner)
+                       uint64_t LeaderRevision, Milliseconds PublishDelay, Callbacks Owner)
     : Where(Where), Store(std::move(Store)), Settings(Settings), LeaderRevision(LeaderRevision),
-      Owner(std::move(Owner)) {}
+      PublishDelay(PublishDelay), Owner(std::move(Owner)) {}
 
 void MemberList::start() {
   spawnLater(Where, watchLoop(shared_from_this()));
@@ -84,6 +89,7 @@
 }
 
 Awaitable<void> MemberList::publishLoop(Self Me) {
+  co_await sleepFor(Me->PublishDelay);
   while (!Me->Stopped) {
     const bool Known = Me->Revision != 0 && !Me->Members.empty();
     if (auto Next = Known ? nextRoster(Me->Owner.CurrentRoster(), Me->Members) : std::nullopt) {
@@ -91,14 +97,12 @@
       Write.Conditions.push_back({std::string(LeaderKey), Me->LeaderRevision});
       Write.Puts.push_back({std::string(RosterKey), encodeRoster(*Next), 0, 0});
       const auto Before = Me->PossiblyWritten;
-      for (const Member &One : Next->Members)
-        Me->PossiblyWritten[One.Name] = One;
+      addMembers(Me->PossiblyWritten, *Next);
       // A failed write is repeated in the next round; the watch delivers the result.
       Result<TransactionResult> Written = co_await Me->Store.Commit(std::move(Write));
       if (ok(Written) && value(Written).Applied && !Me->IsWriteUncertain) {
         Me->PossiblyWritten.clear();
-        for (const Member &One : Next->Members)
-          Me->PossiblyWritten[One.Name] = One;
+        addMembers(Me->PossiblyWritten, *Next);
       } else if (!ok(Written) && error(Written).Kind == ErrorKind::StoreUnavailable) {
         Me->PossiblyWritten = Before; // nothing was written
       } else if (!ok(Written)) {
--- a/src/cell/member_list.h
+++ b/src/cell/member_list.h
@@ -21,9 +21,11 @@
     std::function<void()> Changed;                        ///< Called after each change of the list.
     std::function<const sched::Roster &()> CurrentRoster; ///< As last read from the store.
   };
-  /// The roster is only written while the leader key is at \p LeaderRevision.
+  /// The roster is only written while the leader key is at \p LeaderRevision, and not before
+  /// \p PublishDelay: until then the members of the roster before may confirm the scheduler before,
+  /// and a further claimant has to tell one of them.
   MemberList(Executor Where, KeyValueStore Store, const CellSettings &Settings,
-             uint64_t LeaderRevision, Callbacks Owner);
+             uint64_t LeaderRevision, Milliseconds PublishDelay, Callbacks Owner);
   void start();
   void stop() { Stopped = true; }
   /// By name; empty until the list has been read.
@@ -42,6 +44,7 @@
   const KeyValueStore Store;
   const CellSettings &Settings;
   const uint64_t LeaderRevision;
+  const Milliseconds PublishDelay;
   const Callbacks Owner;
   std::map<std::string, sched::Member> Members;
   std::map<std::string, sched::Member> PossiblyWritten;
--- a/src/cell/roster_test.cpp
+++ b/src/cell/roster_test.cpp
@@ -201,8 +201,8 @@
     Store.put(memberKey(Name), encodeMember(One), 0);
   Roster Current;
   MemberList::Callbacks ListCallbacks{[] {}, [&]() -> const Roster & { return Current; }};
-  auto List =
-      std::make_shared<MemberList>(Io.get_executor(), Store.ops(), Settings, Leader, ListCallbacks);
+  auto List = std::make_shared<MemberList>(Io.get_executor(), Store.ops(), Settings, Leader,
+                                           Milliseconds(0), ListCallbacks);
   List->start();
   Io.run_for(700ms);
   EXPECT_EQ(List->members().size(), 40u);
@@ -218,5 +218,53 @@
   Io.run_for(2s);
 }
 
+// Guards against a claimant that is in the roster of a scheduler whose own predecessor may still go
+// on and has never heard of it: that one's roster stays until it can't.
+TEST(MemberList, PublishesNoRosterBeforeThePredecessorHasEnded) {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store(Io);
+  CellSettings Settings;
+  Store.put(std::string(LeaderKey), "me", 0);
+  Store.put(memberKey("a"), encodeMember({"a", {"127.0.0.1", 1}, "z", 1}), 0);
+  Roster Current;
+  MemberList::Callbacks ListCallbacks{[] {}, [&]() -> const Roster & { return Current; }};
+  auto List = std::make_shared<MemberList>(Io.get_executor(), Store.ops(), Settings, 2,
+                                           Milliseconds(400), ListCallbacks);
+  List->start();
+  Io.run_for(300ms);
+  EXPECT_EQ(List->members().size(), 1u);
+  EXPECT_TRUE(Store.value(std::string(RosterKey)).empty());
+  EXPECT_TRUE(List->possiblyWritten().empty());
+  Io.run_for(600ms);
+  EXPECT_FALSE(Store.value(std::string(RosterKey)).empty());
+  EXPECT_EQ(List->possiblyWritten().size(), 1u);
+  List->stop();
+  Io.run_for(2s);
+}
+
+// A write of the roster that got no answer may still be applied: its members are kept.
+TEST(MemberList, KeepsTheMembersOfARosterThatMayHaveBeenWritten) {
+  boost::asio::io_context Io;
+  fakes::FakeKeyValueStore Store(Io);
+  CellSettings Settings;
+  Settings.Timing.WatchTime = 50ms;
+  Store.put(std::string(LeaderKey), "me", 0);
+  for (const char *Name : {"a", "b"})
+    Store.put(memberKey(Name), encodeMember({Name, {"127.0.0.1", 1}, "z", 1}), 0);
+  Roster Current;
+  MemberList::Callbacks ListCallbacks{[] {}, [&]() -> const Roster & { return Current; }};
+  auto List = std::make_shared<MemberList>(Io.get_executor(), Store.ops(), Settings, 2,
+                                           Milliseconds(0), ListCallbacks);
+  Store.LoseAnswers = 1;
+  List->start();
+  Io.run_for(700ms);
+  Store.remove(memberKey("b"));
+  Io.run_for(1500ms);
+  EXPECT_EQ(List->members().size(), 1u);
+  EXPECT_EQ(List->possiblyWritten().size(), 2u);
+  List->stop();
+  Io.run_for(2s);
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -193,7 +193,8 @@
   bool Listed = false;               ///< The platform lists it.
   bool IsSelected = false;  ///< To be used: it is recorded in the store, then asked for its runs.
   bool HasReported = false; ///< It has reported to this scheduler; its attempts are known.
-  /// Its reports name jobs that are not known yet. They are taken once these can't exist.
+  /// Its first report names a job that is not known yet: it is asked again until the job is known
+  /// or can't exist.
   bool AwaitsJobs = false;
   bool IsResponsive = true;   ///< The last call to it was answered.
   bool IsRecorded = false;    ///< The store records that it may hold runs of this cell.
