Leadership: new jobs need not wait once the claim before has lapsed

Cause: each scheduler took the jobs of its first 2.4 s for possibly started by the one before, also where that one's claim had lapsed 1.5 s after its last renewal.

Change: starts need a confirmation within 1.4 s, less than the lease of a claim; a key that is gone then means that nothing is started by a renewal any more, nor by peers 1.5 s after this process has last confirmed. A claim overwrites the key of a failed scheduler as before, ends its lease before the state is loaded, and names it in the term key for the next claimant, in case it is lost in between.

Leadership.* and SchedulerRunner.* pass, 44 tests.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace valveshelf {
 using namespace sched;
@@ -39,6 +40,25 @@
 constexpr Milliseconds IndirectHandOverDelay{1000};
 constexpr Milliseconds MinTermDuration{2000};
 constexpr Milliseconds MinHandOverInterval{10000};
+
+// The value of the term key: the newest term and, if its claim has overwritten the key of a
+// scheduler whose lease had not ended, that lease. Whoever claims next ends it too, in case nobody
+// has yet.
+struct StoredTerm {
+  uint64_t Term = 0;
+  uint64_t OverwrittenLease = 0; ///< 0: none.
+};
+
+std::string encodeTerm(const StoredTerm &Value) {
+  const std::string Term = std::to_string(Value.Term);
+  return Value.OverwrittenLease == 0 ? Term : Term + " " + std::to_string(Value.OverwrittenLease);
+}
+
+StoredTerm decodeTerm(const std::string &Text) {
+  StoredTerm Value;
+  std::istringstream(Text) >> Value.Term >> Value.OverwrittenLease;
+  return Value;
+}
 } // namespace
 
 Leadership::Leadership(const SchedulerDependencies &Tools, CellView &View,
@@ -154,6 +174,8 @@
   // A process that has restarted knows the newest term once it has read it.
   const bool IsNewest =
       !IsClaimed && !Stopped && !Runner && Known && Known->Term == Term && NewestClaim <= Term;
+  if (IsNewest)
+    LastConfirmedAt = Tools.Time.Now();
   return {Tools.Settings.Member, IsNewest};
 }
 
@@ -208,26 +230,30 @@
   }
 }
 
-// Tells members of the stored roster that this process has claimed \p Term. They no longer confirm
-// the term before, nor does this process if it is one of them. If none can be told, returns how
-// much longer the scheduler before may go on.
-Awaitable<Milliseconds> Leadership::announceClaim(uint64_t Term) {
+// True if no claim has to be announced: this process is a member of the stored roster, or there is
+// none, without which no peer confirms a term.
+Awaitable<bool> Leadership::isInStoredRoster() {
   Result<KeyValue> Read = Error{};
   while (!ok(Read) && !Stopped) {
     Read = co_await Tools.Store.Get(std::string(RosterKey));
     if (!ok(Read))
       co_await sleepFor(RetryDelay);
   }
+  StoredRoster = {};
   if (!ok(Read) || value(Read).Value.empty())
-    co_return Milliseconds(0); // there was no roster, without which no peer confirms a term
-  const Result<Roster> Stored = decodeRoster(value(Read).Value);
+    co_return true;
+  if (const Result<Roster> Stored = decodeRoster(value(Read).Value); ok(Stored))
+    StoredRoster = value(Stored);
+  co_return std::any_of(StoredRoster.Members.begin(), StoredRoster.Members.end(),
+                        [&](const Member &One) { return One.Name == Tools.Settings.Member; });
+}
+
+// Tells members of the stored roster that this process has claimed \p Term: they no longer confirm
+// the term before. If none can be told, returns how much longer the scheduler before may go on.
+Awaitable<Milliseconds> Leadership::announceClaim(uint64_t Term) {
   std::map<std::string, Member> Others;
-  if (ok(Stored))
-    for (const Member &One : value(Stored).Members) {
-      if (One.Name == Tools.Settings.Member)
-        co_return Milliseconds(0);
-      Others[One.Name] = One;
-    }
+  for (const Member &One : StoredRoster.Members)
+    Others[One.Name] = One;
   const std::vector<TermAnswer> Answers = co_await askMembers(Others, Term, true, 1);
   if (!Answers.empty())
     co_return Milliseconds(0);
@@ -238,15 +264,15 @@
   co_return Wait;
 }
 
-// Ends the lease of a scheduler that is considered failed, so that none of its renewals is answered
-// once this process has claimed. \p Lease 0: there is none.
-Awaitable<Result<Done>> Leadership::endLease(uint64_t Lease) {
-  if (Lease == 0)
-    co_return Done{};
-  Result<Done> Ended = co_await Tools.Store.RevokeLease(Lease);
-  if (!ok(Ended) && error(Ended).Kind != ErrorKind::NotFound)
-    co_return error(Ended);
-  co_return Done{};
+// Ends the lease of a scheduler whose key this process has overwritten, so that none of its
+// renewals is answered from now on. \p Lease 0: there is none.
+Awaitable<void> Leadership::endLease(uint64_t Lease) {
+  while (Lease != 0 && !Stopped) {
+    Result<Done> Ended = co_await Tools.Store.RevokeLease(Lease);
+    if (ok(Ended) || error(Ended).Kind == ErrorKind::NotFound)
+      co_return;
+    co_await sleepFor(RetryDelay);
+  }
 }
 
 // True if another member should take over and can.
@@ -274,8 +300,11 @@
 // Saves pending state and ends the lease, so that another process can claim at once.
 Awaitable<void> Leadership::handOver(std::shared_ptr<SchedulerRunner> Current) {
   co_await Current->flush(FlushTimeout);
+  // A successor takes a key that is gone for one of a scheduler whose predecessors have ended.
+  const bool MayEndLease = !Current->mayPredecessorStart();
   Current->stop();
-  co_await Tools.Store.RevokeLease(CurrentLease);
+  if (MayEndLease)
+    co_await Tools.Store.RevokeLease(CurrentLease);
 }
 
 Milliseconds Leadership::ownClaimDelay() const {
@@ -294,8 +323,18 @@
     co_await sleepFor(ownClaimDelay());
     if (!mayClaim() || Stopped)
       continue;
-    Result<Claim> Own = co_await claim(View.snapshot().LeaderRevision, View.snapshot().LeaderLease);
+    const uint64_t LeaseBefore = View.snapshot().LeaderLease;
+    const uint64_t RevisionBefore = View.snapshot().LeaderRevision;
+    Result<Claim> Own = co_await claim(RevisionBefore, LeaseBefore);
     if (ok(Own) && !Stopped) {
+      bool HadLease = false;
+      for (const uint64_t Lease : value(Own).LeasesBefore) {
+        HadLease = HadLease || Lease != 0;
+        co_await endLease(Lease);
+      }
+      // A key that was gone has lapsed, or its owner has ended its term.
+      if (RevisionBefore == 0 && !HadLease)
+        value(Own).PredecessorConfirmedAt = LastConfirmedAt;
       co_await runTerm(value(Own));
       continue;
     }
@@ -306,31 +345,27 @@
 }
 
 // \p ExpectedRevision is the revision of the leader key when the claim was decided on, \p
-// LeaseBefore the lease that the key is bound to. The claim fails if another process has written
-// the key since.
+// LeaseBefore the lease that it is bound to. The claim fails if another process has written the key
+// since.
 Awaitable<Result<Claim>> Leadership::claim(uint64_t ExpectedRevision, uint64_t LeaseBefore) {
   using namespace boost::asio::experimental::awaitable_operators;
-  const auto [Ended, Term, Lease] =
-      co_await (endLease(LeaseBefore) && Tools.Store.Get(std::string(TermKey)) &&
-                Tools.Store.GrantLease(Tools.Settings.Timing.LeaderLease));
-  if (!ok(Ended))
-    co_return error(Ended);
+  const auto [Term, Lease] = co_await (Tools.Store.Get(std::string(TermKey)) &&
+                                       Tools.Store.GrantLease(Tools.Settings.Timing.LeaderLease));
   if (!ok(Term))
     co_return error(Term);
   if (!ok(Lease))
     co_return error(Lease);
-  if (LeaseBefore != 0)
-    ExpectedRevision = 0; // the key is gone with its lease
-  const std::string &Last = value(Term).Value;
+  const StoredTerm Last = decodeTerm(value(Term).Value);
   Claim Own;
   Own.Lease = value(Lease);
-  Own.Term = (Last.empty() ? 0 : std::stoull(Last)) + 1;
+  Own.Term = Last.Term + 1;
+  Own.LeasesBefore = {LeaseBefore, Last.OverwrittenLease};
   const Leader Self{Tools.Settings.Member, Tools.Settings.Peers, Own.Term};
   Transaction Put;
   Put.Conditions.push_back({std::string(LeaderKey), ExpectedRevision});
   Put.Conditions.push_back({std::string(TermKey), value(Term).Revision});
   Put.Puts.push_back({std::string(LeaderKey), encodeLeader(Self), 0, Own.Lease});
-  Put.Puts.push_back({std::string(TermKey), std::to_string(Own.Term), 0, 0});
+  Put.Puts.push_back({std::string(TermKey), encodeTerm({Own.Term, LeaseBefore}), 0, 0});
   Own.SentAt = Tools.Time.Now();
   Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
   // If the write was applied after all, the lease expires or the key is this process's own.
@@ -346,7 +381,10 @@
 
 Awaitable<void> Leadership::runTerm(Claim Own) {
   NewestClaim = std::max(NewestClaim, Own.Term);
-  Own.PredecessorOutage = co_await announceClaim(Own.Term);
+  if (!co_await isInStoredRoster()) {
+    Own.PredecessorConfirmedAt.reset(); // a member may have confirmed the scheduler before just now
+    Own.PredecessorOutage = co_await announceClaim(Own.Term);
+  }
   bool RunnerEnded = false;
   Runner = std::make_shared<SchedulerRunner>(Tools, Own, [&RunnerEnded] { RunnerEnded = true; });
   CurrentLease = Own.Lease;
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -74,7 +74,8 @@
   void notifyStrongerMembers(const sched::Leader &Failed);
   std::vector<sched::Member> membersByPower() const;
   Awaitable<bool> hasBetterCandidate(TimePoint TermStart);
-  Awaitable<Result<Done>> endLease(uint64_t Lease);
+  Awaitable<void> endLease(uint64_t Lease);
+  Awaitable<bool> isInStoredRoster();
   Awaitable<Milliseconds> announceClaim(uint64_t Term);
   Awaitable<std::vector<TermAnswer>> askMembers(std::map<std::string, sched::Member> Members,
                                                 uint64_t Term, bool IsClaimed, size_t Enough);
@@ -88,6 +89,8 @@
   TimePoint LastHandOverAt{};
   TimePoint LastDirectlyReachable{}; ///< When the store last served this process without a relay.
   TermHistory Terms;                 ///< Changes of term that this process has seen.
+  TimePoint LastConfirmedAt{};       ///< When this process last confirmed another's term.
+  sched::Roster StoredRoster;        ///< As read after the last claim.
   uint64_t NewestClaim = 0; ///< The newest term known to be claimed, by this process or a peer.
   uint64_t FailedTerm = 0;  ///< Term of a scheduler that is considered failed; 0: none.
   bool Probing = false;
--- a/src/cell/leadership_evidence.h
+++ b/src/cell/leadership_evidence.h
@@ -22,9 +22,10 @@
 
 namespace valveshelf {
 
-/// A scheduler starts nothing unless its leadership was confirmed within this time. A successor
-/// takes jobs that were accepted until then for possibly started.
-inline constexpr Milliseconds MaxStartEvidenceAge{2000};
+/// A scheduler starts nothing unless its leadership was confirmed within this time. It is shorter
+/// than the lease of a claim: once that has lapsed, nothing is started on the strength of a
+/// renewal. A successor takes jobs that were accepted until then for possibly started.
+inline constexpr Milliseconds MaxStartEvidenceAge{1400};
 
 /// Invariant: RenewedAt <= ConfirmedAt, both in the past.
 struct LeadershipEvidence {
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -340,7 +340,7 @@
 
 // Guards against renewals that the store answers to a scheduler which has been replaced: they would
 // confirm it.
-TEST(Leadership, EndsTheLeaseOfAFailedSchedulerBeforeItClaims) {
+TEST(Leadership, EndsTheLeaseOfAFailedSchedulerBeforeItLoads) {
   Bench Given("b");
   const KeyValueStore Ops = Given.Store.ops();
   uint64_t Lease = 0;
@@ -354,7 +354,7 @@
   Given.PeerListens = false;
   Given.View->start();
   Given.Lead->start();
-  ASSERT_TRUE(Given.runUntil([&] { return Given.leaderName() == "b"; }));
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
   bool IsRenewed = true;
   bool HasAnswer = false;
   spawnLater(
@@ -383,5 +383,50 @@
   }
 }
 
+// Guards against renewals that are answered after a claimant has overwritten the key and was lost:
+// the next one ends the lease that the term key names.
+TEST(Leadership, EndsTheLeaseThatAnEarlierClaimHasOverwritten) {
+  Bench Given("b");
+  const KeyValueStore Ops = Given.Store.ops();
+  uint64_t Lease = 0;
+  spawnLater(Given.Io.get_executor(), [](KeyValueStore Ops, uint64_t &Lease) -> Awaitable<void> {
+    Lease = value(co_await Ops.GrantLease(1500ms));
+  }(Ops, Lease));
+  ASSERT_TRUE(Given.runUntil([&] { return Lease != 0; }));
+  Given.Io.restart(); // it stopped when nothing was left to do
+  Given.Store.put(std::string(TermKey), "3 " + std::to_string(Lease), 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
+  EXPECT_TRUE(Given.Lead->scheduler()->mayPredecessorStart());
+  bool IsRenewed = true;
+  bool HasAnswer = false;
+  spawnLater(
+      Given.Io.get_executor(),
+      [](KeyValueStore Ops, uint64_t Lease, bool &IsRenewed, bool &HasAnswer) -> Awaitable<void> {
+        IsRenewed = ok(co_await Ops.RenewLease(Lease));
+        HasAnswer = true;
+      }(Ops, Lease, IsRenewed, HasAnswer));
+  ASSERT_TRUE(Given.runUntil([&] { return HasAnswer; }));
+  EXPECT_FALSE(IsRenewed);
+}
+
+// Guards against new jobs that wait, for workers that can't be reached, for a scheduler that has
+// certainly ended.
+TEST(Leadership, ASchedulerWhoseClaimHasLapsedStartsNothingMore) {
+  for (const bool HasLapsed : {true, false}) {
+    Bench Given("b");
+    Given.Store.put(std::string(TermKey), "3", 0);
+    if (!HasLapsed)
+      Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+    Given.PeerListens = false;
+    Given.View->start();
+    Given.Lead->start();
+    ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+    EXPECT_EQ(Given.Lead->scheduler()->mayPredecessorStart(), !HasLapsed);
+  }
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -207,6 +207,7 @@
   loadRunTimes(value(Runs));
   loadWorkers(value(Listed), value(Runs));
   loadJobs(value(Intake), value(Runs));
+  noteIntakeKnown(Begun);
   const SelfPtr Self = shared_from_this();
   spawnLater(Deps.Where, watchIntake(Self, value(Intake).Revision));
   WorkerListRevision = value(Listed).Revision;
@@ -300,8 +301,8 @@
 TimePoint SchedulerRunner::predecessorStartsUntil(TimePoint LoadedAt) const {
   const std::chrono::duration<double, std::milli> Time =
       MaxStartEvidenceAge + OwnClaim.PredecessorOutage;
-  return LoadedAt + std::chrono::ceil<Milliseconds>(Time * (1 + 2 * Cell.Limits.ClockDrift)) +
-         Cell.Limits.LeaseMargin;
+  return std::min(LoadedAt, OwnClaim.PredecessorConfirmedAt.value_or(LoadedAt)) +
+         std::chrono::ceil<Milliseconds>(Time * (1 + 2 * Cell.Limits.ClockDrift));
 }
 
 // Until the scheduler before can start nothing more, a watch ends in time for the one that settles
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -26,6 +26,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 namespace valveshelf {
 
@@ -52,9 +53,13 @@
   uint64_t LeaderRevision = 0; ///< Of the leader key that this process wrote.
   uint64_t Lease = 0;
   TimePoint SentAt{}; ///< When the claim was sent.
+  /// Of earlier schedulers, to be ended before the state is loaded; 0: none.
+  std::vector<uint64_t> LeasesBefore;
   /// How much longer than for a lease to wait for workers that can't be reached: the scheduler
   /// before may have gone on without the store.
   Milliseconds PredecessorOutage{0};
+  /// When the scheduler before may last have been confirmed; empty: until this one has loaded.
+  std::optional<TimePoint> PredecessorConfirmedAt;
 };
 
 /// The scheduler of one term. Not thread-safe: all calls come from its strand.
@@ -74,6 +79,8 @@
   void leadershipConfirmedByPeers(TimePoint AskedAt);
   /// When it was last certain that no other process had taken over.
   TimePoint leadershipConfirmedAt() const { return Evidence.ConfirmedAt; }
+  /// Whether the scheduler before may still start runs that this one does not know of.
+  bool mayPredecessorStart() const { return Cell.PredecessorMayStart; }
   /// Another process has claimed a newer term.
   void replaced() { endTerm("another process has claimed leadership"); }
   /// Passes on a job that became durable at \p Revision, or a cancellation, ahead of the watch.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -80,9 +80,9 @@
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
   std::vector<uint64_t> Fences; ///< Of the start orders.
   std::vector<HeartbeatRequest> Heartbeats;
-  std::vector<Milliseconds> LeasesLeft;    ///< That heartbeats and starts gave, when they arrived.
-  bool IsRenewed = true;                   ///< The claim is renewed all the time.
-  Claim Own{1, 2, 0, {}, Milliseconds(0)}; ///< The leader key is the first of the constructor.
+  std::vector<Milliseconds> LeasesLeft; ///< That heartbeats and starts gave, when they arrived.
+  bool IsRenewed = true;                ///< The claim is renewed all the time.
+  Claim Own{.Term = 1, .LeaderRevision = 2}; ///< The leader key is the first of the constructor.
 
   Bench() {
     Settings.Member = "a";
