Workers: connections are bounded, and orders share those that are open

What callers saw: LOST.

Cause: the HTTP client kept up to 16 idle connections to each worker and closed none by itself. A worker keeps those of a lost box open, accepts 64, and resets further ones; orders and stops opened new ones although the scheduler still had one that was answered.

Change: a client may limit its connections to an endpoint. After a reset beside open connections calls take turns on these, ahead of the next long poll, which is then short.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -220,6 +220,11 @@
     "The worker has started again under its id, as its `entry` in the list, its `report` or its "
     "answer to an `order` shows: the starts of both lives (0: not stated), the runs booked on the "
     "earlier one, and its ends not yet saved."};
+const EventKind ConnectionRefused{
+    2409, "warn", "connection-refused",
+    "A worker reset a new connection before it answered: how many other connections to it are "
+    "open, which take over the call, and after how long more are tried again. The worker may have "
+    "reached its limit of connections."};
 const EventKind CallsAnswered{2407, "info", "calls-answered",
                               "Calls to workers are no longer being lost."};
 const EventKind OverloadBegun{
@@ -309,6 +314,7 @@
                               &CallsLost,
                               &CallsAnswered,
                               &WorkerRestarted,
+                              &ConnectionRefused,
                               &OverloadBegun,
                               &OverloadOver};
   return All;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// The HTTP client: a pool of idle connections, complete calls (`send`) and streamed calls (`open`).
+// The HTTP client: complete calls (`send`) and streamed calls (`open`).
+#include "http/connection_pool.h"
 #include "valveshelf/http.h"
 #include "valveshelf/steady_timer.h"
 #include "valveshelf/traffic.h"
@@ -8,11 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <array>
-#include <list>
 #include <map>
 #include <mutex>
-#include <unordered_map>
 
 namespace valveshelf {
 namespace asio = boost::asio;
@@ -22,50 +20,6 @@
 
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
-constexpr size_t MaxIdlePerEndpoint = 16;
-// Idle connections are checked for a close by the server before they are reused.
-constexpr std::chrono::seconds MaxIdleTime{60};
-
-// A connection that has been idle for less than this is reused without that check.
-constexpr Milliseconds MaxUncheckedIdleTime{20};
-// Large enough for one read to take a typical response.
-constexpr size_t ReadBufferBytes = 4096;
-
-struct Connection {
-  Connection(Executor Exec, Endpoint To) : Stream(std::move(Exec)), To(std::move(To)) {
-    Buffer.reserve(ReadBufferBytes);
-  }
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
-  const Endpoint To;
-  TimePoint IdleSince{};
-  /// Number of the latest call, so that the deadline of an earlier one can't cancel it.
-  uint64_t Call = 0;
-  bool InCall = false;
-  bool TimedOut = false; ///< The current call was canceled at its deadline.
-
-  // False if the server has closed the connection or sent data that belongs to no request.
-  bool isOpenAndQuiet() {
-    boost::system::error_code Failure;
-    char Byte = 0;
-    Stream.socket().receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek, Failure);
-    return Failure == asio::error::would_block && Buffer.size() == 0;
-  }
-
-  // Resets the connection and discards unsent data, so that the server doesn't receive it later.
-  void abort() {
-    boost::system::error_code Ignored;
-    Stream.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
-    Stream.socket().close(Ignored);
-  }
-};
-using ConnectionPtr = std::shared_ptr<Connection>;
-
-struct EndpointHash {
-  size_t operator()(const Endpoint &Value) const {
-    return std::hash<std::string>()(Value.Host) ^ (size_t{Value.Port} << 1);
-  }
-};
 
 // Cancels calls at their deadlines. One timer serves all calls, instead of one for each read and
 // write. Thread safe.
@@ -137,99 +91,15 @@
 };
 } // namespace
 
-class HttpClient::Impl : public std::enable_shared_from_this<HttpClient::Impl> {
-  using IdleList = std::list<ConnectionPtr>;
-
+class HttpClient::Impl {
 public:
   Impl(Executor Exec, HttpClientLimits Limits, TrafficMeter *Meter)
-      : Exec(Exec), Limits(Limits), Meter(Meter), CallDeadlines(std::make_shared<Deadlines>(Exec)) {
-  }
-
-  ConnectionPtr takeIdle(const Endpoint &To) {
-    std::lock_guard Lock(Mutex);
-    const auto Found = Idle.find(To);
-    if (Found == Idle.end())
-      return nullptr;
-    auto &IdleConns = Found->second;
-    while (!IdleConns.empty()) {
-      ConnectionPtr Last = *IdleConns.back();
-      IdleByAge.erase(IdleConns.back());
-      IdleConns.pop_back();
-      const auto IdleFor = Steady::now() - Last->IdleSince;
-      if (IdleFor < MaxUncheckedIdleTime || (IdleFor < MaxIdleTime && Last->isOpenAndQuiet()))
-        return Last;
-    }
-    return nullptr;
-  }
-
-  void returnIdle(ConnectionPtr Conn) {
-    std::lock_guard Lock(Mutex);
-    auto &IdleConns = Idle[Conn->To];
-    if (IdleConns.size() >= MaxIdlePerEndpoint) {
-      IdleByAge.erase(IdleConns.front());
-      IdleConns.erase(IdleConns.begin());
-    }
-    Conn->IdleSince = Steady::now();
-    IdleConns.push_back(IdleByAge.insert(IdleByAge.end(), std::move(Conn)));
-    if (IdleByAge.size() > Limits.MaxIdle)
-      closeIdleLongest();
-  }
-
-  // Closes the connections to an endpoint that have been idle since before the given time. Called
-  // after a timeout on a reused connection: after a network fault the others may be dead as well
-  // without a reset, and each would cost one more call its timeout.
-  void closeIdleBefore(const Endpoint &To, TimePoint Before) {
-    std::lock_guard Lock(Mutex);
-    const auto Found = Idle.find(To);
-    if (Found == Idle.end())
-      return;
-    std::erase_if(Found->second, [&](const IdleList::iterator &Entry) {
-      const bool IsOld = (*Entry)->IdleSince < Before;
-      if (IsOld)
-        IdleByAge.erase(Entry);
-      return IsOld;
-    });
-    if (Found->second.empty())
-      Idle.erase(Found);
-  }
+      : Pool(std::make_shared<ConnectionPool>(Exec, Limits)), Meter(Meter),
+        CallDeadlines(std::make_shared<Deadlines>(Exec)) {}
 
-  Awaitable<Result<ConnectionPtr>> connect(Endpoint To, Milliseconds Timeout) {
-    auto NewConn =
-        std::make_shared<Connection>(Limits.OneThread ? Exec : asio::make_strand(Exec), To);
-    boost::system::error_code Bad;
-    const tcp::endpoint Target(asio::ip::make_address(To.Host, Bad), To.Port);
-    NewConn->Stream.expires_after(Timeout);
-    auto [Failure] = co_await NewConn->Stream.async_connect(Target, AsTuple);
-    if (Failure) {
-      const bool Refused = Failure == asio::error::connection_refused;
-      co_return Error{ErrorKind::UpstreamUnavailable,
-                      (Refused ? "connection refused by " : "no connection to ") + toString(To)};
-    }
-    NewConn->Stream.expires_never();
-    NewConn->Stream.socket().set_option(tcp::no_delay(true));
-    NewConn->Stream.socket().non_blocking(true, Bad);
-    co_return NewConn;
-  }
-
-  const Executor Exec;
-  const HttpClientLimits Limits;
+  const std::shared_ptr<ConnectionPool> Pool;
   TrafficMeter *const Meter; ///< May be null.
   const std::shared_ptr<Deadlines> CallDeadlines;
-
-private:
-  // Requires Mutex. The first connection of each endpoint is the one idle longest.
-  void closeIdleLongest() {
-    const auto Found = Idle.find(IdleByAge.front()->To);
-    IdleByAge.pop_front();
-    Found->second.erase(Found->second.begin());
-    if (Found->second.empty())
-      Idle.erase(Found);
-  }
-
-  std::mutex Mutex;
-  IdleList IdleByAge; ///< All idle connections, oldest first. Guarded by Mutex.
-  /// Iterators into IdleByAge, oldest first within an endpoint. Guarded by Mutex.
-  std::unordered_map<Endpoint, std::vector<IdleList::iterator>, EndpointHash> Idle;
 };
 
 namespace {
@@ -365,17 +235,14 @@
 HttpClient::~HttpClient() = default;
 
 Awaitable<Result<std::shared_ptr<HttpCall>>> HttpClient::open(Endpoint To, CallOptions Options) {
-  std::shared_ptr<Impl> Pool = Inner;
-  ConnectionPtr Conn = Options.FreshConnection ? nullptr : Pool->takeIdle(To);
-  if (!Conn) {
-    Result<ConnectionPtr> NewConn = co_await Pool->connect(To, Options.Timeout);
-    if (!ok(NewConn))
-      co_return error(NewConn);
-    Conn = value(NewConn);
-  }
-  auto ReturnIdle = [Pool](ConnectionPtr Free) { Pool->returnIdle(std::move(Free)); };
+  std::shared_ptr<ConnectionPool> Pool = Inner->Pool;
+  const TimePoint Deadline = Steady::now() + Options.Timeout;
+  Result<ConnectionPtr> Taken = co_await Pool->take(To, Options, Deadline);
+  if (!ok(Taken))
+    co_return error(Taken);
+  auto ReturnIdle = [Pool](ConnectionPtr Free) { Pool->release(std::move(Free)); };
   std::shared_ptr<HttpCall> Call =
-      std::make_shared<ClientCall>(std::move(ReturnIdle), std::move(Conn), To, Options);
+      std::make_shared<ClientCall>(std::move(ReturnIdle), std::move(value(Taken)), To, Options);
   co_return Call;
 }
 
@@ -461,6 +328,12 @@
   return Failure;
 }
 
+// True if the server, or a process in front of it, has closed or reset the connection.
+bool isClosedByServer(boost::system::error_code Failure) {
+  return Failure == asio::error::connection_reset || Failure == asio::error::broken_pipe ||
+         Failure == asio::error::eof || Failure == http::error::end_of_stream;
+}
+
 // Sends the request and reads the response. A request that fits the socket's buffer is written
 // without waiting, so that a call usually waits only once, for its response.
 Awaitable<boost::system::error_code> exchange(Connection &Conn,
@@ -475,7 +348,7 @@
   }
   while (!Failure && !Into.is_done() && !Conn.TimedOut) {
     auto [Code, Bytes] = co_await Conn.Stream.socket().async_read_some(
-        Conn.Buffer.prepare(ReadBufferBytes), AsTuple);
+        Conn.Buffer.prepare(Connection::ReadBufferBytes), AsTuple);
     Conn.Buffer.commit(Bytes);
     Counts.BytesReceived += Bytes;
     Failure = parseRead(Conn, Into, Code);
@@ -488,44 +361,61 @@
 
 Awaitable<Result<HttpResponse>> HttpClient::send(Endpoint To, HttpRequest Request,
                                                  CallOptions Options) {
-  std::shared_ptr<Impl> Pool = Inner;
+  std::shared_ptr<Impl> Client = Inner;
+  const std::shared_ptr<ConnectionPool> Pool = Client->Pool;
   const TimePoint Deadline = Steady::now() + Options.Timeout;
-  ConnectionPtr Conn = Options.FreshConnection ? nullptr : Pool->takeIdle(To);
-  const bool Reused = Conn != nullptr;
-  TrafficCounts Counts{1, 0, Reused ? 0U : 1U, 0, 0};
+  const bool IsHead = Request.Method == "HEAD";
+  const auto Message = toBeastRequest(To, std::move(Request));
+  TrafficCounts Counts{1, 0, 0, 0, 0};
   const auto Record = [&](bool Answered) {
     Counts.Failed = Answered ? 0 : 1;
-    if (Pool->Meter && !Options.Kind.empty())
-      Pool->Meter->record(Options.Kind, Counts);
+    if (Client->Meter && !Options.Kind.empty())
+      Client->Meter->record(Options.Kind, Counts);
   };
-  if (!Reused) {
-    Result<ConnectionPtr> NewConn = co_await Pool->connect(To, Options.Timeout);
-    if (!ok(NewConn)) {
+  bool WasRefused = false; // A connection that was reset may have delivered the request.
+  while (true) {
+    Result<ConnectionPtr> Taken = co_await Pool->take(To, Options, Deadline);
+    if (!ok(Taken)) {
       Record(false);
-      co_return error(NewConn);
+      const ErrorKind Kind = WasRefused ? ErrorKind::UpstreamCut : error(Taken).Kind;
+      co_return Error{Kind, error(Taken).Detail};
     }
-    Conn = value(NewConn);
-  }
-  Parser Into;
-  Into.body_limit(Options.MaxResponseBytes);
-  Into.skip(Request.Method == "HEAD");
-  const auto Message = toBeastRequest(To, std::move(Request));
-  boost::system::error_code Failure;
-  {
-    const TimedCall Timed(Pool->CallDeadlines, Conn, Deadline, co_await asio::this_coro::executor);
-    Failure = co_await exchange(*Conn, Message, Into, Counts);
-  }
-  Record(Into.is_done());
-  if (!Into.is_done()) {
-    if (Reused && Conn->TimedOut)
-      Pool->closeIdleBefore(To, Deadline - Options.Timeout);
+    const ConnectionPtr Conn = std::move(value(Taken));
+    const bool IsNew = Conn->Call == 0;
+    const TimePoint SentAt = Steady::now();
+    Counts.ConnectionsOpened += IsNew ? 1 : 0;
+    Parser Into;
+    Into.body_limit(Options.MaxResponseBytes);
+    Into.skip(IsHead);
+    boost::system::error_code Failure;
+    {
+      const TimedCall Timed(Client->CallDeadlines, Conn, SentAt + Options.Timeout,
+                            co_await asio::this_coro::executor);
+      Failure = co_await exchange(*Conn, Message, Into, Counts);
+    }
+    if (Into.is_done()) {
+      Record(true);
+      if (IsNew)
+        Pool->confirmed(*Conn);
+      if (Into.keep_alive() && !Failure)
+        Pool->release(Conn);
+      co_return toHttpResponse(Into.release());
+    }
+    if (!IsNew && Conn->TimedOut)
+      Pool->closeIdleBefore(To, SentAt);
     Conn->abort();
-    co_return Error{ErrorKind::UpstreamCut,
-                    "no complete response from " + toString(To) + ": " + Failure.message()};
+    WasRefused = Options.Repeatable && IsNew && !Into.got_some() && isClosedByServer(Failure) &&
+                 Pool->refused(*Conn);
+    if (!WasRefused) {
+      Record(false);
+      co_return Error{ErrorKind::UpstreamCut,
+                      "no complete response from " + toString(To) + ": " + Failure.message()};
+    }
   }
-  if (Into.keep_alive() && !Failure)
-    Pool->returnIdle(Conn);
-  co_return toHttpResponse(Into.release());
+}
+
+bool HttpClient::mayHaveToShare(const Endpoint &To) const {
+  return Inner->Pool->mayHaveToShare(To);
 }
 
 } // namespace valveshelf
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -41,7 +41,7 @@
 extern const EventKind CopyStarted, CopyEnded;
 extern const EventKind ForecastMissed;
 extern const EventKind WorkerSilent, WorkerLeaving, WorkerReplaced, WorkerRestarted, WorkerSlow,
-    WorkerNotSlow, CallsLost, CallsAnswered;
+    WorkerNotSlow, CallsLost, CallsAnswered, ConnectionRefused;
 extern const EventKind OverloadBegun, OverloadOver;
 } // namespace events
 
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -153,11 +153,27 @@
   virtual bool anySent() const = 0;
 };
 
+/// Limits of a client's connections to one endpoint, for servers that accept few and keep those of
+/// lost clients. All calls to an endpoint pass the same limits.
+struct EndpointLimits {
+  size_t MaxConnections = 0;   ///< In use or idle; further calls wait in turn for one. 0: no limit.
+  size_t UsualConnections = 0; ///< Beyond these, a call first waits briefly for one in use.
+  Milliseconds MaxIdleTime{60000}; ///< A connection idle for longer is closed or not reused.
+};
+
 /// Options of one client call.
 struct CallOptions {
-  Milliseconds Timeout{2000};   ///< Of a complete call, or of each step of a streamed one.
+  Milliseconds Timeout{2000};   ///< Of a complete call, or of each step of a streamed one. A call
+                                ///< that waits for a connection may take twice as long.
   bool FreshConnection = false; ///< Never reuse an idle connection; for calls that must not
                                 ///< be sent twice.
+  /// The request may arrive more than once. If an endpoint with a limit resets a new connection
+  /// before it answers, the request is sent again over one that is open.
+  bool Repeatable = false;
+  /// The response may be delayed on purpose. To an endpoint with a limit the first such call
+  /// leaves another connection free, so that later calls do not wait for the response.
+  bool IsLongPoll = false;
+  EndpointLimits Limits;
   size_t MaxResponseBytes = 16 * 1024 * 1024;
   std::string Kind; ///< Traffic kind that a `send` is counted under; empty: not counted.
 };
@@ -168,7 +184,8 @@
   size_t MaxIdle = 1024;  ///< Idle connections over all endpoints; beyond it the oldest is closed.
 };
 
-/// A client with a pool of idle connections, bounded per endpoint and in total. Thread safe.
+/// A client with a pool of connections, of which the idle ones are bounded per endpoint and in
+/// total. Thread safe.
 class HttpClient {
 public:
   /// \p Meter counts the calls of `send`; it must outlive the client and may be null.
@@ -181,6 +198,11 @@
   /// UpstreamCut: the request may have been sent, and no complete response arrived.
   Awaitable<Result<HttpResponse>> send(Endpoint To, HttpRequest Request, CallOptions Options = {});
 
+  /// True if calls to an endpoint with a limit may have to share one connection, so that none
+  /// should take it for long: the endpoint has reset a new connection, or has answered on no second
+  /// one yet.
+  bool mayHaveToShare(const Endpoint &To) const;
+
   /// Opens a streamed call. UpstreamUnavailable if the connection can't be established.
   Awaitable<Result<std::shared_ptr<HttpCall>>> open(Endpoint To, CallOptions Options = {});
 
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -13,7 +13,7 @@
 import time
 
 from cell import BIN, Process, call, free_ports
-from proxy import Proxy, ProxyThread
+from proxy import Proxy, ProxyThread, ServerConnections
 
 HOST = "queue.example"
 PREFIXES = {"check": "/check/", "scan": "/scan/", "rebuild": "/rebuild/", "nowhere": "/nowhere/"}
@@ -55,6 +55,9 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144}}
 
 
+# What a process has sent before it is stopped has passed the proxies after this time.
+SENT_ARRIVES_S = 0.1
+
 # What the stand-in's workers read from the spec, and the platform does not know.
 ONLY_IN_SPEC = ("after", "work_ms", "crashes", "fails")
 
@@ -84,14 +87,23 @@
 
 
 class PlatformCell:
-    def __init__(self, folder, entries=3, workers=6):
+    def __init__(self, folder, entries=3, workers=6, worker_connections=0):
+        """`worker_connections`: how many connections a worker accepts; 0: any number."""
         self.folder, self.worker_count = folder, workers
-        ports = free_ports(2 + workers + entries * 4)
+        fronts = workers if worker_connections else 0
+        ports = free_ports(2 + workers + entries * 4 + fronts)
         self.store = ports[0]
+        listed = ports[-fronts] if fronts else ports[2]
         self.platform = Process("platform", "platform", [
             os.path.join(BIN, "standins"), "users-platform", "--port", str(ports[0]),
-            "--workers", str(workers)], "127.0.0.1:%d" % ports[0],
+            "--workers", str(workers), "--listed-port", str(listed)], "127.0.0.1:%d" % ports[0],
             os.path.join(folder, "platform.log"))
+        self.worker_fronts, thread = [], ProxyThread() if fronts else None
+        for i in range(fronts):
+            front = ServerConnections(listed + i, worker_connections)
+            front.target = "127.0.0.1:%d" % ports[2 + i]
+            thread.add(front)
+            self.worker_fronts.append(front)
         self.entries, self.settings = {}, {}
         for i in range(entries):
             mine = ports[2 + workers + i * 4:][:4]
@@ -250,6 +262,16 @@
     def restart(self, name):
         self.entries[name].start()
 
+    def lose_power(self, name):
+        """Ends the scheduler as a loss of power does: its workers see no end of its connections."""
+        self.entries[name].signal(signal.SIGSTOP)
+        for front in self.worker_fronts:
+            front.lose_clients()
+        time.sleep(SENT_ARRIVES_S)
+        for front in self.worker_fronts:
+            front.forget_clients()
+        self.entries[name].kill()
+
     def stop(self, name, seconds=10):
         entry = self.entries[name]
         entry.signal(signal.SIGTERM)
--- a/testsuite/proxy.py
+++ b/testsuite/proxy.py
@@ -82,6 +82,81 @@
     writer.transport.abort()
 
 
+class ServerConnections(Proxy):
+    """Stands before a server that accepts at most `cap` connections and resets further ones. Lost
+    clients neither close nor reset their connections: each stays open and counts until the server
+    sends something on it."""
+
+    def __init__(self, port, cap):
+        super().__init__(port)
+        self.cap = cap
+        self.open, self.refused = 0, 0
+        self.numbers = set()   # Of the connections to the server.
+        self.lost_through = 0  # The clients of so many of the first connections are lost,
+        self.gone_through = 0  # and what they had sent before has arrived.
+        self.tasks = set()     # The event loop holds no reference to the tasks of connections.
+
+    async def accepted(self, reader, writer):
+        self.tasks.add(asyncio.current_task())
+        await self.serve_connection(reader, writer)
+        self.tasks.discard(asyncio.current_task())
+
+    async def serve_connection(self, reader, writer):
+        if self.open >= self.cap:
+            self.refused += 1
+            return reset(writer)
+        self.open += 1
+        try:
+            host, port = self.target.rsplit(":", 1)
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            self.open -= 1
+            return reset(writer)
+        self.opened += 1
+        number = self.opened
+        self.numbers.add(number)
+        await asyncio.gather(self.pass_on(number, reader, to_writer),
+                             self.pass_back(number, to_reader, writer, to_writer))
+        self.numbers.discard(number)
+        self.open -= 1
+
+    def left_behind(self):
+        """How many connections of lost clients are open."""
+        return sum(number <= self.lost_through for number in self.numbers)
+
+    async def pass_on(self, number, reader, to_writer):
+        """Requests. The end of a lost client is not seen by the server."""
+        try:
+            while data := await reader.read(CHUNK):
+                to_writer.write(data)
+                await to_writer.drain()
+        except OSError:
+            pass
+        if number > self.gone_through:
+            to_writer.close()
+
+    async def pass_back(self, number, to_reader, writer, to_writer):
+        """Responses. One to a lost client ends its connection."""
+        try:
+            while data := await to_reader.read(CHUNK):
+                if number <= self.lost_through:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        reset(to_writer)
+        writer.close()
+
+    def lose_clients(self):
+        """The clients of all connections that are open have lost power: no response arrives."""
+        self.lost_through = self.opened
+
+    def forget_clients(self):
+        """Nothing more arrives from lost clients, not even an end."""
+        self.gone_through = self.lost_through
+
+
 class ProxyThread:
     """Runs proxies until the process ends. `call` runs a function beside them."""
 
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -35,6 +35,8 @@
 constexpr Milliseconds EntryAfter{300};
 // Calls to a worker that is late are carried out after so long, and get no answer.
 constexpr Milliseconds LateBy{1500};
+// The platform does not close idle connections.
+constexpr Milliseconds IdleConnectionsKept{std::chrono::minutes(10)};
 // The operators' rule on such tasks: starts that are too many after so many crashes.
 constexpr int CrashesAllowed = 3;
 constexpr int StartsTooMany = 3;
@@ -287,6 +289,7 @@
 
 class Pool {
 public:
+  /// \p FirstPort: that the list of workers gives for the first one.
   Pool(asio::io_context &Io, KeyStore &Store, const std::string &Host, int FirstPort, int Count)
       : Io(Io), Store(Store), Begun(Steady::now()) {
     for (int I = 0; I < Count; ++I) {
@@ -870,11 +873,14 @@
   const int Port = static_cast<int>(Given.number("port", 7000));
   const int Count = static_cast<int>(Given.number("workers", 6));
   KeyStore Store(Io);
-  Pool Workers(Io, Store, Host, Port + 2, Count);
+  const int ListedPort = static_cast<int>(Given.number("listed-port", Port + 2));
+  Pool Workers(Io, Store, Host, ListedPort, Count);
   std::vector<std::unique_ptr<HttpServer>> Servers;
   const auto Serve = [&](int At, Handler Handle) {
     const Endpoint Where{Host, static_cast<uint16_t>(At)};
-    Servers.push_back(std::make_unique<HttpServer>(Io.get_executor(), Where, HttpServerLimits{},
+    HttpServerLimits Limits;
+    Limits.HeaderTimeout = IdleConnectionsKept;
+    Servers.push_back(std::make_unique<HttpServer>(Io.get_executor(), Where, Limits,
                                                    handlerFor(std::move(Handle))));
     const Result<Done> Started = Servers.back()->start();
     if (!ok(Started))
