Leadership: new jobs need not wait for a scheduler whose process has ended

Cause: new jobs are held until 1.4 s after the last possible confirmation of the scheduler before, and for as long as it is not known to have ended that was taken for the moment of loading.

Change: a scheduler marks its term as settled once those before it can start nothing. A successor of a settled term takes new jobs for new if the leader key names its own box and address, or two connections in a row to the scheduler's address were refused. A scheduler that does not answer, as one that is cut off, is waited for as before.

Leadership.* and SchedulerRunner.* pass, 54 tests; the new ones fail without the change.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <utility>
 
 namespace valveshelf {
 using namespace sched;
@@ -47,16 +48,23 @@
 struct StoredTerm {
   uint64_t Term = 0;
   uint64_t OverwrittenLease = 0; ///< 0: none.
+  /// The scheduler of this term has found that those before it can start nothing any more.
+  bool IsSettled = false;
 };
+constexpr std::string_view SettledMark = "settled";
 
 std::string encodeTerm(const StoredTerm &Value) {
   const std::string Term = std::to_string(Value.Term);
+  if (Value.IsSettled)
+    return Term + " 0 " + std::string(SettledMark);
   return Value.OverwrittenLease == 0 ? Term : Term + " " + std::to_string(Value.OverwrittenLease);
 }
 
 StoredTerm decodeTerm(const std::string &Text) {
   StoredTerm Value;
-  std::istringstream(Text) >> Value.Term >> Value.OverwrittenLease;
+  std::string Mark;
+  std::istringstream(Text) >> Value.Term >> Value.OverwrittenLease >> Mark;
+  Value.IsSettled = Mark == SettledMark;
   return Value;
 }
 } // namespace
@@ -127,6 +135,13 @@
                                    {"probe_ms", std::to_string(Time.count())}});
   FailedTerm = Suspect->Term;
   notifyStrongerMembers(*Suspect);
+  // Nothing listens at its address, while a box that is cut off does not answer. A second refusal
+  // excludes a connection that was reset by chance.
+  if (Found == ProbeResult::Refused &&
+      co_await Callbacks.Probe(Suspect->Peers, Time) == ProbeResult::Refused) {
+    EndedTerm = Suspect->Term;
+    EndedTermAt = Tools.Time.Now();
+  }
 }
 
 // The other members by descending power.
@@ -314,6 +329,33 @@
          (Callbacks.IsStoreDirectlyReachable() ? Milliseconds(0) : IndirectClaimDelay);
 }
 
+// Since when the process of the scheduler \p Before has certainly ended; empty: it may go on.
+std::optional<TimePoint> Leadership::endOf(const std::optional<Leader> &Before,
+                                           TimePoint DecidedAt) const {
+  if (!Before)
+    return std::nullopt;
+  // It ran in this process, or in an earlier one at this address.
+  if (Before->Name == Tools.Settings.Member && Before->Peers == Tools.Settings.Peers)
+    return DecidedAt;
+  if (Before->Term == EndedTerm)
+    return EndedTermAt;
+  return std::nullopt;
+}
+
+// Notes in the term key that no scheduler before this one can start anything. A successor then has
+// to allow only for this one.
+Awaitable<void> Leadership::storeSettled(Claim Own) {
+  Transaction Put;
+  Put.Conditions.push_back({std::string(LeaderKey), Own.LeaderRevision});
+  Put.Conditions.push_back({std::string(TermKey), Own.LeaderRevision});
+  Put.Puts.push_back({std::string(TermKey), encodeTerm({Own.Term, 0, true}), 0, 0});
+  const Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
+  if (!ok(Written))
+    logEvent(
+        events::ClaimFailed,
+        {{"why", "\"the term could not be noted as settled: " + error(Written).Detail + "\""}});
+}
+
 Awaitable<void> Leadership::loop() {
   while (!Stopped) {
     if (!mayClaim()) {
@@ -325,6 +367,8 @@
       continue;
     const uint64_t LeaseBefore = View.snapshot().LeaderLease;
     const uint64_t RevisionBefore = View.snapshot().LeaderRevision;
+    const std::optional<Leader> Before = View.snapshot().Leader;
+    const TimePoint DecidedAt = Tools.Time.Now();
     Result<Claim> Own = co_await claim(RevisionBefore, LeaseBefore);
     if (ok(Own) && !Stopped) {
       bool HadLease = false;
@@ -335,6 +379,8 @@
       // A key that was gone has lapsed, or its owner has ended its term.
       if (RevisionBefore == 0 && !HadLease)
         value(Own).PredecessorConfirmedAt = LastConfirmedAt;
+      if (value(Own).IsPredecessorSettled)
+        value(Own).PredecessorEndedAt = endOf(Before, DecidedAt);
       co_await runTerm(value(Own));
       continue;
     }
@@ -360,6 +406,7 @@
   Own.Lease = value(Lease);
   Own.Term = Last.Term + 1;
   Own.LeasesBefore = {LeaseBefore, Last.OverwrittenLease};
+  Own.IsPredecessorSettled = Last.IsSettled;
   const Leader Self{Tools.Settings.Member, Tools.Settings.Peers, Own.Term};
   Transaction Put;
   Put.Conditions.push_back({std::string(LeaderKey), ExpectedRevision});
@@ -382,7 +429,9 @@
 Awaitable<void> Leadership::runTerm(Claim Own) {
   NewestClaim = std::max(NewestClaim, Own.Term);
   if (!co_await isInStoredRoster()) {
-    Own.PredecessorConfirmedAt.reset(); // a member may have confirmed the scheduler before just now
+    // A member may have confirmed the scheduler before just now.
+    Own.PredecessorConfirmedAt.reset();
+    Own.PredecessorEndedAt.reset();
     Own.PredecessorOutage = co_await announceClaim(Own.Term);
   }
   bool RunnerEnded = false;
@@ -408,6 +457,7 @@
   spawnLater(Tools.Where, confirmLoop(Current, AllMembers, Own));
   const TimePoint TermStart = Tools.Time.Now();
   const char *Reason = "claim-lapsed";
+  bool IsSettled = false;
   while (!RunnerEnded && !Stopped) {
     co_await sleepFor(Tools.Settings.Timing.LeaderLease / RenewalsPerLease);
     const auto &Seen = View.snapshot().Leader;
@@ -417,6 +467,9 @@
     Result<Done> Kept = co_await Tools.Store.RenewLease(Own.Lease);
     if (ok(Kept))
       Current->leadershipRenewed(SentAt);
+    if (ok(Kept) && Current->loaded() && !Current->mayPredecessorStart() &&
+        !std::exchange(IsSettled, true))
+      spawnLater(Tools.Where, storeSettled(Own));
     if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
       break;
     // After repeated direct failures, calls go through peers. If the renewal fails there too, the
--- a/src/cell/leadership.h
+++ b/src/cell/leadership.h
@@ -74,6 +74,9 @@
   void notifyStrongerMembers(const sched::Leader &Failed);
   std::vector<sched::Member> membersByPower() const;
   Awaitable<bool> hasBetterCandidate(TimePoint TermStart);
+  std::optional<TimePoint> endOf(const std::optional<sched::Leader> &Before,
+                                 TimePoint DecidedAt) const;
+  Awaitable<void> storeSettled(Claim Own);
   Awaitable<void> endLease(uint64_t Lease);
   Awaitable<bool> isInStoredRoster();
   Awaitable<Milliseconds> announceClaim(uint64_t Term);
@@ -93,6 +96,8 @@
   sched::Roster StoredRoster;        ///< As read after the last claim.
   uint64_t NewestClaim = 0; ///< The newest term known to be claimed, by this process or a peer.
   uint64_t FailedTerm = 0;  ///< Term of a scheduler that is considered failed; 0: none.
+  uint64_t EndedTerm = 0;   ///< Term of a scheduler whose process has certainly ended; 0: none.
+  TimePoint EndedTermAt{};  ///< When that became known.
   bool Probing = false;
   bool ProbedAtStart = false; ///< The first known scheduler has been probed.
   std::shared_ptr<SchedulerRunner> Runner;
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -26,6 +26,7 @@
   std::unique_ptr<CellView> View;
   std::unique_ptr<Leadership> Lead;
   bool PeerListens = true;
+  size_t ProbesRefused = 0; ///< So many probes are refused first, unless the peer listens.
   std::vector<Milliseconds> ProbeTimes;
   bool PeerCouldSchedule = true;
   bool IsStoreDirectlyReachable = true;
@@ -60,7 +61,9 @@
     LeadershipCallbacks Callbacks;
     Callbacks.Probe = [this](Endpoint, Milliseconds Time) -> Awaitable<ProbeResult> {
       ProbeTimes.push_back(Time);
-      co_return PeerListens ? ProbeResult::Listening : ProbeResult::NoAnswer;
+      if (PeerListens)
+        co_return ProbeResult::Listening;
+      co_return ProbeTimes.size() <= ProbesRefused ? ProbeResult::Refused : ProbeResult::NoAnswer;
     };
     Callbacks.CanSchedule = [this](Endpoint To, uint64_t FailedTerm) -> Awaitable<bool> {
       Asked.emplace_back(To, FailedTerm);
@@ -428,5 +431,83 @@
   }
 }
 
+// After a loss of power of all boxes the scheduler's box claims again. Guards against new jobs that
+// wait for its earlier process, which has certainly ended.
+TEST(Leadership, AnEarlierProcessOfThisBoxStartsNothingMore) {
+  const Endpoint OwnPeers{"127.0.0.1", 1};
+  const Endpoint OtherPeers{"127.0.0.2", 1};
+  struct Case {
+    const char *What;
+    std::string Term;
+    Leader Before;
+    bool MayStart;
+  };
+  for (const Case &One : {Case{"settled", "3 0 settled", {"b", OwnPeers, 3}, false},
+                          Case{"others may go on", "3 57", {"b", OwnPeers, 3}, true},
+                          Case{"not settled", "3", {"b", OwnPeers, 3}, true},
+                          Case{"another address", "3 0 settled", {"b", OtherPeers, 3}, true},
+                          Case{"another box", "3 0 settled", {"a", OwnPeers, 3}, true}}) {
+    Bench Given("b");
+    ASSERT_EQ(Given.Settings.Peers, OwnPeers);
+    Given.Store.put(std::string(TermKey), One.Term, 0);
+    Given.Store.put(std::string(LeaderKey), encodeLeader(One.Before), 0);
+    Given.PeerListens = false;
+    Given.View->start();
+    Given.Lead->start();
+    ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; })) << One.What;
+    EXPECT_EQ(Given.Lead->scheduler()->mayPredecessorStart(), One.MayStart) << One.What;
+  }
+}
+
+// Guards against new jobs that wait for a scheduler whose process has ended: nothing listens at its
+// address. One that is cut off does not answer, and may go on.
+TEST(Leadership, AProcessThatRefusesConnectionsStartsNothingMore) {
+  struct Case {
+    std::string Term;
+    size_t ProbesRefused;
+    bool MayStart;
+  };
+  for (const Case &One : {Case{"3 0 settled", 2, false}, Case{"3 0 settled", 1, true},
+                          Case{"3 0 settled", 0, true}, Case{"3", 2, true}}) {
+    Bench Given("b");
+    Given.Store.put(std::string(TermKey), One.Term, 0);
+    Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+    Given.PeerListens = false;
+    Given.ProbesRefused = One.ProbesRefused;
+    Given.View->start();
+    Given.Lead->start();
+    ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+    EXPECT_EQ(Given.Lead->scheduler()->mayPredecessorStart(), One.MayStart)
+        << One.Term << ", refused " << One.ProbesRefused;
+  }
+}
+
+// A process that the scheduler before has never heard of may have let it go on.
+TEST(Leadership, AnEarlierProcessOutsideTheRosterMayHaveBeenConfirmed) {
+  Bench Given("b");
+  Given.addMember("a", 0.5, 11);
+  Given.Store.put(std::string(TermKey), "3 0 settled", 0);
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"b", Given.Settings.Peers, 3}), 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_TRUE(Given.Lead->scheduler()->mayPredecessorStart());
+}
+
+// A successor may rely on it only once the schedulers before this one have certainly ended.
+TEST(Leadership, NotesThatEarlierSchedulersHaveEnded) {
+  Bench Given("b");
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"a", {"127.0.0.1", 2}, 3}), 0);
+  Given.PeerListens = false;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
+  ASSERT_TRUE(
+      Given.runUntil([&] { return Given.Store.value(std::string(TermKey)) == "4 0 settled"; }));
+  EXPECT_FALSE(Given.Lead->scheduler()->mayPredecessorStart());
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -299,6 +299,8 @@
 }
 
 TimePoint SchedulerRunner::predecessorStartsUntil(TimePoint LoadedAt) const {
+  if (OwnClaim.PredecessorEndedAt)
+    return *OwnClaim.PredecessorEndedAt;
   const std::chrono::duration<double, std::milli> Time =
       MaxStartEvidenceAge + OwnClaim.PredecessorOutage;
   return std::min(LoadedAt, OwnClaim.PredecessorConfirmedAt.value_or(LoadedAt)) +
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -60,6 +60,10 @@
   Milliseconds PredecessorOutage{0};
   /// When the scheduler before may last have been confirmed; empty: until this one has loaded.
   std::optional<TimePoint> PredecessorConfirmedAt;
+  /// The scheduler before had found that those before it can start nothing.
+  bool IsPredecessorSettled = false;
+  /// Since when it is certain that no scheduler before can start anything; empty: it is not.
+  std::optional<TimePoint> PredecessorEndedAt;
 };
 
 /// The scheduler of one term. Not thread-safe: all calls come from its strand.
