Workers: the refusal of a start that was sent again proves nothing

What callers could see: TWICE, a task that is done is started again by the same scheduler.

Cause: a start whose new connection is reset is sent again by the client over an open one. If the first one was carried out and its run is over, the worker refuses the second as old. The scheduler took that for a refusal of an order that was sent once, and placed the task anew. Repeats of its own were handled; those of the client, which came with the bounded connections, were not told apart.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -399,7 +399,9 @@
         Pool->confirmed(*Conn);
       if (Into.keep_alive() && !Failure)
         Pool->release(Conn);
-      co_return toHttpResponse(Into.release());
+      HttpResponse Answer = toHttpResponse(Into.release());
+      Answer.WasRepeated = WasRefused;
+      co_return Answer;
     }
     if (!IsNew && Conn->TimedOut)
       Pool->closeIdleBefore(To, SentAt);
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -49,6 +49,9 @@
   int Status = 200;
   HeaderList Headers;
   std::string Body;
+  /// Of a client: the request was sent before, on a connection that was reset, and may have been
+  /// carried out then.
+  bool WasRepeated = false;
 };
 
 /// A JSON response with the given status.
