--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -12,4 +12,10 @@
   return time_point(std::chrono::seconds(Read.tv_sec) + std::chrono::nanoseconds(Read.tv_nsec));
 }
 
+Steady::duration processorTime() noexcept {
+  timespec Read{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Read);
+  return std::chrono::seconds(Read.tv_sec) + std::chrono::nanoseconds(Read.tv_nsec);
+}
+
 } // namespace valveshelf
--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -141,6 +141,11 @@
     "can't be reached is waited for longer."};
 const EventKind ClaimFailed{2110, "info", "claim-failed",
                             "This process could not become the scheduler; the reason follows."};
+const EventKind LoopLags{
+    2111, "warn", "loop-lags",
+    "The scheduler's event loop was late. Of the last second: by how much at most; the processor "
+    "time of the process; the time of the loop by kind of work; start orders with a result, and "
+    "how many of them got no answer; and the waiting steps, by what they wait for."};
 const EventKind JobKept{2201, "info", "job-kept",
                         "The job was written durably; its caller was told so."};
 const EventKind CallRefused{
@@ -290,6 +295,7 @@
                               &LeadershipConfirmed,
                               &PredecessorUnknown,
                               &ClaimFailed,
+                              &LoopLags,
                               &JobKept,
                               &CallRefused,
                               &JobTaken,
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -93,6 +93,18 @@
     "Log lines dropped by the rate limit of each kind of event, or because "
     "standard output was not read."};
 const MetricDescriptor Ready{"ready", "gauge", "1 while the process reports itself ready, else 0."};
+const MetricDescriptor LoopLag{
+    "loop_lag_seconds", "gauge",
+    "By how much the scheduler's event loop was late at most in the last second; 0 unless this "
+    "process is the scheduler."};
+const MetricDescriptor LoopSeconds{"loop_seconds_total", "counter",
+                                   "Time of the scheduler's event loop, by `case`: the kind of "
+                                   "work; `messages` is the rest of the "
+                                   "process's processor time."};
+const MetricDescriptor WaitingByCause{
+    "steps_waiting_for", "gauge",
+    "Steps with a task to place, by `case`: what they wait for; 0 unless this process is the "
+    "scheduler."};
 } // namespace metrics
 
 std::span<const MetricDescriptor *const> allMetrics() {
@@ -125,7 +137,10 @@
                               &MessageBytes,
                               &ConnectionsOpened,
                               &LogLinesLeftOut,
-                              &Ready};
+                              &Ready,
+                              &LoopLag,
+                              &LoopSeconds,
+                              &WaitingByCause};
   return All;
 }
 
@@ -139,7 +154,7 @@
 struct CellMetrics::Impl {
   prometheus::Registry Registry;
   std::map<std::string_view, prometheus::Family<prometheus::Counter> *> Counters;
-  std::map<std::string_view, prometheus::Gauge *> Gauges;
+  std::map<std::string_view, prometheus::Family<prometheus::Gauge> *> Gauges;
   std::map<std::string_view, prometheus::Histogram *> Histograms;
 };
 
@@ -152,34 +167,37 @@
           &prometheus::BuildCounter().Name(Name).Help(Help).Register(Inner->Registry);
     else if (Metric->Type == "gauge")
       Inner->Gauges[Metric->Name] =
-          &prometheus::BuildGauge().Name(Name).Help(Help).Register(Inner->Registry).Add({});
+          &prometheus::BuildGauge().Name(Name).Help(Help).Register(Inner->Registry);
     else
       Inner->Histograms[Metric->Name] = &prometheus::BuildHistogram()
                                              .Name(Name)
                                              .Help(Help)
                                              .Register(Inner->Registry)
                                              .Add({}, LatencyBucketsSeconds);
+    if (Metric->Type == "gauge" && Metric != &metrics::WaitingByCause)
+      set(*Metric, 0);
   }
 }
 CellMetrics::~CellMetrics() = default;
 
+static prometheus::Labels labelsOf(const std::string &Case) {
+  return Case.empty() ? prometheus::Labels() : prometheus::Labels{{"case", Case}};
+}
+
 void CellMetrics::count(const MetricDescriptor &Metric, const std::string &Label) {
-  prometheus::Labels Labels;
-  if (!Label.empty())
-    Labels["case"] = Label;
-  Inner->Counters.at(Metric.Name)->Add(Labels).Increment();
+  add(Metric, 1, Label);
 }
 
-void CellMetrics::add(const MetricDescriptor &Metric, double Amount) {
-  Inner->Counters.at(Metric.Name)->Add({}).Increment(Amount);
+void CellMetrics::add(const MetricDescriptor &Metric, double Amount, const std::string &Label) {
+  Inner->Counters.at(Metric.Name)->Add(labelsOf(Label)).Increment(Amount);
 }
 
 void CellMetrics::observe(const MetricDescriptor &Metric, Steady::duration Time) {
   Inner->Histograms.at(Metric.Name)->Observe(std::chrono::duration<double>(Time).count());
 }
 
-void CellMetrics::set(const MetricDescriptor &Metric, double Value) {
-  Inner->Gauges.at(Metric.Name)->Set(Value);
+void CellMetrics::set(const MetricDescriptor &Metric, double Value, const std::string &Label) {
+  Inner->Gauges.at(Metric.Name)->Add(labelsOf(Label)).Set(Value);
 }
 
 void CellMetrics::setTraffic(const TrafficStats &Traffic) {
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -135,6 +135,7 @@
   Found = Cell.Workers.find(Id); // may have been removed meanwhile
   if (Found == Cell.Workers.end())
     co_return HeartbeatOutcome::Ended;
+  const LoopSection Work(Loop, LoopWork::Reports);
   const TimePoint Now = Deps.Time.Now();
   Effects Out;
   if (ok(Report)) {
@@ -317,7 +318,10 @@
   Self->Deps.Metrics.count(metrics::Starts, std::to_string(static_cast<int>(What)));
   if (Self->Stopped)
     co_return;
+  const LoopSection Work(Self->Loop, LoopWork::Orders);
   const bool Answered = What != StartResult::Unknown;
+  ++Self->Loop.Starts;
+  Self->Loop.UnansweredStarts += Answered ? 0 : 1;
   noteResult(Self->CallTimeout, Call,
              Answered  ? CallResult::Answered
              : IsEarly ? CallResult::EarlyTimeout
@@ -361,6 +365,7 @@
   Result<Done> Answer = co_await Self->Deps.Workers.Stop(std::move(Stop));
   if (Self->Stopped || !Self->isForCurrentLife(Order.Worker, Fence))
     co_return;
+  const LoopSection Work(Self->Loop, LoopWork::Orders);
   Effects Out;
   if (ok(Answer))
     stopAnswered(Self->Cell, Order.Worker, Order.Run, true, Self->Deps.Time.Now(), Out);
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -45,6 +45,7 @@
                    {"good", ok(Answer) ? std::to_string(value(Answer).Eligible.size())
                                        : "\"" + error(Answer).Detail + "\""},
                    {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(Took).count())}});
+              const LoopSection Work(Loop, LoopWork::Advice);
               if (ok(Answer))
                 adviceAnswered(Cell, Request.Step, Request.Workers, value(Answer).Eligible,
                                value(Answer).Valid, this->Deps.Time.Now());
@@ -70,8 +71,11 @@
   Stopped = true;
   for (const MetricDescriptor *Kind :
        {&metrics::Jobs, &metrics::Waiting, &metrics::LeftOut, &metrics::Workers,
-        &metrics::WorkersSlow, &metrics::ZonesEvacuated, &metrics::WorkerListAge})
+        &metrics::WorkersSlow, &metrics::ZonesEvacuated, &metrics::WorkerListAge,
+        &metrics::LoopLag})
     Deps.Metrics.set(*Kind, 0);
+  for (const std::string_view Cause : WaitCauseNames)
+    Deps.Metrics.set(metrics::WaitingByCause, 0, std::string(Cause));
   Lanes.stop();
   SaveTimer.cancel();
   PlacementTimer.cancel();
@@ -229,6 +233,7 @@
 }
 
 void SchedulerRunner::applyIntakeItem(const KeyValue &Item, bool Fresh) {
+  const LoopSection Work(Loop, LoopWork::Jobs);
   const TimePoint Now = Deps.Time.Now();
   Effects Out;
   if (const auto Cancelled = jobIdFromKey(Item.Key, CancelPrefix)) {
@@ -512,6 +517,7 @@
   const TimePoint Begun = Deps.Time.Now();
   if (isWorkerListStale() || !mayStartRuns(Evidence, Begun))
     return;
+  const LoopSection Work(Loop, LoopWork::Place);
   Effects Out;
   place(Cell, Begun, Out);
   LastPlacementTime = Deps.Time.Now() - Begun;
@@ -528,11 +534,24 @@
            {{"term", std::to_string(OwnClaim.Term)}, {"age_ms", std::to_string(Age.count())}});
 }
 
+void SchedulerRunner::runTick() {
+  const LoopSection Work(Loop, LoopWork::Tick);
+  Effects Out;
+  tick(Cell, Deps.Time.Now(), Deps.Time.Wall(), Out);
+  executeEffects(Out);
+  recheckBusyWorkers();
+  refreshWorkerListIfOld();
+  saveRunTimesIfDue();
+  schedulePlacement();
+}
+
 Awaitable<void> SchedulerRunner::tickLoop(SelfPtr Self) {
   while (!Self->Stopped) {
+    const TimePoint Due = Self->Deps.Time.Now() + TickInterval;
     co_await sleepFor(TickInterval);
     if (Self->Stopped)
       co_return;
+    Self->Loop.MaxLag = std::max(Self->Loop.MaxLag, Self->Deps.Time.Now() - Due);
     if (Self->wasSuspended())
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
@@ -543,13 +562,9 @@
     Self->Deps.Metrics.set(metrics::Workers, static_cast<double>(Self->Cell.Workers.size()));
     Self->Deps.Metrics.set(metrics::WorkersSlow, Self->Cell.RunTimes.SlowWorkers);
     Self->Cell.ConfirmedAt = Self->Evidence.ConfirmedAt;
-    Effects Out;
-    tick(Self->Cell, Self->Deps.Time.Now(), Self->Deps.Time.Wall(), Out);
-    Self->executeEffects(Out);
-    Self->recheckBusyWorkers();
-    Self->refreshWorkerListIfOld();
-    Self->saveRunTimesIfDue();
-    Self->schedulePlacement();
+    Self->runTick();
+    reportLoopLoad(Self->Loop, Self->Cell, Self->Deps.Time.Processor(), Self->Deps.Time.Now(),
+                   Self->Deps.Metrics);
   }
 }
 
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -9,6 +9,7 @@
 #include "cell/call_losses.h"
 #include "cell/leadership_evidence.h"
 #include "cell/list_age.h"
+#include "cell/loop_load.h"
 #include "valveshelf/burn.h"
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/cell_records.h"
@@ -191,6 +192,7 @@
 
   // Decisions.
   static Awaitable<void> tickLoop(SelfPtr Self);
+  void runTick();
   void noteConfirmation(TimePoint Now);
   void executeEffects(sched::Effects &Out);
   void reportEffects(const sched::Effects &Out);
@@ -230,6 +232,7 @@
   bool IsPlacementScheduled = false;
   Steady::duration LastPlacementTime{0}; ///< Duration of the last placement pass.
   TimePoint LastTick{};
+  LoopLoad Loop;
   bool Stopped = false;
 };
 
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -60,6 +60,7 @@
 
 // The next jobs to save; ended jobs first, since callers wait for their result.
 std::vector<SchedulerRunner::SaveEntry> SchedulerRunner::nextBatch(Transaction &What) {
+  const LoopSection Work(Loop, LoopWork::Saves);
   std::vector<SaveEntry> Batch;
   size_t Bytes = 0;
   for (const bool Ended : {true, false})
@@ -93,6 +94,7 @@
 }
 
 void SchedulerRunner::saveCommitted(const std::vector<SaveEntry> &Batch, uint64_t Revision) {
+  const LoopSection Work(Loop, LoopWork::Saves);
   for (const SaveEntry &Entry : Batch) {
     JobsBeingSaved.erase({Entry.Id, Entry.Ends});
     const auto Found = Cell.Jobs.find(Entry.Id);
--- a/src/cell/scheduler_worker_list.cpp
+++ b/src/cell/scheduler_worker_list.cpp
@@ -48,6 +48,7 @@
     co_return error(Read);
   if (Stopped || value(Read).Revision < WorkerListRevision)
     co_return Done{}; // the watch has delivered newer changes meanwhile
+  const LoopSection Work(Loop, LoopWork::List);
   std::set<std::string> Seen;
   for (const KeyValue &Item : value(Read).Items) {
     Seen.insert(keySuffix(Item.Key, Deps.WorkerPrefix));
@@ -69,6 +70,7 @@
 // may arrive out of order; changes that are already known are ignored.
 void SchedulerRunner::applyWorkerChanges(const KeyChanges &Read, TimePoint SentAt,
                                          Milliseconds Wait) {
+  const LoopSection Work(Loop, LoopWork::List);
   for (const KeyChange &Change : Read.Changes)
     if (Change.Item.Revision > WorkerListRevision)
       applyWorkerItem(Change.Item, Change.IsRemoved);
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -25,7 +25,7 @@
     LeftOut, Starts, StartSeconds, Ends, RunsLost, WorkerRestarts, TasksGivenUp, Copies,
     CopyCoreSeconds, FirstStartSeconds, ForecastErrorSeconds, AdviceSeconds, PlaceSeconds, Workers,
     WorkersSlow, WorkerListAge, ZonesEvacuated, Messages, MessageBytes, ConnectionsOpened,
-    LogLinesLeftOut, Ready;
+    LogLinesLeftOut, Ready, LoopLag, LoopSeconds, WaitingByCause;
 } // namespace metrics
 
 /// All metrics, in the order of docs/METRICS.md.
@@ -42,10 +42,11 @@
   /// Increments a counter. \p Label is the value of its label `case`; if empty, the label is
   /// absent.
   void count(const MetricDescriptor &Metric, const std::string &Label = "");
-  /// Raises a counter by \p Amount.
-  void add(const MetricDescriptor &Metric, double Amount);
+  /// Raises a counter by \p Amount. \p Label: as for `count`.
+  void add(const MetricDescriptor &Metric, double Amount, const std::string &Label = "");
   void observe(const MetricDescriptor &Metric, Steady::duration Time);
-  void set(const MetricDescriptor &Metric, double Value);
+  /// \p Label: as for `count`.
+  void set(const MetricDescriptor &Metric, double Value, const std::string &Label = "");
   /// Raises the counters of messages and connections to the totals in \p Traffic.
   void setTraffic(const TrafficStats &Traffic);
   /// All metrics in the Prometheus text format.
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -768,6 +768,19 @@
 /// Runs one placement pass over the queue.
 void place(CellState &Cell, TimePoint Now, Effects &Out);
 
+/// What a step of the queue waits for.
+enum class WaitCause {
+  Advice,   ///< The answer to a request of its own.
+  Capacity, ///< No advised worker has room, or no request could be sent.
+  Quota,    ///< Its organisation's quota.
+  Save,     ///< The crash count of one of its tasks is being saved.
+  Turn,     ///< A pass has not tried it since it last changed.
+};
+inline constexpr std::array<std::string_view, 5> WaitCauseNames{"advice", "capacity", "quota",
+                                                                "save", "turn"};
+/// The steps of the queue, by `WaitCause`.
+std::array<uint32_t, WaitCauseNames.size()> countWaitingSteps(const CellState &Cell);
+
 // Internal to the scheduler.
 
 /// Null if there is no such step.
--- a/src/include/valveshelf/clock.h
+++ b/src/include/valveshelf/clock.h
@@ -21,6 +21,9 @@
 using TimePoint = Steady::time_point;
 using Milliseconds = std::chrono::milliseconds;
 
+/// The processor time that this process has used.
+Steady::duration processorTime() noexcept;
+
 /// Wall-clock time, for records that people read. May be set back: no safety decision may use it.
 using WallTime = std::chrono::sys_time<Milliseconds>;
 
--- a/src/include/valveshelf/coroutines.h
+++ b/src/include/valveshelf/coroutines.h
@@ -13,6 +13,7 @@
 struct Clock {
   std::function<TimePoint()> Now = [] { return Steady::now(); };
   std::function<WallTime()> Wall = [] { return wallNow(); };
+  std::function<Steady::duration()> Processor = [] { return processorTime(); };
 };
 
 /// Posts \p Task to \p Where; it never starts inside this call, so the caller may hold a lock that
