HTTP client: a large response is read in one turn of the event loop

Cause: a response was read 4 KB at a time, and each read waited for its turn in the event loop. With a lag of 0.1 to 0.5 s the list of workers, hundreds of kilobytes, took seconds or timed out; then it counted as out of date and nothing was started for 0.3 to 2 s, again and again, while the queue and with it the lag grew.

Change: after a full read, the client reads what else has arrived, up to 1 MB, without waiting.

Result: LateClient.ReadsALargeResponseInAFewTurns failed before (30 turns, no answer in 0.5 s) and passes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -298,6 +298,9 @@
 using Serializer = http::request_serializer<http::string_body>;
 using Parser = http::response_parser<http::string_body>;
 
+// Of one response, before other calls get their turn.
+constexpr size_t MaxBytesPerTurn = 1024 * 1024;
+
 // Writes as much as the socket accepts without blocking; would_block if data remains.
 boost::system::error_code writeWithoutWaiting(Connection &Conn, Serializer &Out,
                                               TrafficCounts &Counts) {
@@ -328,6 +331,24 @@
   return Failure;
 }
 
+// Reads what has arrived without waiting, up to a bound. Each turn of the event loop may take long
+// in a busy process; a large response must not take one for each piece of it.
+boost::system::error_code readWithoutWaiting(Connection &Conn, Parser &Into,
+                                             TrafficCounts &Counts) {
+  boost::system::error_code Failure;
+  for (size_t Read = 0; !Failure && !Into.is_done() && Read < MaxBytesPerTurn;) {
+    const size_t Bytes =
+        Conn.Stream.socket().read_some(Conn.Buffer.prepare(Connection::LargeReadBytes), Failure);
+    if (Failure == asio::error::would_block)
+      return {};
+    Conn.Buffer.commit(Bytes);
+    Counts.BytesReceived += Bytes;
+    Read += Bytes;
+    Failure = parseRead(Conn, Into, Failure);
+  }
+  return Failure;
+}
+
 // True if the server, or a process in front of it, has closed or reset the connection.
 bool isClosedByServer(boost::system::error_code Failure) {
   return Failure == asio::error::connection_reset || Failure == asio::error::broken_pipe ||
@@ -352,6 +373,8 @@
     Conn.Buffer.commit(Bytes);
     Counts.BytesReceived += Bytes;
     Failure = parseRead(Conn, Into, Code);
+    if (!Failure && Bytes == Connection::ReadBufferBytes)
+      Failure = readWithoutWaiting(Conn, Into, Counts);
   }
   if (!Into.is_done() && (!Failure || Conn.TimedOut))
     Failure = beast::error::timeout;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -18,6 +18,8 @@
 struct Connection {
   // Large enough for one read to take a typical response.
   static constexpr size_t ReadBufferBytes = 4096;
+  // Of each further read of a response that is larger.
+  static constexpr size_t LargeReadBytes = 65536;
 
   /// \p Closed, if not empty, is called once the connection is closed.
   Connection(Executor Exec, Endpoint To, EndpointLimits Limits,
