HTTP client: opens no connection because the process is late

Cause: a call that waits for a connection to a worker opens a further one after 20 ms. In a process that is late by more, the release of the first had not been read yet, so that each burst of orders opened more connections, closed them again, and added to the lag.

Change: a wait that ends late goes on by as much as it was late and once more its time, as long as the call has time left.

Result: LateClient.OpensNoFurtherConnectionsBecauseItIsLate failed before (6 connections) and passes (3 at most).

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -19,6 +19,8 @@
 // A call opens one more than the usual number of connections if none is released in this time, in
 // which an order is usually answered.
 constexpr Milliseconds ReleaseWait{20};
+// A waiting call that is woken later than this says that the process is late.
+constexpr Milliseconds LateWake{10};
 // Between the checks for connections that have been idle for too long.
 constexpr Milliseconds SweepInterval{250};
 
@@ -32,7 +34,7 @@
                                                       TimePoint Deadline) {
   const Executor Caller = co_await asio::this_coro::executor;
   const EndpointLimits &Bounds = How.Limits;
-  const TimePoint ReleasedBy = std::min(Deadline, Steady::now() + ReleaseWait);
+  TimePoint ReleasedBy = std::min(Deadline, Steady::now() + ReleaseWait);
   while (true) {
     Closing Dead;
     WaiterPtr Own;
@@ -61,6 +63,12 @@
       co_return New;
     }
     co_await Own->Wake.async_wait(AsTuple);
+    // While this process is late, responses that release a connection may wait to be read.
+    while (const auto Later = waitAfterLateWake(*Own, ReleasedBy, Deadline)) {
+      ReleasedBy = *Later;
+      Own->Wake.expires_at(ReleasedBy);
+      co_await Own->Wake.async_wait(AsTuple);
+    }
     std::lock_guard Lock(Mutex);
     if (Own->Given)
       co_return Own->Given;
@@ -71,6 +79,17 @@
   }
 }
 
+// Until when to go on waiting if the wait was to end at \p Due and ended late; empty: no longer.
+std::optional<TimePoint> ConnectionPool::waitAfterLateWake(const Waiter &Own, TimePoint Due,
+                                                           TimePoint Deadline) {
+  const TimePoint Now = Steady::now();
+  std::lock_guard Lock(Mutex);
+  if (Own.Given || Own.IsWoken || Now - Due < LateWake ||
+      Now + (Now - Due) + ReleaseWait > Deadline)
+    return std::nullopt;
+  return Now + (Now - Due) + ReleaseWait;
+}
+
 // Requires Mutex. True if the call may keep the only connection for long, and it is not known yet
 // whether others can be opened for the calls that come meanwhile.
 bool ConnectionPool::needsSpare(const EndpointState &Of, const CallOptions &How) {
@@ -271,8 +290,9 @@
     armSweep();
 }
 
-// The waiter takes the connection that it was given, or tries to open one.
+// Requires Mutex. The waiter takes the connection that it was given, or tries to open one.
 void ConnectionPool::wake(const WaiterPtr &Who) {
+  Who->IsWoken = true;
   asio::post(Who->Exec, [Who] { Who->Wake.expires_at(TimePoint::min()); });
 }
 
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -53,7 +54,8 @@
     Waiter(Executor Exec, TimePoint Until) : Exec(Exec), Wake(Exec, Until) {}
     const Executor Exec;
     SteadyTimer Wake;
-    ConnectionPtr Given; ///< Guarded by the pool's mutex.
+    ConnectionPtr Given;  ///< Guarded by the pool's mutex.
+    bool IsWoken = false; ///< Was given a connection or may open one. Guarded by it as well.
   };
   using WaiterPtr = std::shared_ptr<Waiter>;
   using IdleList = std::list<ConnectionPtr>;
@@ -65,6 +67,7 @@
   /// Connections that are closed once the mutex is released: closing one takes the mutex.
   using Closing = std::vector<ConnectionPtr>;
 
+  std::optional<TimePoint> waitAfterLateWake(const Waiter &Own, TimePoint Due, TimePoint Deadline);
   static bool needsSpare(const EndpointState &Of, const CallOptions &How);
   Awaitable<Result<ConnectionPtr>> connect(Endpoint To, CallOptions How);
   ConnectionPtr takeIdle(EndpointState &Of, Closing &Dead);
--- a/src/http/late_client_test.cpp
+++ b/src/http/late_client_test.cpp
@@ -114,5 +114,23 @@
   EXPECT_LE(Of.Turns, 25); // the timeout, in turns
 }
 
+// Guards against further connections that are opened because the process is late to see that one
+// was released, which adds to its load.
+TEST(LateClient, OpensNoFurtherConnectionsBecauseItIsLate) {
+  PromptServer Server(0, 1ms);
+  LateClient Of;
+  Of.TurnTime = 30ms;
+  CallOptions Options = optionsWith(1000ms);
+  Options.Repeatable = true;
+  Options.Limits = {6, 2, 1000ms};
+  for (int Round = 1; Round <= 4; ++Round) {
+    for (int I = 0; I < 6; ++I)
+      Of.begin(Server.address(), Options);
+    Of.runUntil([&] { return Of.Answered + Of.Failed == 6 * Round; });
+  }
+  EXPECT_EQ(Of.Answered, 24);
+  EXPECT_LE(Server.Accepted, 3); // the usual ones, and one more that is tried once
+}
+
 } // namespace
 } // namespace valveshelf
