Scheduler: a full transaction ends the search for jobs to save

What callers saw: lag of 0.7 and 1.2 s of the scheduler when the store had been away on the large site.

Cause: a transaction takes 32 rows, a job three or four. With 31 rows taken, every job that still waited was encoded and found not to fit, in each of twelve transactions.

Change: the search ends once the largest job would not fit.

A test needs a cost by encoding and is not there; SchedulerRunner.* pass.

--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -14,6 +14,9 @@
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 // Transactions in flight; allows a slow store to keep up with a busy cell.
 constexpr int MaxSavesInFlight = 12;
+// The most rows that one job takes. A transaction with less room is full: looking for a smaller job
+// would encode every job that waits.
+constexpr size_t MaxRowsPerJob = 4;
 // Per transaction; bounds the time of a call over a slow link.
 constexpr size_t MaxSaveBytes = 64 * 1024;
 // Interval of the check for worker records to write and obsolete keys to remove.
@@ -29,7 +32,7 @@
   return What;
 }
 
-// Adds the job's unsaved state. False if the job no longer exists or the rows do not fit.
+// Adds the job's unsaved state. False if the job no longer exists.
 bool SchedulerRunner::addToTransaction(JobId Id, Transaction &What, std::vector<SaveEntry> &Batch) {
   const auto Found = Cell.Jobs.find(Id);
   if (Found == Cell.Jobs.end())
@@ -51,8 +54,6 @@
     Rows.Conditions.push_back({progressKey(Id), Of.ProgressRevision});
     Rows.Puts.push_back({progressKey(Id), encodeProgress(Of), 0, 0});
   }
-  if (What.rows() + Rows.rows() > MaxTransactionRows)
-    return false;
   What.append(std::move(Rows));
   Batch.push_back(Entry);
   return true;
@@ -65,7 +66,7 @@
   size_t Bytes = 0;
   for (const bool Ended : {true, false})
     for (const auto &[Number, Id] : Cell.PendingSaves) {
-      if (What.rows() >= MaxTransactionRows || Bytes > MaxSaveBytes)
+      if (What.rows() + MaxRowsPerJob > MaxTransactionRows || Bytes > MaxSaveBytes)
         return Batch;
       const auto Of = Cell.Jobs.find(Id);
       const bool Matches =
