Scheduler: its own lag is no sign of lost calls

Cause: while calls to workers are lost, starts are repeated after 50 ms and up to 800 questions a second go to busy workers. A scheduler that is late itself has answers that it has not read; it took them for lost and added to its load.

Change: a tick that was more than 20 ms late suspends both until one is on time.

Result: SchedulerRunner.AsksNoWorkerAgainWhileItIsLateItself failed before (14 questions to two workers in 1.2 s) and passes.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -264,7 +264,7 @@
   const bool AreLost = areCallsBeingLost(Losses, Cell.Workers.size(), Now);
   if (AreLost != std::exchange(WereCallsLost, AreLost))
     logCallLosses();
-  if (!AreLost)
+  if (!AreLost || isLate())
     return;
   std::vector<PolledWorker> Busy;
   for (const auto &[Id, AskedAt] : LongPolls) {
@@ -304,7 +304,7 @@
   const bool IsRepeat = Entry->second.Sends > 1;
   const bool Lost =
       areCallsBeingLost(Self->Losses, Self->Cell.Workers.size(), Self->Deps.Time.Now());
-  Start.Timeout = startTimeout(Self->CallTimeout, Lost && !IsRepeat);
+  Start.Timeout = startTimeout(Self->CallTimeout, Lost && !IsRepeat && !Self->isLate());
   const bool IsEarly = Start.Timeout < Self->CallTimeout.Current;
   Self->noteLeased(Order.Worker);
   Self->wakeHeartbeatLoop(Order.Worker);
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -18,6 +18,8 @@
 namespace {
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Milliseconds TickInterval{50};
+// With this lag, the answer to a call may have waited to be read for most of its timeout.
+constexpr Milliseconds LateTick{20};
 // Placement is delayed so that simultaneous events share a pass, and by this multiple of the last
 // pass's duration, which leaves the processor free for worker calls.
 constexpr Milliseconds PlacementDelay{2};
@@ -366,6 +368,8 @@
   return LastTick != TimePoint{} && Deps.Time.Now() - LastTick > Deps.Settings.Timing.LeaderLease;
 }
 
+bool SchedulerRunner::isLate() const { return LastLag > LateTick; }
+
 void SchedulerRunner::executeEffects(Effects &Out) {
   if (Stopped)
     return;
@@ -551,7 +555,8 @@
     co_await sleepFor(TickInterval);
     if (Self->Stopped)
       co_return;
-    Self->Loop.MaxLag = std::max(Self->Loop.MaxLag, Self->Deps.Time.Now() - Due);
+    Self->LastLag = Self->Deps.Time.Now() - Due;
+    Self->Loop.MaxLag = std::max(Self->Loop.MaxLag, Self->LastLag);
     if (Self->wasSuspended())
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -200,6 +200,8 @@
   void schedulePlacement();
   void runPlacement();
   void endTerm(const char *Why);
+  /// True if this process is late itself, so that missing answers say little about the others.
+  bool isLate() const;
   /// True if this process was suspended for longer than the leader lease: another process may have
   /// become the scheduler.
   bool wasSuspended() const;
@@ -233,6 +235,7 @@
   Steady::duration LastPlacementTime{0}; ///< Duration of the last placement pass.
   TimePoint LastTick{};
   LoopLoad Loop;
+  Steady::duration LastLag{0}; ///< By how much the last tick was late.
   bool Stopped = false;
 };
 
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace valveshelf {
 namespace {
 using namespace sched;
@@ -265,6 +267,29 @@
   EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }, 1500ms));
 }
 
+// Guards against questions to busy workers that a late process adds to its load: its own lag is no
+// sign of lost calls.
+TEST(SchedulerRunner, AsksNoWorkerAgainWhileItIsLateItself) {
+  Bench Given;
+  for (auto &[Id, On] : Given.Workers) {
+    On.StartsToLose = 1;
+    On.LosesLongPolls = true;
+  }
+  Given.submit(1, 20);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 20; }));
+  const auto BeLate = [] {
+    std::this_thread::sleep_for(150ms);
+    return false;
+  };
+  Given.runUntil(BeLate, 500ms);
+  Given.Heartbeats.clear();
+  Given.runUntil(BeLate, 1200ms);
+  EXPECT_EQ(std::count_if(Given.Heartbeats.begin(), Given.Heartbeats.end(),
+                          [](const HeartbeatRequest &Sent) { return Sent.Wait == 0ms; }),
+            0);
+}
+
 // Guards against runs that are started again although they were done, and against runs that are
 // never heard of again: a worker that starts again under its id counts its ends from one, and its
 // clock from zero.
