Scheduler: a list of workers whose changes come faster than they are read is read as a whole

What callers saw: SHORT on the large site at half of the processor; nothing was started for 0.3 to 1.2 s every four seconds.

Cause: an answer to the watch of the list that has 100 changes or more may be truncated and does not count for the age of the list. 1,100 workers check in 733 times a second, so that every answer is that long once a round of the watch takes 0.14 s. A late process then never has a list that is current, and asks in addition every 250 ms.

Change: when such answers have not made the list current for 1 s, it is read as a whole, which takes about as many entries as the changes of 1.5 s and is current whatever the lag.

Result: SchedulerRunner.StartsRunsWhileChangesOfTheListComeFasterThanTheyAreRead failed before and passes; 24 tests of SchedulerRunner pass.

--- a/src/cell/list_age.cpp
+++ b/src/cell/list_age.cpp
@@ -9,6 +9,8 @@
 // Added to the longest wait of a watch: network delay and the pause between two watches.
 constexpr Milliseconds RefreshSlack{500};
 constexpr Milliseconds RefreshPause{250};
+// Bounds how often the whole list is read. All workers check in within little more than this.
+constexpr Milliseconds MaxCatchUpTime{1000};
 // Bounds how long runs may still be started on a worker after it began to drain.
 constexpr Milliseconds MaxAge{3000};
 } // namespace
@@ -24,6 +26,10 @@
   return true;
 }
 
+bool isWatchBehind(const ListAge &Age, TimePoint Now) {
+  return Now - Age.CompleteUntil > MaxCatchUpTime;
+}
+
 bool isListStale(const ListAge &Age, bool IsStoreResponsive, TimePoint Now) {
   return IsStoreResponsive && Now - Age.CompleteUntil > MaxAge;
 }
--- a/src/cell/list_age.h
+++ b/src/cell/list_age.h
@@ -22,6 +22,10 @@
 /// True if a refresh is due: the watch has been silent for longer than its longest wait, and no
 /// refresh was requested recently. Schedules the next refresh, in case this one's answer is lost.
 bool needsListRefresh(ListAge &Age, Milliseconds WatchTime, TimePoint Now);
+/// True if answers that may be truncated no longer keep the list current: it is read as a whole
+/// then, which takes about as long as the changes since, and is current whatever this process's
+/// lag.
+bool isWatchBehind(const ListAge &Age, TimePoint Now);
 /// True if the list is too old to start runs by it. While the store is down (\p IsStoreResponsive
 /// is false) the known list remains in use.
 bool isListStale(const ListAge &Age, bool IsStoreResponsive, TimePoint Now);
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -79,6 +79,7 @@
   Milliseconds RangeTime{0};    ///< Delay of each answer to a range read.
   Milliseconds ListDelay{0};    ///< Delay of each answer to a watch of the list of workers.
   bool LosesListWatch = false;  ///< Watches of that list that wait get no answer.
+  bool TruncatesList = false;   ///< Answers to them have as many changes as a truncated one.
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
   std::vector<uint64_t> Fences; ///< Of the start orders.
   std::vector<HeartbeatRequest> Heartbeats;
@@ -123,8 +124,11 @@
         co_await sleepFor(Wait + 1s);
         co_return Error{ErrorKind::StoreUnavailable, "no answer"};
       }
-      Result<KeyChanges> Read = co_await Inner(Prefix, After, Wait);
+      const bool Truncates = IsList && TruncatesList;
+      Result<KeyChanges> Read = co_await Inner(Prefix, After, Truncates ? 0ms : Wait);
       co_await sleepFor(IsList ? ListDelay : 0ms);
+      if (Truncates && ok(Read))
+        value(Read).Changes.resize(128, KeyChange{{std::string(WorkerPrefix) + "w0"}, false});
       co_return Read;
     };
     return Ops;
@@ -267,6 +271,18 @@
   EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }, 1500ms));
 }
 
+// Guards against a list of workers that counts as out of date, so that nothing is started, while a
+// late process reads its changes more slowly than they come.
+TEST(SchedulerRunner, StartsRunsWhileChangesOfTheListComeFasterThanTheyAreRead) {
+  Bench Given;
+  Given.TruncatesList = true;
+  Given.ListDelay = 300ms;
+  Given.start();
+  EXPECT_FALSE(Given.runUntil([] { return false; }, 3800ms));
+  Given.submit(1, 4);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 4; }, 1000ms));
+}
+
 // Guards against questions to busy workers that a late process adds to its load: its own lag is no
 // sign of lost calls.
 TEST(SchedulerRunner, AsksNoWorkerAgainWhileItIsLateItself) {
--- a/src/cell/scheduler_worker_list.cpp
+++ b/src/cell/scheduler_worker_list.cpp
@@ -103,7 +103,9 @@
       co_await sleepFor(RetryPause);
       continue;
     }
-    if (ok(Read) && Empty < MaxEmptyWatches)
+    const bool IsBehind = ok(Read) && mayBeTruncated(value(Read)) &&
+                          isWatchBehind(Self->WorkerListAge, Self->Deps.Time.Now());
+    if (ok(Read) && Empty < MaxEmptyWatches && !IsBehind)
       continue;
     Empty = 0;
     if (!ok(co_await Self->rereadWorkers()))
