--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -420,6 +420,7 @@
       Record(true);
       if (IsNew)
         Pool->confirmed(*Conn);
+      Conn->shrinkBuffer();
       if (Into.keep_alive() && !Failure)
         Pool->release(Conn);
       HttpResponse Answer = toHttpResponse(Into.release());
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -57,6 +57,15 @@
     return Failure == boost::asio::error::would_block && Buffer.size() == 0;
   }
 
+  // Frees what a large response has taken, once it is parsed: a client may keep thousands of
+  // connections.
+  void shrinkBuffer() {
+    if (Buffer.size() > 0 || Buffer.capacity() <= 2 * ReadBufferBytes)
+      return;
+    Buffer.shrink_to_fit();
+    Buffer.reserve(ReadBufferBytes);
+  }
+
   // Resets the connection and discards unsent data, so that the server doesn't receive it later.
   void abort() {
     boost::system::error_code Ignored;
