--- a/src/http/late_client_test.cpp
+++ b/src/http/late_client_test.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// Calls of a process whose event loop is late, because its processor is short: its own lag is no
-// timeout of the server, and no reason for another connection.
+// Calls of a process whose event loop is late, because its processor is short: a large response
+// takes few turns of the loop, and the lag is no reason for another connection.
 #include "valveshelf/http.h"
 #include "valveshelf/steady_timer.h"
 
