Metrics: time of messages by kind of work, time of a job by stage

What operators saw: 'messages' is two thirds of a late scheduler's time, in one number. Not covered: the first read of a response and the connect itself, which the event loop does, and the time of a report on its way, since no answer says when a run ended. Test: LoopLoad.ReportsOnceASecondAndBeginsNewSums.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -144,7 +144,8 @@
 const EventKind LoopLags{
     2111, "warn", "loop-lags",
     "The scheduler's event loop was late. Of the last second: by how much at most; the processor "
-    "time of the process; the time of the loop by kind of work; start orders with a result, and "
+    "time of the process; the time of the loop by kind of work and that of calls (`messages_ms`, "
+    "part of the rest); start orders with a result, and "
     "how many of them got no answer; and the waiting steps, by what they wait for."};
 const EventKind JobKept{2201, "info", "job-kept",
                         "The job was written durably; its caller was told so."};
--- a/src/cell/caller_api_test.cpp
+++ b/src/cell/caller_api_test.cpp
@@ -39,6 +39,7 @@
   fakes::FakeKeyValueStore Store{Io};
   CellSettings Settings;
   CellMetrics Metrics;
+  TrafficMeter Traffic{Clock{}};
   BurnBook Burn;
   CellLink Peers;
   int Announced = 0;
@@ -49,10 +50,21 @@
                      decodeConfiguration, callbacks()};
   Intake In{Io.get_executor(), intakeStore(),        Clock{},
             Settings,          [] { return false; }, [this](const IntakeUpdate &) { ++Announced; }};
-  Leadership Lead{
-      {Io.get_executor(), Clock{}, Settings, Store.ops(), {}, {}, "", "", {}, Metrics, Burn, {}},
-      View,
-      {}};
+  Leadership Lead{{Io.get_executor(),
+                   Clock{},
+                   Settings,
+                   Store.ops(),
+                   {},
+                   {},
+                   "",
+                   "",
+                   {},
+                   Metrics,
+                   Burn,
+                   {},
+                   Traffic},
+                  View,
+                  {}};
   admission::AdmissionControl Admission{Clock{}, "a", {[] { return std::nullopt; }, [] {}}};
   CallerApi Api{Settings, Clock{}, {decodeSubmission, {}, {}}, Store.ops(), Config, View, Lead,
                 In,       Peers,   [] { return 1s; },          Admission,   Metrics};
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -101,6 +101,15 @@
                                    "Time of the scheduler's event loop, by `case`: the kind of "
                                    "work; `messages` is the rest of the "
                                    "process's processor time."};
+const MetricDescriptor MessageSeconds{
+    "message_seconds_total", "counter",
+    "Time of the scheduler's calls, by `case`: encode, decode, transfer or connect; part of the "
+    "time of its event loop."};
+const MetricDescriptor StageSeconds{
+    "stage_seconds", "histogram",
+    "Time of a step or run in the scheduler, by `case`: intake (from acceptance to the scheduler, "
+    "by two wall clocks), advice (until the first answer), place (until the start order), start "
+    "(until its response) and save (the write of ends)."};
 const MetricDescriptor WaitingByCause{
     "steps_waiting_for", "gauge",
     "Steps with a task to place, by `case`: what they wait for; 0 unless this process is the "
@@ -140,6 +149,8 @@
                               &Ready,
                               &LoopLag,
                               &LoopSeconds,
+                              &MessageSeconds,
+                              &StageSeconds,
                               &WaitingByCause};
   return All;
 }
@@ -151,11 +162,15 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 } // namespace
 
+static prometheus::Labels labelsOf(const std::string &Case) {
+  return Case.empty() ? prometheus::Labels() : prometheus::Labels{{"case", Case}};
+}
+
 struct CellMetrics::Impl {
   prometheus::Registry Registry;
   std::map<std::string_view, prometheus::Family<prometheus::Counter> *> Counters;
   std::map<std::string_view, prometheus::Family<prometheus::Gauge> *> Gauges;
-  std::map<std::string_view, prometheus::Histogram *> Histograms;
+  std::map<std::string_view, prometheus::Family<prometheus::Histogram> *> Histograms;
 };
 
 CellMetrics::CellMetrics() : Inner(std::make_unique<Impl>()) {
@@ -169,21 +184,16 @@
       Inner->Gauges[Metric->Name] =
           &prometheus::BuildGauge().Name(Name).Help(Help).Register(Inner->Registry);
     else
-      Inner->Histograms[Metric->Name] = &prometheus::BuildHistogram()
-                                             .Name(Name)
-                                             .Help(Help)
-                                             .Register(Inner->Registry)
-                                             .Add({}, LatencyBucketsSeconds);
+      Inner->Histograms[Metric->Name] =
+          &prometheus::BuildHistogram().Name(Name).Help(Help).Register(Inner->Registry);
+    if (Metric->Type == "histogram" && Metric != &metrics::StageSeconds)
+      Inner->Histograms.at(Metric->Name)->Add({}, LatencyBucketsSeconds);
     if (Metric->Type == "gauge" && Metric != &metrics::WaitingByCause)
       set(*Metric, 0);
   }
 }
 CellMetrics::~CellMetrics() = default;
 
-static prometheus::Labels labelsOf(const std::string &Case) {
-  return Case.empty() ? prometheus::Labels() : prometheus::Labels{{"case", Case}};
-}
-
 void CellMetrics::count(const MetricDescriptor &Metric, const std::string &Label) {
   add(Metric, 1, Label);
 }
@@ -192,8 +202,11 @@
   Inner->Counters.at(Metric.Name)->Add(labelsOf(Label)).Increment(Amount);
 }
 
-void CellMetrics::observe(const MetricDescriptor &Metric, Steady::duration Time) {
-  Inner->Histograms.at(Metric.Name)->Observe(std::chrono::duration<double>(Time).count());
+void CellMetrics::observe(const MetricDescriptor &Metric, Steady::duration Time,
+                          const std::string &Label) {
+  Inner->Histograms.at(Metric.Name)
+      ->Add(labelsOf(Label), LatencyBucketsSeconds)
+      .Observe(std::chrono::duration<double>(Time).count());
 }
 
 void CellMetrics::set(const MetricDescriptor &Metric, double Value, const std::string &Label) {
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -136,7 +136,8 @@
             Platform.DecodeWorker,
             Metrics,
             Burn,
-            [this] { return Time.Now() - Router.lastAnswer() < StoreAnswerFreshness; }};
+            [this] { return Time.Now() - Router.lastAnswer() < StoreAnswerFreshness; },
+            Meter};
   }
 
   LeadershipCallbacks leadershipCallbacks() {
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -22,6 +22,7 @@
   fakes::FakeKeyValueStore Store{Io};
   CellSettings Settings;
   CellMetrics Metrics;
+  TrafficMeter Traffic{Clock{}};
   BurnBook Burn;
   std::unique_ptr<CellView> View;
   std::unique_ptr<Leadership> Lead;
@@ -57,7 +58,8 @@
         [](std::string_view, std::string_view) -> Result<WorkerInfo> { return Error{}; },
         Metrics,
         Burn,
-        [] { return true; }};
+        [] { return true; },
+        Traffic};
     LeadershipCallbacks Callbacks;
     Callbacks.Probe = [this](Endpoint, Milliseconds Time) -> Awaitable<ProbeResult> {
       ProbeTimes.push_back(Time);
--- a/src/cell/loop_load.cpp
+++ b/src/cell/loop_load.cpp
@@ -32,11 +32,12 @@
 } // namespace
 
 void reportLoopLoad(LoopLoad &Load, const CellState &Cell, Steady::duration ProcessorTime,
-                    TimePoint Now, CellMetrics &Metrics) {
+                    const MessageTimes &Messages, TimePoint Now, CellMetrics &Metrics) {
   if (Now - Load.ReportedAt < ReportInterval)
     return;
   LoopLoad Sums = std::exchange(Load, LoopLoad{});
   Load.ProcessorTime = ProcessorTime;
+  Load.Messages = Messages;
   Load.ReportedAt = Now;
   if (Sums.ReportedAt == TimePoint{})
     return;
@@ -48,6 +49,11 @@
   }
   const Steady::duration Rest = std::max(Processor - Known, Steady::duration(0));
   Metrics.add(metrics::LoopSeconds, seconds(Rest), "messages");
+  MessageTimes OfMessages{};
+  for (size_t I = 0; I < OfMessages.size(); ++I) {
+    OfMessages[I] = Messages[I] - Sums.Messages[I];
+    Metrics.add(metrics::MessageSeconds, seconds(OfMessages[I]), std::string(MessageWorkNames[I]));
+  }
   Metrics.set(metrics::LoopLag, seconds(Sums.MaxLag));
   const auto Waiting = countWaitingSteps(Cell);
   for (size_t I = 0; I < Waiting.size(); ++I)
@@ -58,6 +64,7 @@
                               {"passed_ms", millis(Now - Sums.ReportedAt)},
                               {"processor_ms", millis(Processor)},
                               {"work_ms", list(LoopWorkNames, Sums.Times, millis)},
+                              {"messages_ms", list(MessageWorkNames, OfMessages, millis)},
                               {"starts", std::to_string(Sums.Starts)},
                               {"unanswered", std::to_string(Sums.UnansweredStarts)},
                               {"waiting", list(WaitCauseNames, Waiting, [](uint32_t Count) {
--- a/src/cell/loop_load.h
+++ b/src/cell/loop_load.h
@@ -6,6 +6,7 @@
 
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/cell_state.h"
+#include "valveshelf/traffic.h"
 
 #include <array>
 #include <cstdint>
@@ -26,6 +27,7 @@
   uint64_t Starts = 0;               ///< Start orders with a result,
   uint64_t UnansweredStarts = 0;     ///< of which this many got no answer.
   Steady::duration ProcessorTime{0}; ///< Of the process, when last reported.
+  MessageTimes Messages{};           ///< The same of its messages.
   TimePoint ReportedAt{};
 };
 
@@ -45,8 +47,9 @@
 };
 
 /// Once a second: raises the metrics and, if the loop has lagged, logs one line. \p ProcessorTime:
-/// of the process so far. Begins new sums. Does nothing if it is not time yet.
+/// of the process so far, of which \p Messages went into messages. Begins new sums. Does nothing if
+/// it is not time yet.
 void reportLoopLoad(LoopLoad &Load, const sched::CellState &Cell, Steady::duration ProcessorTime,
-                    TimePoint Now, CellMetrics &Metrics);
+                    const MessageTimes &Messages, TimePoint Now, CellMetrics &Metrics);
 
 } // namespace valveshelf
--- a/src/cell/loop_load_test.cpp
+++ b/src/cell/loop_load_test.cpp
@@ -14,18 +14,21 @@
   CellState Cell;
   CellMetrics Metrics;
   TimePoint Now = TimePoint{} + 100s;
-  reportLoopLoad(Load, Cell, 5s, Now, Metrics);
+  reportLoopLoad(Load, Cell, 5s, {}, Now, Metrics);
   Load.Times[static_cast<size_t>(LoopWork::Place)] = 200ms;
   Load.MaxLag = 30ms;
-  reportLoopLoad(Load, Cell, 5200ms, Now + 500ms, Metrics);
+  reportLoopLoad(Load, Cell, 5200ms, {}, Now + 500ms, Metrics);
   EXPECT_EQ(Load.MaxLag, 30ms);
-  reportLoopLoad(Load, Cell, 5500ms, Now + 1s, Metrics);
+  reportLoopLoad(Load, Cell, 5500ms, {100ms, 0ms, 50ms, 0ms}, Now + 1s, Metrics);
   EXPECT_EQ(Load.MaxLag, 0ms);
   EXPECT_EQ(Load.Times[static_cast<size_t>(LoopWork::Place)], 0ms);
   const std::string Text = Metrics.text();
   EXPECT_NE(Text.find("valveshelf_loop_lag_seconds 0.03"), std::string::npos) << Text;
   EXPECT_NE(Text.find("valveshelf_loop_seconds_total{case=\"place\"} 0.2"), std::string::npos);
   EXPECT_NE(Text.find("valveshelf_loop_seconds_total{case=\"messages\"} 0.3"), std::string::npos);
+  EXPECT_NE(Text.find("valveshelf_message_seconds_total{case=\"encode\"} 0.1"), std::string::npos);
+  EXPECT_NE(Text.find("valveshelf_message_seconds_total{case=\"transfer\"} 0.05"),
+            std::string::npos);
 }
 
 TEST(LoopLoad, CountsWaitingStepsByCause) {
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -315,6 +315,7 @@
   const StartResult What = Answer.Result;
   const Steady::duration Took = Self->Deps.Time.Now() - SentAt;
   Self->Deps.Metrics.observe(metrics::StartSeconds, Took);
+  Self->Deps.Metrics.observe(metrics::StageSeconds, Took, "start");
   Self->Deps.Metrics.count(metrics::Starts, std::to_string(static_cast<int>(What)));
   if (Self->Stopped)
     co_return;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -39,6 +39,8 @@
             [this](const Effects::AdviceRequest &Request, const Result<Advice> &Answer,
                    const std::string &Lane, Steady::duration Took) {
               this->Deps.Metrics.observe(metrics::AdviceSeconds, Took);
+              if (Request.IsFirst)
+                this->Deps.Metrics.observe(metrics::StageSeconds, Took, "advice");
               logEvent(
                   events::AdviceGiven,
                   {{"step", toString(Request.Step)},
@@ -262,7 +264,12 @@
     return;
   }
   Read.Spec.Id = *Id;
-  if (!Cell.Jobs.count(*Id) && !Cell.EndedJobs.count(*Id))
+  const bool IsNew = !Cell.Jobs.count(*Id) && !Cell.EndedJobs.count(*Id);
+  if (IsNew && Fresh)
+    Deps.Metrics.observe(metrics::StageSeconds,
+                         std::max(Deps.Time.Wall() - Read.Spec.AcceptedAt, WallTime::duration(0)),
+                         "intake");
+  if (IsNew)
     logEvent(events::JobTaken, {{"job", jobIdText(*Id)},
                                 {"steps", std::to_string(Read.Spec.Steps.size())},
                                 {"queue", Read.Spec.Queue},
@@ -430,8 +437,10 @@
     return std::to_string(std::chrono::duration_cast<Milliseconds>(Time).count());
   };
   for (const Effects::Placement &What : Out.Placements) {
-    if (What.IsFirst)
+    if (What.IsFirst) {
       Deps.Metrics.observe(metrics::FirstStartSeconds, Now - What.RunnableSince);
+      Deps.Metrics.observe(metrics::StageSeconds, Now - What.RunnableSince, "place");
+    }
     logEvent(events::StepPlaced, {{"step", toString(What.Step)},
                                   {"tasks", std::to_string(What.Tasks)},
                                   {"workers", std::to_string(What.Workers)},
@@ -568,8 +577,8 @@
     Self->Deps.Metrics.set(metrics::WorkersSlow, Self->Cell.RunTimes.SlowWorkers);
     Self->Cell.ConfirmedAt = Self->Evidence.ConfirmedAt;
     Self->runTick();
-    reportLoopLoad(Self->Loop, Self->Cell, Self->Deps.Time.Processor(), Self->Deps.Time.Now(),
-                   Self->Deps.Metrics);
+    reportLoopLoad(Self->Loop, Self->Cell, Self->Deps.Time.Processor(), Self->Deps.Traffic.spent(),
+                   Self->Deps.Time.Now(), Self->Deps.Metrics);
   }
 }
 
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -46,6 +46,7 @@
   CellMetrics &Metrics;
   BurnBook &Burn;                          ///< Ended jobs by queue, over all terms of this process.
   std::function<bool()> IsStoreResponsive; ///< Whether the store has answered recently.
+  const TrafficMeter &Traffic;             ///< Of this process.
 };
 
 /// The leadership claim under which a term runs.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -71,6 +71,7 @@
   std::map<std::string, FakeWorker> Workers;
   CellSettings Settings;
   CellMetrics Metrics;
+  TrafficMeter Traffic{Clock{}};
   BurnBook Burn;
   std::shared_ptr<SchedulerRunner> Runner;
   Steady::duration Suspended{0}; ///< Added to the clock, but not to timers.
@@ -223,7 +224,8 @@
         },
         Metrics,
         Burn,
-        [this] { return !Store.Down; }};
+        [this] { return !Store.Down; },
+        Traffic};
     Own.SentAt = Deps.Time.Now();
     Runner = std::make_shared<SchedulerRunner>(Deps, Own, [this] { HasEnded = true; });
     Runner->start();
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -131,8 +131,10 @@
 
 Awaitable<void> SchedulerRunner::save(SelfPtr Self, Transaction What,
                                       std::vector<SaveEntry> Written) {
+  const TimePoint Begun = Self->Deps.Time.Now();
   Result<TransactionResult> Answer = co_await Self->Deps.Store.Commit(std::move(What));
   --Self->SavesInFlight;
+  Self->Deps.Metrics.observe(metrics::StageSeconds, Self->Deps.Time.Now() - Begun, "save");
   if (Self->Stopped)
     co_return;
   if (ok(Answer) && value(Answer).Applied) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -94,7 +94,7 @@
 class HttpClient::Impl {
 public:
   Impl(Executor Exec, HttpClientLimits Limits, TrafficMeter *Meter)
-      : Pool(std::make_shared<ConnectionPool>(Exec, Limits)), Meter(Meter),
+      : Pool(std::make_shared<ConnectionPool>(Exec, Limits, Meter)), Meter(Meter),
         CallDeadlines(std::make_shared<Deadlines>(Exec)) {}
 
   const std::shared_ptr<ConnectionPool> Pool;
@@ -303,7 +303,8 @@
 
 // Writes as much as the socket accepts without blocking; would_block if data remains.
 boost::system::error_code writeWithoutWaiting(Connection &Conn, Serializer &Out,
-                                              TrafficCounts &Counts) {
+                                              TrafficCounts &Counts, TrafficMeter *Meter) {
+  const MessageSection Work(Meter, MessageWork::Transfer);
   boost::system::error_code Failure;
   while (!Failure && !Out.is_done())
     Out.next(Failure, [&](boost::system::error_code &Code, const auto &Buffers) {
@@ -316,7 +317,8 @@
 
 // Parses the data in the buffer. \p Failure is the result of the read, eof at the end of stream.
 boost::system::error_code parseRead(Connection &Conn, Parser &Into,
-                                    boost::system::error_code Failure) {
+                                    boost::system::error_code Failure, TrafficMeter *Meter) {
+  const MessageSection Work(Meter, MessageWork::Decode);
   if (Failure == asio::error::eof && Into.got_some()) {
     Failure = {};
     Into.put_eof(Failure);
@@ -333,18 +335,22 @@
 
 // Reads what has arrived without waiting, up to a bound. Each turn of the event loop may take long
 // in a busy process; a large response must not take one for each piece of it.
-boost::system::error_code readWithoutWaiting(Connection &Conn, Parser &Into,
-                                             TrafficCounts &Counts) {
+boost::system::error_code readWithoutWaiting(Connection &Conn, Parser &Into, TrafficCounts &Counts,
+                                             TrafficMeter *Meter) {
   boost::system::error_code Failure;
   for (size_t Read = 0; !Failure && !Into.is_done() && Read < MaxBytesPerTurn;) {
-    const size_t Bytes =
-        Conn.Stream.socket().read_some(Conn.Buffer.prepare(Connection::LargeReadBytes), Failure);
+    size_t Bytes = 0;
+    {
+      const MessageSection Work(Meter, MessageWork::Transfer);
+      Bytes =
+          Conn.Stream.socket().read_some(Conn.Buffer.prepare(Connection::LargeReadBytes), Failure);
+    }
     if (Failure == asio::error::would_block)
       return {};
     Conn.Buffer.commit(Bytes);
     Counts.BytesReceived += Bytes;
     Read += Bytes;
-    Failure = parseRead(Conn, Into, Failure);
+    Failure = parseRead(Conn, Into, Failure, Meter);
   }
   return Failure;
 }
@@ -359,22 +365,23 @@
 // without waiting, so that a call usually waits only once, for its response.
 Awaitable<boost::system::error_code> exchange(Connection &Conn,
                                               const http::request<http::string_body> &Message,
-                                              Parser &Into, TrafficCounts &Counts) {
+                                              Parser &Into, TrafficCounts &Counts,
+                                              TrafficMeter *Meter) {
   Serializer Out{Message};
   Into.eager(true);
-  boost::system::error_code Failure = writeWithoutWaiting(Conn, Out, Counts);
+  boost::system::error_code Failure = writeWithoutWaiting(Conn, Out, Counts, Meter);
   while (Failure == asio::error::would_block && !Conn.TimedOut) {
     auto [Code] = co_await Conn.Stream.socket().async_wait(tcp::socket::wait_write, AsTuple);
-    Failure = Code ? Code : writeWithoutWaiting(Conn, Out, Counts);
+    Failure = Code ? Code : writeWithoutWaiting(Conn, Out, Counts, Meter);
   }
   while (!Failure && !Into.is_done() && !Conn.TimedOut) {
     auto [Code, Bytes] = co_await Conn.Stream.socket().async_read_some(
         Conn.Buffer.prepare(Connection::ReadBufferBytes), AsTuple);
     Conn.Buffer.commit(Bytes);
     Counts.BytesReceived += Bytes;
-    Failure = parseRead(Conn, Into, Code);
+    Failure = parseRead(Conn, Into, Code, Meter);
     if (!Failure && Bytes == Connection::ReadBufferBytes)
-      Failure = readWithoutWaiting(Conn, Into, Counts);
+      Failure = readWithoutWaiting(Conn, Into, Counts, Meter);
   }
   if (!Into.is_done() && (!Failure || Conn.TimedOut))
     Failure = beast::error::timeout;
@@ -414,7 +421,7 @@
     {
       const TimedCall Timed(Client->CallDeadlines, Conn, SentAt + Options.Timeout,
                             co_await asio::this_coro::executor);
-      Failure = co_await exchange(*Conn, Message, Into, Counts);
+      Failure = co_await exchange(*Conn, Message, Into, Counts, Client->Meter);
     }
     if (Into.is_done()) {
       Record(true);
@@ -440,6 +447,8 @@
   }
 }
 
+TrafficMeter *HttpClient::meter() const { return Inner->Meter; }
+
 bool HttpClient::mayHaveToShare(const Endpoint &To) const {
   return Inner->Pool->mayHaveToShare(To);
 }
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -27,8 +27,8 @@
 bool isLimited(const Connection &Conn) { return Conn.Limits.MaxConnections > 0; }
 } // namespace
 
-ConnectionPool::ConnectionPool(Executor Exec, HttpClientLimits Limits)
-    : Exec(Exec), Limits(Limits), SweepTimer(Exec) {}
+ConnectionPool::ConnectionPool(Executor Exec, HttpClientLimits Limits, TrafficMeter *Meter)
+    : Exec(Exec), Limits(Limits), Meter(Meter), SweepTimer(Exec) {}
 
 Awaitable<Result<ConnectionPtr>> ConnectionPool::take(Endpoint To, CallOptions How,
                                                       TimePoint Deadline) {
@@ -106,16 +106,23 @@
         Here->limitedClosed(Conn);
     };
   const Executor Where = Limits.OneThread ? Exec : Executor(asio::make_strand(Exec));
-  auto NewConn = std::make_shared<Connection>(Where, To, How.Limits, std::move(Closed));
+  ConnectionPtr NewConn;
   boost::system::error_code Bad;
-  const tcp::endpoint Target(asio::ip::make_address(To.Host, Bad), To.Port);
-  NewConn->Stream.expires_after(How.Timeout);
+  tcp::endpoint Target;
+  {
+    const MessageSection Work(Meter, MessageWork::Connect);
+    NewConn = std::make_shared<Connection>(Where, To, How.Limits, std::move(Closed));
+    Target = tcp::endpoint(asio::ip::make_address(To.Host, Bad), To.Port);
+    NewConn->Stream.expires_after(How.Timeout);
+    NewConn->Stream.socket().open(Target.protocol(), Bad);
+  }
   auto [Failure] = co_await NewConn->Stream.async_connect(Target, AsTuple);
   if (Failure) {
     const bool Refused = Failure == asio::error::connection_refused;
     co_return Error{ErrorKind::UpstreamUnavailable,
                     (Refused ? "connection refused by " : "no connection to ") + toString(To)};
   }
+  const MessageSection Work(Meter, MessageWork::Connect);
   NewConn->Stream.expires_never();
   NewConn->Stream.socket().set_option(tcp::no_delay(true));
   NewConn->Stream.socket().non_blocking(true, Bad);
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -6,6 +6,7 @@
 #include "http/connection.h"
 #include "http/connection_budget.h"
 #include "valveshelf/steady_timer.h"
+#include "valveshelf/traffic.h"
 
 #include <deque>
 #include <list>
@@ -19,7 +20,8 @@
 /// Thread safe. Held by a shared pointer, since its timer and its connections refer to it.
 class ConnectionPool : public std::enable_shared_from_this<ConnectionPool> {
 public:
-  ConnectionPool(Executor Exec, HttpClientLimits Limits);
+  /// \p Meter: as for `HttpClient`.
+  ConnectionPool(Executor Exec, HttpClientLimits Limits, TrafficMeter *Meter);
 
   /// A connection to \p To for one call: an idle one, a new one, or the first one that another call
   /// releases. UpstreamUnavailable: none was established by \p Deadline.
@@ -82,6 +84,7 @@
 
   const Executor Exec;
   const HttpClientLimits Limits;
+  TrafficMeter *const Meter; ///< May be null.
   mutable std::mutex Mutex;
   IdleList IdleByAge; ///< All idle connections, oldest first. Guarded by Mutex.
   std::unordered_map<Endpoint, EndpointState, EndpointHash> Endpoints; ///< Guarded by Mutex.
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -25,7 +25,7 @@
     LeftOut, Starts, StartSeconds, Ends, RunsLost, WorkerRestarts, TasksGivenUp, Copies,
     CopyCoreSeconds, FirstStartSeconds, ForecastErrorSeconds, AdviceSeconds, PlaceSeconds, Workers,
     WorkersSlow, WorkerListAge, ZonesEvacuated, Messages, MessageBytes, ConnectionsOpened,
-    LogLinesLeftOut, Ready, LoopLag, LoopSeconds, WaitingByCause;
+    LogLinesLeftOut, Ready, LoopLag, LoopSeconds, MessageSeconds, StageSeconds, WaitingByCause;
 } // namespace metrics
 
 /// All metrics, in the order of docs/METRICS.md.
@@ -44,7 +44,9 @@
   void count(const MetricDescriptor &Metric, const std::string &Label = "");
   /// Raises a counter by \p Amount. \p Label: as for `count`.
   void add(const MetricDescriptor &Metric, double Amount, const std::string &Label = "");
-  void observe(const MetricDescriptor &Metric, Steady::duration Time);
+  /// \p Label: as for `count`.
+  void observe(const MetricDescriptor &Metric, Steady::duration Time,
+               const std::string &Label = "");
   /// \p Label: as for `count`.
   void set(const MetricDescriptor &Metric, double Value, const std::string &Label = "");
   /// Raises the counters of messages and connections to the totals in \p Traffic.
--- a/src/include/valveshelf/http.h
+++ b/src/include/valveshelf/http.h
@@ -201,6 +201,9 @@
   /// UpstreamCut: the request may have been sent, and no complete response arrived.
   Awaitable<Result<HttpResponse>> send(Endpoint To, HttpRequest Request, CallOptions Options = {});
 
+  /// The meter of the constructor; may be null.
+  TrafficMeter *meter() const;
+
   /// True if calls to an endpoint with a limit may have to share one connection, so that none
   /// should take it for long: the endpoint has reset a new connection, or has answered on no second
   /// one yet.
--- a/src/include/valveshelf/traffic.h
+++ b/src/include/valveshelf/traffic.h
@@ -6,6 +6,8 @@
 #include "valveshelf/coroutines.h"
 #include "valveshelf/errors.h"
 
+#include <array>
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -32,18 +34,54 @@
   Milliseconds Duration{0}; ///< Counting time; the longest one if merged.
 };
 
-/// Counts the messages of this process. Thread-safe.
+/// Kinds of work that messages cost their sender.
+enum class MessageWork {
+  Encode,
+  Decode,   ///< Includes the parsing of responses.
+  Transfer, ///< Writing, and reading what the event loop has not read yet.
+  Connect,  ///< Setting connections up and closing them.
+};
+inline constexpr std::array<std::string_view, 4> MessageWorkNames{"encode", "decode", "transfer",
+                                                                  "connect"};
+/// By `MessageWork`.
+using MessageTimes = std::array<Steady::duration, MessageWorkNames.size()>;
+
+/// Counts the messages of this process and the time that they take. Thread-safe.
 class TrafficMeter {
 public:
   explicit TrafficMeter(Clock Time);
   void record(std::string_view Kind, const TrafficCounts &What);
   TrafficStats stats() const;
+  void spend(MessageWork On, Steady::duration Time);
+  /// Since this object was made.
+  MessageTimes spent() const;
 
 private:
   const Clock Time;
   const TimePoint Since;
   mutable std::mutex Mutex;
-  TrafficStats Stats; ///< Guarded by Mutex.
+  TrafficStats Stats;                                                    ///< Guarded by Mutex.
+  std::array<std::atomic<Steady::rep>, MessageWorkNames.size()> Spent{}; ///< By `MessageWork`.
+};
+
+/// Adds the time until its destruction to one kind of work. Must not live across a suspension of a
+/// coroutine, nor inside another one.
+class MessageSection {
+public:
+  /// \p Meter may be null.
+  MessageSection(TrafficMeter *Meter, MessageWork On)
+      : Meter(Meter), On(On), Begun(Meter ? Steady::now() : TimePoint{}) {}
+  ~MessageSection() {
+    if (Meter)
+      Meter->spend(On, Steady::now() - Begun);
+  }
+  MessageSection(const MessageSection &) = delete;
+  MessageSection &operator=(const MessageSection &) = delete;
+
+private:
+  TrafficMeter *const Meter;
+  const MessageWork On;
+  const TimePoint Begun;
 };
 
 /// Adds the counts of another process.
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -35,6 +35,17 @@
   return Now;
 }
 
+void TrafficMeter::spend(MessageWork On, Steady::duration Time) {
+  Spent[static_cast<size_t>(On)].fetch_add(Time.count(), std::memory_order_relaxed);
+}
+
+MessageTimes TrafficMeter::spent() const {
+  MessageTimes Times{};
+  for (size_t I = 0; I < Times.size(); ++I)
+    Times[I] = Steady::duration(Spent[I].load(std::memory_order_relaxed));
+  return Times;
+}
+
 void mergeTraffic(TrafficStats &Stats, const TrafficStats &Other) {
   for (const auto &[Kind, Counts] : Other.Kinds)
     Stats.Kinds[Kind] += Counts;
