Scheduler: starts in progress are bounded by the lag of its loop, urgent ones first

What callers saw: on a box that is short of processor time nine of ten quick jobs are a second late, and at half of that nearly none is in time. Cause: a pass ordered the start of everything that has room on a worker; the event loop takes orders, answers and reports in turn, so that its lag grows with what is asked beyond what it can do, and each job meets it some seven times. Change: a window of starts in progress, which shrinks while the loop lags by more than 25 ms and grows while starts wait; a pass ends once it is used up. The rest waits in the queue, in its order; steps that have waited for 1.5 s go first in every second of such passes, so that accepted work does not starve. Starts that wait for a silent worker don't count. What is late is late in the queue now; nothing refuses it yet. Tests: StartPacing.*, Placement.OrdersNoMoreStartsThanAllowed..., .AJobOfLittleUrgencyStarts..., .AGangIsNotDivided..., SchedulerRunner.HasABoundedNumberOfStartsInProgress.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -278,7 +278,18 @@
   }
 }
 
-Awaitable<void> SchedulerRunner::sendStart(SelfPtr Self, Effects::Start Order) {
+namespace {
+/// Ends a start that is in progress with its destruction.
+struct StartInProgress {
+  StartPacing &Pacing;
+  const uint64_t Number;
+  bool IsAnswered = false;
+  ~StartInProgress() { noteFinished(Pacing, Number, IsAnswered); }
+};
+} // namespace
+
+Awaitable<void> SchedulerRunner::sendStart(SelfPtr Self, Effects::Start Order, uint64_t Number) {
+  StartInProgress Progress{Self->Pacing, Number};
   const auto Found = Self->Cell.Workers.find(Order.Worker);
   if (Found == Self->Cell.Workers.end() || Self->Stopped || Self->wasSuspended())
     co_return;
@@ -321,6 +332,7 @@
     co_return;
   const LoopSection Work(Self->Loop, LoopWork::Orders);
   const bool Answered = What != StartResult::Unknown;
+  Progress.IsAnswered = Answered;
   ++Self->Loop.Starts;
   Self->Loop.UnansweredStarts += Answered ? 0 : 1;
   noteResult(Self->CallTimeout, Call,
@@ -348,7 +360,7 @@
     startAnswered(Self->Cell, Order.Worker, Order.Run,
                   resultOfStart(What, compareToken(Self->Cell, Order.Worker, Fence)), Now, Out);
   Self->executeEffects(Out);
-  if (What != StartResult::Started)
+  if (What != StartResult::Started || Self->Cell.WasCutShort)
     Self->schedulePlacement();
 }
 
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -387,7 +387,7 @@
   reportEffects(Out);
   const SelfPtr Self = shared_from_this();
   for (Effects::Start &Order : Out.Starts)
-    spawnLater(Deps.Where, sendStart(Self, std::move(Order)));
+    spawnLater(Deps.Where, sendStart(Self, std::move(Order), noteOrdered(Pacing, Deps.Time.Now())));
   for (Effects::Stop &Order : Out.Stops)
     spawnLater(Deps.Where, sendStop(Self, std::move(Order)));
   for (Effects::AdviceRequest &Request : Out.AdviceRequests)
@@ -532,7 +532,10 @@
     return;
   const LoopSection Work(Loop, LoopWork::Place);
   Effects Out;
+  Cell.StartsLeft = startsAllowed(Pacing, Begun);
   place(Cell, Begun, Out);
+  if (Cell.WasCutShort)
+    noteBound(Pacing);
   LastPlacementTime = Deps.Time.Now() - Begun;
   Deps.Metrics.observe(metrics::PlaceSeconds, LastPlacementTime);
   executeEffects(Out);
@@ -569,6 +572,7 @@
     if (Self->wasSuspended())
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
+    updatePacing(Self->Pacing, Self->LastLag, Self->LastTick);
     Self->noteConfirmation(Self->LastTick);
     Self->Deps.Metrics.set(metrics::Jobs, static_cast<double>(Self->Cell.Jobs.size()));
     Self->Deps.Metrics.set(metrics::Waiting, static_cast<double>(Self->Cell.Queue.size()));
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -10,6 +10,7 @@
 #include "cell/leadership_evidence.h"
 #include "cell/list_age.h"
 #include "cell/loop_load.h"
+#include "cell/start_pacing.h"
 #include "valveshelf/burn.h"
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/cell_records.h"
@@ -164,7 +165,8 @@
   static Awaitable<void> sendHeartbeatNow(SelfPtr Self, std::string Id);
   void logCallLosses() const;
   void recheckBusyWorkers();
-  static Awaitable<void> sendStart(SelfPtr Self, sched::Effects::Start Order);
+  /// \p Number: of the start in `Pacing`.
+  static Awaitable<void> sendStart(SelfPtr Self, sched::Effects::Start Order, uint64_t Number);
   static Awaitable<void> sendStop(SelfPtr Self, sched::Effects::Stop Order);
   Milliseconds workerTime(const std::string &Id) const;
   TimePoint leaseEnd(Milliseconds Lease, Steady::duration ClockAge) const;
@@ -236,6 +238,7 @@
   Steady::duration LastPlacementTime{0}; ///< Duration of the last placement pass.
   TimePoint LastTick{};
   LoopLoad Loop;
+  StartPacing Pacing;
   Steady::duration LastLag{0}; ///< By how much the last tick was late.
   bool Stopped = false;
 };
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -82,6 +82,9 @@
   bool LosesListWatch = false;  ///< Watches of that list that wait get no answer.
   bool TruncatesList = false;   ///< Answers to them have as many changes as a truncated one.
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
+  Milliseconds StartTime{0};    ///< Each start takes as long.
+  size_t InStart = 0;           ///< Starts on their way,
+  size_t MostInStart = 0;       ///< and the most of them at a time.
   std::vector<uint64_t> Fences; ///< Of the start orders.
   std::vector<HeartbeatRequest> Heartbeats;
   std::vector<Milliseconds> LeasesLeft; ///< That heartbeats and starts gave, when they arrived.
@@ -141,7 +144,9 @@
       FakeWorker &To = Workers.at(Order.To.Id);
       Fences.push_back(Order.Fence);
       LeasesLeft.push_back(Order.LeaseUntil - To.clock());
-      co_await sleepFor(std::exchange(StartDelay, 0ms));
+      MostInStart = std::max(MostInStart, ++InStart);
+      co_await sleepFor(std::exchange(StartDelay, 0ms) + StartTime);
+      --InStart;
       if (!To.admits(Order.Fence))
         co_return StartAnswer{StartResult::RefusedFence, To.clock()};
       const auto Has = [&](const ActiveRun &Row) { return Row.Run == Order.Run; };
@@ -285,6 +290,17 @@
   EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 4; }, 1000ms));
 }
 
+// Guards against a burst of starts that delays everything else in the event loop, and themselves.
+TEST(SchedulerRunner, HasABoundedNumberOfStartsInProgress) {
+  Bench Given;
+  Given.Capacity = {1'000'000, 1'000'000, 0};
+  Given.StartTime = 5ms;
+  Given.submit(1, 1500);
+  Given.start();
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1500; }, 20s));
+  EXPECT_LE(Given.MostInStart, MaxStartWindow);
+}
+
 // Guards against questions to busy workers that a late process adds to its load: its own lag is no
 // sign of lost calls.
 TEST(SchedulerRunner, AsksNoWorkerAgainWhileItIsLateItself) {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -447,11 +447,16 @@
   std::deque<std::pair<WallTime, JobId>> EndedByAge; ///< Keys of EndedJobs, oldest first.
   /// By id, and earlier lives by a key of their own. Pointers to the values stay valid.
   std::map<std::string, Worker> Workers;
-  std::vector<Worker *> Slots;           ///< Workers by slot; null: the worker was dropped.
-  uint32_t NextToken = 0;                ///< `Worker::FirstToken` of the next worker or life.
-  std::set<QueueKey> Queue;              ///< Steps with a task to place.
-  TimePoint NextFullScan{};              ///< When all waiting steps are tried again.
-  uint64_t FullScans = 0;                ///< Number of full scans so far.
+  std::vector<Worker *> Slots; ///< Workers by slot; null: the worker was dropped.
+  uint32_t NextToken = 0;      ///< `Worker::FirstToken` of the next worker or life.
+  std::set<QueueKey> Queue;    ///< Steps with a task to place.
+  /// How many starts the next pass may order, and what is left of it after the pass; empty: any
+  /// number.
+  std::optional<size_t> StartsLeft;
+  bool WasCutShort = false; ///< The last pass left steps in the queue because none was left.
+  uint64_t ShortPasses = 0; ///< Number of such passes.
+  TimePoint NextFullScan{}; ///< When all waiting steps are tried again.
+  uint64_t FullScans = 0;   ///< Number of full scans so far.
   std::optional<QueueKey> FirstUnplaced; ///< First step not placed since the last full scan.
   /// The same by service; used instead of `FirstUnplaced` while advice is shared.
   std::map<std::string, QueueKey> FirstUnplacedOfService;
--- a/src/scheduler/pass.h
+++ b/src/scheduler/pass.h
@@ -141,6 +141,8 @@
 /// True if a worker runs the task without its job having been known; it is being stopped there.
 bool hasOrphanedRun(const CellState &Cell, const TaskKey &Task);
 uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index);
+/// True if the pass may order no further start.
+bool isOutOfStarts(const PlacementPass &Pass);
 /// Orders the start of a task that is planned on the worker.
 void orderStart(PlacementPass &Pass, const Job &J, StepState &Step, uint32_t Index, Worker &W,
                 Attempt &A);
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -18,6 +18,9 @@
 // of the queue decide who gets the capacity freed in between. The tasks of such steps run for
 // seconds, so that the interval adds little to their wait.
 constexpr Milliseconds FullScanInterval{40};
+// While the process can't order all starts at once, steps that have waited for this long go first
+// in every second pass: accepted work must not starve behind more urgent work that goes on coming.
+constexpr Milliseconds StarvationBound{1500};
 // The newest urgent task has a weight of 1 / UrgentMeanWeight in the mean.
 constexpr int64_t UrgentMeanWeight = 64;
 
@@ -40,11 +43,15 @@
 }
 } // namespace
 
+bool isOutOfStarts(const PlacementPass &Pass) { return Pass.Cell.StartsLeft == 0; }
+
 void orderStart(PlacementPass &Pass, const Job &J, StepState &Step, uint32_t Index, Worker &W,
                 Attempt &A) {
   const RunKey Run{{Step.Key, Index}, Step.Tasks[Index].Run};
   setPhase(Pass.Cell, W, Run, AttemptPhase::Starting, Pass.Now);
   A.Sends = 1;
+  if (std::optional<size_t> &Left = Pass.Cell.StartsLeft; Left && *Left > 0)
+    --*Left;
   const AdviceState::Permit *Permit = findPermit(Step, W);
   Pass.Out.Starts.push_back(
       {W.Info.Id, Run, J.Spec, checkpointOf(Step, Index), Permit ? Permit->Ticket : std::string()});
@@ -102,7 +109,7 @@
   if (Step.PlannedTasks == 0)
     return;
   std::vector<std::string> NoTicket;
-  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
+  for (uint32_t I = 0; I < Step.Tasks.size() && !isOutOfStarts(Pass); ++I) {
     Worker *W = Step.Tasks[I].AssignedWorker;
     if (!W)
       continue;
@@ -136,11 +143,17 @@
   bool Missed = false;
   bool OverQuota = false;
   bool WaitsForSave = false;
+  const std::optional<size_t> Most = Pass.Cell.StartsLeft;
+  size_t Booked = 0;
   for (uint32_t I = 0; I < Step.Tasks.size() && !Missed; ++I) {
     TaskState &Task = Step.Tasks[I];
     WaitsForSave = WaitsForSave || awaitsCrashCountSave(Pass.Cell, Task);
     if (!isPlaceable(Pass, J, Step, I))
       continue;
+    if (Most && Booked >= *Most) {
+      Pass.Cell.WasCutShort = true;
+      break;
+    }
     OverQuota = !isWithinQuota(Pass.Cell, J.Owner, Step.Spec->Need);
     if (OverQuota) {
       Missed = true;
@@ -156,7 +169,7 @@
       continue;
     }
     book(Pass.Cell, Step, I, *W, nextRun(Pass.Cell, Step, I), AttemptPhase::Planned, J, Pass.Now);
-
+    ++Booked;
     if (J.Spec->Priority == 0)
       updateMeanUrgentNeed(Pass.Cell, needOf(Step));
     if (Preempts)
@@ -239,6 +252,23 @@
   return isBehindUnplaced(Pass, J, Entry);
 }
 
+// The order in which the pass tries the steps of the queue.
+std::vector<QueueKey> orderOfPass(CellState &Cell, TimePoint Now) {
+  std::vector<QueueKey> Order(Cell.Queue.begin(), Cell.Queue.end());
+  if (!std::exchange(Cell.WasCutShort, false) || ++Cell.ShortPasses % 2 != 0)
+    return Order;
+  const auto Since = [&](const QueueKey &Entry) {
+    const StepState *Step = findStep(Cell, Entry.Step);
+    return Step ? Step->RunnableSince : Now;
+  };
+  const auto Aged = std::stable_partition(Order.begin(), Order.end(), [&](const QueueKey &Entry) {
+    return Now - Since(Entry) > StarvationBound;
+  });
+  std::stable_sort(Order.begin(), Aged,
+                   [&](const QueueKey &A, const QueueKey &B) { return Since(A) < Since(B); });
+  return Order;
+}
+
 bool hasUnstartedTasks(const StepState &Step) {
   return Step.PlannedTasks > 0 ||
          std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
@@ -252,8 +282,11 @@
   PlacementPass Pass = beginPass(Cell, Now, Out);
   const bool IsFullScan = beginFullScan(Pass);
   MissCount OfCell;
-  const std::vector<QueueKey> Order(Cell.Queue.begin(), Cell.Queue.end());
-  for (const QueueKey &Entry : Order) {
+  for (const QueueKey &Entry : orderOfPass(Cell, Now)) {
+    if (isOutOfStarts(Pass)) {
+      Cell.WasCutShort = true;
+      break;
+    }
     enterGroup(OfCell, Entry);
     if (!Pass.SharesAdvice && isSkipped(OfCell, OfCell, 1))
       continue;
@@ -301,7 +334,8 @@
   }
   Pass.CanGetCapacity = true;
   migrateFromLeavingWorkers(Pass);
-  startCopies(Pass);
+  if (!isOutOfStarts(Pass))
+    startCopies(Pass);
 }
 
 } // namespace valveshelf::sched
--- a/src/scheduler/placement_test.cpp
+++ b/src/scheduler/placement_test.cpp
@@ -95,6 +95,53 @@
   EXPECT_EQ(Given.pass().Stops.size(), 1u);
 }
 
+// While the process can't order all starts at once, the urgent ones go first.
+TEST(Placement, OrdersNoMoreStartsThanAllowedUrgentOnesFirst) {
+  PlacementScene Given(4);
+  Given.submit(2, tasks(20, 1000, 1000ms), 10);
+  const JobId Urgent = Given.submit(0, tasks(3, 1000, 100ms), 10);
+  Given.Cell.StartsLeft = 5;
+  const Effects First = Given.pass();
+  ASSERT_EQ(First.Starts.size(), 5u);
+  for (size_t I = 0; I < 3; ++I)
+    EXPECT_EQ(First.Starts[I].Run.Task.Step.Job, Urgent);
+  EXPECT_TRUE(Given.Cell.WasCutShort);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  Given.Cell.StartsLeft = 100;
+  EXPECT_EQ(Given.pass().Starts.size(), 18u);
+  EXPECT_FALSE(Given.Cell.WasCutShort);
+}
+
+// Guards against accepted jobs that never start while more urgent ones go on coming.
+TEST(Placement, AJobOfLittleUrgencyStartsThoughUrgentOnesGoOnComing) {
+  PlacementScene Given(4);
+  const JobId Patient = Given.submit(2, tasks(1, 100, 1000ms), 100);
+  const auto HasStarted = [&](const Effects &Out) {
+    return std::any_of(Out.Starts.begin(), Out.Starts.end(), [&](const Effects::Start &Order) {
+      return Order.Run.Task.Step.Job == Patient;
+    });
+  };
+  bool Started = false;
+  for (int I = 0; I < 60 && !Started; ++I) {
+    Given.submit(0, tasks(4, 100, 100ms), 100);
+    Given.Cell.StartsLeft = 2;
+    Started = HasStarted(Given.pass());
+    Given.Now += 50ms;
+  }
+  EXPECT_TRUE(Started) << "within three seconds";
+}
+
+// A gang is started as a whole, however few starts are allowed.
+TEST(Placement, AGangIsNotDividedByTheStartsAllowed) {
+  PlacementScene Given(4);
+  StepSpec Gang = tasks(6, 1000, 1000ms);
+  Gang.Gang = true;
+  Given.submit(1, Gang, 10);
+  Given.Cell.StartsLeft = 2;
+  EXPECT_EQ(Given.pass().Starts.size(), 6u);
+  EXPECT_EQ(Given.Cell.StartsLeft, 0u);
+}
+
 TEST(Placement, ThePermitOfARemovedWorkerIsNotReused) {
   PlacementScene Given(2);
   const JobId Job = Given.submit(0, tasks(1, 1000, 100ms), 100, true);
