Scheduler: a long poll that its own later start overtakes is followed by a long poll

Cause: a start raises the token while an acknowledgement is out, which a long poll carries for as long as it waits; the worker refuses the poll, and that counted as no answer, after which the loop asks at once. Change: the refusal of a superseded token is an answer of the worker. The acknowledgement goes with the next one. Test: SchedulerRunner.APollThatAStartHasOvertakenIsFollowedByAPoll.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -138,6 +138,7 @@
   const LoopSection Work(Loop, LoopWork::Reports);
   const TimePoint Now = Deps.Time.Now();
   Effects Out;
+  bool IsOvertaken = false;
   if (ok(Report)) {
     const LifeOrder Life = workerReported(Cell, Id, value(Report), SentAt, Now, Out);
     if (Life == LifeOrder::Newer)
@@ -153,6 +154,8 @@
     co_return HeartbeatOutcome::NoAnswer;
   } else if (error(Report).Kind == ErrorKind::NotOwner) {
     Out.Deposed = isRefusedForNewerScheduler(Id, Fence, error(Report));
+    // Refused for the token of a later start: the worker answers, and need not be asked at once.
+    IsOvertaken = compareToken(Cell, Id, Fence) == TokenState::Superseded;
   } else if (error(Report).Kind == ErrorKind::NotFound) {
     logEvent(events::WorkerReplaced, {{"worker", Id}});
     workerEnded(Cell, Id, Now, Out);
@@ -166,7 +169,7 @@
   schedulePlacement();
   if (Stopped || !Cell.Workers.count(Id))
     co_return HeartbeatOutcome::Ended;
-  co_return ok(Report) ? HeartbeatOutcome::Answered : HeartbeatOutcome::NoAnswer;
+  co_return ok(Report) || IsOvertaken ? HeartbeatOutcome::Answered : HeartbeatOutcome::NoAnswer;
 }
 
 // Waits until the worker's ended runs are saved or a run is started there, for at most \p Most.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -22,11 +22,12 @@
 struct FakeWorker {
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended;
-  int StartsToLose = 0;        ///< Number of starts that are carried out without an answer.
-  bool LosesLongPolls = false; ///< Long polls get no answer.
-  bool IsReplaced = false;     ///< Another instance answers at its address.
-  bool IsCut = false;          ///< No call reaches it.
-  uint64_t Fence = 0;          ///< Highest fencing token seen in this life.
+  int StartsToLose = 0;               ///< Number of starts that are carried out without an answer.
+  bool LosesLongPolls = false;        ///< Long polls get no answer.
+  bool RefusesOvertakenPolls = false; ///< A long poll ends once a higher token has been seen.
+  bool IsReplaced = false;            ///< Another instance answers at its address.
+  bool IsCut = false;                 ///< No call reaches it.
+  uint64_t Fence = 0;                 ///< Highest fencing token seen in this life.
   uint64_t LastEnd = 0;
   WallTime Born{};
   TimePoint ClockBegan{}; ///< When its clock was at zero.
@@ -185,6 +186,8 @@
     const WallTime Life = To.Born;
     while (To.Ended.empty() && Steady::now() < Until) {
       co_await sleepFor(1ms);
+      if (To.RefusesOvertakenPolls && Order.Fence < To.Fence)
+        co_return Error{ErrorKind::NotOwner, "a newer fencing token"};
       if (To.Born != Life)
         co_return Error{ErrorKind::UpstreamCut, "the worker has crashed"};
     }
@@ -301,6 +304,34 @@
   EXPECT_LE(Given.MostInStart, MaxStartWindow);
 }
 
+// Guards against a further call for each start that overtakes the acknowledgement of an earlier
+// end.
+TEST(SchedulerRunner, APollThatAStartHasOvertakenIsFollowedByAPoll) {
+  Bench Given;
+  for (auto &[Id, On] : Given.Workers)
+    On.RefusesOvertakenPolls = true;
+  Given.submit(1, 2);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  for (auto &[Id, On] : Given.Workers)
+    while (!On.Active.empty())
+      On.end(On.Active.front().Run.Task.Index);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }));
+  const auto IsAcknowledging = [](const HeartbeatRequest &Order) {
+    return Order.Wait.count() > 0 && Order.ForgetThrough > 0;
+  };
+  ASSERT_TRUE(Given.runUntil([&] {
+    return std::any_of(Given.Heartbeats.begin(), Given.Heartbeats.end(), IsAcknowledging);
+  }));
+  const size_t Before = Given.Heartbeats.size();
+  Given.submit(2, 4);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 4; }));
+  Given.runUntil([] { return false; }, 100ms);
+  ASSERT_GT(Given.Heartbeats.size(), Before);
+  for (size_t I = Before; I < Given.Heartbeats.size(); ++I)
+    EXPECT_GT(Given.Heartbeats[I].Wait, 0ms);
+}
+
 // Guards against questions to busy workers that a late process adds to its load: its own lag is no
 // sign of lost calls.
 TEST(SchedulerRunner, AsksNoWorkerAgainWhileItIsLateItself) {
