Admission: jobs are refused that the scheduler can't start in time

Cause: nothing knew what the scheduler can do; the forecast of [overload] counts the workers' room, of which there is plenty. Change: while starts have to wait, the starts a second that were answered are the rate of the process. Each class's forecast wait is the starts before it over that rate, with 300 ms for the other stages; every box refuses a job that would be late by it, or would wait for more than a second, before anything is written, with the existing marks and a Retry-After that promises returning callers a quarter of the starts. Admission 'auto' is this alone; 'on' adds the workers' room; 'off' is off. Without waiting starts nothing is published or refused. Steps that have waited for 1.5 s go first in one of four short passes. Features.TheConfigurationGoesBeforeTheSettings states the new member: 'auto' was off before. StartForecast.*, Admission.NoJobIsAcceptedToWaitForLong..., ForecastRecords.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds MinTrendSpan{20};
 // A class that starts nothing is still tried this often, over all processes.
 constexpr double MinReturnsPerSecond = 1;
+// The part of the starts that returning callers get while the scheduler can't order all: they are
+// late already, and new jobs can still be in time.
+constexpr double ReturnsPart = 0.25;
 // A class counts as refusing for this long after a refusal.
 constexpr Milliseconds RefusingTime{2000};
 
@@ -109,6 +112,7 @@
       // A wait that was not known before has not risen.
       update(Class.Wait, One.Wait, Class.Confidence > 0 ? Since : std::nullopt);
       Class.Confidence = One.Confidence;
+      Class.IsByStarts = One.IsByStarts;
       Class.StartsPerSecond = One.StartsPerSecond;
       Classes.emplace(Key, Class);
     }
@@ -158,14 +162,18 @@
     return Admit{};
   const FractionalMs Chain = FractionalMs(Job.Chain) * ratioOf(From, Job.Queue);
   const Milliseconds Span = rounded(Chain * Job.CriticalPathFactor) + Job.ObjectiveSlack;
-  const Milliseconds MostWait = Span - rounded(Chain);
+  Milliseconds MostWait = Span - rounded(Chain);
+  if (Class.IsByStarts)
+    MostWait = std::min(MostWait, MaxWaitForStarts);
   if (Held + View.StoreTime <= MostWait)
     return Admit{};
 
   Refuse Refusal{Found->first, Wait + View.StoreTime, MostWait, {}, {}, {}};
   ReturnBounds &Bounds = Refusal.Bounds;
-  Bounds.PerSecond = std::max(Class.StartsPerSecond, MinReturnsPerSecond) /
-                     static_cast<double>(std::max(View.Processes, 1U));
+  const double ForReturns =
+      Class.IsByStarts ? Class.StartsPerSecond * ReturnsPart : Class.StartsPerSecond;
+  Bounds.PerSecond =
+      std::max(ForReturns, MinReturnsPerSecond) / static_cast<double>(std::max(View.Processes, 1U));
   Bounds.Phase = View.Phase;
   Bounds.Earliest = std::max(
       Milliseconds(0),
@@ -200,7 +208,8 @@
                       {"priority", One.Priority},
                       {"wait_ms", One.Wait.count()},
                       {"confidence", One.Confidence},
-                      {"starts_per_second", One.StartsPerSecond}});
+                      {"starts_per_second", One.StartsPerSecond},
+                      {"by_starts", One.IsByStarts}});
     Services[Service] = std::move(Rows);
   }
   json::object Waits;
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -29,6 +29,9 @@
 inline constexpr Milliseconds MinOverloadWait{100};
 /// A job is refused from a wait beyond what it allows until the wait is below this part of it.
 inline constexpr double EndOfRefusal = 0.7;
+/// The longest wait with which a job is accepted while the scheduler has more starts to order than
+/// it can do, whatever its objective: work that has been accepted must not wait for long.
+inline constexpr Milliseconds MaxWaitForStarts{1000};
 /// A result is of no use after this multiple of the objective's span.
 inline constexpr int UselessAfterSpans = 3;
 
@@ -67,6 +70,7 @@
 struct ClassState {
   SmoothedWait Wait;
   double Confidence = 0;
+  bool IsByStarts = false; ///< As in `ClassForecast`.
   double StartsPerSecond = 0;
   ReturnSchedule Returns;
   uint64_t Refused = 0;
--- a/src/admission/admission_control.cpp
+++ b/src/admission/admission_control.cpp
@@ -22,12 +22,12 @@
 
 void AdmissionControl::applyFeatures(const Features &Now) {
   InForce = Now;
-  if (!InForce.Admission)
+  if (!mayRefuse(InForce))
     State = {};
 }
 
 void AdmissionControl::receive(std::optional<Forecast> Received) {
-  if (InForce.Admission && Received)
+  if (mayRefuse(InForce) && Received)
     receiveForecast(State, std::move(*Received), Time.Now());
 }
 
@@ -37,7 +37,7 @@
 }
 
 std::optional<Refuse> AdmissionControl::refusal(const JobDemand &Job, ProcessView View) {
-  if (!InForce.Admission)
+  if (!mayRefuse(InForce))
     return std::nullopt;
   readLocalForecast();
   View.Phase = Phase;
@@ -55,7 +55,7 @@
 
 std::string AdmissionControl::describe(const std::optional<uint64_t> &LeaderTerm,
                                        std::string_view SchedulerLoad) {
-  if (InForce.Admission)
+  if (mayRefuse(InForce))
     readLocalForecast();
   return describeOverload(State, InForce, LeaderTerm, SchedulerLoad, Time.Now());
 }
--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -141,6 +141,23 @@
   EXPECT_FALSE(refusesAt(0ms, demand(), {7, 5s, 1, 0})) << "slow, but not overloaded";
 }
 
+// Guards against jobs with much time that are accepted, and then wait for long in a scheduler that
+// can't order their starts.
+TEST(Admission, NoJobIsAcceptedToWaitForLongForTheSchedulersStarts) {
+  JobDemand Patient = demand();
+  Patient.CriticalPathFactor = 10;
+  const auto RefusesAt = [&](Milliseconds Wait, bool IsByStarts) {
+    AdmissionState State;
+    Forecast Known = forecast(Wait);
+    Known.Services["pool"][0].IsByStarts = IsByStarts;
+    receiveForecast(State, Known, Begin);
+    return refuses(State, Patient, Begin);
+  };
+  EXPECT_FALSE(RefusesAt(MaxWaitForStarts + 1ms, false));
+  EXPECT_TRUE(RefusesAt(MaxWaitForStarts + 1ms, true));
+  EXPECT_FALSE(RefusesAt(MaxWaitForStarts - 1ms, true));
+}
+
 TEST(Admission, TheRatioOfTheQueueCounts) {
   AdmissionState State;
   Forecast Known = forecast(1200ms);
--- a/src/cell/caller_api.cpp
+++ b/src/cell/caller_api.cpp
@@ -153,7 +153,7 @@
   Spec.AcceptedAt = Time.Wall();
   const TimePoint ReceivedAt = Time.Now();
   const std::string Submitter = Spec.Organisation;
-  const bool MayBeRefused = Admission.features().Admission;
+  const bool MayBeRefused = mayRefuse(Admission.features());
   std::optional<HttpResponse> Overloaded = co_await refuseOverload(Spec, ReceivedAt);
   if (Overloaded)
     co_return std::move(*Overloaded);
@@ -181,7 +181,7 @@
 
 Awaitable<std::optional<HttpResponse>> CallerApi::refuseOverload(const JobSpec &Spec,
                                                                  TimePoint ReceivedAt) {
-  if (!Admission.features().Admission)
+  if (!mayRefuse(Admission.features()))
     co_return std::nullopt;
   const auto &Leader = View.snapshot().Leader;
   const Roster &Cell = View.snapshot().Roster;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -573,6 +573,7 @@
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
     updatePacing(Self->Pacing, Self->LastLag, Self->LastTick);
+    Self->Cell.StartRate = startRate(Self->Pacing, Self->LastTick);
     Self->noteConfirmation(Self->LastTick);
     Self->Deps.Metrics.set(metrics::Jobs, static_cast<double>(Self->Cell.Jobs.size()));
     Self->Deps.Metrics.set(metrics::Waiting, static_cast<double>(Self->Cell.Queue.size()));
--- a/src/cell/start_pacing.cpp
+++ b/src/cell/start_pacing.cpp
@@ -8,7 +8,7 @@
 namespace valveshelf {
 namespace {
 // A job meets the lag several times before its first start; quick ones allow some 250 ms in all.
-constexpr Milliseconds MaxLag{25};
+constexpr Milliseconds MaxLag{15};
 constexpr double Shrink = 0.85;
 constexpr double Growth = 1.1;
 // A start that is in progress for longer than this and twice the lag waits for its worker.
--- a/src/config/features.cpp
+++ b/src/config/features.cpp
@@ -29,7 +29,9 @@
   Features InForce;
   InForce.ShareAdvice = Configured.ShareAdvice.value_or(Settings.ShareAdvice) == Switch::On;
   InForce.OverloadOrder = isOn(Configured.OverloadOrder, Settings.OverloadOrder, AutoOverloadOrder);
-  InForce.Admission = Configured.Admission.value_or(Settings.Admission) == Switch::On;
+  const Switch Admission = Configured.Admission.value_or(Settings.Admission);
+  InForce.Admission = Admission == Switch::On;
+  InForce.StartAdmission = Admission != Switch::Off;
   InForce.LearnRunTimes = RunTimes != Switch::Off;
   InForce.NeedsUnevenWorkers = RunTimes == Switch::Auto;
   InForce.Copies = isOn(Configured.Copies, Settings.Copies, AutoCopies);
--- a/src/config/settings_test.cpp
+++ b/src/config/settings_test.cpp
@@ -92,11 +92,11 @@
   sched::FeatureSwitches Settings;
   sched::CellConfiguration Config;
   EXPECT_EQ(resolveFeatures(Settings, Config),
-            (Features{false, false, false, true, true, AutoCopies}));
+            (Features{false, false, false, true, true, AutoCopies, true}));
   Settings.ShareAdvice = sched::Switch::Off;
   Settings.Admission = sched::Switch::On;
   EXPECT_EQ(resolveFeatures(Settings, Config),
-            (Features{false, false, true, true, true, AutoCopies}));
+            (Features{false, false, true, true, true, AutoCopies, true}));
   Config.Switches.Admission = sched::Switch::Off;
   Config.Switches.ShareAdvice = sched::Switch::On;
   Settings.Copies = sched::Switch::On;
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -453,6 +453,8 @@
   /// How many starts the next pass may order, and what is left of it after the pass; empty: any
   /// number.
   std::optional<size_t> StartsLeft;
+  /// The starts a second that this process can do; empty: not more are asked of it.
+  std::optional<double> StartRate;
   bool WasCutShort = false; ///< The last pass left steps in the queue because none was left.
   uint64_t ShortPasses = 0; ///< Number of such passes.
   TimePoint NextFullScan{}; ///< When all waiting steps are tried again.
--- a/src/include/valveshelf/features.h
+++ b/src/include/valveshelf/features.h
@@ -22,9 +22,17 @@
   /// Learned times are used only while many workers are seen to be slow.
   bool NeedsUnevenWorkers = false;
   bool Copies = false; ///< Slow runs of speculative steps are copied.
+  /// Jobs are refused that the scheduler can't start in time because it has more starts to order
+  /// than it can do.
+  bool StartAdmission = false;
   friend bool operator==(const Features &, const Features &) = default;
 };
 
+/// True if jobs may be refused for their expected wait.
+inline bool mayRefuse(const Features &InForce) {
+  return InForce.Admission || InForce.StartAdmission;
+}
+
 /// What `Switch::Auto` means for `Features::Copies`.
 inline constexpr bool AutoCopies = false;
 
@@ -34,8 +42,8 @@
 
 /// The features in force under the settings of a process and the operators' configuration, whose
 /// switches take precedence. `Switch::Auto` means off, but for Copies and OverloadOrder,
-/// where `AutoCopies` and `AutoOverloadOrder` decide, and for LearnRunTimes, which then needs
-/// uneven workers. Pure.
+/// where `AutoCopies` and `AutoOverloadOrder` decide, for LearnRunTimes, which then needs uneven
+/// workers, and for Admission, which then is StartAdmission alone. Pure.
 Features resolveFeatures(const sched::FeatureSwitches &Settings,
                          const sched::CellConfiguration &Config);
 
--- a/src/include/valveshelf/forecast.h
+++ b/src/include/valveshelf/forecast.h
@@ -20,6 +20,7 @@
   Milliseconds Wait{0};       ///< From acceptance to the start of the first task.
   double Confidence = 0;      ///< 0 (unknown) to 1.
   double StartsPerSecond = 0; ///< Jobs of the class that started per second; a moving average.
+  bool IsByStarts = false;    ///< Wait is that of the scheduler, which has too much to order.
 };
 
 /// Immutable once published.
--- a/src/records/forecast_records.cpp
+++ b/src/records/forecast_records.cpp
@@ -58,6 +58,7 @@
     To.set_wait_ms(toMillis(From.Wait));
     To.set_confidence(static_cast<float>(From.Confidence));
     To.set_starts_per_second(static_cast<float>(From.StartsPerSecond));
+    To.set_by_starts(From.IsByStarts);
   }
   return Record;
 }
@@ -114,7 +115,7 @@
       if (!isValid(Class))
         return unreadable("a value is out of range");
       Classes.push_back({Class.over_share(), Class.priority(), Milliseconds(Class.wait_ms()),
-                         Class.confidence(), Class.starts_per_second()});
+                         Class.confidence(), Class.starts_per_second(), Class.by_starts()});
     }
   }
   for (const cell::RunTimeRatioRecord &Entry : Record.run_time_ratio()) {
--- a/src/records/forecast_records_test.cpp
+++ b/src/records/forecast_records_test.cpp
@@ -12,7 +12,7 @@
 Forecast sample() {
   Forecast Given;
   Given.Term = 7;
-  Given.Services["pool"] = {{false, 0, 0ms, 1, 12.5}, {true, 2, 4200ms, 0.75, 0}};
+  Given.Services["pool"] = {{false, 0, 0ms, 1, 12.5}, {true, 2, 4200ms, 0.75, 0, true}};
   Given.OrganisationWaits["at-maximum"] = 900ms;
   Given.OverShareOrganisations = {"loud"};
   Given.RunTimeRatios["scans"] = 1.5;
@@ -31,6 +31,8 @@
   EXPECT_EQ(Classes[1].Priority, 2);
   EXPECT_EQ(Classes[1].Wait, 4200ms);
   EXPECT_EQ(Classes[1].Confidence, 0.75);
+  EXPECT_TRUE(Classes[1].IsByStarts);
+  EXPECT_FALSE(Classes[0].IsByStarts);
   EXPECT_EQ(Got.OrganisationWaits, sample().OrganisationWaits);
   EXPECT_EQ(Got.OverShareOrganisations, sample().OverShareOrganisations);
   EXPECT_EQ(Got.RunTimeRatios, sample().RunTimeRatios);
--- a/src/scheduler/forecast.cpp
+++ b/src/scheduler/forecast.cpp
@@ -24,6 +24,12 @@
 // Below it, the wait of an organisation at its maximum is not published.
 constexpr double MinQuotaConfidence = 0.5;
 // The room of a dimension without a limit. Sums of such rooms do not overflow.
+// Of a job in a process that has much to do, besides the wait for its turn: from acceptance to the
+// scheduler, for advice, from the start order to the worker, and from its report to the caller.
+constexpr Milliseconds TimeOfStages{300};
+// A process that orders fewer starts a second is at a standstill for the moment.
+constexpr double MinStartRate = 1;
+constexpr std::chrono::duration<double> MaxStartWait{60};
 constexpr int64_t Unlimited = std::numeric_limits<int64_t>::max() / 4;
 
 void updateMean(MeanResources &Mean, const Resources &Seen) {
@@ -76,9 +82,16 @@
     bool WaitsForQuota = false; ///< Some of it is beyond the quota.
   };
 
-  explicit WaitingWork(const CellState &Cell) : Cell(Cell), Next(Cell.Queue.begin()) {
+  WaitingWork(const CellState &Cell, TimePoint Now) : Cell(Cell), Next(Cell.Queue.begin()) {
     for (const auto &[Id, Service] : Cell.UnreportedWorkers)
       UnreportedServices.insert(Service);
+    for (const QueueKey &Entry : Cell.Queue) {
+      const Job *J = nullptr;
+      const StepState *Step = findStep(Cell, Entry.Step, J);
+      if (Step && Now - Step->RunnableSince > StarvationBound)
+        Starts += countStarts(*Step);
+    }
+    AgedBefore = Now - StarvationBound;
   }
 
   // Adds the steps that are queued before a new step of this class. Late steps of its share and
@@ -94,13 +107,21 @@
 
   std::map<std::string, Resources> ByService; ///< What waits for capacity.
   std::map<std::string, OfOrganisation> ByOrganisation;
+  /// To be ordered, over all services. Steps that wait for room on a worker don't count.
+  int64_t Starts = 0;
 
 private:
+  static int64_t countStarts(const StepState &Step) {
+    return Step.LastPlacementFailed ? 0 : countWaitingTasks(Step, false) + Step.PlannedTasks;
+  }
+
   void add(const QueueKey &Entry) {
     const Job *J = nullptr;
     const StepState *Step = findStep(Cell, Entry.Step, J);
     if (!Step)
       return;
+    if (Step->RunnableSince >= AgedBefore)
+      Starts += countStarts(*Step);
     int64_t Count = countWaitingTasks(*Step, UnreportedServices.count(J->Spec->Service) > 0);
     if (Count <= 0)
       return;
@@ -125,6 +146,7 @@
 
   const CellState &Cell;
   std::set<QueueKey>::const_iterator Next;
+  TimePoint AgedBefore{}; ///< Steps that became runnable earlier are counted from the beginning.
   std::set<std::string> UnreportedServices;
 };
 
@@ -180,6 +202,20 @@
   return Class;
 }
 
+// Takes the wait for the scheduler's starts if it is the longer one.
+void considerStarts(const CellState &Cell, int64_t Ahead, ClassForecast &Class) {
+  if (!Cell.InForce.StartAdmission || !Cell.StartRate)
+    return;
+  const double Seconds = static_cast<double>(Ahead) / std::max(*Cell.StartRate, MinStartRate);
+  const auto Wait = TimeOfStages + std::chrono::duration_cast<Milliseconds>(std::min(
+                                       std::chrono::duration<double>(Seconds), MaxStartWait));
+  if (Class.Confidence > 0 && Class.Wait >= Wait)
+    return;
+  Class.Wait = Wait;
+  Class.Confidence = 1;
+  Class.IsByStarts = true;
+}
+
 /// By service and priority of the attempts: resources of runs that may be preempted.
 using PreemptibleWork = std::map<std::string, std::map<int, Resources>>;
 
@@ -337,8 +373,9 @@
   for (const auto &[Service, Priorities] : Cell.Forecasts.Priorities)
     for (const auto &[Priority, Kept] : Priorities)
       Levels.insert(Priority);
-  WaitingWork Work(Cell);
-  const PreemptibleWork Preemptible = collectPreemptible(Cell);
+  WaitingWork Work(Cell, Now);
+  const PreemptibleWork Preemptible =
+      Cell.InForce.Admission ? collectPreemptible(Cell) : PreemptibleWork();
   OrganisationWork UrgentWithinShare, UrgentOverShare;
   const bool HasShares = hasShares(Cell);
   for (const bool IsOverShare : {false, true}) {
@@ -352,10 +389,14 @@
         const auto Kept = Priorities.find(Priority);
         if (Kept == Priorities.end())
           continue;
-        ServiceLoad Load = loadWhenFull(Cell, Service);
-        Load.Free += preemptibleBy(Preemptible, Service, IsOverShare, Priority);
-        ClassForecast Class =
-            classForecast(Load, Work.ByService[Service] + rounded(Kept->second.FirstNeed), Now);
+        ClassForecast Class;
+        if (Cell.InForce.Admission) {
+          ServiceLoad Load = loadWhenFull(Cell, Service);
+          Load.Free += preemptibleBy(Preemptible, Service, IsOverShare, Priority);
+          Class =
+              classForecast(Load, Work.ByService[Service] + rounded(Kept->second.FirstNeed), Now);
+        }
+        considerStarts(Cell, Work.Starts, Class);
         Class.IsOverShare = IsOverShare;
         Class.Priority = Priority;
         Class.StartsPerSecond = Kept->second.Starts[IsOverShare ? 1 : 0].PerSecond;
@@ -376,18 +417,24 @@
 
 void updateForecast(CellState &Cell, TimePoint Now) {
   ForecastState &State = Cell.Forecasts;
-  if (!Cell.InForce.Admission || Now < State.NextAt)
+  if (!mayRefuse(Cell.InForce) || Now < State.NextAt)
     return;
   State.NextAt = Now + ForecastInterval;
   const TimePoint Before = std::exchange(State.UpdatedAt, Now);
   if (Before != TimePoint{} && Now > Before) {
     const std::chrono::duration<double> Elapsed = Now - Before;
     updateStartRates(State, Elapsed);
-    updateTurnovers(Cell, Elapsed);
+    if (Cell.InForce.Admission)
+      updateTurnovers(Cell, Elapsed);
   }
-  updateQuotas(Cell, Now);
+  if (Cell.InForce.Admission)
+    updateQuotas(Cell, Now);
   if (!Cell.Loaded || Now - State.LoadedAt < ForecastDelayAfterLoad)
     return;
+  if (!Cell.InForce.Admission && !Cell.StartRate) {
+    State.Latest = nullptr; // nobody has to wait
+    return;
+  }
   State.Latest = std::make_shared<const Forecast>(forecastOf(Cell, Now));
   State.LatestAt = Now;
 }
@@ -412,7 +459,7 @@
 }
 
 void noteAccepted(CellState &Cell, const Job &J, TimePoint Now) {
-  if (!Cell.InForce.Admission)
+  if (!mayRefuse(Cell.InForce))
     return;
   const auto Round = J.Rounds.find(0);
   if (Round == J.Rounds.end() || Round->second.Steps.empty())
@@ -430,7 +477,7 @@
 
 void noteFirstStart(CellState &Cell, const Job &J, TimePoint Now, Effects &Out) {
   ForecastState &State = Cell.Forecasts;
-  if (!Cell.InForce.Admission)
+  if (!mayRefuse(Cell.InForce))
     return;
   if (PriorityState *Kept = findPriority(Cell, J))
     ++Kept->Starts[J.IsOverShare ? 1 : 0].SinceUpdate;
--- a/src/scheduler/forecast.h
+++ b/src/scheduler/forecast.h
@@ -16,6 +16,10 @@
 /// Jobs whose forecast is kept until they start; others are left out of the measured error.
 inline constexpr size_t MaxKeptForecasts = 8192;
 
+/// Forecasts by the scheduler's rate of starts count steps that have waited for longer before all
+/// others, as the passes do.
+inline constexpr Milliseconds StarvationBound{1500};
+
 /// The forecast for jobs that are accepted now. Pure.
 Forecast forecastOf(const CellState &Cell, TimePoint Now);
 /// Updates the rates and `ForecastState::Latest` while admission is in force, at most once per
--- a/src/scheduler/forecast_test.cpp
+++ b/src/scheduler/forecast_test.cpp
@@ -185,6 +185,48 @@
   EXPECT_EQ(publishedForecast(Given.Cell, Given.Now + 1s), nullptr) << "it is not current";
 }
 
+// The wait for the starts that the scheduler can't order all at once.
+constexpr Features WithStartAdmission{.StartAdmission = true};
+
+TEST(StartForecast, TheBacklogOfStartsTakesTheTimeToOrderIt) {
+  ForecastScene Given;
+  applyFeatures(Given.Cell, WithStartAdmission);
+  Given.Cell.StartRate = 100;
+  Given.add("pool", 1, 100);
+  Given.add("other", 1, 50);
+  Given.add("pool", 2, 200);
+  const ClassForecast Urgent = Given.forecast("pool", 1);
+  EXPECT_TRUE(Urgent.IsByStarts);
+  EXPECT_EQ(Urgent.Confidence, 1);
+  EXPECT_EQ(Urgent.Wait, 1800ms) << "150 starts of both services, and the other stages";
+  EXPECT_EQ(Given.forecast("pool", 2).Wait, 3800ms);
+}
+
+// Guards against jobs that are accepted although older ones will go before them.
+TEST(StartForecast, StepsThatHaveWaitedForLongCountForAllClasses) {
+  ForecastScene Given;
+  applyFeatures(Given.Cell, WithStartAdmission);
+  Given.Cell.StartRate = 100;
+  Given.add("pool", 2, 100);
+  EXPECT_EQ(Given.forecast("pool", 1).Wait, 300ms);
+  Given.Now += StarvationBound + 1ms;
+  EXPECT_EQ(Given.forecast("pool", 1).Wait, 1300ms);
+  EXPECT_EQ(Given.forecast("pool", 2).Wait, 1300ms) << "once";
+}
+
+TEST(StartForecast, IsPublishedOnlyWhileStartsHaveToWait) {
+  ForecastScene Given;
+  applyFeatures(Given.Cell, WithStartAdmission);
+  Given.Now += 2s;
+  Given.add("pool", 1, 100);
+  updateForecast(Given.Cell, Given.Now);
+  EXPECT_EQ(publishedForecast(Given.Cell, Given.Now), nullptr);
+  Given.Cell.StartRate = 10;
+  Given.Now += 100ms;
+  updateForecast(Given.Cell, Given.Now);
+  EXPECT_NE(publishedForecast(Given.Cell, Given.Now), nullptr);
+}
+
 TEST(Forecast, IsComputedAtItsInterval) {
   ForecastScene Given;
   Given.Now += 2s;
--- a/src/scheduler/organisations.cpp
+++ b/src/scheduler/organisations.cpp
@@ -29,7 +29,7 @@
   Cell.InForce = InForce;
   if (ChangesCopies)
     resetCopyIndex(Cell);
-  if (!InForce.Admission)
+  if (!mayRefuse(InForce))
     resetForecasts(Cell.Forecasts);
   if (!InForce.ShareAdvice) {
     Cell.Advice = {};
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/advice_budget.h"
 #include "scheduler/copies.h"
 #include "scheduler/crashes.h"
+#include "scheduler/forecast.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -18,9 +19,8 @@
 // of the queue decide who gets the capacity freed in between. The tasks of such steps run for
 // seconds, so that the interval adds little to their wait.
 constexpr Milliseconds FullScanInterval{40};
-// While the process can't order all starts at once, steps that have waited for this long go first
-// in every second pass: accepted work must not starve behind more urgent work that goes on coming.
-constexpr Milliseconds StarvationBound{1500};
+// One of so many passes goes first to steps that have waited for long.
+constexpr uint64_t StarvationPasses = 4;
 // The newest urgent task has a weight of 1 / UrgentMeanWeight in the mean.
 constexpr int64_t UrgentMeanWeight = 64;
 
@@ -252,10 +252,12 @@
   return isBehindUnplaced(Pass, J, Entry);
 }
 
-// The order in which the pass tries the steps of the queue.
+// The order in which the pass tries the steps of the queue. While the process can't order all
+// starts at once, those that have waited for long go first in some passes: accepted work must not
+// starve behind more urgent work that goes on coming.
 std::vector<QueueKey> orderOfPass(CellState &Cell, TimePoint Now) {
   std::vector<QueueKey> Order(Cell.Queue.begin(), Cell.Queue.end());
-  if (!std::exchange(Cell.WasCutShort, false) || ++Cell.ShortPasses % 2 != 0)
+  if (!std::exchange(Cell.WasCutShort, false) || ++Cell.ShortPasses % StarvationPasses != 0)
     return Order;
   const auto Since = [&](const QueueKey &Entry) {
     const StepState *Step = findStep(Cell, Entry.Step);
