Admission: a short wait for starts is not taken for a long one

Cause: as soon as starts had to wait within the last second, 300 ms for the other stages counted in full, more than some jobs allow, however few starts waited. Change: the stages count up to twice the wait for the turn. Test: StartForecast.StepsThatHaveWaitedForLongCountForAllClasses (an empty queue: no wait).

--- a/src/scheduler/forecast.cpp
+++ b/src/scheduler/forecast.cpp
@@ -26,6 +26,7 @@
 // The room of a dimension without a limit. Sums of such rooms do not overflow.
 // Of a job in a process that has much to do, besides the wait for its turn: from acceptance to the
 // scheduler, for advice, from the start order to the worker, and from its report to the caller.
+// While that wait is short, so are they.
 constexpr Milliseconds TimeOfStages{300};
 // A process that orders fewer starts a second is at a standstill for the moment.
 constexpr double MinStartRate = 1;
@@ -207,8 +208,9 @@
   if (!Cell.InForce.StartAdmission || !Cell.StartRate)
     return;
   const double Seconds = static_cast<double>(Ahead) / std::max(*Cell.StartRate, MinStartRate);
-  const auto Wait = TimeOfStages + std::chrono::duration_cast<Milliseconds>(std::min(
-                                       std::chrono::duration<double>(Seconds), MaxStartWait));
+  const auto ForTurn = std::chrono::duration_cast<Milliseconds>(
+      std::min(std::chrono::duration<double>(Seconds), MaxStartWait));
+  const Milliseconds Wait = ForTurn + std::min(TimeOfStages, 2 * ForTurn);
   if (Class.Confidence > 0 && Class.Wait >= Wait)
     return;
   Class.Wait = Wait;
