Admission: a scheduler that is late all the time knows that steps wait for it

Cause: steps waited for advice, whose calls take turns of the late loop as well, so that starts never ran short and no rate was known. Change: a loop that has been late by 50 ms at each tick for half a second, while steps wait, is what they wait for; the rate is that of the starts answered in that time. Test: StartPacing.ALoopThatIsLateAllTheTimeIsWhatStepsWaitFor.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -572,7 +572,7 @@
     if (Self->wasSuspended())
       co_return Self->endTerm("this process was suspended for longer than the leader lease");
     Self->LastTick = Self->Deps.Time.Now();
-    updatePacing(Self->Pacing, Self->LastLag, Self->LastTick);
+    updatePacing(Self->Pacing, Self->LastLag, !Self->Cell.Queue.empty(), Self->LastTick);
     Self->Cell.StartRate = startRate(Self->Pacing, Self->LastTick);
     Self->noteConfirmation(Self->LastTick);
     Self->Deps.Metrics.set(metrics::Jobs, static_cast<double>(Self->Cell.Jobs.size()));
--- a/src/cell/start_pacing.cpp
+++ b/src/cell/start_pacing.cpp
@@ -14,6 +14,9 @@
 constexpr double Growth = 1.1;
 // A start that is in progress for longer than this and twice the lag waits for its worker.
 constexpr Milliseconds UsualStartTime{100};
+// A loop with this lag for this long is what waiting steps wait for.
+constexpr Milliseconds LateLag{50};
+constexpr Milliseconds MinLateTime{500};
 // Time constant of the rate of starts.
 constexpr std::chrono::duration<double> RateWindow{1};
 // The rate is known for this long after starts had to wait.
@@ -39,27 +42,52 @@
   return Of.Window - Counted;
 }
 
-void updatePacing(StartPacing &Of, Steady::duration Lag, TimePoint Now) {
-  const std::chrono::duration<double> Passed = Now - Of.UpdatedAt;
+namespace {
+// True if the loop has been late for long while steps wait.
+bool isBoundByLateness(StartPacing &Of, Steady::duration Lag, bool HasWaiting, uint64_t Answered,
+                       Steady::duration Passed, TimePoint Now) {
+  if (Lag < LateLag) {
+    Of.LateSince.reset();
+    return false;
+  }
+  if (!Of.LateSince) {
+    Of.LateSince = Now - Passed;
+    Of.AnsweredLate = 0;
+  }
+  Of.AnsweredLate += Answered;
+  return HasWaiting && Now - *Of.LateSince >= MinLateTime;
+}
+
+double perSecond(uint64_t Count, std::chrono::duration<double> In) {
+  return static_cast<double>(Count) / In.count();
+}
+} // namespace
+
+void updatePacing(StartPacing &Of, Steady::duration Lag, bool HasWaiting, TimePoint Now) {
+  const Steady::duration Passed = Now - Of.UpdatedAt;
   const bool IsFirst = Of.UpdatedAt == TimePoint{};
   Of.Lag = Lag;
   Of.UpdatedAt = Now;
   const uint64_t Answered = std::exchange(Of.Answered, 0);
-  const bool WasBinding = std::exchange(Of.IsBinding, false);
+  bool WasBinding = std::exchange(Of.IsBinding, false);
   if (Lag > MaxLag)
     Of.Window = static_cast<size_t>(static_cast<double>(Of.Window) * Shrink);
   else if (WasBinding)
     Of.Window = static_cast<size_t>(std::ceil(static_cast<double>(Of.Window) * Growth));
   Of.Window = std::clamp(Of.Window, MinStartWindow, MaxStartWindow);
-  if (IsFirst || Passed.count() <= 0)
+  if (IsFirst || Passed <= Steady::duration(0))
     return;
+  const bool IsLate = isBoundByLateness(Of, Lag, HasWaiting, Answered, Passed, Now);
+  WasBinding = WasBinding || IsLate;
   if (WasBinding)
     Of.BoundAt = Now;
   if (!startRate(Of, Now)) {
     Of.PerSecond = 0;
     return;
   }
-  const double Rate = static_cast<double>(Answered) / Passed.count();
+  double Rate = perSecond(Answered, Passed);
+  if (IsLate && Of.PerSecond <= 0)
+    Rate = perSecond(Of.AnsweredLate, Now - *Of.LateSince);
   const double Weight = Of.PerSecond > 0 ? 1 - std::exp(-Passed / RateWindow) : 1;
   if (WasBinding || Rate > Of.PerSecond)
     Of.PerSecond += Weight * (Rate - Of.PerSecond);
--- a/src/cell/start_pacing.h
+++ b/src/cell/start_pacing.h
@@ -30,7 +30,9 @@
   bool IsBinding = false;  ///< Since the last update, starts had to wait for others.
   uint64_t Answered = 0;   ///< Since the last update.
   TimePoint UpdatedAt{};
-  TimePoint BoundAt{};  ///< When an update last found that starts had to wait.
+  std::optional<TimePoint> LateSince; ///< The loop has been late at each update since.
+  uint64_t AnsweredLate = 0;          ///< Since LateSince.
+  TimePoint BoundAt{};                ///< When an update last found that starts had to wait.
   double PerSecond = 0; ///< Starts while they have to wait; a moving average. 0: not known.
 };
 
@@ -44,7 +46,9 @@
 /// Starts were left in the queue because no more may be ordered.
 inline void noteBound(StartPacing &Of) { Of.IsBinding = true; }
 /// Adapts the window. Call about every 50 ms with the lag of the event loop since the last call.
-void updatePacing(StartPacing &Of, Steady::duration Lag, TimePoint Now);
+/// \p HasWaiting: steps wait in the queue. If the loop is late all the time, they wait for this
+/// process also where they wait for advice.
+void updatePacing(StartPacing &Of, Steady::duration Lag, bool HasWaiting, TimePoint Now);
 /// The starts a second that this process can do, if more have been asked of it within the last
 /// second.
 std::optional<double> startRate(const StartPacing &Of, TimePoint Now);
--- a/src/cell/start_pacing_test.cpp
+++ b/src/cell/start_pacing_test.cpp
@@ -32,7 +32,7 @@
       noteFinished(Pacing, Pacing.InProgress.begin()->first, true);
       ++Started;
     }
-    updatePacing(Pacing, Lag, Now);
+    updatePacing(Pacing, Lag, Wanted > 0, Now);
   }
 };
 
@@ -66,6 +66,27 @@
   EXPECT_FALSE(startRate(Given.Pacing, Given.Now));
 }
 
+// Guards against jobs that are accepted by a process whose steps wait for advice because it is
+// late.
+TEST(StartPacing, ALoopThatIsLateAllTheTimeIsWhatStepsWaitFor) {
+  StartPacing Pacing;
+  TimePoint Now = TimePoint{} + 100s;
+  const auto Update = [&](Milliseconds Lag, bool HasWaiting) {
+    noteFinished(Pacing, noteOrdered(Pacing, Now), true);
+    updatePacing(Pacing, Lag, HasWaiting, Now += 100ms);
+  };
+  for (int I = 0; I < 5; ++I)
+    Update(60ms, true);
+  EXPECT_FALSE(startRate(Pacing, Now)) << "a short lag";
+  for (int I = 0; I < 5; ++I)
+    Update(60ms, true);
+  ASSERT_TRUE(startRate(Pacing, Now));
+  EXPECT_NEAR(*startRate(Pacing, Now), 10, 1);
+  for (int I = 0; I < 11; ++I)
+    Update(60ms, false);
+  EXPECT_FALSE(startRate(Pacing, Now)) << "nothing waits";
+}
+
 // Guards against workers that don't answer taking the places of those that do.
 TEST(StartPacing, StartsThatWaitForTheirWorkersDoNotCount) {
   StartPacing Pacing;
