--- a/src/cell/start_pacing_test.cpp
+++ b/src/cell/start_pacing_test.cpp
@@ -14,7 +14,6 @@
   StartPacing Pacing;
   TimePoint Now = TimePoint{} + 100s;
   Steady::duration PerStart{1ms};
-  uint64_t Started = 0;
 
   // The lag is the time that the starts in progress take.
   Steady::duration lag() const { return PerStart * static_cast<int64_t>(Pacing.InProgress.size()); }
@@ -28,10 +27,8 @@
       noteBound(Pacing);
     const Steady::duration Lag = lag();
     Now += Interval;
-    for (auto Left = Interval / PerStart; Left > 0 && !Pacing.InProgress.empty(); --Left) {
+    for (auto Left = Interval / PerStart; Left > 0 && !Pacing.InProgress.empty(); --Left)
       noteFinished(Pacing, Pacing.InProgress.begin()->first, true);
-      ++Started;
-    }
     updatePacing(Pacing, Lag, Wanted > 0, Now);
   }
 };
--- a/src/include/valveshelf/traffic.h
+++ b/src/include/valveshelf/traffic.h
@@ -39,7 +39,7 @@
   Encode,
   Decode,   ///< Includes the parsing of responses.
   Transfer, ///< Writing, and reading what the event loop has not read yet.
-  Connect,  ///< Setting connections up and closing them.
+  Connect,  ///< Setting connections up, but for the connect itself.
 };
 inline constexpr std::array<std::string_view, 4> MessageWorkNames{"encode", "decode", "transfer",
                                                                   "connect"};
--- a/src/scheduler/forecast.cpp
+++ b/src/scheduler/forecast.cpp
@@ -23,7 +23,6 @@
 constexpr Milliseconds MaxPublishedAge{300};
 // Below it, the wait of an organisation at its maximum is not published.
 constexpr double MinQuotaConfidence = 0.5;
-// The room of a dimension without a limit. Sums of such rooms do not overflow.
 // Of a job in a process that has much to do, besides the wait for its turn: from acceptance to the
 // scheduler, for advice, from the start order to the worker, and from its report to the caller.
 // While that wait is short, so are they.
@@ -31,6 +30,7 @@
 // A process that orders fewer starts a second is at a standstill for the moment.
 constexpr double MinStartRate = 1;
 constexpr std::chrono::duration<double> MaxStartWait{60};
+// The room of a dimension without a limit. Sums of such rooms do not overflow.
 constexpr int64_t Unlimited = std::numeric_limits<int64_t>::max() / 4;
 
 void updateMean(MeanResources &Mean, const Resources &Seen) {
--- a/testsuite/platform-short-of-processor/run.py
+++ b/testsuite/platform-short-of-processor/run.py
@@ -3,13 +3,12 @@
 order: what it can't serve in time is refused at once, what it accepts is served in time, and none of
 it is lost."""
 import os
-import random
 import signal
 import sys
 import threading
 import time
 
-from platform_cell import step
+from platform_cell import MAX_ATTEMPTS, job_body, step
 
 PLATFORM = True
 CELL = {"workers": 60}
@@ -17,7 +16,7 @@
 # Of the time, in turns: on any machine less than the load below takes.
 SHARE, TURN_S = 0.05, 0.04
 JOBS_PER_S, SECONDS, SENDERS = 60, 12, 30
-STEP = step(10, 1000, 500, 300)
+JOB = job_body([step(10, 1000, 500, 300)], MAX_ATTEMPTS["check"])
 # A caller waits so long for its result; a refusal has to come at once.
 DEADLINE_S, REFUSAL_S = 3.0, 0.5
 # The users' floor for the worst class of requests.
@@ -46,7 +45,7 @@
     def call(self, number, is_counted):
         begun = time.time()
         status, headers, _ = self.cell.ask(self.boxes[number % len(self.boxes)], "POST", "check",
-                                           "%016x" % (number + 1), self.cell.body(STEP))
+                                           "%016x" % (number + 1), JOB)
         took = time.time() - begun
         if status == 200:
             with self.lock:
@@ -69,8 +68,6 @@
 
 
 def run(cell, say):
-    from platform_cell import MAX_ATTEMPTS, job_body
-    cell.body = lambda one: job_body([one], MAX_ATTEMPTS["check"])
     cell.wait("a term begins", lambda: cell.term() > 0, 10)
     scheduler, term = cell.scheduler(), cell.term()
     boxes = [name for name in cell.entries if name != scheduler]
