Scheduler: runs taken off a worker without their end are told, and reports that contradict it

What was missing: no line said that a run was unbooked without its end, nor by what; `start-not-confirmed` had its result as a number; nothing told that a report named a run that had been taken for not there. So a record could not tell an order that was taken for refused from one that was lost in a takeover or with a lease.

A start's answer says whether the client repeated the order. No decision is changed.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -161,9 +161,20 @@
     "longest wait it allows, and when its caller was told to return."};
 const EventKind RunStopped{2301, "info", "run-stopped",
                            "A worker was ordered to stop a run; the reason follows."};
-const EventKind StartNotConfirmed{2302, "info", "start-not-confirmed",
-                                  "A worker refused a start or did not answer; the result is a "
-                                  "`StartResult` of workload.h by number."};
+const EventKind StartNotConfirmed{
+    2302, "info", "start-not-confirmed",
+    "A worker refused a start or did not answer: the result, how often "
+    "the scheduler has sent it, whether the client sent it again, and "
+    "its fencing token."};
+const EventKind RunUnbooked{
+    2312, "info", "run-unbooked",
+    "A run was taken off its worker without its end: what was taken for the proof that it is not "
+    "there, how often its start was sent, whether the client sent it again, the fencing tokens of "
+    "the order and of the worker, and the age of the worker's last report."};
+const EventKind RunContradicted{
+    2313, "warn", "run-contradicted",
+    "A report names a run that was taken off its worker without its end, as active or with the end "
+    "that it has had: the proof that was wrong, and how long ago it was taken."};
 const EventKind StepPlaced{
     2303, "info", "step-placed",
     "Tasks of a step were placed: how many, on how many workers, how long the step waited."};
@@ -312,6 +323,8 @@
                               &AdviceRetried,
                               &CopyStarted,
                               &CopyEnded,
+                              &RunUnbooked,
+                              &RunContradicted,
                               &ForecastMissed,
                               &WorkerSilent,
                               &WorkerReplaced,
--- a/src/base/workload.cpp
+++ b/src/base/workload.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// Text forms of job, step and task ids, and lookups in the cell's configuration. The ids appear in
-// logs, store keys and answers to callers.
+// Text forms of job, step and task ids and of results of runs, and lookups in the cell's
+// configuration. The ids appear in logs, store keys and answers to callers.
 #include "valveshelf/workload.h"
 
 #include <algorithm>
@@ -55,6 +55,20 @@
   return toString(Key.Step) + "." + std::to_string(Key.Index);
 }
 
+std::string_view toString(RunOutcome How) {
+  static constexpr std::array<std::string_view, 6> Names{
+      "done", "failed", "stopped", "lease-expired", "gang-broken", "gang-timed-out"};
+  return Names.at(static_cast<size_t>(How));
+}
+
+std::string_view toString(StartResult Result) {
+  static constexpr std::array<std::string_view, 11> Names{
+      "started",        "refused-fence",     "refused-stale-run", "refused-expired", "refused-room",
+      "refused-ticket", "refused-unhealthy", "refused-malformed", "other-instance",  "not-sent",
+      "unknown"};
+  return Names.at(static_cast<size_t>(Result));
+}
+
 std::optional<TaskKey> parseTaskKey(std::string_view Text) {
   const auto Job = parseJobId(Text.substr(0, IdDigits));
   if (!Job)
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -45,6 +45,13 @@
 const MetricDescriptor RunsLost{
     "runs_lost_total", "counter",
     "Runs lost with their worker, by `case`: how the loss was detected."};
+const MetricDescriptor RunsUnbooked{
+    "runs_unbooked_total", "counter",
+    "Runs taken off their worker without their end, by `case`: what was taken for the proof."};
+const MetricDescriptor RunsContradicted{
+    "runs_contradicted_total", "counter",
+    "Runs taken off their worker without their end that a report has named since, by `case`: the "
+    "proof that was wrong."};
 const MetricDescriptor WorkerRestarts{
     "worker_restarts_total", "counter",
     "Workers that started again under their id, by `case`: what showed it (entry, report, order)."};
@@ -130,6 +137,8 @@
                               &StartSeconds,
                               &Ends,
                               &RunsLost,
+                              &RunsUnbooked,
+                              &RunsContradicted,
                               &WorkerRestarts,
                               &TasksGivenUp,
                               &Copies,
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -315,11 +315,13 @@
   Start.Checkpoint = std::move(Order.Checkpoint);
   Start.Ticket = std::move(Order.Ticket);
   // Only the first order has a short timeout: after the second one the run is stopped.
-  const bool IsRepeat = Entry->second.Sends > 1;
+  const int Sends = Entry->second.Sends;
+  const bool IsRepeat = Sends > 1;
   const bool Lost =
       areCallsBeingLost(Self->Losses, Self->Cell.Workers.size(), Self->Deps.Time.Now());
   Start.Timeout = startTimeout(Self->CallTimeout, Lost && !IsRepeat && !Self->isLate());
   const bool IsEarly = Start.Timeout < Self->CallTimeout.Current;
+  startSent(Self->Cell, Order.Worker, Order.Run, Start.Fence);
   Self->noteLeased(Order.Worker);
   Self->wakeHeartbeatLoop(Order.Worker);
   const TimePoint SentAt = Self->Deps.Time.Now();
@@ -348,7 +350,10 @@
     logEvent(events::StartNotConfirmed, {{"task", toString(Order.Run.Task)},
                                          {"run", std::to_string(Order.Run.Run)},
                                          {"worker", Order.Worker},
-                                         {"result", std::to_string(static_cast<int>(What))}});
+                                         {"result", std::string(toString(What))},
+                                         {"sends", std::to_string(Sends)},
+                                         {"repeated", Answer.WasRepeated ? "yes" : "no"},
+                                         {"token", std::to_string(Fence)}});
   // An answer that only came after an early timeout is no loss.
   if (!Answered && !IsEarly)
     noteLoss(Self->Losses, Order.Worker, Self->Deps.Time.Now());
@@ -359,9 +364,12 @@
   if (Answer.WorkerClock && orderAnswered(Self->Cell, Order.Worker, *Answer.WorkerClock, SentAt,
                                           Now, Out) == LifeOrder::Newer)
     Self->HeartbeatStates.erase(Order.Worker);
-  else
+  else {
+    if (Answer.WasRepeated)
+      startRepeated(Self->Cell, Order.Worker, Order.Run);
     startAnswered(Self->Cell, Order.Worker, Order.Run,
                   resultOfStart(What, compareToken(Self->Cell, Order.Worker, Fence)), Now, Out);
+  }
   Self->executeEffects(Out);
   if (What != StartResult::Started || Self->Cell.WasCutShort)
     Self->schedulePlacement();
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -473,6 +473,27 @@
                                {"unanswered", std::to_string(What.UnansweredOrders)},
                                {"losses", std::to_string(What.WeightedCrashes)}});
   }
+  for (const UnbookedRun &What : Out.UnbookedRuns) {
+    Deps.Metrics.count(metrics::RunsUnbooked, std::string(What.Why));
+    logEvent(events::RunUnbooked, {{"task", toString(What.Run.Task)},
+                                   {"run", std::to_string(What.Run.Run)},
+                                   {"worker", What.Worker},
+                                   {"why", std::string(What.Why)},
+                                   {"sends", std::to_string(What.Sends)},
+                                   {"repeated", What.WasRepeated ? "yes" : "no"},
+                                   {"token", std::to_string(What.Token)},
+                                   {"current_token", std::to_string(What.CurrentToken)},
+                                   {"report_age_ms", std::to_string(What.ReportAge.count())}});
+  }
+  for (const ContradictedRun &What : Out.ContradictedRuns) {
+    Deps.Metrics.count(metrics::RunsContradicted, std::string(What.Why));
+    logEvent(events::RunContradicted, {{"task", toString(What.Run.Task)},
+                                       {"run", std::to_string(What.Run.Run)},
+                                       {"worker", What.Worker},
+                                       {"why", std::string(What.Why)},
+                                       {"as", std::string(What.As)},
+                                       {"since_ms", std::to_string(What.Since.count())}});
+  }
   for (const WorkerRestart &What : Out.WorkerRestarts) {
     Deps.Metrics.count(metrics::WorkerRestarts, std::string(What.By));
     logEvent(events::WorkerRestarted,
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -21,6 +21,7 @@
 #include "valveshelf/overload_order.h"
 #include "valveshelf/run_times.h"
 #include "valveshelf/service_load.h"
+#include "valveshelf/unbooked_runs.h"
 #include "valveshelf/worker_life.h"
 #include "valveshelf/workload.h"
 
@@ -141,6 +142,10 @@
   Milliseconds Estimate{0};   ///< Of its whole run time, by the caller.
   Milliseconds Expected{0};   ///< The same as learned, on its worker.
   int Sends = 0;              ///< Start orders sent.
+  /// The client sent an order again, over another connection: each of the two may have been carried
+  /// out.
+  bool WasRepeated = false;
+  uint64_t Token = 0; ///< Fencing token of the last order; 0: none was sent.
   int Percent = 0;
   TimePoint PhaseSince{}; ///< When the phase began.
   TimePoint StartedAt{};
@@ -455,6 +460,7 @@
   std::optional<size_t> StartsLeft;
   /// The starts a second that this process can do; empty: not more are asked of it.
   std::optional<double> StartRate;
+  UnbookedRuns Unbooked;
   bool WasCutShort = false; ///< The last pass left steps in the queue because none was left.
   uint64_t ShortPasses = 0; ///< Number of such passes.
   TimePoint NextFullScan{}; ///< When all waiting steps are tried again.
@@ -597,6 +603,8 @@
   std::vector<Placement> Placements;
   std::vector<Failure> Failures;
   std::vector<LostRun> LostRuns;
+  std::vector<UnbookedRun> UnbookedRuns;
+  std::vector<ContradictedRun> ContradictedRuns;
   std::vector<WorkerRestart> WorkerRestarts;
   std::vector<GivenUpTask> TasksGivenUp;
   std::vector<CrashCountChange> CrashCountChanges;
@@ -754,6 +762,13 @@
 /// settles the order.
 LifeOrder orderAnswered(CellState &Cell, const std::string &Id, Milliseconds Clock,
                         TimePoint AskedAt, TimePoint Now, Effects &Out);
+/// A start order is about to be sent under \p Token.
+void startSent(CellState &Cell, const std::string &Id, const RunKey &Run, uint64_t Token);
+/// The client has sent a start order again, since its connection was reset. Call before
+/// `startAnswered`.
+void startRepeated(CellState &Cell, const std::string &Id, const RunKey &Run);
+/// A refusal shows that the run is not there only if its order was sent once: an order that was
+/// sent again may have been carried out the first time.
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out);
 /// A start order was not sent, nor will be.
--- a/src/include/valveshelf/worker_link.h
+++ b/src/include/valveshelf/worker_link.h
@@ -54,6 +54,9 @@
 struct StartAnswer {
   sched::StartResult Result = sched::StartResult::Unknown;
   std::optional<Milliseconds> WorkerClock; ///< The worker's steady clock; empty: not stated.
+  /// The order was sent before, over another connection that was reset: that one may have been
+  /// carried out.
+  bool WasRepeated = false;
 };
 
 /// Errors of `Stop` and `Heartbeat`: NotOwner (the worker has seen a newer fencing token), NotFound
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -194,6 +194,7 @@
   GangBroken,   ///< Another member of its gang ended.
   GangTimedOut, ///< The rest of its gang did not start in time.
 };
+std::string_view toString(RunOutcome How);
 
 /// One life of a worker, as listed by the platform. A restarted worker may have a new id or keep
 /// its own; `Born` tells its lives apart.
@@ -255,5 +256,6 @@
   NotSent,           ///< No connection was made; the run was not started.
   Unknown,           ///< No response; the run may have started or may still start.
 };
+std::string_view toString(StartResult Result);
 
 } // namespace valveshelf::sched
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Counts lost workers against the tasks that may have crashed them, and gives up such tasks.
 #include "scheduler/crashes.h"
+#include "scheduler/unbooked.h"
 
 #include <algorithm>
 #include <utility>
@@ -296,6 +297,8 @@
     if (Crashed)
       countCrash(Cell, On, Run, How, Lost.size() == 1, Now, Out);
     noteLostRun(Cell, On, Run, How, Out);
+    noteUnbooked(Cell, On, Run, toString(How), Now, Out);
+    noteUnbooked(Cell, On, Run, toString(How), Now, Out);
     const bool MayHaveRun = On.Attempts.at(Run).Phase != AttemptPhase::Planned;
     unbook(Cell, On, Run);
     if (StepState *Step = findStep(Cell, Run.Task.Step);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -5,6 +5,7 @@
 #include "scheduler/forecast.h"
 #include "scheduler/overload.h"
 #include "scheduler/run_times.h"
+#include "scheduler/unbooked.h"
 #include "scheduler/worker_lives.h"
 
 #include <algorithm>
@@ -252,6 +253,7 @@
         !IsActive(Run))
       Gone.push_back(Run);
   for (const RunKey &Run : Gone) {
+    noteUnbooked(Cell, On, Run, "not-listed", Now, Out);
     noteRunNeverStarted(Cell, Run, On, Out);
     unbook(Cell, On, Run);
     runEnded(Cell, Run, RunOutcome::Stopped, "", &On, Now, Out);
@@ -266,8 +268,8 @@
       stopAttempt(Cell, *Step.Tasks[I].AssignedWorker, {{Step.Key, I}, Run}, Why, Now, Out);
 }
 
-void startRefused(CellState &Cell, Worker &On, const RunKey &Run, StartResult Answer, TimePoint Now,
-                  Effects &Out) {
+void startRefused(CellState &Cell, Worker &On, const RunKey &Run, StartResult Answer,
+                  std::string_view Why, TimePoint Now, Effects &Out) {
   StepState *Step = findStep(Cell, Run.Task.Step);
   if (AdviceState::Permit *Used = Step ? findPermit(*Step, On) : nullptr;
       Used && Answer == StartResult::RefusedTicket)
@@ -276,6 +278,7 @@
     On.QuarantinedUntil = std::max(On.QuarantinedUntil, Now + UnavailableBackoff);
   if (Answer == StartResult::RefusedNoCapacity)
     Out.ReportRequests.push_back(On.Info.Id);
+  noteUnbooked(Cell, On, Run, Why, Now, Out);
   noteRunNeverStarted(Cell, Run, On, Out);
   unbook(Cell, On, Run);
   noteCopyEnded(Cell, Run, RunOutcome::Stopped, Now, Out);
@@ -517,6 +520,7 @@
     confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
   }
   retractSuspicions(Cell, *On, AskedAt, Out);
+  noteContradictions(Cell, *On, Report, Now, Out);
   processEnds(Cell, *On, Report, WasResponsive, Now, Out);
   for (const ActiveRun &Row : Report.Active) {
     const auto Found = On->Attempts.find(Row.Run);
@@ -581,6 +585,24 @@
   return Order;
 }
 
+static Attempt *findAttempt(CellState &Cell, const std::string &Id, const RunKey &Run) {
+  Worker *On = findWorker(Cell, Id);
+  if (!On)
+    return nullptr;
+  const auto Found = On->Attempts.find(Run);
+  return Found == On->Attempts.end() ? nullptr : &Found->second;
+}
+
+void startSent(CellState &Cell, const std::string &Id, const RunKey &Run, uint64_t Token) {
+  if (Attempt *Entry = findAttempt(Cell, Id, Run))
+    Entry->Token = Token;
+}
+
+void startRepeated(CellState &Cell, const std::string &Id, const RunKey &Run) {
+  if (Attempt *Entry = findAttempt(Cell, Id, Run))
+    Entry->WasRepeated = true;
+}
+
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out) {
   if (Answer == StartResult::RefusedFence)
@@ -591,7 +613,7 @@
   const auto Found = On->Attempts.find(Run);
   if (Answer == StartResult::OtherIncarnation) {
     if (Found != On->Attempts.end() && Found->second.Phase == AttemptPhase::Starting)
-      startRefused(Cell, *On, Run, Answer, Now, Out);
+      startRefused(Cell, *On, Run, Answer, toString(Answer), Now, Out);
     return workerEnded(Cell, Id, Now, Out);
   }
   On->IsResponsive = Answer != StartResult::Unknown && Answer != StartResult::NotSent;
@@ -622,7 +644,7 @@
   }
   // The refusal of a repeated order does not prove that the first one was not carried out.
   if (Answer != StartResult::Unknown && Entry.Sends == 1)
-    return startRefused(Cell, *On, Run, Answer, Now, Out);
+    return startRefused(Cell, *On, Run, Answer, toString(Answer), Now, Out);
   stopUncertainStart(Cell, *On, Run, Now, Out);
 }
 
@@ -635,7 +657,7 @@
   if (Found == On->Attempts.end())
     return;
   if (Found->second.Phase == AttemptPhase::Starting && Found->second.Sends == 1)
-    startRefused(Cell, *On, Run, StartResult::RefusedExpired, Now, Out);
+    startRefused(Cell, *On, Run, StartResult::RefusedExpired, "withheld", Now, Out);
   else if (Found->second.Phase == AttemptPhase::Uncertain)
     stopUncertainStart(Cell, *On, Run, Now, Out);
 }
