Scheduler: a refusal frees a run's room only if its order was sent once

What callers saw: TWICE, a task runs on two workers at once or again after it is done; LIMIT, a worker is given more than it has room for.

Cause: a start goes out on a new connection, is carried out, and the connection is reset. The client sends it again over an open one. If a later start has raised the token meanwhile, the worker refuses the repeat by its token. That refusal was left certain where the others of a repeated order were not, so the scheduler took the run for overtaken and never carried out, freed its room and placed the task anew.

Change: the worker link states the answer as it is, and whether the client had sent the order before; the scheduler decides in one place: a refusal proves that the run is not there only if no other order of it was sent, by the scheduler or by the client. Else the order is sent again or the run stopped, and a report decides. A refusal by a newer scheduler's token deposes, also on a repeat, and frees nothing. A repeat that meets another instance is a loss with the worker, no longer a start that never happened.

--- a/src/include/valveshelf/worker_link.h
+++ b/src/include/valveshelf/worker_link.h
@@ -52,7 +52,7 @@
 };
 
 struct StartAnswer {
-  sched::StartResult Result = sched::StartResult::Unknown;
+  sched::StartResult Result = sched::StartResult::Unknown; ///< As the worker stated it.
   std::optional<Milliseconds> WorkerClock; ///< The worker's steady clock; empty: not stated.
   /// The order was sent before, over another connection that was reset: that one may have been
   /// carried out.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -603,16 +603,23 @@
     Entry->WasRepeated = true;
 }
 
+// True if the refusal of its order shows that the run is not there: no other order of it was sent,
+// which may have been carried out.
+static bool isSentOnce(const Attempt &Entry) { return Entry.Sends == 1 && !Entry.WasRepeated; }
+
 void startAnswered(CellState &Cell, const std::string &Id, const RunKey &Run, StartResult Answer,
                    TimePoint Now, Effects &Out) {
-  if (Answer == StartResult::RefusedFence)
-    Out.Deposed = true;
+  if (Answer == StartResult::RefusedFence) {
+    Out.Deposed = true; // the newer scheduler decides about the run
+    return;
+  }
   Worker *On = findWorker(Cell, Id);
   if (!On)
     return;
   const auto Found = On->Attempts.find(Run);
   if (Answer == StartResult::OtherIncarnation) {
-    if (Found != On->Attempts.end() && Found->second.Phase == AttemptPhase::Starting)
+    if (Found != On->Attempts.end() && Found->second.Phase == AttemptPhase::Starting &&
+        isSentOnce(Found->second))
       startRefused(Cell, *On, Run, Answer, toString(Answer), Now, Out);
     return workerEnded(Cell, Id, Now, Out);
   }
@@ -632,19 +639,17 @@
       if (!std::exchange(Of.Begun, true))
         noteFirstStart(Cell, Of, Now, Out);
       const TaskState &Task = Step->Tasks[Step->Spec->Gang ? 0 : Run.Task.Index];
-      Entry.IsTimed = Entry.Sends == 1 && Task.Checkpoint.empty();
+      Entry.IsTimed = isSentOnce(Entry) && Task.Checkpoint.empty();
     }
     return;
   }
+  if (Answer != StartResult::Unknown && isSentOnce(Entry))
+    return startRefused(Cell, *On, Run, Answer, toString(Answer), Now, Out);
   // Not sent again to a worker that no longer takes work; a stop then settles the first order.
-  if (Answer == StartResult::Unknown && Entry.Sends < MaxStartSends && takesWork(*On) &&
-      findStep(Cell, Run.Task.Step)) {
+  if (Entry.Sends < MaxStartSends && takesWork(*On) && findStep(Cell, Run.Task.Step)) {
     setPhase(Cell, *On, Run, AttemptPhase::Uncertain, Now);
     return resendStart(Cell, *On, Run, Entry, Out);
   }
-  // The refusal of a repeated order does not prove that the first one was not carried out.
-  if (Answer != StartResult::Unknown && Entry.Sends == 1)
-    return startRefused(Cell, *On, Run, Answer, toString(Answer), Now, Out);
   stopUncertainStart(Cell, *On, Run, Now, Out);
 }
 
