Scheduler: a report with a full list of ends proves no absence

What callers could see: TWICE, a task that is done is started again; after a takeover, or after its run was stopped.

A run that is done and whose end is beyond the list is neither active nor ended in the report: dropNeverStarted took a stopped one for never started, and a new scheduler took the worker for one that has named all its runs.

Evidence: by reading.

Change: a report says whether its list of ends is full. Such a report is read for what it names; it drops no stopped run, ends no earlier life of the worker and does not count as the worker's first report.

--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -240,6 +240,9 @@
   Milliseconds WorkerClock{0}; ///< The worker's steady clock.
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended;
+  /// The worker may hold further ends, which it lists once it may forget these: a run that the
+  /// report does not name may have been there.
+  bool HasMoreEnds = false;
 };
 
 /// Result of a request to start a run.
--- /dev/null
+++ b/src/scheduler/partial_reports_test.cpp
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+// Reports that leave out ends: a worker lists only so many at once, and the others once it may
+// forget those. Runs that such a report does not name may have been there.
+#include "replay/placement_scene.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+WorkerReport partial(std::vector<EndedRun> Ended) {
+  WorkerReport Report;
+  Report.Ended = std::move(Ended);
+  Report.HasMoreEnds = true;
+  return Report;
+}
+
+// Guards against TWICE: a stopped run that is done, and whose end the worker does not list yet, was
+// taken for one that never started.
+TEST(PartialReports, ARunWhoseEndIsNotListedYetIsNotDropped) {
+  PlacementScene Given(2);
+  Given.submit(1, tasks(1, 60000, 1000ms), 4);
+  const Effects::Start Order = Given.pass().Starts.at(0);
+  Effects Out;
+  Worker &On = Given.Cell.Workers.at(Order.Worker);
+  stopAttempt(Given.Cell, On, Order.Run, "a test", Given.Now, Out);
+  stopAnswered(Given.Cell, Order.Worker, Order.Run, true, Given.Now, Out);
+  Given.Now += 10ms;
+  workerReported(Given.Cell, Order.Worker,
+                 partial({{1, {{{77, 0, 0}, 0}, 1}, RunOutcome::Done, ""}}), Given.Now, Given.Now,
+                 Out);
+  EXPECT_EQ(On.Attempts.count(Order.Run), 1u);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  WorkerReport Rest;
+  Rest.Ended = {{2, Order.Run, RunOutcome::Done, ""}};
+  Given.Now += 10ms;
+  workerReported(Given.Cell, Order.Worker, Rest, Given.Now, Given.Now, Out);
+  EXPECT_EQ(On.Attempts.count(Order.Run), 0u);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+}
+
+// Guards against TWICE after a takeover: a run that is done, and whose end the worker does not list
+// yet, was taken for one that an earlier scheduler had not started.
+TEST(PartialReports, ATaskWaitsForTheRestOfTheEndsAfterATakeover) {
+  PlacementScene Given(1);
+  WorkerInfo Info;
+  Info.Id = "busy";
+  Info.Service = "pool";
+  Info.Capacity = WorkerSize;
+  workerMayHoldRuns(Given.Cell, Info, Given.Now + 6s);
+  workerListed(Given.Cell, Info, Given.Now);
+  auto Spec = std::make_shared<JobSpec>();
+  Spec->Id = 9;
+  Spec->Service = "pool";
+  Spec->MaxAttempts = 2;
+  Spec->Steps.push_back(tasks(1, 1000, 1000ms));
+  addJob(Given.Cell, Spec, 9, false, Given.Now);
+  const RunKey Run{{{9, 0, 0}, 0}, 1};
+  Effects Out;
+  Given.Now += 10ms;
+  workerReported(Given.Cell, "busy", partial({{1, {{{77, 0, 0}, 0}, 1}, RunOutcome::Done, ""}}),
+                 Given.Now, Given.Now, Out);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  WorkerReport Rest;
+  Rest.Ended = {{2, Run, RunOutcome::Done, ""}};
+  Given.Now += 10ms;
+  workerReported(Given.Cell, "busy", Rest, Given.Now, Given.Now, Out);
+  EXPECT_TRUE(Given.pass().Starts.empty());
+  EXPECT_FALSE(hasUnreportedWorkers(Given.Cell, "pool"));
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -75,8 +75,8 @@
   return Made;
 }
 
-std::vector<RunKey> settleEarlierLives(CellState &Cell, const Worker &On,
-                                       const WorkerReport &Report, TimePoint Now, Effects &Out) {
+std::vector<RunKey> releaseCarriedOutRuns(CellState &Cell, const Worker &On,
+                                          const WorkerReport &Report, Effects &Out) {
   std::vector<RunKey> Released;
   for (const std::string &Key : earlierLivesOf(Cell, On)) {
     Worker &Was = Cell.Workers.at(Key);
@@ -85,11 +85,15 @@
       retractCrash(Cell, Run.Task, lifeName(Was), Out); // it was not on the life that crashed
       unbook(Cell, Was, Run);
     }
-    workerEnded(Cell, Key, Now, Out, WorkerEnd::Replaced);
   }
   return Released;
 }
 
+void endEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
+  for (const std::string &Key : earlierLivesOf(Cell, On))
+    workerEnded(Cell, Key, Now, Out, WorkerEnd::Replaced);
+}
+
 void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
                          TimePoint Now, Effects &Out) {
   for (const RunKey &Run : Released) {
--- a/src/scheduler/worker_lives.h
+++ b/src/scheduler/worker_lives.h
@@ -22,10 +22,13 @@
 /// Keys of the earlier lives of the worker that are not settled.
 std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On);
 
-/// Handles the first report of a new life: attempts of earlier lives that it shows are released, to
-/// be taken over from the report, and all others are lost. Returns the released runs.
-std::vector<RunKey> settleEarlierLives(CellState &Cell, const Worker &On,
-                                       const WorkerReport &Report, TimePoint Now, Effects &Out);
+/// Releases attempts of earlier lives that the report of the new life names, to be taken over from
+/// it. Returns the released runs.
+std::vector<RunKey> releaseCarriedOutRuns(CellState &Cell, const Worker &On,
+                                          const WorkerReport &Report, Effects &Out);
+/// The new life has named all runs that it has carried out: the other attempts of earlier lives are
+/// lost.
+void endEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
 /// Call after the released runs were taken over: stops members of gangs that have lost others.
 void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
                          TimePoint Now, Effects &Out);
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -516,8 +516,11 @@
     return Order;
   std::vector<RunKey> Released;
   if (!On->HasReported) {
-    Released = settleEarlierLives(Cell, *On, Report, Now, Out);
-    confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
+    Released = releaseCarriedOutRuns(Cell, *On, Report, Out);
+    if (!Report.HasMoreEnds) {
+      endEarlierLives(Cell, *On, Now, Out);
+      confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
+    }
   }
   retractSuspicions(Cell, *On, AskedAt, Out);
   noteContradictions(Cell, *On, Report, Now, Out);
@@ -531,6 +534,9 @@
       noteProgress(Cell, *On, Row, Found->second, {AskedAt, Now, Report.WorkerClock}, Out);
   }
   stopIncompleteGangs(Cell, *On, Released, Now, Out);
+  // What such a report does not name may be among the ends that it leaves out.
+  if (Report.HasMoreEnds)
+    return Order;
   dropNeverStarted(Cell, *On, Report, AskedAt, Now, Out);
   On->HasReported = true;
   noteWorkerKnown(Cell, Id, Now, Out);
