--- a/src/scheduler/start_answers_test.cpp
+++ b/src/scheduler/start_answers_test.cpp
@@ -134,6 +134,15 @@
   EXPECT_EQ(Out.LostRuns[0].Run, Given.Order.Run);
 }
 
+TEST(StartAnswers, ALostRunIsToldOnce) {
+  OrderedTask Given;
+  Given.answer(StartResult::Started);
+  Effects Out;
+  workerEnded(Given.Cell, Given.Order.Worker, Given.Now, Out);
+  ASSERT_EQ(Out.UnbookedRuns.size(), 1u);
+  EXPECT_EQ(Out.UnbookedRuns[0].Why, "replaced");
+}
+
 // The report that names a run that was taken for refused is told, once.
 TEST(StartAnswers, AReportThatNamesAnUnbookedRunIsTold) {
   OrderedTask Given;
