--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -22,7 +22,9 @@
 struct FakeWorker {
   std::vector<ActiveRun> Active;
   std::vector<EndedRun> Ended;
+  std::set<RunKey> Stopped;           ///< Runs that are refused from now on.
   int StartsToLose = 0;               ///< Number of starts that are carried out without an answer.
+  int StartsToRepeat = 0;             ///< Starts that are carried out, and refused when sent again.
   bool LosesLongPolls = false;        ///< Long polls get no answer.
   bool RefusesOvertakenPolls = false; ///< A long poll ends once a higher token has been seen.
   bool IsReplaced = false;            ///< Another instance answers at its address.
@@ -37,6 +39,7 @@
   void restart() {
     Active.clear();
     Ended.clear();
+    Stopped.clear();
     Fence = LastEnd = 0;
     Born = std::max(wallNow(), Born + 1ms);
     ClockBegan = Steady::now();
@@ -54,6 +57,12 @@
     return true;
   }
 
+  void stop(const RunKey &Run) {
+    Stopped.insert(Run);
+    if (std::erase_if(Active, [&](const ActiveRun &Row) { return Row.Run == Run; }) > 0)
+      Ended.push_back({++LastEnd, Run, RunOutcome::Stopped, ""});
+  }
+
   void end(uint32_t Index) {
     for (size_t I = 0; I < Active.size(); ++I)
       if (Active[I].Run.Task.Index == Index) {
@@ -84,9 +93,12 @@
   bool TruncatesList = false;   ///< Answers to them have as many changes as a truncated one.
   Milliseconds StartDelay{0};   ///< Delay before the next start takes effect.
   Milliseconds StartTime{0};    ///< Each start takes as long.
-  size_t InStart = 0;           ///< Starts on their way,
-  size_t MostInStart = 0;       ///< and the most of them at a time.
-  std::vector<uint64_t> Fences; ///< Of the start orders.
+  Milliseconds ReplacedTime{0}; ///< Heartbeats to a worker that was replaced take as long.
+  int ReplacedCalls = 0;        ///< Heartbeats that were answered so, or will be.
+  std::function<void()> OnStart = [] {}; ///< Called as a start leaves.
+  size_t InStart = 0;                    ///< Starts on their way,
+  size_t MostInStart = 0;                ///< and the most of them at a time.
+  std::vector<uint64_t> Fences;          ///< Of the start orders.
   std::vector<HeartbeatRequest> Heartbeats;
   std::vector<Milliseconds> LeasesLeft; ///< That heartbeats and starts gave, when they arrived.
   bool IsRenewed = true;                ///< The claim is renewed all the time.
@@ -143,6 +155,7 @@
     WorkerLink Link;
     Link.Start = [this](StartRun Order) -> Awaitable<StartAnswer> {
       FakeWorker &To = Workers.at(Order.To.Id);
+      OnStart();
       Fences.push_back(Order.Fence);
       LeasesLeft.push_back(Order.LeaseUntil - To.clock());
       MostInStart = std::max(MostInStart, ++InStart);
@@ -150,6 +163,8 @@
       --InStart;
       if (!To.admits(Order.Fence))
         co_return StartAnswer{StartResult::RefusedFence, To.clock()};
+      if (To.Stopped.count(Order.Run))
+        co_return StartAnswer{StartResult::RefusedStaleRun, To.clock()};
       const auto Has = [&](const ActiveRun &Row) { return Row.Run == Order.Run; };
       if (std::none_of(To.Active.begin(), To.Active.end(), Has)) {
         To.Active.push_back({Order.Run, "", 0});
@@ -159,9 +174,16 @@
         --To.StartsToLose;
         co_return StartAnswer{StartResult::Unknown, std::nullopt};
       }
+      if (To.StartsToRepeat > 0) {
+        --To.StartsToRepeat;
+        co_return StartAnswer{StartResult::RefusedStaleRun, To.clock(), true};
+      }
       co_return StartAnswer{StartResult::Started, To.clock()};
     };
-    Link.Stop = [](StopRun) -> Awaitable<Result<Done>> { co_return Done{}; };
+    Link.Stop = [this](StopRun Order) -> Awaitable<Result<Done>> {
+      Workers.at(Order.To.Id).stop(Order.Run);
+      co_return Done{};
+    };
     Link.Heartbeat = [this](HeartbeatRequest Order) { return heartbeat(std::move(Order)); };
     return Link;
   }
@@ -173,8 +195,11 @@
       LeasesLeft.push_back(*Order.LeaseUntil - To.clock());
     if (To.IsCut)
       co_return Error{ErrorKind::UpstreamUnavailable, "no answer"};
-    if (To.IsReplaced)
+    if (To.IsReplaced) {
+      ++ReplacedCalls;
+      co_await sleepFor(ReplacedTime);
       co_return Error{ErrorKind::NotFound, "another incarnation"};
+    }
     if (To.LosesLongPolls && Order.Wait.count() > 0) {
       co_await sleepFor(Order.Wait + Order.Timeout);
       co_return Error{ErrorKind::UpstreamCut, "no answer"};
@@ -433,6 +458,78 @@
   EXPECT_FALSE(Given.Heartbeats[Before].LeaseUntil);
 }
 
+// Guards against runs that count as over with their worker: a call to its earlier life met another
+// instance, and that answer is read once the next life holds runs.
+TEST(SchedulerRunner, ALate421ToAnEarlierCallEndsNoRun) {
+  Bench Given;
+  Given.Workers.erase("w1");
+  Given.Store.remove(std::string(WorkerPrefix) + "w1");
+  Given.Settings.Timing.HeartbeatWait = 20ms;
+  FakeWorker &On = Given.Workers.at("w0");
+  On.Born = wallNow();
+  Given.start();
+  Given.submit(1, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  Given.ReplacedTime = 600ms;
+  On.IsReplaced = true;
+  ASSERT_TRUE(Given.runUntil([&] { return Given.ReplacedCalls > 0; }));
+  On.IsReplaced = false;
+  On.restart();
+  Given.submit(2, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 300ms));
+  const RunKey Held = On.Active.front().Run;
+  ASSERT_EQ(Held.Task.Step.Job, 2u);
+  Given.runUntil([] { return false; }, 800ms);
+  const auto OfJob = [&](const ActiveRun &Row) { return Row.Run.Task == Held.Task; };
+  EXPECT_EQ(std::count_if(On.Active.begin(), On.Active.end(), OfJob), 1);
+  EXPECT_LE(On.Starts, 3) << "the run of the first job was lost and is started again";
+  while (!On.Active.empty())
+    On.end(0);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(2); }));
+  EXPECT_LE(On.Starts, 3);
+}
+
+// Guards against a second run of a task: its order was carried out, its connection was reset, and
+// the order that the client sent again was refused.
+TEST(SchedulerRunner, ARefusalOfAnOrderThatTheClientSentAgainStartsNoOtherRun) {
+  Bench Given;
+  for (auto &[Id, On] : Given.Workers)
+    On.StartsToRepeat = 1;
+  Given.submit(1, 1);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  Given.runUntil([] { return false; }, 300ms);
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 1);
+  for (auto &[Id, On] : Given.Workers)
+    On.end(0);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.isComplete(1); }));
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 1);
+}
+
+// Guards against a worker that is given more than it has room for: a job is cancelled while its
+// start orders leave, and they arrive after the stops.
+TEST(SchedulerRunner, OrdersOfRunsThatAreBeingStoppedLeaveNoRun) {
+  Bench Given;
+  Given.Capacity = {1000, 100, 0}; // one run on each worker
+  Given.StartTime = 100ms;
+  bool IsCancelled = false;
+  Given.OnStart = [&] {
+    if (!std::exchange(IsCancelled, true))
+      Given.Runner->announceCancel(1);
+  };
+  Given.submit(1, 2);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Fences.size() == 2; }));
+  Given.submit(2, 2);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  Given.runUntil([] { return false; }, 300ms);
+  for (const auto &[Id, On] : Given.Workers) {
+    ASSERT_EQ(On.Active.size(), 1u) << Id;
+    EXPECT_EQ(On.Active[0].Run.Task.Step.Job, 2u) << Id;
+  }
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 2);
+}
+
 TEST(SchedulerRunner, SavesJobEndWhileProgressSaveIsInFlight) {
   Bench Given;
   Given.submit(1, 2);
