--- a/src/scheduler/proofs_of_absence_test.cpp
+++ b/src/scheduler/proofs_of_absence_test.cpp
@@ -377,6 +377,16 @@
   }
 }
 
+// A lost run is one line of the log and is counted once.
+TEST(ProofsOfAbsence, ALostRunIsToldOnce) {
+  OrderedTask Given;
+  Given.answer(StartResult::Started);
+  Effects Out;
+  workerEnded(Given.Cell, Given.Order.Worker, Given.Now, Out);
+  EXPECT_EQ(Out.LostRuns.size(), 1u);
+  EXPECT_EQ(Out.UnbookedRuns.size(), 1u);
+}
+
 // Lives of a worker.
 
 // The report may have left the new life before the order arrived there.
