Scheduler: a run that is lost with its worker is told once

What operators saw: two run-unbooked lines, and two counts, for each run that is lost with its worker or its lease.

Cause: dropAttempts notes the run twice.

Evidence: ProofsOfAbsence.ALostRunIsToldOnce, which fails without the change (2 where 1 is due).

Change: one call less.

Result: it passes; no decision changes.

--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -298,7 +298,6 @@
       countCrash(Cell, On, Run, How, Lost.size() == 1, Now, Out);
     noteLostRun(Cell, On, Run, How, Out);
     noteUnbooked(Cell, On, Run, toString(How), Now, Out);
-    noteUnbooked(Cell, On, Run, toString(How), Now, Out);
     const bool MayHaveRun = On.Attempts.at(Run).Phase != AttemptPhase::Planned;
     unbook(Cell, On, Run);
     if (StepState *Step = findStep(Cell, Run.Task.Step);
