Tests: a run that the new life of a worker may hold is not lost

What callers could see: TWICE after a worker has started again under its id, within the time in which a scheduler before may start runs, or with more than 500 ends that may not be forgotten.

Evidence: ProofsOfAbsence.ARunIsNotLostWhileTheNewLifeNamesUnknownJobs and ARunIsNotLostWhileTheListOfTheNewLifeIsFull fail. The worker restarts with an order on its way, and the new life carries it out. It answers each 100 ms, which renews its lease, but its reports are not used yet. After 6.4 s the lease of the earlier life is over, the run is taken for lost with it (run-unbooked why="replaced") and the task is placed again; the next report that is used names the first run. By reading; no record or run is known that meets it.

--- a/src/scheduler/proofs_of_absence_test.cpp
+++ b/src/scheduler/proofs_of_absence_test.cpp
@@ -412,6 +412,32 @@
   EXPECT_TRUE(Given.placed().Starts.empty());
 }
 
+// The new life has carried out the order. It answers, and has its lease renewed, for longer than
+// the longest lease of the earlier one.
+void expectKeptByNewLife(bool IsListFull) {
+  OrderedTask Given;
+  Given.Cell.PredecessorMayStart = !IsListFull;
+  Given.restart();
+  const std::vector<ActiveRun> Active{{Given.Order.Run, "", 10}};
+  const std::vector<EndedRun> Ended{{1, UnknownRun, RunOutcome::Done, ""}};
+  for (int I = 0; I < 100 && !testing::Test::HasFailure(); ++I) {
+    Given.report(IsListFull ? std::vector<ActiveRun>() : Active, Ended, {}, IsListFull);
+    workerLeased(Given.Cell, Given.Order.Worker, Given.Now + LeaseTime);
+    Given.expectKept(Given.ticked(100ms), std::to_string(I));
+  }
+  predecessorEnded(Given.Cell);
+  const Effects Out = Given.report({}, {Ended[0], {2, Given.Order.Run, RunOutcome::Done, ""}});
+  EXPECT_TRUE(Out.ContradictedRuns.empty());
+  EXPECT_FALSE(Given.isBooked());
+  EXPECT_TRUE(Given.placed().Starts.empty());
+}
+
+// Its reports are not used while they name a job that is not known.
+TEST(ProofsOfAbsence, ARunIsNotLostWhileTheNewLifeNamesUnknownJobs) { expectKeptByNewLife(false); }
+
+// The end of the run is not among those that it lists.
+TEST(ProofsOfAbsence, ARunIsNotLostWhileTheListOfTheNewLifeIsFull) { expectKeptByNewLife(true); }
+
 // Takeovers and saved jobs.
 
 // The order was sent by the scheduler before, under its highest token.
