Worker lives: a member whose gang lost others is stopped once the lists of ends are complete

What callers could see: a gang that waits for members that are lost, until the worker ends the one that is there.

Change: the runs taken over are kept with the worker until it has named all of them.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -201,6 +201,8 @@
   /// Its first report names a job that is not known yet: it is asked again until the job is known
   /// or can't exist.
   bool AwaitsJobs = false;
+  /// Runs of earlier lives that this one has carried out, until it has named all of them.
+  std::vector<RunKey> CarriedOut;
   bool IsResponsive = true;   ///< The last call to it was answered.
   bool IsRecorded = false;    ///< The store records that it may hold runs of this cell.
   bool HasUnsizedRun = false; ///< It holds a run of unknown size; nothing is placed on it.
--- a/src/scheduler/partial_reports_test.cpp
+++ b/src/scheduler/partial_reports_test.cpp
@@ -70,5 +70,37 @@
   EXPECT_FALSE(hasUnreportedWorkers(Given.Cell, "pool"));
 }
 
+// Guards against a gang member that waits for others that were lost: the first report of a new life
+// names it and leaves out ends, and only the next one shows that the others are not there.
+TEST(PartialReports, AMemberOfAGangThatLostOthersInARestartIsStopped) {
+  PlacementScene Given(1);
+  StepSpec Step = tasks(2, 1000, 1000ms);
+  Step.Gang = true;
+  Given.submit(1, Step, 4);
+  Given.pass();
+  const Worker &Was = Given.Cell.Workers.at("w0");
+  ASSERT_EQ(Was.Attempts.size(), 2u);
+  const RunKey Present = Was.Attempts.begin()->first;
+  const auto Report = [&](Milliseconds Clock, bool HasMoreEnds) {
+    WorkerReport Made;
+    Made.WorkerClock = Clock;
+    Made.Active = {{Present, "", 0}};
+    if (HasMoreEnds)
+      Made.Ended = {{1, {{{77, 0, 0}, 0}, 1}, RunOutcome::Done, ""}};
+    Made.HasMoreEnds = HasMoreEnds;
+    Effects Out;
+    Given.Now += 10ms;
+    workerReported(Given.Cell, "w0", Made, Given.Now, Given.Now, Out);
+    return Out;
+  };
+  Report(5000ms, false);
+  Report(100ms, false); // a new life, which is asked again
+  std::vector<Effects::Stop> Stops = Report(110ms, true).Stops;
+  for (const Effects::Stop &Order : Report(120ms, false).Stops)
+    Stops.push_back(Order);
+  ASSERT_EQ(Stops.size(), 1u);
+  EXPECT_EQ(Stops[0].Run, Present);
+}
+
 } // namespace
 } // namespace valveshelf::sched
--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -75,18 +75,15 @@
   return Made;
 }
 
-std::vector<RunKey> releaseCarriedOutRuns(CellState &Cell, const Worker &On,
-                                          const WorkerReport &Report, Effects &Out) {
-  std::vector<RunKey> Released;
+void releaseCarriedOutRuns(CellState &Cell, Worker &On, const WorkerReport &Report, Effects &Out) {
   for (const std::string &Key : earlierLivesOf(Cell, On)) {
     Worker &Was = Cell.Workers.at(Key);
     for (const RunKey &Run : carriedOutRuns(Was, Report)) {
-      Released.push_back(Run);
+      On.CarriedOut.push_back(Run);
       retractCrash(Cell, Run.Task, lifeName(Was), Out); // it was not on the life that crashed
       unbook(Cell, Was, Run);
     }
   }
-  return Released;
 }
 
 void endEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
@@ -94,9 +91,8 @@
     workerEnded(Cell, Key, Now, Out, WorkerEnd::Replaced);
 }
 
-void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
-                         TimePoint Now, Effects &Out) {
-  for (const RunKey &Run : Released) {
+void stopIncompleteGangs(CellState &Cell, Worker &On, TimePoint Now, Effects &Out) {
+  for (const RunKey &Run : std::exchange(On.CarriedOut, {})) {
     const StepState *Step = findStep(Cell, Run.Task.Step);
     if (Step && Step->Spec->Gang && Step->BookedTasks < Step->OpenTasks)
       stopAttempt(Cell, On, Run, "its gang lost members as the worker restarted", Now, Out);
--- a/src/scheduler/worker_lives.h
+++ b/src/scheduler/worker_lives.h
@@ -23,14 +23,13 @@
 std::vector<std::string> earlierLivesOf(const CellState &Cell, const Worker &On);
 
 /// Releases attempts of earlier lives that the report of the new life names, to be taken over from
-/// it. Returns the released runs.
-std::vector<RunKey> releaseCarriedOutRuns(CellState &Cell, const Worker &On,
-                                          const WorkerReport &Report, Effects &Out);
+/// it, and adds them to `Worker::CarriedOut`.
+void releaseCarriedOutRuns(CellState &Cell, Worker &On, const WorkerReport &Report, Effects &Out);
 /// The new life has named all runs that it has carried out: the other attempts of earlier lives are
 /// lost.
 void endEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out);
-/// Call after the released runs were taken over: stops members of gangs that have lost others.
-void stopIncompleteGangs(CellState &Cell, Worker &On, const std::vector<RunKey> &Released,
-                         TimePoint Now, Effects &Out);
+/// Call after the earlier lives have ended and the released runs were taken over: stops members of
+/// gangs that have lost others.
+void stopIncompleteGangs(CellState &Cell, Worker &On, TimePoint Now, Effects &Out);
 
 } // namespace valveshelf::sched
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -514,9 +514,8 @@
   On->AwaitsJobs = !On->HasReported && Cell.PredecessorMayStart && namesUnknownJob(Cell, Report);
   if (On->AwaitsJobs)
     return Order;
-  std::vector<RunKey> Released;
   if (!On->HasReported) {
-    Released = releaseCarriedOutRuns(Cell, *On, Report, Out);
+    releaseCarriedOutRuns(Cell, *On, Report, Out);
     if (!Report.HasMoreEnds) {
       endEarlierLives(Cell, *On, Now, Out);
       confirmCrashesOfEarlierLives(Cell, *On, Now, Out);
@@ -533,10 +532,10 @@
     else
       noteProgress(Cell, *On, Row, Found->second, {AskedAt, Now, Report.WorkerClock}, Out);
   }
-  stopIncompleteGangs(Cell, *On, Released, Now, Out);
   // What such a report does not name may be among the ends that it leaves out.
   if (Report.HasMoreEnds)
     return Order;
+  stopIncompleteGangs(Cell, *On, Now, Out);
   dropNeverStarted(Cell, *On, Report, AskedAt, Now, Out);
   On->HasReported = true;
   noteWorkerKnown(Cell, Id, Now, Out);
