Fuzz: connections that are reset, calls that the client repeats, reports that leave out ends

What was missing: the fuzz never repeated a call by the HTTP client and always listed all ends, so it could not meet a start that is taken for refused, nor a run that is taken for absent.

Change: Scenario::Resets resets one call in five (starts, stops, heartbeats), after it was carried out, before, or with the call carried out late, after its repeat. The same call is sent again 2 to 500 ms later, and the answer to a start says so (startRepeated). Half of the reports come as late as those of long polls, so that acknowledgements are open while starts raise the token. WorkerModel lists 500 ends at most as the platform does, 2 in these worlds. There are more takeovers. Scenario::ResetRestarts adds workers that restart. In both a report that names a run which was unbooked for another reason than its worker's life or lease is a violation (PROOF). All draws are from ScenarioRandom; calls are kept in structs so that they can be sent twice.

--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -3,10 +3,10 @@
 // workers that crash or are cut off, lost saves, takeovers with the old scheduler still active and,
 // depending on the scenario, tasks that crash their workers, changes of capacity, evacuations of
 // zones, speculative steps on workers of uneven speed, workers that start again under their id, and
-// scheduled jobs under schedulers whose clocks differ, and schedulers that are cut off together
-// with some workers. Every start is checked against the simulation's own records.
-// VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED set length and first seed;
-// VALVESHELF_FUZZ_TRACE=JOB prints the starts, losses and crash counts of that job's tasks.
+// scheduled jobs under schedulers whose clocks differ, schedulers that are cut off together with
+// some workers, and calls that the client repeats after a reset. Every start is checked against the
+// simulation's own records. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED set length and first
+// seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts, losses and crash counts of that job's tasks.
 #include "cell/leadership_evidence.h"
 #include "standins/worker_model.h"
 #include "valveshelf/cell_records.h"
@@ -44,6 +44,8 @@
 // sides learn of a new job within the other.
 constexpr Milliseconds MaxCutTime{8000};
 constexpr Milliseconds MaxNewsTime{400};
+// Ends in a report, in worlds with resets.
+constexpr size_t MaxListedEnds = 2;
 // How far the time of day of a scheduler may be off, in either direction.
 constexpr Milliseconds MaxClockError{1500};
 
@@ -102,6 +104,8 @@
   CrashRestarts, ///< As Crashes; workers that were crashed start again under their id.
   Rounds,        ///< Half of the jobs are scheduled; the time of day of schedulers is off.
   Partitions,    ///< As Rounds; replaced schedulers are cut off together with some workers.
+  Resets,        ///< Connections are reset, and calls repeated; reports leave out ends.
+  ResetRestarts, ///< As Resets and Restarts.
 };
 
 class World {
@@ -112,9 +116,12 @@
         InjectsEvacuations(With == Scenario::Evacuations),
         SwitchesFeatures(With == Scenario::Features || With == Scenario::Copies),
         DrawsCopies(With == Scenario::Copies),
-        RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts),
+        RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts ||
+                        With == Scenario::ResetRestarts),
         SchedulesJobs(With == Scenario::Rounds || With == Scenario::Partitions),
-        CutsSchedulersOff(With == Scenario::Partitions), StopTime(Seed % 2 ? 50 : 900) {
+        CutsSchedulersOff(With == Scenario::Partitions),
+        ResetsConnections(With == Scenario::Resets || With == Scenario::ResetRestarts),
+        StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
@@ -133,6 +140,10 @@
   int64_t Restarts = 0;          ///< Lives that began under a known id.
   int64_t StartsWhileCutOff = 0; ///< Ordered by schedulers that are cut off.
   int64_t LaterRounds = 0;       ///< Starts in rounds after the first.
+  int64_t Resets = 0;            ///< Calls that the client repeated.
+  int64_t OvertakenRepeats = 0;  ///< Refused by their token, while the run is there.
+  int64_t LateOrders = 0;        ///< Start orders that come after their repeat.
+  int64_t PartialReports = 0;    ///< Reports whose list of ends is full.
   std::vector<std::string> Violations;
 
   void play(int64_t Count) {
@@ -205,6 +216,8 @@
     Made->Model.Now = Milliseconds(upTo(100000));
     Made->Model.LongestLease = WorkerLease * 2;
     Made->Model.StopTime = StopTime;
+    if (ResetsConnections)
+      Made->Model.MaxListedEnds = MaxListedEnds;
     Box *Raw = Made.get();
     if (DrawsCopies)
       Made->Slowness = drawScenario(0, 3) == 0 ? 4 : 1;
@@ -654,6 +667,7 @@
       return;
     if (TracedJob != 0)
       trace(*Of, Out);
+    checkContradictions(Out);
     for (const Effects::OverloadChange &Change : Out.OverloadChanges)
       Overloads += Change.IsOverloaded ? 1 : 0;
     for (const Effects::Start &Order : Out.Starts)
@@ -677,6 +691,20 @@
       addViolation("LOST (stopped without cause)", Order.Run);
   }
 
+  // A run may be named after it was unbooked only if its worker was taken for lost.
+  void checkContradictions(const Effects &Out) {
+    for (const ContradictedRun &Named : Out.ContradictedRuns) {
+      const auto On = Boxes.find(Named.Worker);
+      const bool IsLateForLife =
+          On != Boxes.end() && InevitableRuns.count({On->second->Info.Born, Named.Run}) > 0;
+      const bool WasLost = Named.Why == "replaced" || Named.Why == "gone" || Named.Why == "lapsed";
+      if (ResetsConnections && !WasLost && !IsLateForLife)
+        addViolation("PROOF (" + std::string(Named.Why) + ", then " + std::string(Named.As) +
+                         " on " + Named.Worker + ")",
+                     Named.Run);
+    }
+  }
+
   void trace(const Process &Of, const Effects &Out) const {
     const auto Line = [&](const TaskKey &Task) -> std::ostream & {
       return std::cout << Now.count() << " ms, term " << Of.Cell.Fence << ": " << toString(Task)
@@ -689,6 +717,11 @@
       if (What.Run.Task.Step.Job == TracedJob)
         Line(What.Run.Task) << "run " << What.Run.Run << " stopped on " << What.Worker << ": "
                             << What.Why << "\n";
+    for (const UnbookedRun &What : Out.UnbookedRuns)
+      if (What.Run.Task.Step.Job == TracedJob)
+        Line(What.Run.Task) << "run " << What.Run.Run << " unbooked on " << What.Worker << ": "
+                            << What.Why << ", " << What.Sends << " sends, "
+                            << (What.WasRepeated ? "repeated" : "not repeated") << "\n";
     for (const Effects::LostRun &What : Out.LostRuns)
       if (What.Run.Task.Step.Job == TracedJob)
         Line(What.Run.Task) << "run " << What.Run.Run << " lost with " << What.Worker << ", "
@@ -700,7 +733,7 @@
                         << ", doubts " << What.UnconfirmedCrashes << "\n";
   }
 
-  void traceRun(const Box &On, const RunKey &Run, const char *What) const {
+  void traceRun(const Box &On, const RunKey &Run, std::string_view What) const {
     if (Run.Task.Step.Job == TracedJob)
       std::cout << Now.count() << " ms: " << toString(Run.Task) << " run " << Run.Run << " " << What
                 << " on " << On.Info.Id << ", life of " << On.Info.Born.time_since_epoch().count()
@@ -708,10 +741,44 @@
                 << ", " << On.Model.LastEnd << " ends\n";
   }
 
+  bool isReachable(const Process &Of, const Box &To) const {
+    const bool IsCut = Now < Of.CutUntil && Of.Unreachable.count(To.Info.Id) > 0;
+    return !To.Dead && To.UnreachableUntil <= Now && !IsCut;
+  }
+
+  // True if the connection of a call that is sent now is reset.
+  bool drawReset(const Process &Of, const Box &To) {
+    constexpr int64_t OneIn = 5;
+    return ResetsConnections && !FaultsOver && isReachable(Of, To) && drawScenario(1, OneIn) == 1;
+  }
+
+  // The connection of a call is reset after the call was carried out or before, or the call is late
+  // and carried out after its repeat.
+  void resetCall(const ProcessPtr &Of, std::function<void()> CarryOut,
+                 std::function<void()> Repeat) {
+    constexpr int64_t MaxResetMs = 100;
+    constexpr int64_t MaxPauseMs = 400;
+    constexpr int64_t MaxShortlyLateMs = 500;
+    constexpr int64_t MaxLateMs = 10000;
+    ++Resets;
+    const int64_t ResetMs = drawScenario(1, MaxResetMs);
+    const int64_t RepeatMs = ResetMs + drawScenario(2, MaxPauseMs);
+    const int64_t Which = drawScenario(0, 3);
+    if (Which <= 1)
+      after(Milliseconds(drawScenario(1, ResetMs)), std::move(CarryOut));
+    else if (Which == 2)
+      after(Milliseconds(RepeatMs +
+                         drawScenario(1, drawScenario(0, 1) == 0 ? MaxShortlyLateMs : MaxLateMs)),
+            std::move(CarryOut));
+    after(Milliseconds(RepeatMs), [Of, Repeat = std::move(Repeat)] {
+      if (!Of->HasEnded)
+        Repeat();
+    });
+  }
+
   enum class CallOutcome { Delivered, AnswerLost, Lost, Late };
   CallOutcome drawOutcome(const Process &Of, const Box &To) {
-    const bool IsCut = Now < Of.CutUntil && Of.Unreachable.count(To.Info.Id) > 0;
-    if (To.Dead || To.UnreachableUntil > Now || IsCut)
+    if (!isReachable(Of, To))
       return CallOutcome::Lost;
     if (FaultsOver || !chance(0.08))
       return CallOutcome::Delivered;
@@ -756,80 +823,150 @@
     const auto Known = Of->Cell.Workers.find(Order.Worker);
     const uint64_t Token =
         Known == Of->Cell.Workers.end() ? 0 : raiseTokenForStart(Of->Cell, Known->second);
-    const standins::StartOrderSeen Seen{
-        Order.Run, Token, workerTime(*Of, Order.Worker) + permittedLease(*Of), Order.Checkpoint};
-    const CallOutcome How = drawOutcome(*Of, *To);
+    transmitStart(
+        {Of,
+         To,
+         Order.Worker,
+         {Order.Run, Token, workerTime(*Of, Order.Worker) + permittedLease(*Of), Order.Checkpoint},
+         steady(),
+         To->Info.Born});
+  }
+
+  struct StartCall {
+    ProcessPtr Of;
+    std::shared_ptr<Box> To;
+    std::string Id; ///< Of the worker.
+    standins::StartOrderSeen Seen;
+    TimePoint AskedAt;
+    WallTime Life; ///< Of the worker when the order was sent.
+    bool WasRepeated = false;
+  };
+
+  StartResult carryOut(const StartCall &Call) {
+    if (Call.To->Dead)
+      return StartResult::Unknown;
+    // No call can keep an order from a life that began after it was sent and has not been called
+    // since.
+    IsInevitable = Call.Life != Call.To->Info.Born && Call.To->Model.Fence <= Call.Seen.Fence;
+    const StartResult What = Call.To->Model.start(Call.Seen);
+    IsInevitable = false;
+    return What;
+  }
+
+  // Sends the order over one connection.
+  void transmitStart(const StartCall &Call) {
+    if (drawReset(*Call.Of, *Call.To))
+      return resetStart(Call);
+    const CallOutcome How = drawOutcome(*Call.Of, *Call.To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
-    after(Delay, [this, Of, To, Seen, How, AskedAt = steady(), Id = Order.Worker,
-                  Life = To->Info.Born] {
+    after(Delay, [this, Call, How] {
       StartResult What = StartResult::Unknown;
       // A worker may refuse as unhealthy.
       if (How == CallOutcome::Delivered && !FaultsOver && chance(0.1))
         What = StartResult::RefusedUnhealthy;
-      else if (How != CallOutcome::Lost && !To->Dead) {
-        // No call can keep an order from a life that began after it was sent and has not been
-        // called since.
-        IsInevitable = Life != To->Info.Born && To->Model.Fence <= Seen.Fence;
-        What = To->Model.start(Seen);
-        IsInevitable = false;
-      }
-      if (To->RefusesConnections && How != CallOutcome::Late)
-        return deliverStart(Of, Id, Seen, StartResult::NotSent, {});
+      else if (How != CallOutcome::Lost)
+        What = carryOut(Call);
+      if (Call.To->RefusesConnections && How != CallOutcome::Late)
+        return deliverStart(Call, StartResult::NotSent, {});
       if (How != CallOutcome::Delivered)
         return;
-      after(Milliseconds(1 + upTo(5)), [this, Of, Id, Seen, What, AskedAt, Clock = To->Model.Now] {
-        deliverStart(Of, Id, Seen, What, {{}, Clock, AskedAt});
+      after(Milliseconds(1 + upTo(5)), [this, Call, What, Clock = Call.To->Model.Now] {
+        deliverStart(Call, What, {{}, Clock, Call.AskedAt});
       });
     });
     if (How != CallOutcome::Delivered)
-      after(OrderTimeout, [this, Of, Id = Order.Worker, Seen] {
-        deliverStart(Of, Id, Seen, StartResult::Unknown, {});
-      });
+      after(OrderTimeout, [this, Call] { deliverStart(Call, StartResult::Unknown, {}); });
+  }
+
+  void resetStart(const StartCall &Call) {
+    const auto IsRepeated = std::make_shared<bool>(false);
+    StartCall Repeat = Call;
+    Repeat.WasRepeated = true;
+    resetCall(
+        Call.Of,
+        [this, Call, IsRepeated] {
+          LateOrders += *IsRepeated ? 1 : 0;
+          traceRun(*Call.To, Call.Seen.Run, "ordered over a connection that is reset");
+          carryOut(Call);
+        },
+        [this, Repeat, IsRepeated] {
+          *IsRepeated = true;
+          transmitStart(Repeat);
+        });
   }
 
-  void deliverStart(const ProcessPtr &Of, const std::string &Id,
-                    const standins::StartOrderSeen &Seen, StartResult What,
-                    const LifeStatement &Stated) {
-    const TokenState Token = compareToken(Of->Cell, Id, Seen.Fence);
+  void deliverStart(const StartCall &Call, StartResult What, const LifeStatement &Stated) {
+    const ProcessPtr &Of = Call.Of;
+    const TokenState Token = compareToken(Of->Cell, Call.Id, Call.Seen.Fence);
     if (Of->HasEnded || Token == TokenState::OtherLife)
       return;
+    // A connection that is refused proves nothing about the one that was reset.
+    if (Call.WasRepeated && What == StartResult::NotSent)
+      What = StartResult::Unknown;
+    const bool IsRepeat = Call.WasRepeated && What != StartResult::Unknown;
+    OvertakenRepeats += IsRepeat && What == StartResult::RefusedFence &&
+                                Token == TokenState::Superseded &&
+                                Call.To->Model.Runs.count(Call.Seen.Run)
+                            ? 1
+                            : 0;
+    traceRun(*Call.To, Call.Seen.Run, toString(resultOfStart(What, Token)));
     Effects Out;
-    if (Stated.Clock && orderAnswered(Of->Cell, Id, *Stated.Clock, *Stated.AskedAt, steady(),
-                                      Out) == LifeOrder::Newer)
-      Of->Clocks.erase(Id);
-    else
-      startAnswered(Of->Cell, Id, Seen.Run, resultOfStart(What, Token), steady(), Out);
+    if (Stated.Clock && orderAnswered(Of->Cell, Call.Id, *Stated.Clock, *Stated.AskedAt, steady(),
+                                      Out) == LifeOrder::Newer) {
+      Of->Clocks.erase(Call.Id);
+    } else {
+      if (IsRepeat)
+        startRepeated(Of->Cell, Call.Id, Call.Seen.Run);
+      startAnswered(Of->Cell, Call.Id, Call.Seen.Run, resultOfStart(What, Token), steady(), Out);
+    }
     apply(Of, Out);
   }
 
+  struct StopCall {
+    ProcessPtr Of;
+    std::shared_ptr<Box> To;
+    std::string Id; ///< Of the worker.
+    RunKey Run;
+    uint64_t Fence = 0;
+  };
+
   void sendStop(const ProcessPtr &Of, const Effects::Stop &Order) {
     const auto Found = Boxes.find(Order.Worker);
-    if (Found == Boxes.end())
-      return;
-    const auto To = Found->second;
-    const CallOutcome How = drawOutcome(*Of, *To);
+    if (Found != Boxes.end())
+      transmitStop({Of, Found->second, Order.Worker, Order.Run, tokenFor(*Of, Order.Worker)});
+  }
+
+  void transmitStop(const StopCall &Call) {
+    if (drawReset(*Call.Of, *Call.To))
+      return resetCall(
+          Call.Of,
+          [Call] {
+            if (!Call.To->Dead)
+              Call.To->Model.stop(Call.Run, Call.Fence);
+          },
+          [this, Call] { transmitStop(Call); });
+    const CallOutcome How = drawOutcome(*Call.Of, *Call.To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
-    const uint64_t Fence = tokenFor(*Of, Order.Worker);
-    const auto Answer = [this, Of, Fence, Id = Order.Worker, Run = Order.Run](bool Acked,
-                                                                              bool Refused) {
-      const TokenState Token = compareToken(Of->Cell, Id, Fence);
-      if (Of->HasEnded || Token == TokenState::OtherLife)
+    after(Delay, [this, Call, How] {
+      if (How == CallOutcome::Lost || Call.To->Dead)
         return;
-      Effects Out;
-      Out.Deposed = Refused && Token == TokenState::Current;
-      if (!Refused)
-        stopAnswered(Of->Cell, Id, Run, Acked, steady(), Out);
-      apply(Of, Out);
-    };
-    after(Delay, [this, To, Run = Order.Run, Fence, How, Answer] {
-      if (How == CallOutcome::Lost || To->Dead)
-        return;
-      const bool Taken = To->Model.stop(Run, Fence);
+      const bool Taken = Call.To->Model.stop(Call.Run, Call.Fence);
       if (How == CallOutcome::Delivered)
-        after(2ms, [Answer, Taken] { Answer(true, !Taken); });
+        after(2ms, [this, Call, Taken] { deliverStop(Call, true, !Taken); });
     });
     if (How != CallOutcome::Delivered)
-      after(OrderTimeout, [Answer] { Answer(false, false); });
+      after(OrderTimeout, [this, Call] { deliverStop(Call, false, false); });
+  }
+
+  void deliverStop(const StopCall &Call, bool Acked, bool Refused) {
+    const TokenState Token = compareToken(Call.Of->Cell, Call.Id, Call.Fence);
+    if (Call.Of->HasEnded || Token == TokenState::OtherLife)
+      return;
+    Effects Out;
+    Out.Deposed = Refused && Token == TokenState::Current;
+    if (!Refused)
+      stopAnswered(Call.Of->Cell, Call.Id, Call.Run, Acked, steady(), Out);
+    apply(Call.Of, Out);
   }
 
   void sendAsk(const ProcessPtr &Of, const Effects::AdviceRequest &Question) {
@@ -853,76 +990,112 @@
     const auto Known = Of->Cell.Workers.find(Id);
     if (Of->HasEnded || Found == Boxes.end() || Known == Of->Cell.Workers.end())
       return;
-    const auto To = Found->second;
-    const CallOutcome How = drawOutcome(*Of, *To);
+    HeartbeatCall Call{Of, Found->second, Id};
     const bool Extends =
         Of->Clocks.count(Id) && Known->second.IsResponsive && permittedLease(*Of) > 0ms;
-    std::optional<Milliseconds> Until;
     if (Extends) {
-      Until = workerTime(*Of, Id) + permittedLease(*Of);
+      Call.Until = workerTime(*Of, Id) + permittedLease(*Of);
       workerLeased(Of->Cell, Id, leaseEnd());
     }
-    const uint64_t Fence = fencingToken(Of->Cell, Known->second);
-    const uint64_t Forget = beginAcknowledgement(Known->second);
-    const TimePoint AskedAt = steady();
+    Call.Fence = fencingToken(Of->Cell, Known->second);
+    Call.Forget = beginAcknowledgement(Known->second);
+    Call.AskedAt = steady();
+    transmitHeartbeat(Call);
+  }
+
+  struct HeartbeatCall {
+    ProcessPtr Of;
+    std::shared_ptr<Box> To;
+    std::string Id; ///< Of the worker.
+    uint64_t Fence = 0;
+    uint64_t Forget = 0;
+    std::optional<Milliseconds> Until;
+    TimePoint AskedAt{};
+  };
+
+  std::optional<WorkerReport> carryOut(const HeartbeatCall &Call) {
+    checkForgottenEnds(Call);
+    auto Report = Call.To->Model.hold(Call.Fence, Call.Forget, Call.Until);
+    if (Report)
+      Report->Born = Call.To->Info.Born;
+    return Report;
+  }
+
+  // In worlds with resets, half of the calls are answered as late as long polls are, so that
+  // acknowledgements are on their way while starts are sent.
+  Milliseconds drawReportDelay() {
+    constexpr int64_t LongPollMs = 1000;
+    if (ResetsConnections && drawScenario(0, 1) == 0)
+      return Milliseconds(drawScenario(1, LongPollMs));
+    return Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20));
+  }
+
+  void transmitHeartbeat(const HeartbeatCall &Call) {
+    if (drawReset(*Call.Of, *Call.To))
+      return resetCall(
+          Call.Of,
+          [this, Call] {
+            if (!Call.To->Dead)
+              carryOut(Call);
+          },
+          [this, Call] { transmitHeartbeat(Call); });
+    const CallOutcome How = drawOutcome(*Call.Of, *Call.To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
-    after(Delay, [=, this] {
-      if (How == CallOutcome::Lost || To->Dead)
+    after(Delay, [this, Call, How] {
+      if (How == CallOutcome::Lost || Call.To->Dead)
         return;
-      checkForgottenEnds(*To, Fence, Forget);
-      auto Report = To->Model.hold(Fence, Forget, Until);
-      if (Report)
-        Report->Born = To->Info.Born;
+      const auto Report = carryOut(Call);
       if (How == CallOutcome::Delivered)
-        after(Milliseconds(chance(0.1) ? upTo(1500) : 1 + upTo(20)), [=, this] {
-          deliverReport(Of, Id, Report, AskedAt, {Fence, Forget});
-        });
+        after(drawReportDelay(), [this, Call, Report] { deliverReport(Call, Report); });
     });
     if (How != CallOutcome::Delivered)
-      after(OrderTimeout, [this, Of, Id, To, Fence] {
-        if (Of->HasEnded || compareToken(Of->Cell, Id, Fence) == TokenState::OtherLife)
-          return;
-        Effects Out;
-        // A new incarnation at the same address says so at once.
-        if (To->WillReturn ? false : To->Crashed ? To->IsReplaced : To->Dead && chance(0.5))
-          workerEnded(Of->Cell, Id, steady(), Out);
-        else
-          workerSilent(Of->Cell, Id, steady());
-        apply(Of, Out);
-      });
+      after(OrderTimeout, [this, Call] { heartbeatLost(Call); });
   }
 
-  struct SentHeartbeat {
-    uint64_t Fence = 0;
-    uint64_t Forget = 0;
-  };
+  void heartbeatLost(const HeartbeatCall &Call) {
+    const ProcessPtr &Of = Call.Of;
+    const Box &To = *Call.To;
+    if (Of->HasEnded || compareToken(Of->Cell, Call.Id, Call.Fence) == TokenState::OtherLife)
+      return;
+    Effects Out;
+    // A new incarnation at the same address says so at once.
+    if (To.WillReturn ? false : To.Crashed ? To.IsReplaced : To.Dead && chance(0.5))
+      workerEnded(Of->Cell, Call.Id, steady(), Out);
+    else
+      workerSilent(Of->Cell, Call.Id, steady());
+    apply(Of, Out);
+  }
 
-  void deliverReport(const ProcessPtr &Of, const std::string &Id,
-                     const std::optional<WorkerReport> &Report, TimePoint AskedAt,
-                     const SentHeartbeat &Sent) {
+  void deliverReport(const HeartbeatCall &Call, const std::optional<WorkerReport> &Report) {
+    const ProcessPtr &Of = Call.Of;
     if (Of->HasEnded)
       return;
     Effects Out;
     if (!Report) {
-      Out.Deposed = compareToken(Of->Cell, Id, Sent.Fence) == TokenState::Current;
+      Out.Deposed = compareToken(Of->Cell, Call.Id, Call.Fence) == TokenState::Current;
       return apply(Of, Out);
     }
-    const LifeOrder Life = workerReported(Of->Cell, Id, *Report, AskedAt, steady(), Out);
+    PartialReports += Report->HasMoreEnds ? 1 : 0;
+    const LifeOrder Life = workerReported(Of->Cell, Call.Id, *Report, Call.AskedAt, steady(), Out);
     if (Life == LifeOrder::Newer)
-      Of->Clocks.erase(Id);
+      Of->Clocks.erase(Call.Id);
     if (Life == LifeOrder::Same) {
-      Of->Clocks[Id] = {Report->WorkerClock, Now};
-      endsForgotten(Of->Cell, Id, Sent.Fence, Sent.Forget);
+      Of->Clocks[Call.Id] = {Report->WorkerClock, Now};
+      endsForgotten(Of->Cell, Call.Id, Call.Fence, Call.Forget);
     }
     apply(Of, Out);
   }
 
-  void checkForgottenEnds(const Box &On, uint64_t Fence, uint64_t Through) {
-    if (Fence < On.Model.Fence)
+  void checkForgottenEnds(const HeartbeatCall &Call) {
+    const Box &On = *Call.To;
+    const uint64_t Through = Call.Forget;
+    if (Call.Fence < On.Model.Fence)
       return;
+    const auto AskedAgo = std::chrono::duration_cast<Milliseconds>(steady() - Call.AskedAt);
     for (const EndedRun &End : On.Model.Ended) {
       if (End.Number <= Through)
-        traceRun(On, End.Run, "end forgotten");
+        traceRun(On, End.Run,
+                 "end forgotten by a call of " + std::to_string((Now - AskedAgo).count()) + " ms");
       // An end that was not called for can't be kept from an acknowledgement that is late as well.
       if (End.Number > Through || InevitableRuns.count({On.Info.Born, End.Run}))
         continue;
@@ -1277,6 +1450,8 @@
         switchFeatures(Current->Cell);
       if (SchedulesJobs)
         disturbRounds();
+      if (ResetsConnections && drawScenario(1, 4000) == 1)
+        takeOver();
     }
     if (Current->HasEnded && !TakeoverScheduled) {
       TakeoverScheduled = true;
@@ -1400,6 +1575,7 @@
   const bool RestartsWorkers;
   const bool SchedulesJobs;
   const bool CutsSchedulersOff;
+  const bool ResetsConnections;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool FaultsOver = false;
@@ -1447,6 +1623,7 @@
   int64_t Worlds = 0, Broken = 0;
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0, Overloads = 0, Copies = 0;
   int64_t Restarts = 0, LaterRounds = 0, StartsWhileCutOff = 0;
+  int64_t Resets = 0, OvertakenRepeats = 0, LateOrders = 0, PartialReports = 0;
 
   WorldSeries(int64_t UsualEvents, Scenario With) {
     Events = Events == 0 ? UsualEvents : Events;
@@ -1455,7 +1632,9 @@
       play(static_cast<uint64_t>(First + Worlds), With);
     std::cout << Broken << " of " << Worlds << " worlds broke, " << Events << " events, " << Starts
               << " starts, " << Takeovers << " takeovers, " << Crashes << " crashes, " << GivenUp
-              << " jobs given up, " << Copies << " copies, " << Restarts << " restarts\n";
+              << " jobs given up, " << Copies << " copies, " << Restarts << " restarts, " << Resets
+              << " resets, " << OvertakenRepeats << " overtaken repeats, " << LateOrders
+              << " late orders, " << PartialReports << " partial reports\n";
   }
 
   void play(uint64_t Seed, Scenario With) {
@@ -1470,6 +1649,10 @@
     Restarts += One.Restarts;
     LaterRounds += One.LaterRounds;
     StartsWhileCutOff += One.StartsWhileCutOff;
+    Resets += One.Resets;
+    OvertakenRepeats += One.OvertakenRepeats;
+    LateOrders += One.LateOrders;
+    PartialReports += One.PartialReports;
     Broken += One.Violations.empty() ? 0 : 1;
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1526,6 +1709,22 @@
   EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
 }
 
+// Guards against a refusal, or an absence from a report, that is taken for a proof that a run is
+// not there: the order was carried out, its connection reset, and the client repeated it; or the
+// report left out the run's end.
+TEST(SchedulerFuzz, HoldsItsInvariantsWhileConnectionsAreReset) {
+  const WorldSeries Played(600000, Scenario::Resets);
+  EXPECT_GT(Played.OvertakenRepeats, Played.Worlds);
+  EXPECT_GT(Played.LateOrders, Played.Worlds);
+  EXPECT_GT(Played.PartialReports, Played.Worlds);
+}
+
+TEST(SchedulerFuzz, HoldsItsInvariantsWhileConnectionsAreResetAndWorkersRestart) {
+  const WorldSeries Played(200000, Scenario::ResetRestarts);
+  EXPECT_GT(Played.OvertakenRepeats, Played.Worlds);
+  EXPECT_GT(Played.Restarts, Played.Worlds * 5);
+}
+
 TEST(SchedulerFuzz, SeedsThatLoseAWorkerUnderAPlannedGang) {
   // The plans of the other members must not stay booked.
   for (const uint64_t Seed : {5790U}) {
--- a/testsuite/standins/worker_model.cpp
+++ b/testsuite/standins/worker_model.cpp
@@ -92,7 +92,10 @@
                                                std::max<int64_t>(1, What.Plan.Work.count()));
     Report.Active.push_back({Key, What.Checkpoint, What.Works ? Percent : 0});
   }
-  Report.Ended = Ended;
+  const size_t Listed = std::min(Ended.size(), MaxListedEnds);
+  Report.Ended.assign(Ended.begin(), Ended.begin() + static_cast<std::ptrdiff_t>(Listed));
+  // A full list does not tell whether there are further ends.
+  Report.HasMoreEnds = Listed == MaxListedEnds;
   return Report;
 }
 
--- a/testsuite/standins/worker_model.h
+++ b/testsuite/standins/worker_model.h
@@ -43,6 +43,7 @@
   Milliseconds Now{0}; ///< Its own steady clock.
   Milliseconds StopTime{50};
   Milliseconds LongestLease{6000};
+  size_t MaxListedEnds = 500; ///< The others follow once these may be forgotten.
   uint64_t Fence = 0;
   Milliseconds LeaseUntil{0};
   std::map<sched::RunKey, Run> Runs;
