Scheduler: an acknowledgement that was sent to an earlier life does not count for the present one

What callers could see: jobs that never end. A worker that has restarted under its id is never told to forget its ends; once its list of ends is full, it lists no others, so the scheduler does not learn of them.

Cause: a heartbeat is sent to a life that has ended 22 runs and tells it to forget these. The worker restarts, the scheduler learns of the new life from another call, and then the answer to that heartbeat arrives, given by the new life. endsForgotten noted the 22 ends as forgotten by the new life, whose ends are numbered from 1 again, so beginAcknowledgement acknowledged none of its first 22.

Evidence: world 320 of Scenario::ResetRestarts, jobs 0x9e and others; at the end of the world i-5 holds ends 1 to 7 and lists the first two, and the scheduler has: last end 2, forget through 2, forgotten through 22, 5 attempts. Without this change the world and WorkerRestarts.AnAcknowledgementOfAnEarlierLife... fail. No record of users is known that meets it: it takes 500 ends of the new life.

Change: endsForgotten ignores a call whose token is of another life.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -744,7 +744,7 @@
 /// not sent again once it was answered.
 uint64_t beginAcknowledgement(Worker &On);
 /// The worker has answered a heartbeat, sent under \p Token, that told it to forget the ends up to
-/// \p Through; 0: none.
+/// \p Through; 0: none. One that was sent to an earlier life has no effect.
 void endsForgotten(CellState &Cell, const std::string &Id, uint64_t Token, uint64_t Through);
 /// An immediate heartbeat to the worker failed. Not called for a lost long poll.
 void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now);
--- a/src/scheduler/fencing.cpp
+++ b/src/scheduler/fencing.cpp
@@ -60,9 +60,13 @@
   const auto Found = Cell.Workers.find(Id);
   if (Found == Cell.Workers.end() || Through == 0)
     return;
+  // Ends are numbered from 1 again in each life.
+  const TokenState State = compareToken(Cell, Id, Token);
+  if (State == TokenState::OtherLife)
+    return;
   Worker &On = Found->second;
   On.ForgottenThrough = std::max(On.ForgottenThrough, Through);
-  if (compareToken(Cell, Id, Token) == TokenState::Current && On.OpenAcknowledgements > 0)
+  if (State == TokenState::Current && On.OpenAcknowledgements > 0)
     --On.OpenAcknowledgements;
 }
 
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1835,9 +1835,9 @@
   }
 }
 
-void expectHolds(std::initializer_list<uint64_t> Seeds) {
+void expectHolds(std::initializer_list<uint64_t> Seeds, Scenario With = Scenario::CrashRestarts) {
   for (const uint64_t Seed : Seeds) {
-    World One(Seed, Scenario::CrashRestarts);
+    World One(Seed, With);
     One.play(20000);
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1862,6 +1862,12 @@
   expectHolds({6170U, 9607U, 3000560U, 3002749U});
 }
 
+// Guards against ends that a worker is never told to forget, since an answer to a call to its
+// earlier life counts for the present one. With a full list the others are never listed.
+TEST(SchedulerFuzz, SeedsThatCountAcknowledgementsOfAnEarlierLife) {
+  expectHolds({320U}, Scenario::ResetRestarts);
+}
+
 // Guards against an organisation over its maximum while a scheduler is cut off: each side starts
 // within it (1088206, 4088130), or runs of an ended job are on a worker that has not reported
 // (1088248).
--- a/src/scheduler/worker_restarts_test.cpp
+++ b/src/scheduler/worker_restarts_test.cpp
@@ -348,6 +348,24 @@
   EXPECT_EQ(beginAcknowledgement(Given.Cell.Workers.at("w0")), 0u);
 }
 
+// Guards against ends that a worker is never told to forget: the new life answers a call that was
+// sent to the earlier one and acknowledged more ends than the new life has. Once the list of ends
+// is full, the worker lists no others, and their tasks never end.
+TEST(WorkerRestarts, AnAcknowledgementOfAnEarlierLifeDoesNotCountForTheNext) {
+  RestartScene Given(1);
+  completeUnacknowledged(Given);
+  Worker &Known = Given.Cell.Workers.at("w0");
+  const uint64_t Token = fencingToken(Given.Cell, Known);
+  const uint64_t Acknowledged = beginAcknowledgement(Known);
+  ASSERT_GT(Acknowledged, 0u);
+  Given.restart("w0");
+  Given.report("w0"); // shows the new life
+  Given.report("w0");
+  ASSERT_EQ(compareToken(Given.Cell, "w0", Token), TokenState::OtherLife);
+  endsForgotten(Given.Cell, "w0", Token, Acknowledged);
+  EXPECT_EQ(Given.Cell.Workers.at("w0").ForgottenThrough, 0u);
+}
+
 // Calls that were sent before the token rose are still answered, or refused if a later one came
 // first; that is no sign of a newer scheduler. Those of an earlier life are told apart.
 TEST(WorkerRestarts, ARaisedTokenKeepsAnswersToEarlierCalls) {
