--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1868,6 +1868,19 @@
   expectHolds({320U}, Scenario::ResetRestarts);
 }
 
+// Guards against a refusal that frees the room of a run though the client has sent its order again:
+// a task that runs twice at once (419, 487) or after its end (229), a worker over its capacity
+// (209, 371), an organisation over its maximum (72).
+TEST(SchedulerFuzz, SeedsThatTakeTheRefusalOfARepeatedStartForAProof) {
+  expectHolds({419U, 487U, 229U, 209U, 371U, 72U}, Scenario::Resets);
+}
+
+// Guards against a task that runs again after its end, which a report with a full list of ends left
+// out.
+TEST(SchedulerFuzz, SeedsThatTakeAnAbsenceFromAFullReportForAProof) {
+  expectHolds({350U, 260U}, Scenario::Resets);
+}
+
 // Guards against an organisation over its maximum while a scheduler is cut off: each side starts
 // within it (1088206, 4088130), or runs of an ended job are on a worker that has not reported
 // (1088248).
