--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1848,6 +1848,18 @@
 // acknowledgement of an end of the earlier life.
 TEST(SchedulerFuzz, SeedsThatAcknowledgeAnEndToTheNextLife) { expectHolds({3812U}); }
 
+// The same beside resets, where the start was answered before the acknowledgement was sent.
+TEST(SchedulerFuzz, SeedsThatAcknowledgeAnEndToTheNextLifeBesideResets) {
+  expectHolds({15U, 390U, 851U}, Scenario::ResetRestarts);
+}
+
+// Guards against an end that is forgotten unread: an acknowledgement of an end of the earlier life
+// is sent while the answer to a start is due, whose connection was reset and which a life that the
+// scheduler does not know yet has carried out.
+TEST(SchedulerFuzz, SeedsThatAcknowledgeAnEndWhileAStartIsUnanswered) {
+  expectHolds({2267U, 2389U, 2614U, 2763U, 2831U}, Scenario::ResetRestarts);
+}
+
 // Guards against a worker over its capacity: it has restarted unnoticed, and carries out an order
 // of the scheduler before (1802) or a late one of its earlier life beside those of the present.
 TEST(SchedulerFuzz, SeedsThatMeetOrdersForAnEarlierLife) { expectHolds({1802U, 6650U, 7584U}); }
@@ -1862,6 +1874,11 @@
   expectHolds({6170U, 9607U, 3000560U, 3002749U});
 }
 
+// Guards against sound jobs that are given up beside restarts and resets.
+TEST(SchedulerFuzz, SeedsThatGiveUpSoundJobsBesideRestartsAndResets) {
+  expectHolds({107U, 127U, 576U, 916U, 1113U, 1880U, 2374U, 2464U}, Scenario::ResetRestarts);
+}
+
 // Guards against ends that a worker is never told to forget, since an answer to a call to its
 // earlier life counts for the present one. With a full list the others are never listed.
 TEST(SchedulerFuzz, SeedsThatCountAcknowledgementsOfAnEarlierLife) {
