Scheduler: a run that the new life of a worker may hold is not lost with the earlier one

What callers could see: TWICE after a worker has started again under its id, within the time in which a scheduler before may start runs, or with more than 500 ends that may not be forgotten.

Cause: the runs of an earlier life are lost once the longest lease that the new life can have been granted by earlier calls is over. That bound is set when the new life is learned of. A new life that answers gets further leases, while its reports are not used because they name a job that is not known, or leave out ends: its silence was taken for a proof although it was not silent.

Change: such a run is lost once the present life's lease is over as well.

--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -796,6 +796,13 @@
   }
 }
 
+// By then neither an earlier life nor the present one, which may have carried out its orders and
+// whose lease is renewed while it answers, holds runs of it.
+static TimePoint leaseEndOfLives(CellState &Cell, const Worker &Earlier) {
+  const Worker *Present = findWorker(Cell, Earlier.Info.Id);
+  return Present ? std::max(Earlier.LeaseEnd, Present->LeaseEnd) : Earlier.LeaseEnd;
+}
+
 void tick(CellState &Cell, TimePoint Now, WallTime Wall, Effects &Out) {
   Cell.Wall = Wall;
   Cell.WallAt = Now;
@@ -810,7 +817,7 @@
   std::vector<std::string> SettledLives;
   for (auto &[Id, On] : Cell.Workers) {
     if (On.IsEarlierLife) {
-      if (On.Attempts.empty() || Certain > On.LeaseEnd)
+      if (On.Attempts.empty() || Certain > leaseEndOfLives(Cell, On))
         SettledLives.push_back(Id);
       continue;
     }
