Worker link: a report states whether the client sent its call again

Cause: a heartbeat whose new connection is reset is sent again over an open one. The answer is of the second call; the first may be carried out later, and it acknowledges ends. Nothing told the scheduler.

Change: WorkerReport::WasRepeated, as StartAnswer has it. No decision changes.

--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -243,6 +243,9 @@
   /// The worker may hold further ends, which it lists once it may forget these: a run that the
   /// report does not name may have been there.
   bool HasMoreEnds = false;
+  /// Its call was sent before, over another connection that was reset: that one may be carried out
+  /// later.
+  bool WasRepeated = false;
 };
 
 /// Result of a request to start a run.
