Test: an acknowledgement that the client sent again is not answered

What callers could see: TWICE, a task that is done runs again, after its worker has started again under its id.

With bounded connections the client sends calls again, and the answer to the second one counted for both.

--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -25,6 +25,7 @@
   std::set<RunKey> Stopped;           ///< Runs that are refused from now on.
   int StartsToLose = 0;               ///< Number of starts that are carried out without an answer.
   int StartsToRepeat = 0;             ///< Starts that are carried out, and refused when sent again.
+  int AcksToRepeat = 0;               ///< Acknowledgements that are answered when sent again.
   bool LosesLongPolls = false;        ///< Long polls get no answer.
   bool RefusesOvertakenPolls = false; ///< A long poll ends once a higher token has been seen.
   bool IsReplaced = false;            ///< Another instance answers at its address.
@@ -216,7 +217,10 @@
       if (To.Born != Life)
         co_return Error{ErrorKind::UpstreamCut, "the worker has crashed"};
     }
-    co_return WorkerReport{To.Born, To.clock(), To.Active, To.Ended};
+    WorkerReport Report{To.Born, To.clock(), To.Active, To.Ended};
+    Report.WasRepeated = Order.ForgetThrough > 0 && To.AcksToRepeat > 0;
+    To.AcksToRepeat -= Report.WasRepeated ? 1 : 0;
+    co_return Report;
   }
 
   void submit(JobId Id, uint32_t Tasks) {
@@ -507,6 +511,31 @@
   EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 1);
 }
 
+// Guards against an end that the next life of a worker forgets unread: the client has sent an
+// acknowledgement again, and the first one is carried out late. A start raises the token, as for
+// one without an answer.
+TEST(SchedulerRunner, AnAcknowledgementThatTheClientSentAgainIsNotAnswered) {
+  for (const bool IsRepeated : {false, true}) {
+    Bench Given;
+    Given.Workers.erase("w1");
+    Given.Store.remove(std::string(WorkerPrefix) + "w1");
+    Given.Settings.Timing.HeartbeatWait = 20ms;
+    FakeWorker &On = Given.Workers.at("w0");
+    On.AcksToRepeat = IsRepeated ? 1 : 0;
+    Given.start();
+    Given.submit(1, 1);
+    ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+    On.end(0);
+    ASSERT_TRUE(Given.runUntil([&] { return Given.isComplete(1) && On.Ended.empty(); }));
+    Given.runUntil([] { return false; }, 300ms); // no heartbeat is held any more
+    EXPECT_EQ(On.AcksToRepeat, 0);
+    Given.submit(2, 1);
+    ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+    ASSERT_EQ(Given.Fences.size(), 2u);
+    EXPECT_EQ(Given.Fences[1] > Given.Fences[0], IsRepeated);
+  }
+}
+
 // Guards against a worker that is given more than it has room for: a job is cancelled while its
 // start orders leave, and they arrive after the stops.
 TEST(SchedulerRunner, OrdersOfRunsThatAreBeingStoppedLeaveNoRun) {
