Scheduler: an acknowledgement that the client sent again counts as one without an answer

What callers could see: TWICE, a task that is done runs again, after its worker has started again under its id.

Cause: of a heartbeat that the client sent again, the first call may be carried out late, by the next life of the worker, which then forgets ends of its own unread. The answer to the second one was taken for that of both, so that the next start did not raise the token.

Evidence: SchedulerRunner.AnAcknowledgementThatTheClientSentAgainIsNotAnswered, which fails without the change.

Change: only the answer of a call that was sent once counts. The ends are acknowledged again, and the next start raises the token.

Result: it passes, as do the other tests of SchedulerRunner, WorkerLink and ProofsOfAbsence.

--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -148,7 +148,9 @@
       State.WorkerClock = value(Report).WorkerClock;
       State.ReadAt = Now;
       State.AnsweredSentAt = std::max(State.AnsweredSentAt, SentAt);
-      endsForgotten(Cell, Id, Fence, Forgotten);
+      // Of two calls the first has no answer, and may be carried out by a later life.
+      if (!value(Report).WasRepeated)
+        endsForgotten(Cell, Id, Fence, Forgotten);
     }
   } else if (!isForCurrentLife(Id, Fence)) {
     co_return HeartbeatOutcome::NoAnswer;
