Test: an attempt that waits for its ticket is not ordered after a stop or a new life

Change: ProofsOfAbsence.AnAttemptThatWaitsForItsTicketIsNotOrderedAfterAStopOrANewLife.

Result: it passes without a change of the scheduler.

--- a/src/scheduler/proofs_of_absence_test.cpp
+++ b/src/scheduler/proofs_of_absence_test.cpp
@@ -274,6 +274,32 @@
   Given.expectDone("withheld");
 }
 
+// No order exists while an attempt is planned; none must follow from it later.
+TEST(ProofsOfAbsence, AnAttemptThatWaitsForItsTicketIsNotOrderedAfterAStopOrANewLife) {
+  for (const bool IsStop : {false, true}) {
+    OrderedTask Given;
+    const std::string &On = Given.Order.Worker;
+    const StepKey Key{Given.submit(1, tasks(1, 1000, 1000ms), 4, true), 0, 0};
+    Given.placed();
+    adviceAnswered(Given.Cell, Key, {On}, {{On, "ticket"}}, 1ms, Given.Now);
+    EXPECT_TRUE(Given.placed().Starts.empty());
+    Given.reportRunning();
+    const Attempt *Planned = attemptOf(*findStep(Given.Cell, Key), 0);
+    ASSERT_NE(Planned, nullptr);
+    ASSERT_EQ(Planned->Phase, AttemptPhase::Planned);
+    Effects Out;
+    if (IsStop)
+      cancelJob(Given.Cell, Key.Job, Given.Now, Out);
+    else
+      Given.restart();
+    EXPECT_TRUE(Out.Stops.empty());
+    EXPECT_TRUE(Out.UnbookedRuns.empty());
+    adviceAnswered(Given.Cell, Key, {On}, {{On, "ticket"}}, 10s, Given.Now);
+    EXPECT_TRUE(Given.placed().Starts.empty());
+    EXPECT_EQ(attemptOf(*findStep(Given.Cell, Key), 0), nullptr);
+  }
+}
+
 // Stops and reports.
 
 TEST(ProofsOfAbsence, AConfirmedStopFreesNothing) {
@@ -323,8 +349,9 @@
     ASSERT_TRUE(Model.stop(Given.Order.Run, fencingToken(Given.Cell, On)));
     Effects Out;
     stopAnswered(Given.Cell, Given.Order.Worker, Given.Order.Run, true, Given.Now, Out);
-    if (ArrivesBeforeTheReport)
+    if (ArrivesBeforeTheReport) {
       EXPECT_EQ(Model.start(Late), StartResult::RefusedStaleRun);
+    }
     const auto Seen = Model.hold(fencingToken(Given.Cell, On), 0, {});
     ASSERT_TRUE(Seen);
     Out = Given.report(Seen->Active, Seen->Ended);
