--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -13,7 +13,7 @@
 import time
 
 from cell import BIN, Process, call, free_ports
-from proxy import Proxy, ProxyThread, ServerConnections
+from proxy import Proxy, ProxyThread, ServerConnections, StartAnswerResets
 
 HOST = "queue.example"
 PREFIXES = {"check": "/check/", "scan": "/scan/", "rebuild": "/rebuild/", "nowhere": "/nowhere/"}
@@ -87,10 +87,11 @@
 
 
 class PlatformCell:
-    def __init__(self, folder, entries=3, workers=6, worker_connections=0):
-        """`worker_connections`: how many connections a worker accepts; 0: any number."""
+    def __init__(self, folder, entries=3, workers=6, worker_connections=0, start_resets=False):
+        """`worker_connections`: how many connections a worker accepts; 0: any number.
+        `start_resets`: workers are behind proxies that can reset connections after a start."""
         self.folder, self.worker_count = folder, workers
-        fronts = workers if worker_connections else 0
+        fronts = workers if worker_connections or start_resets else 0
         ports = free_ports(2 + workers + entries * 4 + fronts)
         self.store = ports[0]
         listed = ports[-fronts] if fronts else ports[2]
@@ -100,7 +101,8 @@
             os.path.join(folder, "platform.log"))
         self.worker_fronts, thread = [], ProxyThread() if fronts else None
         for i in range(fronts):
-            front = ServerConnections(listed + i, worker_connections)
+            front = (StartAnswerResets(listed + i, i) if start_resets
+                     else ServerConnections(listed + i, worker_connections))
             front.target = "127.0.0.1:%d" % ports[2 + i]
             thread.add(front)
             self.worker_fronts.append(front)
@@ -219,6 +221,11 @@
                     best = max(best or (0, ""), (term, entry.name))
         return best or (0, None)
 
+    def count_logged(self, *words):
+        """The lines of the entries' logs that have all these words."""
+        return sum(all(word in line for word in words) for entry in self.entries.values()
+                   if os.path.exists(entry.log) for line in open(entry.log, errors="replace"))
+
     def flood(self, count, gap=0.01):
         """A mix of jobs over the living entries; returns how many were accepted."""
         before = len(self.accepted)
--- a/testsuite/proxy.py
+++ b/testsuite/proxy.py
@@ -2,6 +2,7 @@
 """A loopback proxy for TCP that a soak makes trouble with: it delays, resets, cuts one way or
 silences the connections through it. One thread with an event loop serves all proxies."""
 import asyncio
+import random
 import socket
 import struct
 import threading
@@ -60,12 +61,19 @@
                     break
                 if number <= self.deaf_through:
                     continue
+                if not await self.delivers(number, silence == "silent_to", data):
+                    reset(writer)
+                    break
                 writer.write(data)
                 await writer.drain()
         except (OSError, RuntimeError):
             reset(writer)
         writer.close()
 
+    async def delivers(self, number, is_request, data):
+        """Whether the data is passed on; else its receiver's connection is reset."""
+        return True
+
     def reset_all(self):
         for writer in list(self.writers):
             reset(writer)
@@ -82,6 +90,35 @@
     writer.transport.abort()
 
 
+class StartAnswerResets(Proxy):
+    """Stands before a worker. While `active` is not 0, a connection whose first request starts a run
+    is reset in place of the response that says so: the run exists and its client cannot know."""
+
+    DELAY_S = (0.0, 0.03)  # From the response to the reset.
+
+    def __init__(self, port, seed):
+        super().__init__(port)
+        self.active, self.resets = 0, 0
+        self.random = random.Random(seed)
+        self.starting = set()  # Connections whose first request starts a run, until its response.
+        self.used = set()      # Those that have sent a request.
+
+    async def delivers(self, number, is_request, data):
+        if is_request:
+            if number not in self.used and data.startswith(b"POST /api/run-start "):
+                self.starting.add(number)
+            self.used.add(number)
+            return True
+        if number not in self.starting:
+            return True
+        self.starting.discard(number)
+        if not self.active or not data.startswith(b"HTTP/1.1 200 "):
+            return True
+        self.resets += 1
+        await asyncio.sleep(self.random.uniform(*self.DELAY_S))
+        return False
+
+
 class ServerConnections(Proxy):
     """Stands before a server that accepts at most `cap` connections and resets further ones. Lost
     clients neither close nor reset their connections: each stays open and counts until the server
--- a/testsuite/standins/task_rules.cpp
+++ b/testsuite/standins/task_rules.cpp
@@ -10,6 +10,20 @@
     Task.LastAttemptAt = Now;
 }
 
+std::vector<uint32_t> noteDone(TaskHistory &Task, const TaskRules &Rules, uint32_t Run,
+                               TimePoint LapsedAt, TimePoint Now) {
+  std::vector<uint32_t> TooLate;
+  const auto EndedAt = Task.DoneRuns.find(Run);
+  if (!Rules.Speculative && !Task.DoneNotedAt && EndedAt != Task.DoneRuns.end() &&
+      LapsedAt < EndedAt->second)
+    for (const auto &[Other, StartedAt] : Task.StartedRuns)
+      if (Other != Run && StartedAt > EndedAt->second)
+        TooLate.push_back(Other);
+  if (!Task.DoneNotedAt)
+    Task.DoneNotedAt = Now;
+  return TooLate;
+}
+
 std::vector<std::string_view> violationsOfStart(const TaskRules &Rules, const TaskHistory &Task,
                                                 const OtherRuns &Others, TimePoint Now) {
   std::vector<std::string_view> Broken;
@@ -18,6 +32,8 @@
   };
   if (!Rules.Speculative && Others.OnOtherWorkers > 0)
     Broken.push_back("task in two places");
+  if (!Rules.Speculative && Others.OnThisWorker > 0)
+    Broken.push_back("task twice on a worker");
   if (Rules.Speculative && Others.OnThisWorker + Others.OnOtherWorkers > 1)
     Broken.push_back("speculative task in three places");
   if (IsOver(Task.DoneNotedAt))
--- a/testsuite/standins/task_rules.h
+++ b/testsuite/standins/task_rules.h
@@ -5,6 +5,7 @@
 #include "valveshelf/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -28,11 +29,19 @@
   std::optional<TimePoint> CompletedShownAt; ///< Its job was shown as completed.
   std::set<uint32_t> FailedRuns;             ///< Whose ends workers were told to forget.
   std::optional<TimePoint> LastAttemptAt;    ///< When the last of MaxAttempts was noted.
+  std::map<uint32_t, TimePoint> DoneRuns;    ///< The runs that ended `done`, and when.
+  std::map<uint32_t, TimePoint> StartedRuns; ///< When each run started last.
 };
 
 /// Notes that the end `failed` of a run may be forgotten.
 void noteFailure(TaskHistory &Task, const TaskRules &Rules, uint32_t Run, TimePoint Now);
 
+/// Notes that the end `done` of a run may be forgotten. Returns the runs that started between that
+/// end and now, which it forbids: none if the worker's lease lapsed since the end, last at
+/// \p LapsedAt.
+std::vector<uint32_t> noteDone(TaskHistory &Task, const TaskRules &Rules, uint32_t Run,
+                               TimePoint LapsedAt, TimePoint Now);
+
 /// Other runs of a task at the start of one.
 struct OtherRuns {
   uint32_t OnThisWorker = 0;
--- a/testsuite/standins/task_rules_test.cpp
+++ b/testsuite/standins/task_rules_test.cpp
@@ -16,6 +16,7 @@
 TEST(TaskRules, AnOrdinaryTaskRunsOnce) {
   EXPECT_EQ(violationsOfStart(Ordinary, {}, {0, 0}, Noted), Found{});
   EXPECT_EQ(violationsOfStart(Ordinary, {}, {0, 1}, Noted), Found{"task in two places"});
+  EXPECT_EQ(violationsOfStart(Ordinary, {}, {1, 0}, Noted), Found{"task twice on a worker"});
 }
 
 TEST(TaskRules, ASpeculativeTaskRunsTwiceButNotThreeTimes) {
@@ -35,6 +36,24 @@
   EXPECT_EQ(violationsOfStart(Speculative, Done, {}, Noted + 1001ms), Late);
 }
 
+// Guards against a stand-in that misses a second run which starts before the first one's end `done`
+// is noted.
+TEST(TaskRules, AnEndThatIsNotedLaterForbidsTheStartsSinceIt) {
+  const auto Late = [](const TaskRules &Rules, TimePoint LapsedAt) {
+    TaskHistory Task;
+    Task.StartedRuns = {{1, Noted - 900ms}, {2, Noted - 700ms}, {3, Noted - 300ms}};
+    Task.DoneRuns = {{1, Noted - 500ms}};
+    std::vector<uint32_t> Runs = noteDone(Task, Rules, 1, LapsedAt, Noted);
+    EXPECT_EQ(Task.DoneNotedAt, Noted);
+    EXPECT_TRUE(noteDone(Task, Rules, 1, LapsedAt, Noted + 1s).empty());
+    EXPECT_EQ(Task.DoneNotedAt, Noted);
+    return Runs;
+  };
+  EXPECT_EQ(Late(Ordinary, Noted - 600ms), std::vector<uint32_t>{3});
+  EXPECT_TRUE(Late(Ordinary, Noted - 400ms).empty());
+  EXPECT_TRUE(Late(Speculative, {}).empty());
+}
+
 TEST(TaskRules, NothingStartsOnceItsJobIsShownAsCompleted) {
   TaskHistory Shown;
   Shown.CompletedShownAt = Noted;
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -283,7 +283,8 @@
   /// Calls with other fencing tokens don't reach it: it is on one side of a partition.
   uint64_t LeastToken = 0;
   uint64_t MostToken = std::numeric_limits<uint64_t>::max();
-  double Slowness = 1; ///< Factor on the time that its runs take.
+  double Slowness = 1;  ///< Factor on the time that its runs take.
+  TimePoint LapsedAt{}; ///< When its lease was last found to have lapsed.
   std::map<RunKey, Resources> Needs;
 };
 
@@ -442,9 +443,13 @@
       const TimePoint Now = Steady::now();
       const auto Passed = std::chrono::duration_cast<Milliseconds>(Now - Last);
       Last += Passed;
-      for (const auto &One : Seats)
-        if (!One->Dead)
-          One->Model.advance(One->Model.Now + Passed);
+      for (const auto &One : Seats) {
+        if (One->Dead)
+          continue;
+        One->Model.advance(One->Model.Now + Passed);
+        if (One->Model.Now > One->Model.LeaseUntil)
+          One->LapsedAt = Now;
+      }
       Store.expire();
     }
   }
@@ -593,6 +598,7 @@
     const auto Shown = ShownCompleted.find(Run.Task.Step.Job);
     if (Shown != ShownCompleted.end())
       Past.CompletedShownAt = Shown->second;
+    Histories[Run.Task].StartedRuns[Run.Run] = Steady::now();
     for (const std::string_view Rule :
          valveshelf::standins::violationsOfStart(Rules, Past, Others, Steady::now()))
       broken(std::string(Rule), Run);
@@ -633,8 +639,10 @@
       return;
     if (How == RunOutcome::Done)
       for (uint32_t I = 0; I < Step->Count; ++I)
-        if (Step->Gang || I == Run.Task.Index)
+        if (Step->Gang || I == Run.Task.Index) {
           Done.insert({Run.Task.Step, I});
+          Histories[{Run.Task.Step, I}].DoneRuns.try_emplace(Run.Run, Steady::now());
+        }
     if (!Step->Gang)
       return;
     asio::post(Io, [this, Run, How] {
@@ -733,11 +741,11 @@
         noteFailure(Histories[End.Run.Task], Step->Rules, End.Run.Run, Now);
       if (End.Outcome != RunOutcome::Done)
         continue;
-      for (uint32_t I = 0; I < Step->Count; ++I) {
-        std::optional<TimePoint> &At = Histories[{End.Run.Task.Step, I}].DoneNotedAt;
-        if ((Step->Gang || I == End.Run.Task.Index) && !At)
-          At = Now;
-      }
+      for (uint32_t I = 0; I < Step->Count; ++I)
+        if (Step->Gang || I == End.Run.Task.Index)
+          for (const uint32_t Late : noteDone(Histories[{End.Run.Task.Step, I}], Step->Rules,
+                                              End.Run.Run, On.LapsedAt, Now))
+            broken("started after an end that is noted", {{End.Run.Task.Step, I}, Late});
     }
   }
 
