Soak: connections to workers are reset after starts were carried out

What callers saw: TWICE and LIMIT in a cell whose connections to workers are reset after a takeover. The soak had no proxies before workers.

Both overlap with the other faults, kills of the scheduler among them. Without the switch the plans are as before. A run without a reset proves nothing and fails.

--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -40,6 +40,10 @@
     "restart-quick": ("worker", 0.1), "restart-slow": ("worker", 3.0), "restart-twice": ("worker", 0.5),
     "restart-behind-cut": ("worker", 3.0), "restart-while-late": ("worker", 1.0),
     "restart-in-takeover": ("worker", 0.5)}
+# With --worker-resets: connections to workers are reset after a start was carried out. Weighted, since
+# a client opens few connections while they are being reset.
+RESETS = {"worker-resets": ("connections", 3.0), "resets-in-takeover": ("takeover", 2.0)}
+RESETS_WEIGHT = 12
 
 # One job in so many crashes each worker that begins it.
 CRASHERS_ONE_IN = 25
@@ -51,15 +55,17 @@
 SCHEDULED_ONE_IN, MAX_ROUNDS, MAX_DUE_IN_MS, INTERVALS_MS = 2, 3, 1500, (200, 1200)
 
 
-def make_plan(seed, seconds, entries, workers):
+def make_plan(seed, seconds, entries, workers, resets):
     """The faults as (at, kind, target, duration, amount). Half of them come within a second of the
     one before, so that they overlap."""
     rng = random.Random(seed)
+    kinds = sorted(FAULTS) + (sorted(RESETS) * RESETS_WEIGHT if resets else [])
     plan, at = [], 1.0
     while at < seconds - 1:
-        kind = rng.choice(sorted(FAULTS))
-        struck, longest = FAULTS[kind]
-        target = {"entry": "e%d" % rng.randint(1, entries), "worker": rng.randrange(workers)}.get(struck)
+        kind = rng.choice(kinds)
+        struck, longest = {**FAULTS, **RESETS}[kind]
+        entry, worker = "e%d" % rng.randint(1, entries), rng.randrange(workers)
+        target = {"entry": entry, "worker": worker, "connections": worker}.get(struck)
         plan.append((round(at, 2), kind, target, round(rng.uniform(0.1, longest), 2), rng.randint(1, 6)))
         at += rng.uniform(0, 1) if rng.random() < 0.5 else rng.uniform(1, 4)
     return plan
@@ -187,7 +193,7 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, entries, workers, scheduled):
+    def __init__(self, folder, seed, entries, workers, scheduled, resets):
         self.proxies = ProxyThread()
         self.stores, self.advices, self.fronts = {}, {}, {}
         # The proxies listen before the cell looks for free ports, so that it takes others.
@@ -196,7 +202,7 @@
             for proxies in (self.stores, self.advices, self.fronts):
                 proxies[name] = Proxy(next(ports))
                 self.proxies.add(proxies[name])
-        self.cell = PlatformCell(folder, entries, workers)
+        self.cell = PlatformCell(folder, entries, workers, start_resets=resets)
         for name, entry in self.cell.entries.items():
             self.stores[name].target = "127.0.0.1:%d" % self.cell.store
             self.advices[name].target = "127.0.0.1:%d" % (self.cell.store + 1)
@@ -211,6 +217,8 @@
     def carry_out(self, kind, target, duration, amount):
         if kind.endswith("-scheduler"):
             target = self.cell.scheduler()
+        if kind in RESETS:
+            return self.reset_starts(kind, target, duration)
         if kind.startswith("kill") or kind.startswith("pause") or kind in ("planned-stop", "reload"):
             return self.strike_process(kind, target, duration)
         if kind.startswith("worker"):
@@ -256,6 +264,20 @@
         if becomes in ("mute", "late"):
             self.cell.control({"worker": target, "becomes": "well"})
 
+    def reset_starts(self, kind, target, duration):
+        """Connections to one worker, or to all as the scheduler is killed, are reset."""
+        fronts = self.cell.worker_fronts
+        struck = fronts if target is None else [fronts[target]]
+        for front in struck:
+            front.active += 1
+        if kind == "resets-in-takeover":
+            scheduler = self.cell.scheduler()
+            if scheduler:
+                self.strike_process("kill", scheduler, duration / 2)
+        time.sleep(duration)
+        for front in struck:
+            front.active -= 1
+
     def restart_worker(self, kind, target, duration):
         """The worker starts again under its id."""
         before = {"restart-slow": "dead", "restart-behind-cut": "mute", "restart-while-late": "late"}.get(kind)
@@ -327,7 +349,7 @@
         began, busy, threads = time.time(), {}, []
         for at, kind, target, duration, amount in plan:
             time.sleep(max(0, began + at - time.time()))
-            key = (FAULTS[kind][0], target)
+            key = ({**FAULTS, **RESETS}[kind][0], target)
             if key in busy and busy[key].is_alive():
                 continue
             if verbose:
@@ -350,6 +372,8 @@
             proxy.heal()
             self.proxies.call(proxy.reset_all)
         self.cell.control({"store_down": False, "lose_answers": 0})
+        for front in self.cell.worker_fronts:
+            front.active = 0
         for worker in range(self.cell.worker_count):
             self.cell.control({"capacity_of": worker, "becomes": "whole"})
         for name, entry in self.cell.entries.items():
@@ -371,8 +395,8 @@
     seconds, entries, workers, keep, verbose = (given.seconds, given.entries, given.workers, given.keep,
                                                 given.verbose)
     folder = tempfile.mkdtemp(prefix="valveshelf-soak-%d-" % seed)
-    plan = make_plan(seed, seconds, entries, workers)
-    soak = Soak(folder, seed, entries, workers, given.scheduled)
+    plan = make_plan(seed, seconds, entries, workers, given.worker_resets)
+    soak = Soak(folder, seed, entries, workers, given.scheduled, given.worker_resets)
     try:
         found, breaks = soak.run(plan, seconds, verbose)
     finally:
@@ -382,6 +406,11 @@
         seed, len(plan), soak.switched, found["restarts"], len(callers.accepted), len(callers.refused),
         found["starts"], found["copies"],
         "clean" if not breaks else "%d BROKEN" % len(breaks)), flush=True)
+    resets = sum(front.resets for front in soak.cell.worker_fronts)
+    if given.worker_resets:
+        print("   %d resets, %d starts refused that had been sent again, %d unbooked runs that a report names" % (
+            resets, soak.cell.count_logged(" start-not-confirmed ", " repeated=yes "),
+            soak.cell.count_logged(" run-contradicted ")))
     for line in breaks[:20]:
         print("   " + line)
     if breaks or keep:
@@ -389,7 +418,8 @@
     else:
         shutil.rmtree(folder, ignore_errors=True)
     # A soak in which nothing happened proves nothing.
-    return not breaks and found["starts"] > 0 and soak.switched > 0 and len(callers.accepted) > 0
+    return (not breaks and found["starts"] > 0 and soak.switched > 0 and len(callers.accepted) > 0
+            and (resets > 0 or not given.worker_resets))
 
 
 def main():
@@ -401,6 +431,8 @@
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--keep", action="store_true", help="keep the logs of clean seeds too")
     parser.add_argument("--scheduled", action="store_true", help="half of the jobs have times")
+    parser.add_argument("--worker-resets", action="store_true",
+                        help="connections to workers are reset after starts were carried out")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     given = parser.parse_args()
     good = [play(given.seed + i, given) for i in range(given.seeds)]
