Fuzz: the answer to a repeated heartbeat acknowledges nothing

As in the product, only the answer of a heartbeat that was sent once counts as the acknowledgement of the ends that it named. Without this the fuzz played another rule than the scheduler's runner.

--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1011,6 +1011,7 @@
     uint64_t Forget = 0;
     std::optional<Milliseconds> Until;
     TimePoint AskedAt{};
+    bool WasRepeated = false;
   };
 
   std::optional<WorkerReport> carryOut(const HeartbeatCall &Call) {
@@ -1031,14 +1032,17 @@
   }
 
   void transmitHeartbeat(const HeartbeatCall &Call) {
-    if (drawReset(*Call.Of, *Call.To))
+    if (drawReset(*Call.Of, *Call.To)) {
+      HeartbeatCall Repeat = Call;
+      Repeat.WasRepeated = true;
       return resetCall(
           Call.Of,
           [this, Call] {
             if (!Call.To->Dead)
               carryOut(Call);
           },
-          [this, Call] { transmitHeartbeat(Call); });
+          [this, Repeat] { transmitHeartbeat(Repeat); });
+    }
     const CallOutcome How = drawOutcome(*Call.Of, *Call.To);
     const Milliseconds Delay(How == CallOutcome::Late ? 2000 + upTo(10000) : 1 + upTo(10));
     after(Delay, [this, Call, How] {
@@ -1081,7 +1085,8 @@
       Of->Clocks.erase(Call.Id);
     if (Life == LifeOrder::Same) {
       Of->Clocks[Call.Id] = {Report->WorkerClock, Now};
-      endsForgotten(Of->Cell, Call.Id, Call.Fence, Call.Forget);
+      if (!Call.WasRepeated)
+        endsForgotten(Of->Cell, Call.Id, Call.Fence, Call.Forget);
     }
     apply(Of, Out);
   }
