Scheduler: a report that may be older than one that was read revives no run

What callers could see: a long-running task that is down for good.

Cause: reports state the worker's clock in whole milliseconds. Of two with the same reading, the one with a run's end was read first; the other, which lists the run as active, counted as of the same age, and the run was adopted again. No report and no check of stalled runs removes it.

Evidence: PartialReports.AReportThatWasOvertakenRevivesNoEndedRun failed before (found in review): the task isn't started again within 60 s.

Change: of two reports with the same reading, the one that was requested first is ignored if it comes second; what it lists is listed again.

--- a/src/scheduler/partial_reports_test.cpp
+++ b/src/scheduler/partial_reports_test.cpp
@@ -70,6 +70,43 @@
   EXPECT_FALSE(hasUnreportedWorkers(Given.Cell, "pool"));
 }
 
+// Guards against a long-running task that is down for good: of two reports of the same millisecond,
+// the one with the run's end was read first, and the other one made the run its task's again.
+TEST(PartialReports, AReportThatWasOvertakenRevivesNoEndedRun) {
+  PlacementScene Given(1);
+  StepSpec Step = tasks(1, 1000, 1000ms);
+  Step.LongRunning = true;
+  Given.submit(1, Step, 4);
+  const Effects::Start Order = Given.pass().Starts.at(0);
+  const TimePoint FirstAskedAt = Given.Now += 1ms;
+  const TimePoint SecondAskedAt = Given.Now += 1ms;
+  WorkerReport First;
+  First.WorkerClock = 500ms;
+  First.Active = {{Order.Run, "", 100}};
+  WorkerReport Second;
+  Second.WorkerClock = 500ms;
+  Second.Ended = {{1, Order.Run, RunOutcome::Failed, ""}};
+  Effects Out;
+  Given.Now += 1ms;
+  workerReported(Given.Cell, Order.Worker, Second, SecondAskedAt, Given.Now, Out);
+  workerReported(Given.Cell, Order.Worker, First, FirstAskedAt, Given.Now, Out);
+  const Worker &On = Given.Cell.Workers.at(Order.Worker);
+  EXPECT_EQ(On.Attempts.count(Order.Run), 0u);
+  // Later reports name neither the run nor its end.
+  size_t Restarts = 0;
+  for (int I = 1; I <= 600; ++I) {
+    WorkerReport Later;
+    Later.WorkerClock = 500ms + 100ms * I;
+    Given.Now += 100ms;
+    workerReported(Given.Cell, Order.Worker, Later, Given.Now, Given.Now, Out);
+    tick(Given.Cell, Given.Now, WallTime{}, Out);
+    Restarts += Given.pass().Starts.size();
+    if (Restarts > 0)
+      break;
+  }
+  EXPECT_EQ(Restarts, 1u);
+}
+
 // Guards against a gang member that waits for others that were lost: the first report of a new life
 // names it and leaves out ends, and only the next one shows that the others are not there.
 TEST(PartialReports, AMemberOfAGangThatLostOthersInARestartIsStopped) {
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -508,6 +508,11 @@
   }
   if (Order == LifeOrder::Older || (On->IsRestart && AskedAt <= On->Life.LearnedAt))
     return LifeOrder::Older;
+  // Of two reports with the same reading of the clock, the one that was requested first may be the
+  // older one.
+  const bool MayBeOvertaken = Report.WorkerClock == On->Life.Clock && AskedAt < On->ReportAskedAt;
+  if (MayBeOvertaken)
+    return LifeOrder::Older;
   noteLife(On->Life, Stated, Now);
   const bool WasResponsive = std::exchange(On->IsResponsive, true);
   On->ReportAskedAt = std::max(On->ReportAskedAt, AskedAt);
