--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -75,7 +75,7 @@
   /// \p OnEnd is called once if the term ends without a call to `stop`.
   SchedulerRunner(const SchedulerDependencies &Deps, Claim OwnClaim, std::function<void()> OnEnd);
   void start();
-  /// Stops all activity; nothing is sent afterwards.
+  /// Stops all activity: no further call begins. One that waits for a connection may still be sent.
   void stop();
   /// For a planned stop: waits until all pending saves are durable, for at most \p Time.
   Awaitable<void> flush(Milliseconds Time);
