--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -1898,6 +1898,19 @@
   expectHolds({350U, 260U}, Scenario::Resets);
 }
 
+// Guards against a task that runs again after its end: a run that was lost by its worker's lease is
+// reported done, and the end is acknowledged while the start of the next run may still be carried
+// out.
+TEST(SchedulerFuzz, SeedsThatAcknowledgeAnEndBeforeTheNextRunIsStopped) {
+  expectHolds({5249U}, Scenario::Resets);
+}
+
+// A sound job that is given up (5171), a worker over its capacity (5251), an end that is forgotten
+// (5316, 5552) and an organisation over its maximum (5330). Their causes are not known.
+TEST(SchedulerFuzz, SeedsWithRestartsAndResetsThatAreNotTraced) {
+  expectHolds({5171U, 5251U, 5316U, 5330U, 5552U}, Scenario::ResetRestarts);
+}
+
 // Guards against an organisation over its maximum while a scheduler is cut off: each side starts
 // within it (1088206, 4088130), or runs of an ended job are on a worker that has not reported
 // (1088248).
