Tests: platform-start-resets kills twelve schedulers in place of six

Cause: a new client opens most of its connections in the first second, so that more takeovers meet more repeated orders than more load under each.

--- a/testsuite/platform-start-resets/run.py
+++ b/testsuite/platform-start-resets/run.py
@@ -11,8 +11,8 @@
 
 PLATFORM = True
 CELL = {"entries": 4, "workers": 4, "start_resets": True}
-TAKEOVERS = 6
-LOAD_S = 2.0  # Under each scheduler.
+TAKEOVERS = 12
+LOAD_S = 1.2  # Under each scheduler.
 # Processor need and duration of the tasks. Four of the last kind fill a worker.
 TASKS = ((900, 30), (900, 90), (3500, 250))
 
