--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -44,6 +44,7 @@
 # a client opens few connections while they are being reset.
 RESETS = {"worker-resets": ("connections", 3.0), "resets-in-takeover": ("takeover", 2.0)}
 RESETS_WEIGHT = 12
+FIRST_RESETS = (0.5, "resets-in-takeover", None, 1.0, 1)  # In every plan.
 
 # One job in so many crashes each worker that begins it.
 CRASHERS_ONE_IN = 25
@@ -60,7 +61,7 @@
     one before, so that they overlap."""
     rng = random.Random(seed)
     kinds = sorted(FAULTS) + (sorted(RESETS) * RESETS_WEIGHT if resets else [])
-    plan, at = [], 1.0
+    plan, at = [FIRST_RESETS] if resets else [], 1.0
     while at < seconds - 1:
         kind = rng.choice(kinds)
         struck, longest = {**FAULTS, **RESETS}[kind]
