--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -163,15 +163,13 @@
                            "A worker was ordered to stop a run; the reason follows."};
 const EventKind StartNotConfirmed{
     2302, "info", "start-not-confirmed",
-    "A worker refused a start or did not answer: the result, how often "
-    "the scheduler has sent it, whether the client sent again the order that was answered, and "
-    "its fencing token."};
+    "A worker refused a start or did not answer: the result, how often the scheduler has sent it, "
+    "whether the client sent again the order that was answered, and its fencing token."};
 const EventKind RunUnbooked{
     2312, "info", "run-unbooked",
     "A run was taken off its worker without its end: what was taken for the proof that it is not "
     "there, how often its start was sent, whether the client sent it again and was answered, the "
-    "fencing tokens of "
-    "the order and of the worker, and the age of the worker's last report."};
+    "fencing tokens of the order and of the worker, and the age of the worker's last report."};
 const EventKind RunContradicted{
     2313, "warn", "run-contradicted",
     "A report names a run that was taken off its worker without its end, as active or with the end "
--- a/src/scheduler/unbooked.cpp
+++ b/src/scheduler/unbooked.cpp
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+// Remembers runs that were unbooked without an end for a while, to be compared with reports.
 #include "scheduler/unbooked.h"
 
 namespace valveshelf::sched {
