--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -10,6 +10,7 @@
 import collections
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -46,10 +47,15 @@
 
 
 def free_ports(count):
+    """Ports below those that the system gives to outgoing connections."""
     probes, ports = [], []
-    for _ in range(count):
+    while len(ports) < count:
         probe = socket.socket()
-        probe.bind(("127.0.0.1", 0))
+        try:
+            probe.bind(("127.0.0.1", random.SystemRandom().randrange(20000, 32000)))
+        except OSError:
+            probe.close()
+            continue
         probes.append(probe)
         ports.append(probe.getsockname()[1])
     for probe in probes:
@@ -284,7 +290,7 @@
     def __init__(self, cell, index, port):
         self.cell, self.index, self.port, self.lives = cell, index, port, 0
         self.server = Server(port, self.handle)
-        self.alive, self.mute = False, False
+        self.alive, self.mute, self.kind = False, False, "a"
         self.capacity = {"cpu": 16000, "mem_mb": 32768, "gpu": 0}
 
     async def begin_life(self):
@@ -307,7 +313,7 @@
         await self.cell.store.put("servers/" + self.id, {
             "service": "pool", "address": "127.0.0.1:%d" % self.port, "zone": "z1", "version": "v1",
             "slots": 8, "state": "draining" if self.draining else "ready", "cold_remaining_ms": 0,
-            "sequence": 1, "machine": "machine-%d" % self.index, "labels": ["a", "r%d" % (self.index // 4)],
+            "sequence": 1, "machine": "machine-%d" % self.index, "labels": [self.kind, "r%d" % (self.index // 4)],
             "capacity": self.capacity})
 
     async def crash(self, dark=False):
@@ -521,7 +527,7 @@
         try:
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 24)
-                text = json.dumps(body).encode() if body is not None else b""
+                text = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
                 writer.write(("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
                               "Content-Length: %d\r\n\r\n" % (method, target, HOST, len(text))).encode()
                              + text)
