review: a half upgraded cell stands still (case 4)

A process of the earlier build takes over from one of today's and starts nothing: ten accepted jobs have nothing running after 10 s.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,15 @@
 for File in "$Here"/common-2/*.py "$Here"/[4-8]/case.py; do
   [ ! -e "$File" ] || python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$File"
 done
+# Case 4 upgrades from an earlier build, which is made from the repository's history.
+Earlier=d7894f4
+Top=$(cd "$Here/.." && pwd)
+Folder=$Top/build-review-2
+if [ ! -x "$Folder/target/bin/valveshelf" ]; then
+  rm -rf "$Folder"
+  mkdir -p "$Folder"
+  git -C "$Top" archive "$Earlier" | tar -x -C "$Folder"
+  cd "$Folder"
+  cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release -DVALVESHELF_TESTS=OFF -DVALVESHELF_BENCHMARKS=OFF
+  cmake --build target --target valveshelf -j8
+fi
