--- a/review/common-2/cell.py
+++ b/review/common-2/cell.py
@@ -10,7 +10,6 @@
 import collections
 import json
 import os
-import random
 import re
 import shutil
 import signal
@@ -46,20 +45,21 @@
         self.out.flush()
 
 
+# Scripts that run beside each other take their ports from different places, all below those that the
+# system gives to outgoing connections.
+NEXT_PORT = [20000 + os.getpid() * 32 % 11900]
+
+
 def free_ports(count):
-    """Ports below those that the system gives to outgoing connections."""
-    probes, ports = [], []
+    ports = []
     while len(ports) < count:
-        probe = socket.socket()
-        try:
-            probe.bind(("127.0.0.1", random.SystemRandom().randrange(20000, 32000)))
-        except OSError:
-            probe.close()
-            continue
-        probes.append(probe)
-        ports.append(probe.getsockname()[1])
-    for probe in probes:
-        probe.close()
+        NEXT_PORT[0] = 20000 if NEXT_PORT[0] > 32000 else NEXT_PORT[0] + 1
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", NEXT_PORT[0]))
+                ports.append(NEXT_PORT[0])
+            except OSError:
+                pass
     return ports
 
 
