Leadership: a scheduler hands over only while the store answers

Callers saw no work placed until the store was back: a scheduler on a weak machine whose renewal had just failed handed over to a stronger member, which still took the store for reachable, and nobody could claim.

The check for a better candidate ran after each renewal, also after one without an answer. Now the renewal must have been answered. A scheduler that keeps its term goes on through an outage that all processes share.

Leadership.HandsOverOnlyWhileTheStoreAnswers failed before: members were asked during the outage, and the scheduler had stopped.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -477,7 +477,9 @@
     // IndirectHandOverDelay.
     if (!ok(Kept))
       LastDirectlyReachable = Tools.Time.Now();
-    if (Current->loaded() && !RunnerEnded && co_await hasBetterCandidate(TermStart)) {
+    // While the store does not answer, no successor can claim.
+    const bool MayHandOver = ok(Kept) && Current->loaded();
+    if (MayHandOver && !RunnerEnded && co_await hasBetterCandidate(TermStart)) {
       Reason = "handed-over";
       LastHandOverAt = Tools.Time.Now();
       co_await handOver(Current);
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -231,6 +231,23 @@
   EXPECT_EQ(Given.leaderName(), "weak");
 }
 
+// Guards against a cell without a scheduler for the length of an outage: no successor can claim.
+TEST(Leadership, HandsOverOnlyWhileTheStoreAnswers) {
+  Bench Given("weak");
+  Given.Settings.Power = 0.1;
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.addMember("strong", 0.5);
+  Given.Io.run_for(1500ms);
+  Given.Store.Down = true;
+  Given.Io.run_for(1500ms);
+  EXPECT_TRUE(Given.Asked.empty());
+  EXPECT_NE(Given.Lead->scheduler(), nullptr);
+  Given.Store.Down = false;
+  EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == ""; }));
+}
+
 TEST(Leadership, HandsOverWhenStoreIsNotDirectlyReachable) {
   Bench Given("a");
   Given.View->start();
