Leadership: a scheduler hands over only when it may end its lease

A scheduler whose predecessors may still start runs leaves its lease to lapse. When it handed over in that time, the leader key went on naming its own machine, so that it was the only one that could claim: it claimed the next term half a second later, loaded everything again, and by the interval between handovers kept the cell for ten more seconds. Stronger members never had a turn.

Now it hands over once its predecessors can start nothing, when its lease ends with the handover. Leadership.HandsOverOnlyWhenItMayEndItsLease failed before: the term key held "5 2" instead of "4".

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -477,8 +477,8 @@
     // IndirectHandOverDelay.
     if (!ok(Kept))
       LastDirectlyReachable = Tools.Time.Now();
-    // While the store does not answer, no successor can claim.
-    const bool MayHandOver = ok(Kept) && Current->loaded();
+    // A successor can claim while the store answers, and once the lease of this term has ended.
+    const bool MayHandOver = ok(Kept) && Current->loaded() && !Current->mayPredecessorStart();
     if (MayHandOver && !RunnerEnded && co_await hasBetterCandidate(TermStart)) {
       Reason = "handed-over";
       LastHandOverAt = Tools.Time.Now();
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -248,6 +248,21 @@
   EXPECT_TRUE(Given.runUntil([&] { return Given.leaderName() == ""; }));
 }
 
+// Guards against a handover that leaves the key in place, which only this process then claims.
+TEST(Leadership, HandsOverOnlyWhenItMayEndItsLease) {
+  Bench Given("weak");
+  Given.Settings.Power = 0.1;
+  Given.Store.put(std::string(TermKey), "3", 0);
+  Given.addMember("strong", 0.5); // does not answer whether it has confirmed term 3
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  ASSERT_TRUE(Given.Lead->scheduler()->mayPredecessorStart());
+  Given.Io.run_for(3000ms);
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
+  EXPECT_NE(Given.Lead->scheduler(), nullptr);
+}
+
 TEST(Leadership, HandsOverWhenStoreIsNotDirectlyReachable) {
   Bench Given("a");
   Given.View->start();
