Leadership: members of the roster look for the scheduler as soon as the store is back

Callers saw most work stand still or fail for ten seconds and more after an outage of the store, though the strong machines were sound: one with a slow link or a tenth of their processor had claimed. After an outage that ends leases the watches of the other processes may still wait for answers that were lost, for up to 2.5 s (watch time and a second). The order of claims, strongest first, counts from the moment at which each learns that the key is gone, so that whoever's watch happened to be new won. On such a machine loading takes 0.6 to 1 s instead of 0.05, starts wait until their tickets lapse ("starts turned away"), and its term lasts two seconds at least.

The router now tells when the store serves this process again after calls were relayed, and members of the roster read the leader key at once.

StoreRouter.TellsOnceThatTheStoreIsBack tests the notice.

--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -60,7 +60,8 @@
               return relayStoreCall(std::move(Peer), std::move(Request), Timeout);
             },
             [this] { return otherPeers(); },
-            [this](Steady::duration Latency) { Metrics.observe(metrics::StoreSeconds, Latency); }),
+            [this](Steady::duration Latency) { Metrics.observe(metrics::StoreSeconds, Latency); },
+            [this] { readViewAfterOutage(); }),
         Store(this->Platform.OpenStore(
             [this](StoreCall Call) { return Router.call(std::move(Call)); })),
         View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
@@ -105,6 +106,13 @@
   }
 
 private:
+  // The watch of the view may wait for a lost answer for another second or two. Members of the
+  // roster read at once whether there is a scheduler, so that the strongest claims first.
+  void readViewAfterOutage() {
+    if (isListed(View.snapshot().Roster, Settings.Member))
+      View.refreshSoon();
+  }
+
   Awaitable<void> stopGracefully(std::function<void(int)> Finished) {
     const TimePoint StartedAt = Time.Now();
     logEvent(events::Stopping, {{"in_progress", std::to_string(Callers.inProgress())}});
--- a/src/cell/roster.cpp
+++ b/src/cell/roster.cpp
@@ -8,6 +8,11 @@
 namespace valveshelf {
 using namespace sched;
 
+bool isListed(const Roster &Current, const std::string &Name) {
+  return std::any_of(Current.Members.begin(), Current.Members.end(),
+                     [&](const Member &One) { return One.Name == Name; });
+}
+
 namespace {
 // Call rate of all processes together for one kind of call, whatever the size of the fleet.
 constexpr int SharedCallsPerSecond = 50;
@@ -28,11 +33,6 @@
 
 using ByZone = std::map<std::string, std::vector<const Member *>>;
 
-bool isListed(const Roster &Current, const std::string &Name) {
-  return std::any_of(Current.Members.begin(), Current.Members.end(),
-                     [&](const Member &One) { return One.Name == Name; });
-}
-
 // By descending power. Among equals current members come first, which keeps the roster stable.
 ByZone rankedByZone(const Roster &Current, const std::map<std::string, Member> &Live) {
   ByZone Zones;
--- a/src/cell/roster.h
+++ b/src/cell/roster.h
@@ -17,6 +17,8 @@
 /// Maximum number of members; some must remain when half of all boxes are lost at once.
 inline constexpr size_t RosterSize = 24;
 
+bool isListed(const sched::Roster &Current, const std::string &Name);
+
 /// The roster to publish, given the current one and all registered members; empty if the current
 /// one is still valid. Takes the strongest members of each availability zone in turn. Members that
 /// have disappeared stay while there is room: registrations expire while the store is unavailable,
--- a/src/cell/store_router.cpp
+++ b/src/cell/store_router.cpp
@@ -48,11 +48,12 @@
 
 StoreRouter::StoreRouter(Executor Where, Clock Time, HttpRequest Probe, DirectCall SendDirect,
                          RelayCall SendViaPeer, std::function<std::vector<Endpoint>()> Peers,
-                         std::function<void(Steady::duration)> ObserveLatency)
+                         std::function<void(Steady::duration)> ObserveLatency,
+                         std::function<void()> BecameReachable)
     : Where(Where), Time(std::move(Time)), StartedAt(this->Time.Now()),
       ProbeRequest(std::move(Probe)), SendDirect(std::move(SendDirect)),
       SendViaPeer(std::move(SendViaPeer)), Peers(std::move(Peers)),
-      ObserveLatency(std::move(ObserveLatency)) {}
+      ObserveLatency(std::move(ObserveLatency)), BecameReachable(std::move(BecameReachable)) {}
 
 Milliseconds StoreRouter::timeoutFor(const StoreCall &Call) const {
   if (Call.Wait.count() > 0 || Call.IsLarge)
@@ -141,10 +142,13 @@
   if (IsPlain && !Call.IsLarge)
     recordLatency(ok(Answer), std::chrono::duration_cast<Milliseconds>(Now - SentAt), Timeout);
   if (!isRejected(Answer)) {
-    if (usesPeers())
+    const bool WasRelaying = usesPeers();
+    if (WasRelaying)
       logEvent(events::StoreUp, {{"failures", std::to_string(ConsecutiveFailures)}});
     ConsecutiveFailures = 0;
     LastDirectAnswer = LastAnswer = Now;
+    if (WasRelaying)
+      BecameReachable();
     co_return Answer;
   }
   recordFailure();
--- a/src/cell/store_router_test.cpp
+++ b/src/cell/store_router_test.cpp
@@ -21,6 +21,7 @@
   int UnansweredCalls = 0; ///< This many calls get no answer, in real time.
   int DirectCalls = 0;
   int PeerCalls = 0;
+  int TimesBack = 0; ///< How often the store served this process again.
   StoreRouter Router{
       Io.get_executor(),
       Clock{[this] { return Now; }, [] { return WallTime(); }},
@@ -46,7 +47,8 @@
       [] {
         return std::vector<Endpoint>{{"127.0.0.1", 9}};
       },
-      [](Steady::duration) {}};
+      [](Steady::duration) {},
+      [this] { ++TimesBack; }};
 
   Result<HttpResponse> call() {
     Result<HttpResponse> Answer = Error{};
@@ -171,6 +173,23 @@
   EXPECT_TRUE(Given.Router.isDirectlyReachable());
 }
 
+// Guards against a weak machine that claims first after an outage, as the watches of stronger ones
+// still wait for answers that were lost.
+TEST(StoreRouter, TellsOnceThatTheStoreIsBack) {
+  Bench Given;
+  Given.DirectAnswers = {Good, Busy, Good, Busy, Busy, Good};
+  Given.call();
+  Given.call();
+  Given.call();
+  EXPECT_EQ(Given.TimesBack, 0) << "a single failure is no outage";
+  Given.call();
+  Given.call();
+  Given.Io.restart();
+  Given.Io.run_for(300ms);
+  EXPECT_TRUE(Given.Router.isDirectlyReachable());
+  EXPECT_EQ(Given.TimesBack, 1);
+}
+
 // A process of a large fleet calls the store rarely. An idle one must stay ready, relay calls and
 // be able to schedule.
 TEST(StoreRouter, IdleProcessStaysDirectlyReachable) {
--- a/src/include/valveshelf/store_router.h
+++ b/src/include/valveshelf/store_router.h
@@ -36,10 +36,12 @@
 
   /// \p Peers lists the processes that can relay a call. \p Probe is a read-only request that shows
   /// whether the store serves this box. \p ObserveLatency receives the duration of each call that
-  /// is not a long poll. What the functions refer to must outlive the router.
+  /// is not a long poll. \p BecameReachable is called when the store serves this box again after
+  /// calls were relayed. What the functions refer to must outlive the router.
   StoreRouter(Executor Where, Clock Time, HttpRequest Probe, DirectCall SendDirect,
               RelayCall SendViaPeer, std::function<std::vector<Endpoint>()> Peers,
-              std::function<void(Steady::duration)> ObserveLatency);
+              std::function<void(Steady::duration)> ObserveLatency,
+              std::function<void()> BecameReachable);
 
   Awaitable<Result<HttpResponse>> call(StoreCall Call);
   /// Sends a call for a peer. It is never relayed further: fails with UpstreamUnavailable unless
@@ -79,6 +81,7 @@
   const RelayCall SendViaPeer;
   const std::function<std::vector<Endpoint>()> Peers;
   const std::function<void(Steady::duration)> ObserveLatency;
+  const std::function<void()> BecameReachable;
   double AverageLatencyMs = 20; ///< Exponential moving average.
   int ConsecutiveFailures = 0;  ///< Of direct calls.
   TimePoint LastDirectAnswer{};
