Scheduler: long-running tasks are started again however they end

Cause: `runEnded` passed each end `done` to `taskDone`, which marks the task as done for good. The end `failed` had a path of its own, which kept every failed run in the progress record for a limit that these tasks don't have. Neither paused between runs.

Change: ends of long-running tasks are handled apart (`lastingRunEnded`). Failed runs are no longer kept, and ends are not saved one by one. Records of earlier versions that show such tasks as done, or name failed runs, are read.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -211,6 +211,11 @@
     2311, "info", "copy-ended",
     "The run of a copy is over: which run completed the task first (`copy`, `slow` or `none`), the "
     "time saved against the predicted end of the slow run, and the core time the copy took."};
+const EventKind LastingRunEnded{
+    2314, "info", "lasting-run-ended",
+    "A run of a long-running task ended by itself; the task is started again: how the run ended "
+    "and how long it ran, how many runs in a row ended soon after their start (`short_runs`), and "
+    "in how many milliseconds the task may be started again."};
 const EventKind ForecastMissed{
     2320, "info", "forecast-missed",
     "A job waited much shorter or longer for its first start than forecast when it was accepted; "
@@ -324,6 +329,7 @@
                               &CopyEnded,
                               &RunUnbooked,
                               &RunContradicted,
+                              &LastingRunEnded,
                               &ForecastMissed,
                               &WorkerSilent,
                               &WorkerReplaced,
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -42,6 +42,10 @@
                                     "Time from a start request to the worker's response."};
 const MetricDescriptor Ends{"ends_total", "counter",
                             "Jobs whose end has been saved, by `case`: the phase."};
+const MetricDescriptor LastingRunEnds{
+    "lasting_run_ends_total", "counter",
+    "Runs of long-running tasks that ended by themselves and are started again, by `case`: how "
+    "they ended."};
 const MetricDescriptor RunsLost{
     "runs_lost_total", "counter",
     "Runs lost with their worker, by `case`: how the loss was detected."};
@@ -136,6 +140,7 @@
                               &Starts,
                               &StartSeconds,
                               &Ends,
+                              &LastingRunEnds,
                               &RunsLost,
                               &RunsUnbooked,
                               &RunsContradicted,
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -29,7 +29,6 @@
 constexpr Milliseconds IntakeWatchPause{250};
 // Run numbers reserved for one term; exceeds the runs of any task in a term.
 constexpr uint32_t RunsPerTerm = 1000;
-
 } // namespace
 
 SchedulerRunner::SchedulerRunner(const SchedulerDependencies &Deps, Claim OwnClaim,
@@ -461,6 +460,16 @@
                                   {"worker", What.Worker},
                                   {"failures", std::to_string(What.Failures)},
                                   {"allowed", std::to_string(What.MaxAttempts)}});
+  for (const Effects::LastingRunEnd &What : Out.LastingRunEnds) {
+    Deps.Metrics.count(metrics::LastingRunEnds, std::string(toString(What.How)));
+    logEvent(events::LastingRunEnded, {{"task", toString(What.Run.Task)},
+                                       {"run", std::to_string(What.Run.Run)},
+                                       {"worker", What.Worker},
+                                       {"how", std::string(toString(What.How))},
+                                       {"ran_ms", std::to_string(What.RunTime.count())},
+                                       {"short_runs", std::to_string(What.ShortRuns)},
+                                       {"pause_ms", std::to_string(What.Pause.count())}});
+  }
   for (const Effects::LostRun &What : Out.LostRuns) {
     Deps.Metrics.count(metrics::RunsLost, std::string(toString(What.Cause)));
     logEvent(events::RunLost, {{"task", toString(What.Run.Task)},
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -252,13 +252,23 @@
   TimePoint NotBefore{};     ///< No request is sent before, after a failed one.
 };
 
+/// The restarts of a long-running task; of task 0 for a whole gang.
+struct RestartState {
+  uint32_t ShortRuns = 0; ///< Runs in a row that ended by themselves soon after their start.
+  uint32_t PacedRun = 0;  ///< The highest run whose end was counted.
+};
+
 struct TaskState {
-  bool Done = false;
+  bool Done = false; ///< Never set for a long-running task.
+  /// Of a long-running task: a run of it has ended done. It is started again all the same.
+  bool HasEndedDone = false;
+  RestartState Restarts;            ///< Of a long-running task.
   Worker *AssignedWorker = nullptr; ///< Worker of its attempt; null: it has none.
   uint32_t Run = 0;                 ///< Run number of its attempt, or of the last one.
   TaskCopy Copy;
   std::string Checkpoint;
-  std::set<uint32_t> FailedRuns;
+  std::set<uint32_t>
+      FailedRuns; ///< Empty for a long-running task, which may fail any number of times.
   /// An earlier scheduler may have started it on a worker that has not reported yet.
   bool MayRunOnUnreportedWorker = false;
   /// The previous scheduler may still start it on a worker that does not know this one yet.
@@ -347,7 +357,7 @@
 };
 
 /// One step of one round.
-/// Invariant: OpenTasks counts the tasks that are not done.
+/// Invariant: OpenTasks counts the tasks that are not done; of a long-running step, all of them.
 struct StepState {
   StepKey Key;
   const StepSpec *Spec = nullptr;
@@ -604,6 +614,16 @@
   std::vector<Start> Starts;
   std::vector<Placement> Placements;
   std::vector<Failure> Failures;
+  /// For metrics and log: a run of a long-running task has ended by itself.
+  struct LastingRunEnd {
+    RunKey Run;
+    std::string Worker;
+    RunOutcome How = RunOutcome::Done;
+    Milliseconds RunTime{0};
+    uint32_t ShortRuns = 0;
+    Milliseconds Pause{0}; ///< Until it may be started again.
+  };
+  std::vector<LastingRunEnd> LastingRunEnds;
   std::vector<LostRun> LostRuns;
   std::vector<UnbookedRun> UnbookedRuns;
   std::vector<ContradictedRun> ContradictedRuns;
@@ -654,6 +674,7 @@
 struct SavedTask {
   uint32_t Index = 0;
   bool Done = false;
+  bool HasEndedDone = false; ///< `TaskState::HasEndedDone`.
   std::vector<uint32_t> FailedRuns;
   std::string Checkpoint;
   uint32_t StartupCrashes = 0;
@@ -845,6 +866,8 @@
 /// tasks, else removes it.
 void queueStep(CellState &Cell, Job &J, StepState &Step, TimePoint Now);
 void requestSave(CellState &Cell, Job &J, Effects &Out);
+/// True if a run of the task, or of another member of its gang, has failed before.
+bool hasFailedBefore(const StepState &Step, uint32_t Index);
 /// Ends the job unless it has ended: stops its runs and requests the save of its end.
 void endJob(CellState &Cell, Job &J, JobPhase Phase, const char *Why, TimePoint Now, Effects &Out);
 /// Call before a reported run is handled: makes its round if this scheduler has not made it yet. An
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -39,7 +39,7 @@
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
 extern const EventKind AdviceRetried;
 extern const EventKind CopyStarted, CopyEnded;
-extern const EventKind RunUnbooked, RunContradicted;
+extern const EventKind RunUnbooked, RunContradicted, LastingRunEnded;
 extern const EventKind ForecastMissed;
 extern const EventKind WorkerSilent, WorkerLeaving, WorkerReplaced, WorkerRestarted, WorkerSlow,
     WorkerNotSlow, CallsLost, CallsAnswered, ConnectionRefused;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -107,28 +107,43 @@
   }
 }
 
+// One bit a task, as `readBit` reads it.
+template <class Predicate> std::string taskBits(const StepState &Step, Predicate Holds) {
+  std::string Bits((Step.Tasks.size() + 7) / 8, '\0');
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
+    if (Holds(Step.Tasks[I]))
+      Bits[I / 8] = static_cast<char>(static_cast<unsigned char>(Bits[I / 8]) | (1U << (I % 8)));
+  return Bits;
+}
+
+bool readBit(const std::string &Bits, size_t Index) {
+  return static_cast<unsigned char>(Bits[Index / 8]) & (1U << (Index % 8));
+}
+
 void writeStepProgress(const StepState &Step, cell::ProgressRecord &To) {
   cell::StepProgress Record;
   Record.set_round(Step.Key.Round);
   Record.set_step(Step.Key.Step);
-  std::string Bits((Step.Tasks.size() + 7) / 8, '\0');
-  for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
-    if (Step.Tasks[I].Done)
-      Bits[I / 8] = static_cast<char>(static_cast<unsigned char>(Bits[I / 8]) | (1U << (I % 8)));
+  for (uint32_t I = 0; I < Step.Tasks.size(); ++I)
     writeTaskNote(Step, I, Record);
-  }
-  if (Step.OpenTasks == Step.Tasks.size() && Record.note_size() == 0)
+  const bool HasEndedDone = std::any_of(Step.Tasks.begin(), Step.Tasks.end(),
+                                        [](const TaskState &Task) { return Task.HasEndedDone; });
+  if (Step.OpenTasks == Step.Tasks.size() && Record.note_size() == 0 && !HasEndedDone)
     return;
-  Record.set_done(std::move(Bits));
+  Record.set_done(taskBits(Step, [](const TaskState &Task) { return Task.Done; }));
+  if (HasEndedDone)
+    Record.set_ended_done(taskBits(Step, [](const TaskState &Task) { return Task.HasEndedDone; }));
   To.mutable_steps()->Add(std::move(Record));
 }
 
 std::vector<SavedTask> readStepProgress(const cell::StepProgress &From) {
   std::map<uint32_t, SavedTask> Tasks;
-  const std::string &Bits = From.done();
-  for (uint32_t I = 0; I < Bits.size() * 8; ++I)
-    if (static_cast<unsigned char>(Bits[I / 8]) & (1U << (I % 8)))
+  for (uint32_t I = 0; I < From.done().size() * 8; ++I)
+    if (readBit(From.done(), I))
       Tasks[I].Done = true;
+  for (uint32_t I = 0; I < From.ended_done().size() * 8; ++I)
+    if (readBit(From.ended_done(), I))
+      Tasks[I].HasEndedDone = true;
   for (const cell::TaskNote &Note : From.note()) {
     SavedTask &Task = Tasks[Note.index()];
     Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -17,6 +17,10 @@
   json::object Text{{"task", Index}, {"done", Task.Done}};
   if (!Task.FailedRuns.empty())
     Text["failed_runs"] = Task.FailedRuns.size();
+  if (Task.Restarts.ShortRuns > 0)
+    Text["short_runs"] = Task.Restarts.ShortRuns;
+  if (Task.HasEndedDone)
+    Text["has_ended_done"] = true;
   if (Task.StartupCrashes > 0 || Task.WeightedCrashes > 0) {
     Text["crashes_of_workers_as_it_began"] = Task.StartupCrashes;
     Text["crashes_of_workers_under_it"] = Task.WeightedCrashes;
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -44,9 +44,18 @@
   return J.Spec->Repetitions == 0 || Round.Number < J.NextRound;
 }
 
+// True if steps that depend on it may begin. The tasks of a long-running step go on, but each has
+// ended done once.
+bool hasEndedDone(const StepState &Step) {
+  return Step.OpenTasks == 0 ||
+         (Step.Spec->LongRunning &&
+          std::all_of(Step.Tasks.begin(), Step.Tasks.end(),
+                      [](const TaskState &Task) { return Task.HasEndedDone; }));
+}
+
 bool isRunnable(const RoundState &Round, const StepState &Step) {
   return std::all_of(Step.Spec->DependsOn.begin(), Step.Spec->DependsOn.end(),
-                     [&](uint32_t Earlier) { return Round.Steps[Earlier].OpenTasks == 0; });
+                     [&](uint32_t Earlier) { return hasEndedDone(Round.Steps[Earlier]); });
 }
 
 // Whether a task may have been started, or may still be, by an earlier scheduler. Rounds that are
@@ -163,7 +172,7 @@
   Out.Failures.push_back(
       {Run, W ? W->Info.Id : std::string(), Failures.size(), J.Spec->MaxAttempts});
   requestSave(Cell, J, Out);
-  if (!Step.Spec->LongRunning && Failures.size() >= static_cast<size_t>(J.Spec->MaxAttempts))
+  if (Failures.size() >= static_cast<size_t>(J.Spec->MaxAttempts))
     endJob(Cell, J, JobPhase::Failed, "a task has used up its attempts", Now, Out);
 }
 
@@ -174,6 +183,44 @@
   if (!Checkpoint.empty() && (!GoesOn || Task.Checkpoint.empty()))
     Step.Tasks[Step.Spec->Gang ? 0 : Index].Checkpoint = Checkpoint;
 }
+
+void lastingTaskEndedDone(CellState &Cell, Job &J, StepState &Step, const RunKey &Run,
+                          TimePoint Now, Effects &Out) {
+  const bool HadEnded = hasEndedDone(Step);
+  const bool IsFirst = !Step.Tasks[Run.Task.Index].HasEndedDone;
+  if (Run.Run >= Step.Tasks[Run.Task.Index].Run)
+    Step.Tasks[Step.Spec->Gang ? 0 : Run.Task.Index].Checkpoint.clear(); // the next run begins anew
+  if (Step.Spec->Gang) {
+    for (TaskState &Task : Step.Tasks)
+      Task.HasEndedDone = true;
+    expectEnds(Step, Run.Run, Now);
+  } else {
+    Step.Tasks[Run.Task.Index].HasEndedDone = true;
+  }
+  if (IsFirst)
+    requestSave(Cell, J, Out);
+  if (!HadEnded && hasEndedDone(Step))
+    for (StepState &Next : J.Rounds.at(Run.Task.Step.Round).Steps)
+      queueStep(Cell, J, Next, Now);
+}
+
+// The task is started again, however its run has ended. Most ends need no save: a later scheduler
+// has higher run numbers.
+void lastingRunEnded(CellState &Cell, Job &J, StepState &Step, const RunKey &Run, RunOutcome How,
+                     const std::string &Checkpoint, Worker *W, TimePoint Now, Effects &Out) {
+  TaskState &Task = Step.Tasks[Run.Task.Index];
+  if (How == RunOutcome::Done)
+    lastingTaskEndedDone(Cell, J, Step, Run, Now, Out);
+  else
+    keepCheckpoint(Step, Run.Task.Index, Checkpoint);
+  if (How == RunOutcome::Failed) {
+    Task.FailedOn = W;
+    Task.FailedAt = Now;
+  }
+  if (How != RunOutcome::Done && !Checkpoint.empty())
+    requestSave(Cell, J, Out);
+  queueStep(Cell, J, Step, Now);
+}
 } // namespace
 
 void endJob(CellState &Cell, Job &J, JobPhase Phase, const char *Why, TimePoint Now, Effects &Out) {
@@ -185,6 +232,14 @@
   requestSave(Cell, J, Out);
 }
 
+bool hasFailedBefore(const StepState &Step, uint32_t Index) {
+  const auto HasFailed = [](const TaskState &Task) {
+    return !Task.FailedRuns.empty() || Task.FailedAt != TimePoint{};
+  };
+  return !Step.GangFailures.empty() || HasFailed(Step.Tasks[Index]) ||
+         (Step.Spec->Gang && std::any_of(Step.Tasks.begin(), Step.Tasks.end(), HasFailed));
+}
+
 Attempt *attemptOf(const StepState &Step, uint32_t Index) {
   const TaskState &Task = Step.Tasks[Index];
   if (!Task.AssignedWorker)
@@ -258,6 +313,12 @@
     noteAccepted(Cell, J, Now);
 }
 
+// Records of earlier versions name all failed runs, which are not kept, and tasks as done that are
+// to run again.
+static void restoreLastingTask(TaskState &Task, const SavedTask &Saved) {
+  Task.HasEndedDone = Saved.HasEndedDone || Saved.Done;
+}
+
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks) {
   const auto Found = Cell.Jobs.find(Key.Job);
   if (Found == Cell.Jobs.end())
@@ -273,9 +334,15 @@
     if (Saved.Index >= Step->Tasks.size())
       continue;
     TaskState &Task = Step->Tasks[Saved.Index];
-    if (Saved.Done && !Task.Done) {
-      Task.Done = true;
-      --Step->OpenTasks;
+    if (Step->Spec->LongRunning) {
+      restoreLastingTask(Task, Saved);
+    } else {
+      if (Saved.Done && !Task.Done) {
+        Task.Done = true;
+        --Step->OpenTasks;
+      }
+      (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
+          .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
     }
     Task.Checkpoint = Saved.Checkpoint;
     Task.StartupCrashes = Saved.StartupCrashes;
@@ -298,8 +365,6 @@
       for (const std::string &Worker : *Workers)
         indexSuspectWorker(Cell, {Key, Saved.Index}, Worker, Cell.WallAt);
     Task.WeightedCrashes = Saved.WeightedCrashes;
-    (Step->Spec->Gang ? Step->GangFailures : Task.FailedRuns)
-        .insert(Saved.FailedRuns.begin(), Saved.FailedRuns.end());
   }
 }
 
@@ -494,6 +559,8 @@
   J.Begun = true;
   if (J.Phase != JobPhase::Live)
     return;
+  if (Step->Spec->LongRunning)
+    return lastingRunEnded(Cell, J, *Step, Run, How, Checkpoint, W, Now, Out);
   if (How == RunOutcome::Done)
     return taskDone(Cell, J, *Step, Run, Now, Out);
   if (Step->Tasks[Run.Task.Index].Done)
--- /dev/null
+++ b/src/scheduler/restarts_test.cpp
@@ -0,0 +1,248 @@
+// SPDX-License-Identifier: Apache-2.0
+// Long-running tasks whose runs end: they are started again however a run has ended, at a bounded
+// pace, and neither their record nor a takeover loses or keeps too much of it.
+#include "scheduler/restarts.h"
+
+#include "replay/crash_scene.h"
+
+#include <gtest/gtest.h>
+
+namespace valveshelf::sched {
+namespace {
+using namespace std::chrono_literals;
+
+// Operators allow a long-running task to be away for this time.
+constexpr Milliseconds AwayLimit{3000};
+
+StepSpec lasting(uint32_t Count, bool IsGang = false) {
+  StepSpec Step = tasks(Count, 1000, 1s);
+  Step.LongRunning = true;
+  Step.Gang = IsGang;
+  return Step;
+}
+
+struct RestartScene : CrashScene {
+  RestartScene() : CrashScene(4) {}
+
+  RunKey runOf(JobId Id, uint32_t Index = 0) const {
+    return {{{Id, 0, 0}, Index}, Cell.Jobs.at(Id).Rounds.at(0).Steps[0].Tasks[Index].Run};
+  }
+  void end(JobId Id, uint32_t Index, RunOutcome How) {
+    const std::string Worker = workerOf(Id, Index);
+    ASSERT_FALSE(Worker.empty());
+    report(Worker, {{runOf(Id, Index), How}});
+  }
+  // All members of a gang end together.
+  void endGang(JobId Id, uint32_t Count, RunOutcome How) {
+    std::vector<std::pair<std::string, RunKey>> Members;
+    for (uint32_t I = 0; I < Count; ++I)
+      Members.emplace_back(workerOf(Id, I), runOf(Id, I));
+    const RunOutcome Others = How == RunOutcome::Done ? How : RunOutcome::GangBroken;
+    for (const auto &[Worker, Run] : Members)
+      report(Worker, {{Run, Run.Task.Index == 0 ? How : Others}});
+  }
+  bool allRun(JobId Id, uint32_t Count) const {
+    for (uint32_t I = 0; I < Count; ++I)
+      if (workerOf(Id, I).empty())
+        return false;
+    return true;
+  }
+  size_t recordSize(JobId Id) const { return encodeProgress(Cell.Jobs.at(Id)).size(); }
+};
+
+class EachOutcome : public testing::TestWithParam<RunOutcome> {};
+
+// Guards against a task that is never started again since its run ended done.
+TEST_P(EachOutcome, IsFollowedByAnotherRun) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(3));
+  Given.advance(1s);
+  for (int Time = 0; Time < 8; ++Time) {
+    ASSERT_TRUE(Given.allRun(Id, 3)) << Time;
+    const uint32_t Run = Given.runOf(Id, 1).Run;
+    Given.end(Id, 1, GetParam());
+    Given.advance(AwayLimit);
+    EXPECT_GT(Given.runOf(Id, 1).Run, Run);
+    EXPECT_EQ(publicJobState(Given.Cell, Id), "running");
+  }
+}
+
+// The same where all tasks of the job end at once, after which the job was shown as completed.
+TEST_P(EachOutcome, OfAllTasksAtOnceDoesNotEndTheJob) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(3));
+  Given.advance(1s);
+  for (uint32_t I = 0; I < 3; ++I)
+    Given.end(Id, I, GetParam());
+  Given.advance(AwayLimit);
+  EXPECT_TRUE(Given.allRun(Id, 3));
+  EXPECT_EQ(publicJobState(Given.Cell, Id), "running");
+}
+
+// Guards against a gang that is not started again, or not as a whole.
+TEST_P(EachOutcome, OfAGangIsFollowedByAnotherRunOfAllMembers) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(4, true));
+  Given.advance(1s);
+  for (int Time = 0; Time < 4; ++Time) {
+    ASSERT_TRUE(Given.allRun(Id, 4)) << Time;
+    const uint32_t Run = Given.runOf(Id).Run;
+    Given.endGang(Id, 4, GetParam());
+    Given.advance(AwayLimit);
+    ASSERT_TRUE(Given.allRun(Id, 4));
+    for (uint32_t I = 1; I < 4; ++I)
+      EXPECT_EQ(Given.runOf(Id, I).Run, Given.runOf(Id).Run);
+    EXPECT_GT(Given.runOf(Id).Run, Run);
+  }
+}
+
+// Guards against tasks that are lost because their ends are reported to the next scheduler.
+TEST_P(EachOutcome, ThatTheNextSchedulerLearnsOfIsFollowedByAnotherRun) {
+  for (const bool IsGang : {false, true}) {
+    RestartScene Given;
+    const JobId Id = Given.submit(lasting(3, IsGang));
+    Given.advance(1s);
+    std::map<std::string, std::vector<std::pair<RunKey, RunOutcome>>> Ends;
+    for (uint32_t I = 0; I < 3; ++I)
+      Ends[Given.workerOf(Id, I)].emplace_back(Given.runOf(Id, I), GetParam());
+    Given.takeOver();
+    for (const auto &[Worker, OfWorker] : Ends)
+      Given.report(Worker, OfWorker);
+    Given.advance(AwayLimit);
+    EXPECT_TRUE(Given.allRun(Id, 3)) << IsGang;
+    EXPECT_EQ(publicJobState(Given.Cell, Id), "running");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Restarts, EachOutcome,
+                         testing::Values(RunOutcome::Done, RunOutcome::Failed, RunOutcome::Stopped,
+                                         RunOutcome::LeaseExpired, RunOutcome::GangBroken,
+                                         RunOutcome::GangTimedOut),
+                         [](const auto &Info) {
+                           std::string Name(toString(Info.param));
+                           std::erase_if(Name, [](char C) { return !std::isalnum(C); });
+                           return Name;
+                         });
+
+// Guards against a task that ends at once and is started dozens of times a second.
+TEST(Restarts, OfATaskThatEndsAtOnceHaveABoundedPace) {
+  constexpr Milliseconds Time{60000};
+  for (const RunOutcome How : {RunOutcome::Done, RunOutcome::Failed})
+    for (const uint32_t Members : {1U, 4U}) {
+      RestartScene Given;
+      const JobId Id = Given.submit(lasting(Members, Members > 1));
+      Milliseconds Away{0};
+      for (Milliseconds T{0}; T < Time; T += 10ms) {
+        Given.advance(10ms);
+        Away = Given.allRun(Id, Members) ? 0ms : Away + 10ms;
+        ASSERT_LT(Away, AwayLimit);
+        if (Away == 0ms)
+          Given.endGang(Id, Members, How);
+      }
+      // Seven starts until the longest interval is reached.
+      const size_t Most = static_cast<size_t>(Time / MaxRestartInterval) + 7;
+      EXPECT_LE(Given.startsOf(Id), Most * Members);
+    }
+}
+
+// Guards against a pause after a run that has served for a while: its task would be away for
+// nothing.
+TEST(Restarts, OfATaskThatHasRunForAWhileAreNotDelayed) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(1));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  for (int I = 0; I < 20; ++I) {
+    Given.advance(MaxRestartInterval);
+    Given.end(Id, 0, RunOutcome::Failed);
+    ASSERT_TRUE(Given.advanceUntilRuns(Id, 100ms)) << I;
+  }
+}
+
+TEST(Restarts, HaveAnIntervalThatGrowsToItsBound) {
+  EXPECT_EQ(restartInterval(0), 0ms);
+  for (uint32_t Runs = 1; Runs < 10; ++Runs)
+    EXPECT_GE(restartInterval(Runs + 1), restartInterval(Runs));
+  EXPECT_EQ(restartInterval(1'000'000'000), MaxRestartInterval);
+  EXPECT_LT(MaxRestartInterval, AwayLimit);
+}
+
+// Guards against a record that names each failed run, until the store takes it no more.
+TEST(Restarts, DoNotLetTheProgressRecordGrow) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(3));
+  Given.advance(1s);
+  std::optional<size_t> Early;
+  for (int I = 0; I < 300; ++I) {
+    ASSERT_TRUE(Given.advanceUntilRuns(Id));
+    Given.end(Id, 0, I % 3 ? RunOutcome::Failed : RunOutcome::Done);
+    if (I == 10)
+      Early = Given.recordSize(Id);
+  }
+  // A run number takes more bytes when it is higher.
+  EXPECT_LE(Given.recordSize(Id), *Early + 4);
+}
+
+// Guards against a write for each end: the store takes a few hundred a second from all jobs.
+TEST(Restarts, AreNotSavedOneByOne) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(1));
+  Given.advance(1s);
+  Given.end(Id, 0, RunOutcome::Done);
+  Given.advance(AwayLimit);
+  const uint64_t Saves = Given.Cell.LastSave;
+  for (int I = 0; I < 20; ++I) {
+    Given.end(Id, 0, I % 2 ? RunOutcome::Failed : RunOutcome::Done);
+    Given.advance(AwayLimit);
+  }
+  EXPECT_EQ(Given.Cell.LastSave, Saves);
+}
+
+// Guards against jobs of earlier versions that stay without a run, and against records of theirs
+// that name thousands of failed runs.
+TEST(Restarts, TasksThatARecordShowsAsDoneAreStarted) {
+  for (const bool IsGang : {false, true}) {
+    RestartScene Given;
+    const JobId Id = Given.submit(lasting(3, IsGang));
+    SavedTask Old;
+    Old.Done = true;
+    for (uint32_t Run = 1; Run <= 5000; ++Run)
+      Old.FailedRuns.push_back(Run);
+    std::vector<SavedTask> Tasks(3, Old);
+    for (uint32_t I = 0; I < 3; ++I)
+      Tasks[I].Index = I;
+    restoreStep(Given.Cell, {Id, 0, 0}, Tasks);
+    Effects Out;
+    finishLoading(Given.Cell, Given.Now, Out);
+    Given.advance(AwayLimit);
+    ASSERT_TRUE(Given.allRun(Id, 3));
+    EXPECT_LT(Given.recordSize(Id), 100U);
+  }
+}
+
+// A step that depends on a long-running one begins when each task of that one has ended done once,
+// also if the next scheduler learns of it from the record.
+TEST(Restarts, StepsAfterThemBeginOnceEachTaskHasEndedDone) {
+  RestartScene Given;
+  StepSpec Next = tasks(1, 1000, 60s);
+  Next.DependsOn = {0};
+  const JobId Id = Given.submit(lasting(2), 0, {Next});
+  const auto HasBegun = [&] {
+    return attemptOf(Given.Cell.Jobs.at(Id).Rounds.at(0).Steps[1], 0) != nullptr;
+  };
+  Given.advance(1s);
+  Given.end(Id, 0, RunOutcome::Done);
+  Given.advance(AwayLimit);
+  Given.end(Id, 0, RunOutcome::Done);
+  Given.advance(AwayLimit);
+  EXPECT_FALSE(HasBegun());
+  Given.takeOver();
+  Given.advance(100ms);
+  Given.end(Id, 1, RunOutcome::Done);
+  Given.advance(100ms);
+  EXPECT_TRUE(HasBegun());
+  Given.advance(AwayLimit);
+  EXPECT_TRUE(Given.allRun(Id, 2));
+}
+
+} // namespace
+} // namespace valveshelf::sched
--- a/src/scheduler/run_times.cpp
+++ b/src/scheduler/run_times.cpp
@@ -219,8 +219,8 @@
   if (!Step || Run.Task.Index >= Step->Tasks.size())
     return true;
   const TaskState &Task = Step->Tasks[Run.Task.Index];
-  const bool IsFirst = Task.FailedRuns.empty() && Step->GangFailures.empty();
-  return IsFirst || (Step->Spec->LongRunning && Now - Task.FailedAt > IndependentFailureTime);
+  return !hasFailedBefore(*Step, Run.Task.Index) ||
+         (Step->Spec->LongRunning && Now - Task.FailedAt > IndependentFailureTime);
 }
 
 // Urgent tasks have the least time to spare. The last tasks of a wide step start after the others
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/crashes.h"
 #include "scheduler/forecast.h"
 #include "scheduler/overload.h"
+#include "scheduler/restarts.h"
 #include "scheduler/run_times.h"
 #include "scheduler/unbooked.h"
 #include "scheduler/worker_lives.h"
@@ -174,8 +175,7 @@
   if (Found == On.Attempts.end() || !Step || Run.Task.Index >= Step->Tasks.size())
     return false;
   const Attempt &Entry = Found->second;
-  const bool First = Step->Tasks[Run.Task.Index].FailedRuns.empty() && Step->GangFailures.empty();
-  return First && Entry.StartedAt != TimePoint{} &&
+  return !hasFailedBefore(*Step, Run.Task.Index) && Entry.StartedAt != TimePoint{} &&
          (Now - Entry.StartedAt) * EarlyFailureDivisor < Entry.Estimate;
 }
 
@@ -207,6 +207,7 @@
     if (End.Outcome == RunOutcome::Done)
       noteRunDone(Cell, On, End.Run, WasResponsive, Now, Out);
     noteEndListed(Cell, End, Out);
+    paceRestart(Cell, On, End, Now, Out);
     unbook(Cell, On, End.Run);
     runEnded(Cell, End.Run, End.Outcome, End.Checkpoint, &On, Now, Out);
     const auto Of = Cell.Jobs.find(End.Run.Task.Step.Job);
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -55,7 +55,7 @@
       Refusing.erase(Id);
   }
 
-  JobId submit(StepSpec Step, JobId Id = 0) {
+  JobId submit(StepSpec Step, JobId Id = 0, const std::vector<StepSpec> &Further = {}) {
     auto Spec = std::make_shared<JobSpec>();
     Spec->Id = Id ? Id : ++LastJob;
     Spec->Queue = "q";
@@ -65,6 +65,7 @@
     Spec->CriticalPathFactor = 4;
     Spec->ObjectiveSlack = Milliseconds(1000);
     Spec->Steps.push_back(std::move(Step));
+    Spec->Steps.insert(Spec->Steps.end(), Further.begin(), Further.end());
     Specs[Spec->Id] = Spec;
     addJob(Cell, Spec, Spec->Id, true, Now);
     return Spec->Id;
