Scheduler: run numbers of a task outlast those of a term

What callers saw: nothing yet. A long-running task that goes on ending uses up the 1,000 run numbers of a term (in 33 minutes at the bounded pace, in 7 s at the 145 starts a second that were measured before it). After a takeover it is started with lower numbers than those that have ended on its worker, which refuses each as `old` until the numbers have passed (LOST).

Cause: the number of the next run came from the term and from the attempts that this scheduler knows; what an earlier one had reached was kept nowhere, nor was that of an end which a worker reports after a takeover.

Evidence: with the cause brought back, Restarts.UseHigherRunNumbers... starts run 1001 after run 2001 has ended, on the record and on the report alike; Restarts.TasksThatARecordShowsAsDone... starts run 1 after 5000.

Change: `TaskState::LastEndedRun` of long-running tasks, from reported ends and from the record, which holds one number a task. It is saved on its own only from the last number of the term on; below that, the next term is higher.

--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -27,8 +27,6 @@
 // Pause between two watches of submitted jobs; bounds the delay of a job whose announcement was
 // lost.
 constexpr Milliseconds IntakeWatchPause{250};
-// Run numbers reserved for one term; exceeds the runs of any task in a term.
-constexpr uint32_t RunsPerTerm = 1000;
 } // namespace
 
 SchedulerRunner::SchedulerRunner(const SchedulerDependencies &Deps, Claim OwnClaim,
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -252,6 +252,9 @@
   TimePoint NotBefore{};     ///< No request is sent before, after a failed one.
 };
 
+/// Run numbers reserved for one term. A task that is not long-running has fewer runs in a term.
+inline constexpr uint32_t RunsPerTerm = 1000;
+
 /// The restarts of a long-running task; of task 0 for a whole gang.
 struct RestartState {
   uint32_t ShortRuns = 0; ///< Runs in a row that ended by themselves soon after their start.
@@ -262,6 +265,8 @@
   bool Done = false; ///< Never set for a long-running task.
   /// Of a long-running task: a run of it has ended done. It is started again all the same.
   bool HasEndedDone = false;
+  /// Of a long-running task: the highest run that has ended. Workers refuse runs up to it.
+  uint32_t LastEndedRun = 0;
   RestartState Restarts;            ///< Of a long-running task.
   Worker *AssignedWorker = nullptr; ///< Worker of its attempt; null: it has none.
   uint32_t Run = 0;                 ///< Run number of its attempt, or of the last one.
@@ -675,6 +680,7 @@
   uint32_t Index = 0;
   bool Done = false;
   bool HasEndedDone = false; ///< `TaskState::HasEndedDone`.
+  uint32_t LastEndedRun = 0; ///< `TaskState::LastEndedRun`.
   std::vector<uint32_t> FailedRuns;
   std::string Checkpoint;
   uint32_t StartupCrashes = 0;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -81,12 +81,13 @@
   const bool HasCrashes =
       !Task.Done && (Task.StartupCrashes > 0 || Task.WeightedCrashes > 0 ||
                      !Task.PendingStartWorker.empty() || Task.HasRecordedStarts);
-  if (Failures.empty() && !HasCheckpoint && !HasCrashes)
+  if (Failures.empty() && !HasCheckpoint && !HasCrashes && Task.LastEndedRun == 0)
     return;
   cell::TaskNote &Note = *To.add_note();
   Note.set_index(Index);
   for (const uint32_t Run : Failures)
     Note.add_failed_run(Run);
+  Note.set_last_run(Task.LastEndedRun);
   if (HasCheckpoint)
     Note.set_checkpoint(Task.Checkpoint);
   if (HasCrashes) {
@@ -147,6 +148,7 @@
   for (const cell::TaskNote &Note : From.note()) {
     SavedTask &Task = Tasks[Note.index()];
     Task.FailedRuns.assign(Note.failed_run().begin(), Note.failed_run().end());
+    Task.LastEndedRun = Note.last_run();
     Task.Checkpoint = Note.checkpoint();
     Task.StartupCrashes = Note.crashes();
     Task.SuspectWorkers.assign(Note.doubted().begin(), Note.doubted().end());
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -205,10 +205,11 @@
 }
 
 // The task is started again, however its run has ended. Most ends need no save: a later scheduler
-// has higher run numbers.
+// has higher run numbers unless the task has used up those of the term.
 void lastingRunEnded(CellState &Cell, Job &J, StepState &Step, const RunKey &Run, RunOutcome How,
                      const std::string &Checkpoint, Worker *W, TimePoint Now, Effects &Out) {
   TaskState &Task = Step.Tasks[Run.Task.Index];
+  Task.LastEndedRun = std::max(Task.LastEndedRun, Run.Run);
   if (How == RunOutcome::Done)
     lastingTaskEndedDone(Cell, J, Step, Run, Now, Out);
   else
@@ -217,7 +218,8 @@
     Task.FailedOn = W;
     Task.FailedAt = Now;
   }
-  if (How != RunOutcome::Done && !Checkpoint.empty())
+  if ((How != RunOutcome::Done && !Checkpoint.empty()) ||
+      Task.LastEndedRun >= Cell.FirstRun + RunsPerTerm - 1)
     requestSave(Cell, J, Out);
   queueStep(Cell, J, Step, Now);
 }
@@ -313,10 +315,12 @@
     noteAccepted(Cell, J, Now);
 }
 
-// Records of earlier versions name all failed runs, which are not kept, and tasks as done that are
-// to run again.
+// Records of earlier versions name all failed runs, and tasks as done that are to run again.
 static void restoreLastingTask(TaskState &Task, const SavedTask &Saved) {
   Task.HasEndedDone = Saved.HasEndedDone || Saved.Done;
+  Task.LastEndedRun = Saved.LastEndedRun;
+  for (const uint32_t Run : Saved.FailedRuns)
+    Task.LastEndedRun = std::max(Task.LastEndedRun, Run);
 }
 
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks) {
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -74,7 +74,7 @@
 
 uint32_t nextRun(const CellState &Cell, const StepState &Step, uint32_t Index) {
   const TaskState &Task = Step.Tasks[Index];
-  return std::max(Cell.FirstRun, std::max(Task.Run, Task.Copy.Run) + 1);
+  return std::max(Cell.FirstRun, std::max({Task.Run, Task.Copy.Run, Task.LastEndedRun}) + 1);
 }
 
 // A previous scheduler may have started a job that this one learned of only after a worker reported
--- a/src/scheduler/restarts_test.cpp
+++ b/src/scheduler/restarts_test.cpp
@@ -215,10 +215,32 @@
     finishLoading(Given.Cell, Given.Now, Out);
     Given.advance(AwayLimit);
     ASSERT_TRUE(Given.allRun(Id, 3));
+    EXPECT_GT(Given.runOf(Id).Run, 5000U) << "workers refuse earlier runs";
     EXPECT_LT(Given.recordSize(Id), 100U);
   }
 }
 
+// Guards against run numbers that workers refuse: a task that ends often uses up those of a term.
+TEST(Restarts, UseHigherRunNumbersThanTheSchedulerBefore) {
+  for (const bool IsReportedLate : {false, true}) {
+    RestartScene Given;
+    const JobId Id = Given.submit(lasting(1));
+    ASSERT_TRUE(Given.advanceUntilRuns(Id));
+    const std::string Worker = Given.workerOf(Id);
+    const std::pair<RunKey, RunOutcome> End{{{{Id, 0, 0}, 0}, RunsPerTerm * 2 + 1},
+                                            RunOutcome::Stopped};
+    if (!IsReportedLate)
+      Given.report(Worker, {End});
+    Given.advance(100ms);
+    Given.takeOver();
+    if (IsReportedLate)
+      Given.report(Worker, {End});
+    Given.end(Id, 0, RunOutcome::Failed);
+    ASSERT_TRUE(Given.advanceUntilRuns(Id));
+    EXPECT_GT(Given.runOf(Id).Run, RunsPerTerm * 2 + 1) << IsReportedLate;
+  }
+}
+
 // A step that depends on a long-running one begins when each task of that one has ended done once,
 // also if the next scheduler learns of it from the record.
 TEST(Restarts, StepsAfterThemBeginOnceEachTaskHasEndedDone) {
