Intake: the absence of a job does not answer its cancellation

What callers saw: a caller whose submission got no answer cancelled the job at another process and was told 410, "not run".

Cause: `Intake::cancel` took the absence of the job's key for a proof and left nothing behind, so the condition of a submission under way went on holding.

Evidence: the record of the case shows the 410 1.8 s after the start, and runs of both steps from the moment the store carried the write out.

Change: a cancellation that finds no job has it revoked: a record in the store that schedulers load and watch, several cancellations in one, which the present scheduler also holds. 410 is answered once both are certain and the job is still absent; else 504. Schedulers end a revoked job before a task of it is placed. The call between processes gets fields, no new method.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -159,6 +159,14 @@
     2204, "info", "job-refused-overload",
     "A job was refused because the forecast shows it late: its class, the forecast wait, the "
     "longest wait it allows, and when its caller was told to return."};
+const EventKind JobRevoked{
+    2205, "info", "job-revoked",
+    "A job that does not exist was cancelled: whether it is proven that it will not run, even if a "
+    "submission of it is carried out later. If so, its caller was told that it was not run."};
+const EventKind RevokedJobEnded{
+    2206, "info", "revoked-job-ended",
+    "A submission was carried out after the job had been cancelled; the scheduler ended the job "
+    "before a task of it was started: the store revision at which the job was written."};
 const EventKind RunStopped{2301, "info", "run-stopped",
                            "A worker was ordered to stop a run; the reason follows."};
 const EventKind StartNotConfirmed{
@@ -316,6 +324,8 @@
                               &CallRefused,
                               &JobTaken,
                               &JobRefusedOverload,
+                              &JobRevoked,
+                              &RevokedJobEnded,
                               &RunStopped,
                               &StartNotConfirmed,
                               &StepPlaced,
--- a/src/base/workload.cpp
+++ b/src/base/workload.cpp
@@ -108,6 +108,10 @@
   return Found == Config.Organisations->end() ? nullptr : &*Found;
 }
 
+bool mayAccess(const std::string &Caller, const std::string &Owner) {
+  return Owner.empty() || Caller == Owner;
+}
+
 bool isWithin(const Resources &Need, const Resources &Maximum) {
   const auto Holds = [](int64_t Amount, int64_t Most) { return Most == 0 || Amount <= Most; };
   return Holds(Need.MilliCores, Maximum.MilliCores) && Holds(Need.MemoryMb, Maximum.MemoryMb) &&
--- a/src/cell/caller_api_test.cpp
+++ b/src/cell/caller_api_test.cpp
@@ -48,8 +48,14 @@
   CellView View{Io.get_executor(), Store.ops(), Settings, [] {}};
   ConfigWatch Config{Io.get_executor(),   Clock{},    Store.ops(), Settings, {"op/", "op/c", "e/"},
                      decodeConfiguration, callbacks()};
-  Intake In{Io.get_executor(), intakeStore(),        Clock{},
-            Settings,          [] { return false; }, [this](const IntakeUpdate &) { ++Announced; }};
+  Intake In{
+      Io.get_executor(),
+      intakeStore(),
+      Clock{},
+      Settings,
+      [] { return false; },
+      [this](const IntakeUpdate &) { ++Announced; },
+      [](JobId, const std::string &, TimePoint) -> Awaitable<Result<Done>> { co_return Done{}; }};
   Leadership Lead{{Io.get_executor(),
                    Clock{},
                    Settings,
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -20,6 +20,10 @@
 const MetricDescriptor JobsRefused{
     "jobs_refused_total", "counter",
     "Jobs refused because the forecast shows them late, by `case`: the service and the class."};
+const MetricDescriptor JobsRevoked{
+    "jobs_revoked_total", "counter",
+    "Cancellations of jobs that did not exist, by `case`: proven (answered as not run) or "
+    "in-doubt. Prevented counts jobs that were written after that and ended by the scheduler."};
 const MetricDescriptor CallSeconds{"call_seconds", "histogram",
                                    "Time from a caller's request to the response."};
 const MetricDescriptor StoreSeconds{
@@ -131,6 +135,7 @@
   using namespace metrics;
   static const std::array All{&Calls,
                               &JobsRefused,
+                              &JobsRevoked,
                               &CallSeconds,
                               &StoreSeconds,
                               &Terms,
--- a/src/cell/cell_process.cpp
+++ b/src/cell/cell_process.cpp
@@ -9,6 +9,7 @@
 #include "cell/forecast_pacing.h"
 #include "cell/intake.h"
 #include "cell/leadership.h"
+#include "cell/revocations.h"
 #include "valveshelf/cell_link.h"
 #include "valveshelf/cell_metrics.h"
 #include "valveshelf/compression.h"
@@ -67,9 +68,15 @@
         View(Where, Store, Settings, [this] { Lead.viewChanged(); }),
         Config(Where, Time, Store, Settings, this->Platform.Operators,
                this->Platform.DecodeConfiguration, configWatchCallbacks()),
+        Revoked(
+            Where, Store, Time, Settings,
+            [this](std::vector<Revocation> Batch) { return holdRevocations(std::move(Batch)); }),
         In(
             Where, Store, Time, Settings, [this] { return Router.isUnresponsive(); },
-            [this](IntakeUpdate News) { announce(std::move(News)); }),
+            [this](IntakeUpdate News) { announce(std::move(News)); },
+            [this](JobId Id, std::string Organisation, TimePoint Until) {
+              return revoke(Id, std::move(Organisation), Until);
+            }),
         Lead(schedulerTools(), View, leadershipCallbacks()),
         Admission(Time, Settings.Member,
                   {[this] { return localForecast(); }, [this] { requestForecast(); }}),
@@ -416,6 +423,28 @@
     Admission.receive(forecastIn(value(Told)));
   }
 
+  Awaitable<Result<Done>> revoke(JobId Id, std::string Organisation, TimePoint Until) {
+    const Result<Done> Outcome = co_await Revoked.revoke(Id, std::move(Organisation), Until);
+    Metrics.count(metrics::JobsRevoked, ok(Outcome) ? "proven" : "in-doubt");
+    co_return Outcome;
+  }
+
+  Awaitable<uint64_t> holdRevocations(std::vector<Revocation> Batch) {
+    if (const auto Scheduler = Lead.scheduler())
+      co_return Scheduler->holdRevocations(Batch);
+    const auto Leader = View.snapshot().Leader;
+    if (!Leader || Leader->Name == Settings.Member)
+      co_return 0;
+    cell::AnnounceRequest Message;
+    Message.set_config_version(Config.version());
+    Message.mutable_revoked()->ParseFromString(encodeRevocations(Batch));
+    const Result<cell::AnnounceReply> Told =
+        co_await Peers.Announce(Leader->Peers, std::move(Message), AnnounceTimeout);
+    if (!ok(Told) || value(Told).error() != 0)
+      View.refreshSoon();
+    co_return ok(Told) ? value(Told).holds_term() : 0;
+  }
+
   cell::AnnounceReply handleAnnounce(const cell::AnnounceRequest &News) {
     cell::AnnounceReply Reply;
     Reply.set_config_version(Config.version());
@@ -428,6 +457,11 @@
       Scheduler->announceJob(Job, News.revision());
     for (const JobId Id : News.cancelled())
       Scheduler->announceCancel(Id);
+    if (News.has_revoked())
+      if (Result<std::vector<Revocation>> Batch =
+              decodeRevocations(News.revoked().SerializeAsString());
+          ok(Batch))
+        Reply.set_holds_term(Scheduler->holdRevocations(value(Batch)));
     if (!News.member().empty())
       Reply.set_forecast(forecastFor(News.member()));
     return Reply;
@@ -600,6 +634,7 @@
   const KeyValueStore Store;
   CellView View;
   ConfigWatch Config;
+  Revocations Revoked;
   Intake In;
   Leadership Lead;
   admission::AdmissionControl Admission;
--- a/src/cell/intake.cpp
+++ b/src/cell/intake.cpp
@@ -38,10 +38,11 @@
 } // namespace
 
 Intake::Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
-               std::function<bool()> IsStoreSilent, std::function<void(IntakeUpdate)> Announce)
+               std::function<bool()> IsStoreSilent, std::function<void(IntakeUpdate)> Announce,
+               Revoke RevokeJob)
     : Where(Where), Store(std::move(Store)), Time(std::move(Time)), Settings(Settings),
       IsStoreSilent(std::move(IsStoreSilent)), Announce(std::move(Announce)),
-      MarkLeaseGranted(Where, TimePoint::max()) {}
+      RevokeJob(std::move(RevokeJob)), MarkLeaseGranted(Where, TimePoint::max()) {}
 
 Awaitable<Result<Done>> Intake::submit(JobSpec Spec, std::optional<SubmitBounds> Bounds) {
   // Nothing was written, so the caller can safely submit the job elsewhere.
@@ -296,18 +297,23 @@
   dispatch();
 }
 
-bool mayAccess(const std::string &Caller, const std::string &Owner) {
-  return Owner.empty() || Caller == Owner;
-}
-
 Awaitable<Result<Done>> Intake::cancel(JobId Id, std::string Organisation) {
   const TimePoint Deadline = Time.Now() + Settings.Timing.SubmitTimeout;
   bool MayBeWritten = false;
+  bool IsRevoked = false;
   Error Last;
   while (Time.Now() < Deadline) {
     Result<KeyValue> Read = co_await Store.Get(jobKey(Id));
-    if (ok(Read) && value(Read).Revision == 0)
-      co_return Error{ErrorKind::NotFound, "the job does not exist"};
+    const bool IsAbsent = ok(Read) && value(Read).Revision == 0;
+    if (IsAbsent && IsRevoked)
+      co_return Error{ErrorKind::NotFound, "the job does not exist and will not run"};
+    if (IsAbsent) {
+      Result<Done> Revoked = co_await RevokeJob(Id, Organisation, Deadline);
+      if (!ok(Revoked))
+        co_return error(Revoked);
+      IsRevoked = true; // it may have been written before that
+      continue;
+    }
     if (ok(Read)) {
       Result<StoredJob> Stored = decodeJob(value(Read).Value);
       if (!ok(Stored))
@@ -332,6 +338,7 @@
       Last = error(Written);
     } else {
       Last = error(Read);
+      MayBeWritten = MayBeWritten || IsRevoked;
     }
     if (!MayBeWritten)
       break;
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -28,10 +28,6 @@
   std::vector<sched::JobId> Cancelled;
 };
 
-/// True if a caller of organisation \p Caller may see and change jobs of organisation \p Owner.
-/// Jobs accepted without a key (empty \p Owner) are accessible to everyone.
-bool mayAccess(const std::string &Caller, const std::string &Owner);
-
 /// What a submission is bound to while jobs may be refused as not run.
 struct SubmitBounds {
   /// A store revision that this process had seen when the call came. The job is not written if it
@@ -43,17 +39,22 @@
 /// Not thread-safe: all calls come from its strand.
 class Intake {
 public:
+  /// Revokes a job that does not exist: `Revocations::revoke`.
+  using Revoke = std::function<Awaitable<Result<Done>>(sched::JobId Id, std::string Organisation,
+                                                       TimePoint Until)>;
   /// \p IsStoreSilent: true while the store does not answer, so that writes have no known outcome.
   Intake(Executor Where, KeyValueStore Store, Clock Time, const CellSettings &Settings,
-         std::function<bool()> IsStoreSilent, std::function<void(IntakeUpdate)> Announce);
+         std::function<bool()> IsStoreSilent, std::function<void(IntakeUpdate)> Announce,
+         Revoke RevokeJob);
 
   /// Returns once the job is durable. StoreUnavailable: it is not and will not become durable.
   /// OutcomeUnknown: it may be or become durable. Forbidden: a job of another organisation has the
   /// same id. Overloaded, only with \p Bounds: the job has been marked as refused since the call
   /// came; it is not and will not become durable.
   Awaitable<Result<Done>> submit(sched::JobSpec Spec, std::optional<SubmitBounds> Bounds = {});
-  /// Returns once the cancellation is durable. NotFound: the job does not exist or has completed or
-  /// failed. Forbidden: it belongs to another organisation.
+  /// Returns once the cancellation is durable. NotFound: the job has completed or failed, or it
+  /// does not exist, and no submission of it that is still under way will run. Forbidden: it
+  /// belongs to another organisation. OutcomeUnknown: none of these is certain yet.
   Awaitable<Result<Done>> cancel(sched::JobId Id, std::string Organisation);
   /// True if this process submits the job, or did recently: its write may still be carried out.
   bool hasSubmitted(sched::JobId Id) const { return Submissions.count(Id) > 0; }
@@ -113,6 +114,7 @@
   const CellSettings &Settings;
   const std::function<bool()> IsStoreSilent;
   const std::function<void(IntakeUpdate)> Announce;
+  const Revoke RevokeJob;
   std::deque<PendingPtr> Waiting; ///< Those with `AreConditionsRead` first.
   int WritesInFlight = 0;
   int MarksInFlight = 0;
--- a/src/cell/intake_test.cpp
+++ b/src/cell/intake_test.cpp
@@ -24,7 +24,12 @@
         : In(
               Of.Io.get_executor(), storeOps(Of.Store.ops()),
               Clock{[&Of] { return Steady::now() + Of.Passed; }, wallNow}, Of.Settings,
-              [this] { return IsSilent; }, [this](const IntakeUpdate &) { ++Announced; }) {}
+              [this] { return IsSilent; }, [this](const IntakeUpdate &) { ++Announced; },
+              [this](sched::JobId, const std::string &, TimePoint) -> Awaitable<Result<Done>> {
+                ++Revoked;
+                OnRevoke();
+                co_return RevokeAnswer;
+              }) {}
     KeyValueStore storeOps(KeyValueStore Ops) {
       Ops.Commit = [this,
                     Inner = Ops.Commit](Transaction What) -> Awaitable<Result<TransactionResult>> {
@@ -52,6 +57,9 @@
     bool IsHeld = false;        ///< Transactions are not carried out.
     bool IsSilent = false;
     int Announced = 0;
+    int Revoked = 0;
+    Result<Done> RevokeAnswer = Done{};
+    std::function<void()> OnRevoke = [] {};
     int Grants = 0;
     std::map<std::string, int> Writes; ///< By key: in how many transactions it was put.
     size_t MostJobs = 0;               ///< In a transaction.
@@ -80,6 +88,22 @@
   SubmitBounds bounds(const Process &At, Milliseconds Limit = 800ms) const {
     return {At.In.seenRevision(), Steady::now() + Passed + Limit};
   }
+  Outcome cancel(Process &At, const std::string &Organisation = "") {
+    auto Given = std::make_shared<std::optional<Result<Done>>>();
+    boost::asio::co_spawn(
+        Io, At.In.cancel(Id, Organisation),
+        [Given](std::exception_ptr, Result<Done> Answer) { *Given = std::move(Answer); });
+    return Given;
+  }
+  void store(sched::JobPhase Phase, const std::string &Organisation = "") {
+    sched::JobSpec Spec;
+    Spec.Id = Id;
+    Spec.Organisation = Organisation;
+    Store.put(jobKey(Id),
+              Phase == sched::JobPhase::Live ? sched::encodeJob(Spec)
+                                             : sched::encodeEndedJob(Spec, Phase, wallNow()),
+              0);
+  }
   // Returns how many of \p Calls refusals are certain.
   int refusable(Process &At, int Calls = 1, Milliseconds Limit = 200ms) {
     int Certain = 0;
@@ -404,6 +428,58 @@
   EXPECT_TRUE(isError(Second, ErrorKind::OutcomeUnknown));
 }
 
+// Guards against a job that runs after its caller was told that there is none to cancel: the write
+// of its submission may still be carried out.
+TEST(Intake, TheAbsenceOfAJobAloneDoesNotAnswerItsCancellation) {
+  Bench Cell;
+  const Bench::Outcome Proven = Cell.cancel(Cell.Here);
+  Cell.finish(Proven);
+  EXPECT_EQ(Cell.Here.Revoked, 1);
+  EXPECT_TRUE(isError(Proven, ErrorKind::NotFound));
+
+  Cell.Here.RevokeAnswer = Error{ErrorKind::OutcomeUnknown, "not held"};
+  const Bench::Outcome InDoubt = Cell.cancel(Cell.Here);
+  Cell.finish(InDoubt);
+  EXPECT_TRUE(isError(InDoubt, ErrorKind::OutcomeUnknown));
+
+  Cell.Here.RevokeAnswer = Error{ErrorKind::Overloaded, "too many"};
+  const Bench::Outcome Refused = Cell.cancel(Cell.Here);
+  Cell.finish(Refused);
+  EXPECT_TRUE(isError(Refused, ErrorKind::Overloaded));
+}
+
+// Guards against "not run" for a job that was written while it was being revoked: it may have
+// begun.
+TEST(Intake, AJobThatIsWrittenWhileItIsRevokedIsCancelledAsAnyOther) {
+  Bench Cell;
+  Cell.Here.OnRevoke = [&Cell] { Cell.store(sched::JobPhase::Live); };
+  const Bench::Outcome Cancelled = Cell.cancel(Cell.Here);
+  Cell.finish(Cancelled);
+  EXPECT_TRUE(isDone(Cancelled));
+  EXPECT_FALSE(Cell.Store.value(sched::cancelKey(Id)).empty());
+
+  // The scheduler may have ended it already.
+  Bench Ended;
+  Ended.Here.OnRevoke = [&Ended] { Ended.store(sched::JobPhase::Cancelled); };
+  const Bench::Outcome Again = Ended.cancel(Ended.Here);
+  Ended.finish(Again);
+  EXPECT_TRUE(isDone(Again));
+
+  Bench Other;
+  Other.Here.OnRevoke = [&Other] { Other.store(sched::JobPhase::Live, "north"); };
+  const Bench::Outcome Forbidden = Other.cancel(Other.Here, "south");
+  Other.finish(Forbidden);
+  EXPECT_TRUE(isError(Forbidden, ErrorKind::Forbidden));
+}
+
+TEST(Intake, AnUnreadableStoreAfterTheRevocationLeavesItInDoubt) {
+  Bench Cell;
+  Cell.Here.OnRevoke = [&Cell] { Cell.Store.Down = true; };
+  const Bench::Outcome Given = Cell.cancel(Cell.Here);
+  Cell.finish(Given);
+  EXPECT_TRUE(isError(Given, ErrorKind::OutcomeUnknown));
+}
+
 TEST(Intake, WriteTimeIsThatOfRecentWrites) {
   Bench Cell;
   EXPECT_EQ(Cell.Here.In.recentWriteTime(), 0ms);
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -152,9 +152,35 @@
   for (const KeyValue &Item : Intake.Items)
     if (const auto Id = jobIdFromKey(Item.Key, CancelPrefix))
       cancelJob(Cell, *Id, Now, Out);
+  for (const KeyValue &Item : Intake.Items)
+    if (Item.Key.starts_with(RevocationPrefix))
+      applyRevocations(Item, Out);
   executeEffects(Out);
 }
 
+void SchedulerRunner::applyRevocations(const KeyValue &Item, Effects &Out) {
+  const Result<std::vector<Revocation>> Read = decodeRevocations(Item.Value);
+  if (!ok(Read)) {
+    logEvent(events::RecordUnreadable, {{"key", Item.Key}});
+    return;
+  }
+  const TimePoint Now = Deps.Time.Now();
+  RevocationRecords.emplace_back(Now, Item.Key);
+  for (const Revocation &One : value(Read))
+    revokeJob(Cell, One, Now, Out);
+}
+
+uint64_t SchedulerRunner::holdRevocations(const std::vector<Revocation> &Revocations) {
+  if (Stopped || !Cell.Loaded || wasSuspended())
+    return 0;
+  Effects Out;
+  bool HoldsAll = true;
+  for (const Revocation &One : Revocations)
+    HoldsAll = revokeJob(Cell, One, Deps.Time.Now(), Out) && HoldsAll;
+  executeEffects(Out);
+  return HoldsAll && !Stopped && !Cell.PredecessorMayStart ? OwnClaim.Term : 0;
+}
+
 void SchedulerRunner::loadWorkers(const KeyRange &Listed, const KeyRange &Runs) {
   for (const KeyValue &Item : Listed.Items)
     applyWorkerItem(Item, false);
@@ -244,6 +270,11 @@
     executeEffects(Out);
     return;
   }
+  if (Item.Key.starts_with(RevocationPrefix)) {
+    applyRevocations(Item, Out);
+    executeEffects(Out);
+    return;
+  }
   const auto Id = jobIdFromKey(Item.Key, JobPrefix);
   if (!Id)
     return;
@@ -275,6 +306,11 @@
   addJob(Cell, std::make_shared<const JobSpec>(std::move(Read.Spec)), Item.Revision,
          Fresh && Item.Revision > OwnClaim.LeaderRevision, Now);
   applyPendingCancel(Cell, *Id, Now, Out);
+  if (applyRevocation(Cell, *Id, Now, Out)) {
+    Deps.Metrics.count(metrics::JobsRevoked, "prevented");
+    logEvent(events::RevokedJobEnded,
+             {{"job", jobIdText(*Id)}, {"revision", std::to_string(Item.Revision)}});
+  }
   executeEffects(Out);
 }
 
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -21,6 +21,7 @@
 #include "valveshelf/steady_timer.h"
 #include "valveshelf/worker_link.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -93,6 +94,9 @@
   /// Passes on a job that became durable at \p Revision, or a cancellation, ahead of the watch.
   void announceJob(const std::string &Bytes, uint64_t Revision);
   void announceCancel(sched::JobId Id);
+  /// Ends these jobs now and when they become known. Returns this term if that is certain, and no
+  /// scheduler before can start anything; else 0.
+  uint64_t holdRevocations(const std::vector<sched::Revocation> &Revocations);
   bool loaded() const { return Cell.Loaded; }
   std::string_view state(sched::JobId Id) const { return publicJobState(Cell, Id); }
   uint32_t waiting(const std::string &Queue) const { return waitingJobs(Cell, Queue); }
@@ -131,6 +135,7 @@
   static Awaitable<void> watchIntake(SelfPtr Self, uint64_t From);
   static Awaitable<void> watchWorkers(SelfPtr Self);
   void applyIntakeItem(const KeyValue &Item, bool Fresh);
+  void applyRevocations(const KeyValue &Item, sched::Effects &Out);
   void applyWorkerItem(const KeyValue &Item, bool IsRemoved);
   Awaitable<Result<uint64_t>> rereadIntake();
   TimePoint predecessorStartsUntil(TimePoint LoadedAt) const;
@@ -228,6 +233,8 @@
   std::unordered_map<std::string, SteadyTimer *> WakeTimers; ///< Of waiting loops, by worker.
   std::map<std::string, uint64_t> WorkerRecords; ///< Revisions of the stored worker records.
   std::set<sched::JobId> StaleCancels;           ///< Cancellation marks of ended jobs.
+  /// Keys of stored revocations, by the time at which they were last read, oldest first.
+  std::deque<std::pair<TimePoint, std::string>> RevocationRecords;
   std::set<std::pair<sched::JobId, bool>> JobsBeingSaved; ///< Job, and whether it has ended.
   uint64_t SavedRunTimes = 0;   ///< `RunTimeModel::Changes` at the last snapshot.
   TimePoint NextRunTimesSave{}; ///< When the next snapshot may be written.
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -869,5 +869,105 @@
   EXPECT_GE(Steady::now() - Begun, 2100ms);
 }
 
+// Revocations: cancellations of jobs that did not exist. Whichever scheduler learns of the job must
+// know of them before.
+
+std::string revocationOf(JobId Id, const std::string &Organisation = "") {
+  return encodeRevocations({{Id, Organisation}});
+}
+
+bool isCancelled(const Bench &Given, JobId Id) {
+  Result<StoredJob> Read = decodeJob(Given.Store.value(jobKey(Id)));
+  return ok(Read) && value(Read).Phase == JobPhase::Cancelled;
+}
+
+// Guards against a job that runs since the next scheduler does not know of its cancelling.
+TEST(SchedulerRunner, StartsNothingOfAJobThatWasRevokedBeforeItLoaded) {
+  Bench Given;
+  Given.Store.put(revocationKey("b", 1, 1), revocationOf(1), 0);
+  Given.submit(1, 2);
+  Given.submit(2, 2);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  EXPECT_TRUE(Given.runUntil([&] { return isCancelled(Given, 1); }));
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 2);
+}
+
+TEST(SchedulerRunner, StartsNothingOfAJobThatWasRevokedInTheWatch) {
+  Bench Given;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  Given.Store.put(revocationKey("b", 1, 1), revocationOf(1), 0);
+  Given.submit(1, 2);
+  EXPECT_TRUE(Given.runUntil([&] { return isCancelled(Given, 1); }));
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 0);
+}
+
+// The process that has written the job tells the scheduler of it before the watch does.
+TEST(SchedulerRunner, StartsNothingOfAnAnnouncedJobWhoseRevocationItHolds) {
+  Bench Given;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  EXPECT_EQ(Given.Runner->holdRevocations({{1, ""}}), 1U);
+  Given.Store.IsWatchSilent = true;
+  Given.submit(1, 2);
+  Given.Runner->announceJob(Given.Store.value(jobKey(1)), 100);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.Runner->state(1) == "cancelled"; }, 1s) ||
+              isCancelled(Given, 1));
+  EXPECT_EQ(Given.Workers.at("w0").Starts + Given.Workers.at("w1").Starts, 0);
+}
+
+TEST(SchedulerRunner, DoesNotEndAnotherOrganisationsJobForARevocation) {
+  Bench Given;
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  JobSpec Spec;
+  Spec.Id = 1;
+  Spec.Service = "pool";
+  Spec.MaxAttempts = 1;
+  Spec.Organisation = "north";
+  Spec.Steps.resize(1);
+  Spec.Steps[0].Need = {1000, 100, 0};
+  Given.Runner->setConfiguration(
+      {.Organisations = std::vector<Organisation>{{"north", {}, 0, {}}}});
+  EXPECT_EQ(Given.Runner->holdRevocations({{1, "south"}}), 1U);
+  Given.Store.put(jobKey(1), encodeJob(Spec), 0);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+}
+
+// Until the scheduler before can start nothing more, the present one can't promise it.
+TEST(SchedulerRunner, DoesNotPromiseARevocationForTheSchedulerBefore) {
+  Bench Given;
+  Given.Own.Term = 2;
+  Given.Own.PredecessorConfirmedAt = Steady::now();
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  ASSERT_TRUE(Given.Runner->mayPredecessorStart());
+  EXPECT_EQ(Given.Runner->holdRevocations({{1, ""}}), 0U);
+  ASSERT_TRUE(Given.runUntil([&] { return !Given.Runner->mayPredecessorStart(); }));
+  EXPECT_EQ(Given.Runner->holdRevocations({{1, ""}}), 2U);
+  Given.Runner->stop();
+  EXPECT_EQ(Given.Runner->holdRevocations({{1, ""}}), 0U);
+}
+
+TEST(SchedulerRunner, RemovesTheRecordsOfOldRevocations) {
+  Bench Given;
+  Given.Settings.Scheduler.EndedJobRetention = 300ms;
+  for (uint64_t I = 0; I < 40; ++I)
+    Given.Store.put(revocationKey("b", 1, I), revocationOf(I + 1), 0);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Runner->loaded(); }));
+  EXPECT_FALSE(
+      Given.runUntil([&] { return Given.Store.value(revocationKey("b", 1, 0)).empty(); }, 200ms));
+  EXPECT_TRUE(Given.runUntil([&] {
+    for (uint64_t I = 0; I < 40; ++I)
+      if (!Given.Store.value(revocationKey("b", 1, I)).empty())
+        return false;
+    return true;
+  }));
+  Given.submit(1, 1);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; })) << "it is forgotten";
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_saves.cpp
+++ b/src/cell/scheduler_saves.cpp
@@ -230,6 +230,14 @@
     for (const JobId Id : Self->StaleCancels)
       if (What.rows() < MaxTransactionRows)
         What.Removes.push_back(cancelKey(Id));
+    // The time is counted from when this term read the record: the store may have been away.
+    auto &Revoked = Self->RevocationRecords;
+    const TimePoint ReadBefore = Self->Deps.Time.Now() - Self->Cell.Limits.EndedJobRetention;
+    size_t RevokedRows = 0;
+    for (; RevokedRows < Revoked.size() && Revoked[RevokedRows].first < ReadBefore &&
+           What.rows() < MaxTransactionRows;
+         ++RevokedRows)
+      What.Removes.push_back(Revoked[RevokedRows].second);
     auto &Old = Self->Cell.EndedByAge;
     const WallTime Before = Self->Deps.Time.Wall() - Self->Cell.Limits.EndedJobRetention;
     while (!Old.empty() && Old.front().first < Before && What.rows() < MaxTransactionRows) {
@@ -258,6 +266,7 @@
     }
     Self->workerRecordsWritten(Noted, value(Answer).Revision);
     Self->workerRecordsRemoved(Left);
+    Revoked.erase(Revoked.begin(), Revoked.begin() + static_cast<std::ptrdiff_t>(RevokedRows));
     for (const std::string &Key : Removed)
       std::erase_if(Self->StaleCancels, [&](JobId Id) { return cancelKey(Id) == Key; });
     Self->schedulePlacement();
--- a/src/include/valveshelf/cell_records.h
+++ b/src/include/valveshelf/cell_records.h
@@ -26,6 +26,9 @@
 inline constexpr std::string_view IntakePrefix = "vs/in/";
 inline constexpr std::string_view JobPrefix = "vs/in/job/";
 inline constexpr std::string_view CancelPrefix = "vs/in/cancel/";
+/// Cancellations of jobs that did not exist, several in a record. Sorts behind `JobPrefix`: a read
+/// of all of `IntakePrefix` that finds a job also finds the revocations that were written before.
+inline constexpr std::string_view RevocationPrefix = "vs/in/revoked/";
 /// Marks of refused jobs. They expire; nothing reads or watches them.
 inline constexpr std::string_view RefusalPrefix = "vs/refused/";
 /// Written by the scheduler; read by its successor at a takeover.
@@ -40,6 +43,8 @@
 std::string jobKey(JobId Id);
 std::string cancelKey(JobId Id);
 std::string refusalKey(JobId Id);
+/// Of a record that \p Member writes; \p Number and \p WrittenAt, in milliseconds, make it unique.
+std::string revocationKey(const std::string &Member, int64_t WrittenAt, uint64_t Number);
 std::string progressKey(JobId Id);
 std::string workerKey(const std::string &Id);
 std::string memberKey(const std::string &Name);
@@ -103,6 +108,9 @@
 /// At most \p Most of the workers learned as slow, slowest first, as a JSON array for operators.
 std::string slowestWorkers(const CellState &Cell, size_t Most);
 
+std::string encodeRevocations(const std::vector<Revocation> &Revocations);
+Result<std::vector<Revocation>> decodeRevocations(const std::string &Bytes);
+
 std::string encodeWorkerRecord(const WorkerInfo &Info);
 Result<WorkerInfo> decodeWorkerRecord(const std::string &Id, const std::string &Bytes);
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -446,6 +446,12 @@
   std::string Organisation; ///< Empty: it belonged to none.
 };
 
+/// A cancellation of a job that did not exist. A submission of it may still be written.
+struct Revocation {
+  JobId Job = 0;
+  std::string Organisation; ///< Whose caller cancelled it; empty: no key was needed.
+};
+
 struct CellState {
   SchedulerLimits Limits;
   uint64_t Fence = 0;    ///< The fencing token of this scheduler: its term.
@@ -486,6 +492,12 @@
   /// The same by service; used instead of `FirstUnplaced` while advice is shared.
   std::map<std::string, QueueKey> FirstUnplacedOfService;
   std::set<JobId> PendingCancels; ///< Cancelled jobs that are not known yet.
+  /// By job and organisation: until when they are kept. Jobs of the organisation, or of none, that
+  /// become known with such an id are ended. At most `MaxRevocations`.
+  std::map<std::pair<JobId, std::string>, TimePoint> Revocations;
+  /// Keys of Revocations with a time at which each was learned, oldest first. A key may have
+  /// several entries.
+  std::deque<std::pair<TimePoint, std::pair<JobId, std::string>>> RevocationsByAge;
   /// Services of workers that may hold runs of an earlier scheduler and have not reported to this
   /// one, by worker id.
   std::map<std::string, std::string> UnreportedWorkers;
@@ -702,6 +714,16 @@
 void cancelJob(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
 /// Call after `addJob`: carries out a cancellation that came before the job.
 void applyPendingCancel(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
+/// Bounds the memory that they take; processes also limit the rate at which they ask for them.
+inline constexpr size_t MaxRevocations = 250'000;
+/// Ends the job if it is known and accessible to the organisation, now and for
+/// `SchedulerLimits::EndedJobRetention`. False: there are too many, and it is not kept.
+bool revokeJob(CellState &Cell, const Revocation &What, TimePoint Now, Effects &Out);
+/// Call after `addJob`: ends the job, before a task of it is placed, if it was revoked before. True
+/// if it was.
+bool applyRevocation(CellState &Cell, JobId Id, TimePoint Now, Effects &Out);
+/// Drops revocations that are older than they need to be.
+void expireRevocations(CellState &Cell, TimePoint Now);
 /// The saves of \p Id up to \p Number are durable, at these revisions of its keys. Returns the
 /// workers that have no end left that waits for a save.
 std::vector<std::string> jobSaved(CellState &Cell, JobId Id, uint64_t Number, uint64_t Revision,
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -34,7 +34,8 @@
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
 extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone, FleetBehind, FleetKnown,
     LeadershipUnconfirmed, LeadershipConfirmed, PredecessorUnknown, ClaimFailed, LoopLags;
-extern const EventKind JobKept, CallRefused, JobTaken, JobRefusedOverload;
+extern const EventKind JobKept, CallRefused, JobTaken, JobRefusedOverload, JobRevoked,
+    RevokedJobEnded;
 extern const EventKind StepPlaced, RunStopped, StartNotConfirmed;
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
 extern const EventKind AdviceRetried;
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -139,6 +139,10 @@
 /// Returns the organisation called \p Name, or null.
 const Organisation *findOrganisation(const CellConfiguration &Config, std::string_view Name);
 
+/// True if a caller of organisation \p Caller may see and change jobs of organisation \p Owner.
+/// Jobs accepted without a key (empty \p Owner) are accessible to everyone.
+bool mayAccess(const std::string &Caller, const std::string &Owner);
+
 /// True if \p Need does not exceed \p Maximum, in which 0 means no limit.
 bool isWithin(const Resources &Need, const Resources &Maximum);
 
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -179,6 +179,10 @@
 std::string jobKey(JobId Id) { return std::string(JobPrefix) + jobIdText(Id); }
 std::string cancelKey(JobId Id) { return std::string(CancelPrefix) + jobIdText(Id); }
 std::string refusalKey(JobId Id) { return std::string(RefusalPrefix) + jobIdText(Id); }
+std::string revocationKey(const std::string &Member, int64_t WrittenAt, uint64_t Number) {
+  return std::string(RevocationPrefix) + Member + "/" + std::to_string(WrittenAt) + "-" +
+         std::to_string(Number);
+}
 std::string progressKey(JobId Id) { return std::string(ProgressPrefix) + jobIdText(Id); }
 std::string workerKey(const std::string &Id) { return std::string(WorkerRecordPrefix) + Id; }
 std::string memberKey(const std::string &Name) { return std::string(MemberPrefix) + Name; }
@@ -342,6 +346,26 @@
   return Leader{Record.name(), value(Peers), Record.term()};
 }
 
+std::string encodeRevocations(const std::vector<Revocation> &Revocations) {
+  cell::RevocationRecord Record;
+  for (const Revocation &One : Revocations) {
+    Record.add_job(One.Job);
+    Record.add_organisation(One.Organisation);
+  }
+  return Record.SerializeAsString();
+}
+
+Result<std::vector<Revocation>> decodeRevocations(const std::string &Bytes) {
+  cell::RevocationRecord Record;
+  if (!Record.ParseFromString(Bytes) || Record.job_size() != Record.organisation_size())
+    return unreadable("revocations");
+  std::vector<Revocation> Decoded;
+  Decoded.reserve(static_cast<size_t>(Record.job_size()));
+  for (int I = 0; I < Record.job_size(); ++I)
+    Decoded.push_back({Record.job(I), Record.organisation(I)});
+  return Decoded;
+}
+
 std::string encodeWorkerRecord(const WorkerInfo &Info) {
   cell::WorkerRecord Record;
   Record.set_address(toString(Info.Address));
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -852,6 +852,7 @@
   for (const std::string &Id : SettledLives)
     workerEnded(Cell, Id, Now, Out, WorkerEnd::Replaced);
   selectWorkers(Cell, Out);
+  expireRevocations(Cell, Now);
   tickJobs(Cell, Now);
   if (Cell.InForce.ShareAdvice || Cell.InForce.OverloadOrder || Cell.InForce.Admission)
     updateServiceLoads(Cell, Now);
