CallerApi: answers say "not run" only of what is proven

What callers saw: 410 to the cancellation of a job that had completed, 410 to a GET and 404 for a queue that isn't configured all carried the outcome "not-run", as did 503 of a process without a configuration. The job of the first has run; the others tell that nothing is known here, while a submission may still be carried out, or the queue may have been there before.

Cause: one error kind, NotFound, stood for all of these, and its row of the answer table says "not-run"; StoreUnavailable for the last.

Change: kinds of their own for ended jobs (ran), unknown jobs, unknown queues and processes without a configuration (unknown).

--- a/src/cell/caller_api.cpp
+++ b/src/cell/caller_api.cpp
@@ -59,7 +59,7 @@
   logEvent(events::CallRefused, {{"job", Job},
                                  {"kind", std::string(answerFor(Why.Kind).Name)},
                                  {"why", "\"" + Why.Detail + "\""}});
-  if (Why.Kind == ErrorKind::StoreUnavailable)
+  if (Why.Kind == ErrorKind::StoreUnavailable || Why.Kind == ErrorKind::NotConfigured)
     return errorResponse(Why, RetryAfterOutage());
   return errorResponse(Why);
 }
@@ -105,12 +105,12 @@
   if (!Now)
     Now = co_await firstConfiguration();
   if (!Now)
-    co_return refusal({ErrorKind::StoreUnavailable, "no configuration has been read yet"}, "-");
+    co_return refusal({ErrorKind::NotConfigured, "no configuration has been read yet"}, "-");
   const std::string_view Path = pathOf(Request.Target);
   const Queue *To = findQueue(*Now, withoutPort(Request.Host), Path);
   if (!To)
     co_return errorResponse(
-        {ErrorKind::NotFound, "no queue is configured for " + Request.Host + Request.Target});
+        {ErrorKind::UnknownQueue, "no queue is configured for " + Request.Host + Request.Target});
   const std::string Rest(Path.substr(To->PathPrefix.size()));
   Result<std::string> Caller = identify(*To, Request);
   if (!ok(Caller))
@@ -234,7 +234,7 @@
   if (!ok(Read))
     co_return error(Read);
   if (value(Read).Revision == 0)
-    co_return Error{ErrorKind::NotFound, "the job does not exist"};
+    co_return Error{ErrorKind::UnknownJob, "the job does not exist"};
   Result<StoredJob> Stored = decodeJob(value(Read).Value);
   if (!ok(Stored))
     co_return error(Stored);
@@ -250,11 +250,9 @@
                       jobIdText(Id));
   if (ok(Found))
     co_return jsonResponse(HttpOk, Codec.EncodeState(value(Found).State));
-  if (error(Found).Kind != ErrorKind::NotFound)
-    co_return refusal(error(Found), jobIdText(Id));
-  HttpResponse Gone = errorResponse(error(Found));
-  Gone.Status = HttpGone;
-  co_return Gone;
+  if (error(Found).Kind == ErrorKind::UnknownJob)
+    co_return errorResponse(error(Found));
+  co_return refusal(error(Found), jobIdText(Id));
 }
 
 Awaitable<HttpResponse> CallerApi::cancel(JobId Id, std::string Caller) {
--- a/src/cell/intake.cpp
+++ b/src/cell/intake.cpp
@@ -323,7 +323,7 @@
       if (value(Stored).Phase == JobPhase::Cancelled)
         co_return Done{};
       if (value(Stored).Phase != JobPhase::Live)
-        co_return Error{ErrorKind::NotFound, "the job has already ended"};
+        co_return Error{ErrorKind::AlreadyEnded, "the job has already ended"};
       Transaction Mark;
       Mark.Conditions.push_back({jobKey(Id), value(Read).Revision});
       Mark.Puts.push_back({cancelKey(Id), "1", 0, 0});
--- a/src/cell/intake.h
+++ b/src/cell/intake.h
@@ -52,9 +52,9 @@
   /// same id. Overloaded, only with \p Bounds: the job has been marked as refused since the call
   /// came; it is not and will not become durable.
   Awaitable<Result<Done>> submit(sched::JobSpec Spec, std::optional<SubmitBounds> Bounds = {});
-  /// Returns once the cancellation is durable. NotFound: the job has completed or failed, or it
-  /// does not exist, and no submission of it that is still under way will run. Forbidden: it
-  /// belongs to another organisation. OutcomeUnknown: none of these is certain yet.
+  /// Returns once the cancellation is durable. NotFound: the job does not exist, and no submission
+  /// of it that is still under way will run. AlreadyEnded: it has completed or failed. Forbidden:
+  /// it belongs to another organisation. OutcomeUnknown: none of these is certain yet.
   Awaitable<Result<Done>> cancel(sched::JobId Id, std::string Organisation);
   /// True if this process submits the job, or did recently: its write may still be carried out.
   bool hasSubmitted(sched::JobId Id) const { return Submissions.count(Id) > 0; }
--- a/src/cell/intake_test.cpp
+++ b/src/cell/intake_test.cpp
@@ -480,6 +480,20 @@
   EXPECT_TRUE(isError(Given, ErrorKind::OutcomeUnknown));
 }
 
+// Guards against "not run" for a job that has run.
+TEST(Intake, TheCancellationOfAJobThatHasEndedSaysSo) {
+  for (const sched::JobPhase Phase : {sched::JobPhase::Completed, sched::JobPhase::Failed}) {
+    Bench Cell;
+    Cell.store(Phase);
+    const Bench::Outcome Given = Cell.cancel(Cell.Here);
+    Cell.finish(Given);
+    EXPECT_TRUE(isError(Given, ErrorKind::AlreadyEnded));
+    EXPECT_EQ(answerFor(ErrorKind::AlreadyEnded).HttpStatus, 410);
+    EXPECT_EQ(answerFor(ErrorKind::AlreadyEnded).Outcome, Outcome::Ran);
+    EXPECT_EQ(Cell.Here.Revoked, 0);
+  }
+}
+
 TEST(Intake, WriteTimeIsThatOfRecentWrites) {
   Bench Cell;
   EXPECT_EQ(Cell.Here.In.recentWriteTime(), 0ms);
--- a/src/include/valveshelf/errors.h
+++ b/src/include/valveshelf/errors.h
@@ -33,6 +33,10 @@
   Stopping,            ///< This process is shutting down.
   Internal,            ///< A bug in valveshelf.
   UnknownKey,          ///< The caller sent no key, or one that is not valid.
+  AlreadyEnded,        ///< The job has ended; there is nothing left to cancel.
+  UnknownJob,          ///< No such job is known; a submission of it may still be under way.
+  UnknownQueue,        ///< No queue is configured for the path; it may have been before.
+  NotConfigured,       ///< This process has no configuration yet, and knows of no job.
 };
 
 /// Whether work that ended in an error was run.
