CallerApi: without the store no submission is answered as never to run

What callers saw: a submission got no answer at one process; repeated at another while the store answered that one with 503, it got 503, "not-run", and ran when the store carried the first attempt out. Operators read 503 as "it was not taken and will never run".

Cause: a process that can't write answered for all attempts at a job, though it knows of its own only. The scheduler, which it asks first, knows durable jobs.

Evidence: the code and docs/design/admission.md, which named the gap. A mark, on which refusals of overload rest, can't be written without the store.

Change: such a submission is answered with 504, still at once and with Retry-After; a GET or DELETE that can't be carried out keeps 503 and says that the outcome is unknown.

--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -10,7 +10,7 @@
 using std::chrono::seconds;
 
 // One row per kind, in the order of ErrorKind.
-constexpr std::array<ErrorAnswer, 22> Answers{{
+constexpr std::array<ErrorAnswer, 23> Answers{{
     {"none", 200, Outcome::Ran, seconds(0), 0},
     {"bad-request", 400, Outcome::NotRun, seconds(0), 2},
     {"bad-settings", 422, Outcome::NotRun, seconds(0), 2},
@@ -32,6 +32,7 @@
     {"already-ended", 410, Outcome::Ran, seconds(0), 1},
     {"unknown-job", 410, Outcome::Unknown, seconds(0), 1},
     {"unknown-queue", 404, Outcome::Unknown, seconds(0), 1},
+    {"not-carried-out", 503, Outcome::Unknown, seconds(1), 1},
     {"not-configured", 503, Outcome::Unknown, seconds(5), 1},
 }};
 } // namespace
--- a/src/cell/caller_api.cpp
+++ b/src/cell/caller_api.cpp
@@ -53,17 +53,33 @@
   return std::nullopt;
 }
 
-} // namespace
-
-HttpResponse CallerApi::refusal(const Error &Why, const std::string &Job) const {
+void logRefusal(const Error &Why, const std::string &Job) {
   logEvent(events::CallRefused, {{"job", Job},
                                  {"kind", std::string(answerFor(Why.Kind).Name)},
                                  {"why", "\"" + Why.Detail + "\""}});
-  if (Why.Kind == ErrorKind::StoreUnavailable || Why.Kind == ErrorKind::NotConfigured)
+}
+
+} // namespace
+
+HttpResponse CallerApi::refusal(const Error &Why, const std::string &Job) const {
+  logRefusal(Why, Job);
+  if (Why.Kind == ErrorKind::NotConfigured)
     return errorResponse(Why, RetryAfterOutage());
   return errorResponse(Why);
 }
 
+HttpResponse CallerApi::notTaken(Error Why, const std::string &Method,
+                                 const std::string &Job) const {
+  if (Why.Kind != ErrorKind::StoreUnavailable)
+    return refusal(Why, Job);
+  const bool IsSubmission = Method == "POST";
+  Why.Kind = IsSubmission ? ErrorKind::OutcomeUnknown : ErrorKind::NotCarriedOut;
+  if (IsSubmission)
+    Why.Detail += "; an earlier attempt may still be carried out";
+  logRefusal(Why, Job);
+  return errorResponse(Why, RetryAfterOutage());
+}
+
 CallerApi::CallerApi(const CellSettings &Settings, Clock Time, CallerCodec Codec,
                      KeyValueStore Store, ConfigWatch &Config, CellView &View,
                      const Leadership &Lead, Intake &In, const CellLink &Peers,
@@ -114,7 +130,7 @@
   const std::string Rest(Path.substr(To->PathPrefix.size()));
   Result<std::string> Caller = identify(*To, Request);
   if (!ok(Caller))
-    co_return refusal(error(Caller), Rest);
+    co_return notTaken(error(Caller), Request.Method, Rest);
   if (Rest.empty() && Request.Method == "GET")
     co_return co_await countWaiting(To->Name);
   const auto Id = parseJobId(Rest);
@@ -165,12 +181,14 @@
     Bounds = SubmitBounds{SeenRevision, ReceivedAt + Limit - RefusalTime};
   }
   Result<Done> Submitted = co_await In.submit(std::move(Spec), Bounds);
-  // The job may have been submitted before and repeated during a store outage; refusing it would
-  // wrongly say that it will never run. The scheduler only knows durable jobs.
+  // The job may have been submitted before and repeated during a store outage. The scheduler only
+  // knows durable jobs: if it does not know this one, an earlier attempt may still be written, and
+  // no mark can be written that stops it.
   if (!ok(Submitted) && error(Submitted).Kind == ErrorKind::StoreUnavailable) {
     const JobStatus Status = co_await askScheduler(Id, RefusalTime);
-    if (!Status.State.empty() && mayAccess(Submitter, Status.Organisation))
-      Submitted = Done{};
+    if (Status.State.empty() || !mayAccess(Submitter, Status.Organisation))
+      co_return notTaken(error(Submitted), "POST", jobIdText(Id));
+    Submitted = Done{};
   }
   if (!ok(Submitted))
     co_return refusal(error(Submitted), jobIdText(Id));
@@ -252,7 +270,7 @@
     co_return jsonResponse(HttpOk, Codec.EncodeState(value(Found).State));
   if (error(Found).Kind == ErrorKind::UnknownJob)
     co_return errorResponse(error(Found));
-  co_return refusal(error(Found), jobIdText(Id));
+  co_return notTaken(error(Found), "GET", jobIdText(Id));
 }
 
 Awaitable<HttpResponse> CallerApi::cancel(JobId Id, std::string Caller) {
@@ -261,7 +279,7 @@
     logEvent(events::JobCancelled, {{"job", jobIdText(Id)}});
     co_return jsonResponse(HttpOk, "{}");
   }
-  HttpResponse Answer = refusal(error(Marked), jobIdText(Id));
+  HttpResponse Answer = notTaken(error(Marked), "DELETE", jobIdText(Id));
   if (error(Marked).Kind == ErrorKind::NotFound)
     Answer.Status = HttpGone;
   co_return Answer;
--- a/src/cell/revocations.cpp
+++ b/src/cell/revocations.cpp
@@ -23,7 +23,7 @@
 const Error InDoubt{ErrorKind::OutcomeUnknown,
                     "the job does not exist, but it could not be ruled out in time that an earlier "
                     "submission is still carried out"};
-const Error TooMany{ErrorKind::Overloaded,
+const Error TooMany{ErrorKind::NotCarriedOut,
                     "too many cancellations of jobs that do not exist; this one was not recorded"};
 } // namespace
 
--- a/src/cell/revocations.h
+++ b/src/cell/revocations.h
@@ -34,7 +34,7 @@
 
   /// Returns once no scheduler starts a job with this id, which the organisation may access, that
   /// is written from now on and for `SchedulerLimits::EndedJobRetention`. OutcomeUnknown: in doubt
-  /// until \p Until. Overloaded: too many are asked for, and nothing was recorded.
+  /// until \p Until. NotCarriedOut: too many are asked for, and nothing was recorded.
   Awaitable<Result<Done>> revoke(sched::JobId Id, std::string Organisation, TimePoint Until);
 
 private:
--- a/src/include/valveshelf/errors.h
+++ b/src/include/valveshelf/errors.h
@@ -36,6 +36,7 @@
   AlreadyEnded,        ///< The job has ended; there is nothing left to cancel.
   UnknownJob,          ///< No such job is known; a submission of it may still be under way.
   UnknownQueue,        ///< No queue is configured for the path; it may have been before.
+  NotCarriedOut,       ///< The call had no effect; nothing is known of the job.
   NotConfigured,       ///< This process has no configuration yet, and knows of no job.
 };
 
