Scheduler: a long-running task doesn't wait for an end that settles nothing

What callers saw: after the lease of a silent worker was over, its tasks were held back for another 3 s if they might be done, long-running ones as well. They were away for that time for nothing (LOST allows 3 s in all from 6 s after the last run).

Cause: `delayPossiblyDoneTasks` asks whether half of the estimate has passed; the same assumption as in the end `done`: that such a task can be over.

Change: long-running tasks are left out.

Result: Restarts.DoNotWaitForASilentWorkerWhoseLeaseIsOver failed before and passes.

--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -320,7 +320,8 @@
     return;
   for (const auto &[Run, Entry] : On.Attempts) {
     StepState *Step = findStep(Cell, Run.Task.Step);
-    if (Step && Run.Task.Index < Step->Tasks.size() && mayBeDone(Entry, Now))
+    if (Step && Run.Task.Index < Step->Tasks.size() && !Step->Spec->LongRunning &&
+        mayBeDone(Entry, Now))
       Step->Tasks[Run.Task.Index].NotBefore = Now + PossiblyDoneDelay;
   }
 }
--- a/src/scheduler/restarts_test.cpp
+++ b/src/scheduler/restarts_test.cpp
@@ -220,6 +220,20 @@
   }
 }
 
+// Guards against a pause for an end that can't come: a silent worker may report other tasks done
+// once it can be reached, and a long-running one has to go on in any case.
+TEST(Restarts, DoNotWaitForASilentWorkerWhoseLeaseIsOver) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(1));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  Given.advance(5s);
+  const std::string Worker = Given.workerOf(Id);
+  Given.fallSilent(Worker);
+  Given.advance(Lease + 200ms);
+  EXPECT_FALSE(Given.workerOf(Id).empty());
+  EXPECT_NE(Given.workerOf(Id), Worker);
+}
+
 // Guards against run numbers that workers refuse: a task that ends often uses up those of a term.
 TEST(Restarts, UseHigherRunNumbersThanTheSchedulerBefore) {
   for (const bool IsReportedLate : {false, true}) {
