--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -59,7 +59,9 @@
 SENT_ARRIVES_S = 0.1
 
 # What the stand-in's workers read from the spec, and the platform does not know.
-ONLY_IN_SPEC = ("after", "work_ms", "crashes", "fails")
+ONLY_IN_SPEC = ("after", "work_ms", "crashes", "fails", "ends")
+# How the runs of long-running tasks end on the stand-in's workers.
+ENDS_DONE, ENDS_FAILED, ENDS_IN_EACH_WAY = 1, 2, 3
 
 
 def step(count=1, cpu=1000, mem_mb=500, work_ms=100, gang=False, after=None, saves=False,
@@ -71,6 +73,11 @@
             "fails": fails}
 
 
+def lasting(count, ends=0, work_ms=100, gang=False):
+    """A step of long-running tasks whose runs end after `work_ms` as `ends` says; 0: they go on."""
+    return dict(step(count, 500, 200, work_ms, gang), long_running=True, ends=ends)
+
+
 def job_body(steps, max_attempts=0, **times):
     """The stand-in's workers read what the tasks do from the spec, and judge their attempts by
     `max_attempts` of the queue if it is given. `times` are the fields of a scheduled job."""
--- a/testsuite/standins/task_rules.cpp
+++ b/testsuite/standins/task_rules.cpp
@@ -5,6 +5,8 @@
 namespace valveshelf::standins {
 
 void noteFailure(TaskHistory &Task, const TaskRules &Rules, uint32_t Run, TimePoint Now) {
+  if (Rules.Lasting)
+    return;
   Task.FailedRuns.insert(Run);
   if (Rules.MaxAttempts > 0 && Task.FailedRuns.size() >= Rules.MaxAttempts && !Task.LastAttemptAt)
     Task.LastAttemptAt = Now;
@@ -13,6 +15,8 @@
 std::vector<uint32_t> noteDone(TaskHistory &Task, const TaskRules &Rules, uint32_t Run,
                                TimePoint LapsedAt, TimePoint Now) {
   std::vector<uint32_t> TooLate;
+  if (Rules.Lasting)
+    return TooLate;
   const auto EndedAt = Task.DoneRuns.find(Run);
   if (!Rules.Speculative && !Task.DoneNotedAt && EndedAt != Task.DoneRuns.end() &&
       LapsedAt < EndedAt->second)
--- a/testsuite/standins/task_rules.h
+++ b/testsuite/standins/task_rules.h
@@ -21,6 +21,7 @@
 struct TaskRules {
   bool Speculative = false;
   uint32_t MaxAttempts = 0; ///< 0: unknown, and not judged.
+  bool Lasting = false;     ///< Started again however its runs end: no end forbids a start.
 };
 
 /// What is known of a task when one of its runs starts.
--- a/testsuite/standins/task_rules_test.cpp
+++ b/testsuite/standins/task_rules_test.cpp
@@ -54,6 +54,18 @@
   EXPECT_TRUE(Late(Speculative, {}).empty());
 }
 
+TEST(TaskRules, ALastingTaskIsStartedAgainHoweverItEnds) {
+  constexpr TaskRules Lasting{false, 2, true};
+  TaskHistory Task;
+  Task.StartedRuns = {{1, Noted - 900ms}, {2, Noted - 300ms}};
+  Task.DoneRuns = {{1, Noted - 500ms}};
+  EXPECT_TRUE(noteDone(Task, Lasting, 1, {}, Noted).empty());
+  for (uint32_t Run = 1; Run <= 3; ++Run)
+    noteFailure(Task, Lasting, Run, Noted);
+  EXPECT_EQ(violationsOfStart(Lasting, Task, {}, Noted + 1s), Found{});
+  EXPECT_EQ(violationsOfStart(Lasting, Task, {0, 1}, Noted + 1s), Found{"task in two places"});
+}
+
 TEST(TaskRules, NothingStartsOnceItsJobIsShownAsCompleted) {
   TaskHistory Shown;
   Shown.CompletedShownAt = Noted;
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -88,11 +88,14 @@
 
 class KeyStore {
 public:
-  explicit KeyStore(asio::io_context &Io) : Changed(Io, TimePoint::max()) {}
+  explicit KeyStore(asio::io_context &Io) : Io(Io), Changed(Io, TimePoint::max()) {}
 
   bool Down = false;       ///< Every call is refused with 503.
   int64_t LoseAnswers = 0; ///< So many transactions are done and not answered.
   int64_t LoseRemoves = 0; ///< The same, of those that remove keys.
+  int64_t LateWrites = 0;  ///< So many transactions are done after LateBy and not answered,
+  std::string LateText;    ///< and all whose body has this text; empty: none.
+  Milliseconds LateBy{0};
   int64_t Calls = 0;
 
   Awaitable<HttpResponse> handle(Call Made) {
@@ -105,6 +108,10 @@
       co_return get(Made);
     if (Made.Path == "/api/kv-range")
       co_return range(Made);
+    if (Made.Path == "/api/kv-txn" && isLate(Made.Body)) {
+      asio::co_spawn(Io, commitLate(Made.Body, LateBy), asio::detached);
+      co_return HttpResponse{0, {}, ""};
+    }
     if (Made.Path == "/api/kv-txn")
       co_return commit(parsed(Made.Body));
     if (Made.Path == "/api/kv-lease")
@@ -150,6 +157,20 @@
   }
 
 private:
+  bool isLate(const std::string &Body) {
+    if (!LateText.empty() && Body.find(LateText) != std::string::npos)
+      return true;
+    return LateWrites > 0 && LateWrites-- > 0;
+  }
+  Awaitable<void> commitLate(std::string Body, Milliseconds After) {
+    SteadyTimer Timer(Io, After);
+    co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    while (Down) {
+      Timer.expires_after(After);
+      co_await Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    commit(parsed(Body));
+  }
   // All rows of a transaction share its revision.
   uint64_t nextRevision() { return InTransaction ? Revision : ++Revision; }
   static json::object describe(const std::string &Key, const Item &Row) {
@@ -255,6 +276,7 @@
       remove(Key);
   }
 
+  asio::io_context &Io;
   std::map<std::string, Item> Items;
   std::vector<std::pair<std::string, json::object>> History;
   std::map<uint64_t, std::pair<Milliseconds, TimePoint>> Leases;
@@ -316,6 +338,16 @@
   int64_t LongRunTimes = 1;                               ///< How many times as long.
   int64_t Copies = 0; ///< Starts of speculative tasks beside another run.
 
+  /// By job with lasting tasks: for how long the one that was away longest has been.
+  std::map<JobId, Milliseconds> lastingAway() const {
+    std::map<JobId, Milliseconds> Away;
+    for (const auto &[Task, At] : LastRunAt) {
+      Milliseconds &Longest = Away[Task.Step.Job];
+      Longest = std::max(Longest, std::chrono::duration_cast<Milliseconds>(Steady::now() - At));
+    }
+    return Away;
+  }
+
   /// Notes that callers were shown the job as completed.
   void showCompleted(JobId Id) { ShownCompleted.try_emplace(Id, Steady::now()); }
 
@@ -449,6 +481,9 @@
         One->Model.advance(One->Model.Now + Passed);
         if (One->Model.Now > One->Model.LeaseUntil)
           One->LapsedAt = Now;
+        for (const auto &[Run, What] : One->Model.Runs)
+          if (const auto Task = LastRunAt.find(Run.Task); Task != LastRunAt.end())
+            Task->second = Now;
       }
       Store.expire();
     }
@@ -504,13 +539,21 @@
     bool Gang = false;
     bool CrashesWorkers = false;
     int64_t FailingRuns = 0; ///< So many runs of each task fail.
+    bool Lasting = false;
+    int64_t LastingEnds = 0; ///< How runs of lasting tasks end: `EndsDone` and so on.
     TaskRules Rules;
     Milliseconds Work{100};
     std::vector<uint32_t> After;
   };
 
+  // How the runs of lasting tasks end, when their work is done: not at all, done, failed, or in
+  // each of these ways.
+  static constexpr int64_t EndsDone = 1;
+  static constexpr int64_t EndsFailed = 2;
+  static constexpr int64_t EndsInEachWay = 3;
+
   // The spec of a job here is its steps, as `count cpu mem_mb gang work_ms after crashes fails
-  // speculative max_attempts` rows of JSON.
+  // speculative max_attempts long_running ends` rows of JSON.
   const Known *knownStep(const StepKey &Key) const {
     const auto Found = Jobs.find(Key.Job);
     return Found == Jobs.end() || Key.Step >= Found->second.size() ? nullptr
@@ -532,10 +575,16 @@
       Read.CrashesWorkers = numberOf(Step, "crashes") != 0;
       Read.FailingRuns = numberOf(Step, "fails");
       Read.Rules = {numberOf(Step, "speculative") != 0,
-                    static_cast<uint32_t>(numberOf(Step, "max_attempts"))};
+                    static_cast<uint32_t>(numberOf(Step, "max_attempts")),
+                    numberOf(Step, "long_running") != 0};
+      Read.Lasting = Read.Rules.Lasting;
+      Read.LastingEnds = numberOf(Step, "ends");
       Read.Work = Milliseconds(numberOf(Step, "work_ms", 100));
       for (const json::value &Earlier : rowsOf(Step, "after"))
         Read.After.push_back(Earlier.to_number<uint32_t>());
+      if (Read.Lasting)
+        for (uint32_t I = 0; I < Read.Count; ++I)
+          LastRunAt[{{Id, 0, static_cast<uint32_t>(Jobs[Id].size())}, I}] = Steady::now();
       Jobs[Id].push_back(Read);
     }
   }
@@ -551,6 +600,13 @@
     Plan.Work = Milliseconds(std::llround(static_cast<double>(Step->Work.count()) * Factor));
     Plan.Fails = ++RunsBegun[Run.Task] <= Step->FailingRuns;
     Plan.GangSize = Step->Gang ? Step->Count : 0;
+    if (Step->Lasting) {
+      const int64_t Way = Step->LastingEnds == EndsInEachWay
+                              ? static_cast<int64_t>(std::hash<std::string>()(Text) % EndsInEachWay)
+                              : Step->LastingEnds;
+      Plan.Fails = Way == EndsFailed;
+      Plan.Lasting = Way != EndsDone && Way != EndsFailed;
+    }
     return Plan;
   }
 
@@ -565,6 +621,8 @@
     const Known *Step = knownStep(Run.Task.Step);
     if (!Step)
       return broken("unknown job", Run);
+    if (Step->Lasting)
+      LastRunAt[Run.Task] = Steady::now();
     const auto Empty = EmptySince.find(On.Zone);
     if (Empty != EmptySince.end() && Steady::now() - Empty->second > EmptyHeardWithin)
       broken("started in a zone that is to be left empty", Run);
@@ -758,6 +816,7 @@
   std::set<valveshelf::sched::TaskKey> Done;
   std::map<valveshelf::sched::TaskKey, TaskHistory> Histories;
   std::map<JobId, TimePoint> ShownCompleted;
+  std::map<valveshelf::sched::TaskKey, TimePoint> LastRunAt; ///< Of lasting tasks.
   std::map<valveshelf::sched::TaskKey, int64_t> RunsBegun;
   std::map<valveshelf::sched::TaskKey, int> CrashesBy;
   std::map<valveshelf::sched::TaskKey, int> StartsAfter; ///< Its third crash.
@@ -772,6 +831,11 @@
     Store.LoseAnswers = numberOf(Body, "lose_answers");
   if (Body.contains("lose_removes"))
     Store.LoseRemoves = numberOf(Body, "lose_removes");
+  if (Body.contains("late_writes")) {
+    Store.LateWrites = numberOf(Body, "late_writes");
+    Store.LateText = textOf(Body, "late_text");
+    Store.LateBy = Milliseconds(numberOf(Body, "late_ms"));
+  }
   if (Body.contains("configuration"))
     Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
   if (Body.contains("evacuate"))
@@ -827,6 +891,9 @@
   json::array StartedJobs;
   for (const JobId Id : Workers.StartedJobs)
     StartedJobs.emplace_back(jobIdText(Id));
+  json::object LastingAway;
+  for (const auto &[Id, Away] : Workers.lastingAway())
+    LastingAway[jobIdText(Id)] = Away.count();
   json::array MayFail;
   for (const auto &[Task, Count] : Workers.CrashesUnder)
     if (Count >= CrashesForGivingUp)
@@ -849,6 +916,7 @@
                                   {"running_twice", RunningTwice},
                                   {"running_by_worker", ByWorker},
                                   {"started_jobs", StartedJobs},
+                                  {"lasting_away_ms", LastingAway},
                                   {"crashes", Workers.Crashes},
                                   {"restarts", Workers.Restarts},
                                   {"copies", Workers.Copies},
