--- a/testsuite/platform-late-submissions/run.py
+++ b/testsuite/platform-late-submissions/run.py
@@ -12,10 +12,10 @@
 
 def cancel_late(cell, job, entry):
     """Hands the job in at e1, where it gets no answer, and cancels it at `entry`."""
-    cell.control({"late_writes": 0, "late_text": job, "late_ms": LATE_MS})
+    cell.control({"late_text": job, "late_ms": LATE_MS})
     submitted = cell.ask("e1", "POST", "check", job, job_body(STEPS))[0]
     cancelled, headers, _ = cell.ask(entry, "DELETE", "check", job)
-    cell.control({"late_writes": 0})
+    cell.control({"late_text": ""})
     return submitted, cancelled, {k.lower(): v for k, v in headers.items()}.get("valveshelf-outcome")
 
 
--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -1,8 +1,8 @@
 # SPDX-License-Identifier: Apache-2.0
 """A seeded soak of `valveshelf serve`: real processes on the stand-in of the users' platform, with
 faults injected from outside them, in series that overlap. It checks while it runs, from what
-callers and workers see: no broken rule of a start, nothing that was refused ever runs, accepted
-jobs stay known, what is shown as ended stays so, only jobs with a task under which two workers have
+callers and workers see: no broken rule of a start, nothing that was refused ever runs, nor a job
+whose cancelling was answered with 410 before it was accepted, accepted jobs stay known, what is shown as ended stays so, only jobs with a task under which two workers have
 crashed are given up, and all jobs end once the faults are over. Some workers and some runs are
 slow, some steps are speculative, and operators switch the features of `overload` at random.
 
@@ -23,7 +23,8 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cell import call, free_ports
-from platform_cell import HOST, MAX_ATTEMPTS, PREFIXES, PlatformCell, configuration, job_body, step
+from platform_cell import (ENDS_IN_EACH_WAY, HOST, MAX_ATTEMPTS, PREFIXES, PlatformCell, configuration,
+                           job_body, lasting, step)
 from proxy import Proxy, ProxyThread
 
 ENDED = ("completed", "failed", "cancelled")
@@ -44,6 +45,14 @@
 # a client opens few connections while they are being reset.
 RESETS = {"worker-resets": ("connections", 3.0), "resets-in-takeover": ("takeover", 2.0)}
 RESETS_WEIGHT = 12
+# With --late-writes: the store carries writes out seconds later without an answer, callers cancel half
+# of the jobs whose submission got none, and one job in so many has long-running tasks.
+LATE = {"store-late": ("store", 0.1)}
+LATE_WEIGHT, LASTING_ONE_IN, MOST_LASTING = 8, 12, 5
+LATE_MS = (1000, 6000)
+IMPATIENT_ONE_IN, IMPATIENT_S, LATE_WAIT_S = 6, (0.0005, 0.006), (0.05, 1.0)
+# Once the faults are over, a long-running task is away for at most this time.
+AWAY_MS, SETTLED_WITHIN_S, WATCHED_S = 3000, 20, 6
 FIRST_RESETS = (0.5, "resets-in-takeover", None, 1.0, 1)  # In every plan.
 
 # One job in so many crashes each worker that begins it.
@@ -56,15 +65,16 @@
 SCHEDULED_ONE_IN, MAX_ROUNDS, MAX_DUE_IN_MS, INTERVALS_MS = 2, 3, 1500, (200, 1200)
 
 
-def make_plan(seed, seconds, entries, workers, resets):
+def make_plan(seed, seconds, entries, workers, resets, late):
     """The faults as (at, kind, target, duration, amount). Half of them come within a second of the
     one before, so that they overlap."""
     rng = random.Random(seed)
     kinds = sorted(FAULTS) + (sorted(RESETS) * RESETS_WEIGHT if resets else [])
+    kinds += sorted(LATE) * LATE_WEIGHT if late else []
     plan, at = [FIRST_RESETS] if resets else [], 1.0
     while at < seconds - 1:
         kind = rng.choice(kinds)
-        struck, longest = {**FAULTS, **RESETS}[kind]
+        struck, longest = {**FAULTS, **RESETS, **LATE}[kind]
         entry, worker = "e%d" % rng.randint(1, entries), rng.randrange(workers)
         target = {"entry": entry, "worker": worker, "connections": worker}.get(struck)
         plan.append((round(at, 2), kind, target, round(rng.uniform(0.1, longest), 2), rng.randint(1, 6)))
@@ -76,8 +86,9 @@
     """Callers who keep connections open, ask again after answers that are missing, and note what
     they may rely on."""
 
-    def __init__(self, cell, fronts, seed, scheduled):
-        self.cell, self.fronts, self.seed, self.scheduled = cell, fronts, seed, scheduled
+    def __init__(self, cell, fronts, seed, scheduled, late):
+        self.cell, self.fronts, self.seed, self.scheduled, self.late = cell, fronts, seed, scheduled, late
+        self.lasting, self.revoked = [], set()
         self.over, self.lock = threading.Event(), threading.Lock()
         self.accepted, self.refused, self.cancelled, self.shown = {}, set(), set(), {}
         self.breaks = []
@@ -93,10 +104,10 @@
         for thread in self.threads:
             thread.join()
 
-    def ask(self, kept, front, method, target, body=None):
+    def ask(self, kept, front, method, target, body=None, timeout=4):
         """Status and body over the connection kept to `front`; status 0: no answer."""
         if front not in kept:
-            kept[front] = http.client.HTTPConnection("127.0.0.1", self.fronts[front].port, timeout=4)
+            kept[front] = http.client.HTTPConnection("127.0.0.1", self.fronts[front].port, timeout=timeout)
         try:
             kept[front].request(method, target, body, {"Host": HOST, "Content-Type": "application/json"})
             answer = kept[front].getresponse()
@@ -109,6 +120,7 @@
         rng, kept = random.Random(self.seed * 31 + number), {}
         timed = random.Random(self.seed * 53 + number)
         crashes, copies = random.Random(self.seed * 37 + number), random.Random(self.seed * 43 + number)
+        lates = random.Random(self.seed * 59 + number)
         while not self.over.is_set():
             queue, steps = self.job(rng)
             if crashes.randrange(CRASHERS_ONE_IN) == 0:
@@ -121,15 +133,28 @@
                 times = {"repetitions": timed.randint(1, MAX_ROUNDS),
                          "first_run_ms": int(time.time() * 1000) + timed.randrange(MAX_DUE_IN_MS),
                          "interval_ms": timed.choice(INTERVALS_MS)}
+            lasts = self.late and lates.randrange(LASTING_ONE_IN) == 0 and len(self.lasting) < MOST_LASTING
+            if lasts:
+                queue, times = "scan", {}
+                steps = [lasting(lates.randint(1, 3), ENDS_IN_EACH_WAY, lates.choice([5, 100, 900]),
+                                 gang=lates.randrange(3) == 0)]
             job, front, may_run = "%016x" % rng.getrandbits(64), rng.choice(sorted(self.fronts)), False
+            if self.late and not lasts and lates.randrange(IMPATIENT_ONE_IN) == 0:
+                self.submit_impatiently(lates, job, queue, steps, times)
+                continue
             for _ in range(6):
                 status, _ = self.ask(kept, front, "POST", PREFIXES[queue] + job,
                                      job_body(steps, MAX_ATTEMPTS[queue], **times))
                 if status == 200:
                     with self.lock:
                         self.accepted[job] = queue
+                        if lasts:
+                            self.lasting.append(job)
                     break
                 may_run = may_run or status not in (429, 503)
+                if self.late and status not in (429, 503) and lates.randrange(2) == 0:
+                    self.give_up(kept, lates, job, queue)
+                    break
                 front = rng.choice(sorted(self.fronts))
                 self.over.wait(0.2)
             else:
@@ -137,6 +162,49 @@
                     self.refused.add(job)
             self.over.wait(rng.expovariate(6))
 
+    def submit_impatiently(self, rng, job, queue, steps, times):
+        """Hands a job in and cancels it elsewhere while the answer is still due, or while the store
+        carries its write out late."""
+        limit = rng.uniform(*IMPATIENT_S)
+        if rng.randrange(2) == 0:
+            self.cell.control({"late_text": job, "late_ms": rng.randint(*LATE_MS)})
+            limit = rng.uniform(*LATE_WAIT_S)
+        status, _ = self.ask({}, rng.choice(sorted(self.fronts)), "POST", PREFIXES[queue] + job,
+                             job_body(steps, MAX_ATTEMPTS[queue], **times), limit)
+        if status == 200:
+            with self.lock:
+                self.accepted[job] = queue
+        else:
+            self.give_up({}, rng, job, queue)
+
+    def give_up(self, kept, rng, job, queue):
+        """Cancels a job whose submission got no answer. What is told 410 has not run and never will."""
+        self.cancelled.add(job)
+        status, _ = self.ask(kept, rng.choice(sorted(self.fronts)), "DELETE", PREFIXES[queue] + job)
+        if status == 410:
+            self.revoked.add(job)
+
+    def end_lasting(self):
+        """Once the faults are over: no long-running task is away for long. Then the jobs are cancelled."""
+        limit = time.time() + SETTLED_WITHIN_S
+        while time.time() < limit and not self.away() <= AWAY_MS:
+            time.sleep(0.1)
+        worst, limit = 0, time.time() + WATCHED_S
+        while self.lasting and time.time() < limit:
+            worst = max(worst, self.away())
+            time.sleep(0.1)
+        if worst > AWAY_MS:
+            self.breaks.append("a long-running task was away for %s ms" % worst)
+        kept = {}
+        for job in self.lasting:
+            self.cancelled.add(job)
+            self.ask(kept, sorted(self.fronts)[0], "DELETE", PREFIXES[self.accepted[job]] + job)
+
+    def away(self):
+        times = self.cell.verdict()["lasting_away_ms"]
+        alive = [job for job in self.lasting if job not in self.cancelled]
+        return max([times.get(job, float("inf")) for job in alive], default=0)
+
     @staticmethod
     def job(rng):
         kind = rng.randrange(5)
@@ -180,8 +248,8 @@
             self.cancelled.add(job)
             self.ask(kept, random.choice(sorted(self.fronts)), "DELETE", PREFIXES[queue] + job)
 
-    def finish(self, seconds):
-        left, kept, limit = dict(self.accepted), {}, time.time() + seconds
+    def finish(self, jobs, seconds):
+        left, kept, limit = {job: self.accepted[job] for job in jobs}, {}, time.time() + seconds
         while left and time.time() < limit:
             for job, queue in list(left.items()):
                 status, body = self.ask(kept, sorted(self.fronts)[0], "GET", PREFIXES[queue] + job)
@@ -194,7 +262,7 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, entries, workers, scheduled, resets):
+    def __init__(self, folder, seed, entries, workers, scheduled, resets, late):
         self.proxies = ProxyThread()
         self.stores, self.advices, self.fronts = {}, {}, {}
         # The proxies listen before the cell looks for free ports, so that it takes others.
@@ -209,7 +277,8 @@
             self.advices[name].target = "127.0.0.1:%d" % (self.cell.store + 1)
             self.fronts[name].target = entry.address
             self.cell.point(name, store=self.stores[name].port, advice=self.advices[name].port)
-        self.callers = Callers(self.cell, self.fronts, seed, scheduled)
+        self.callers = Callers(self.cell, self.fronts, seed, scheduled, late)
+        self.late_by = random.Random(seed * 61)
         self.switched = 0  # Configurations that switched features.
 
     def all_proxies(self):
@@ -230,6 +299,8 @@
             self.cell.control({"store_down": True})
             time.sleep(duration)
             self.cell.control({"store_down": False})
+        elif kind == "store-late":
+            self.cell.control({"late_writes": amount, "late_ms": self.late_by.randint(*LATE_MS)})
         elif kind == "store-loses-answers":
             self.cell.control({"lose_answers": amount})
         elif kind == "cancel-wave":
@@ -350,7 +421,7 @@
         began, busy, threads = time.time(), {}, []
         for at, kind, target, duration, amount in plan:
             time.sleep(max(0, began + at - time.time()))
-            key = ({**FAULTS, **RESETS}[kind][0], target)
+            key = ({**FAULTS, **RESETS, **LATE}[kind][0], target)
             if key in busy and busy[key].is_alive():
                 continue
             if verbose:
@@ -365,14 +436,17 @@
         over.set()
         self.heal()
         self.callers.stop()
-        self.callers.finish(60)
+        # Jobs that crash workers are over before the others are watched.
+        self.callers.finish(set(self.callers.accepted) - set(self.callers.lasting), 60)
+        self.callers.end_lasting()
+        self.callers.finish(self.callers.lasting, 20)
         return self.verdict()
 
     def heal(self):
         for proxy in self.all_proxies():
             proxy.heal()
             self.proxies.call(proxy.reset_all)
-        self.cell.control({"store_down": False, "lose_answers": 0})
+        self.cell.control({"store_down": False, "lose_answers": 0, "late_writes": 0, "late_text": ""})
         for front in self.cell.worker_fronts:
             front.active = 0
         for worker in range(self.cell.worker_count):
@@ -386,6 +460,7 @@
         found = self.cell.verdict()
         started = set(found["started_jobs"])
         ran = ["job %s was refused and ran" % job for job in self.callers.refused & started]
+        ran += ["job %s was cancelled, not run, and ran" % job for job in self.callers.revoked & started]
         failed = {job for job, state in self.callers.shown.items() if state == "failed"}
         wrong = ["job %s is given up, and two workers have not crashed under a task of it" % job
                  for job in failed - set(found["jobs_that_may_fail"])]
@@ -396,8 +471,8 @@
     seconds, entries, workers, keep, verbose = (given.seconds, given.entries, given.workers, given.keep,
                                                 given.verbose)
     folder = tempfile.mkdtemp(prefix="valveshelf-soak-%d-" % seed)
-    plan = make_plan(seed, seconds, entries, workers, given.worker_resets)
-    soak = Soak(folder, seed, entries, workers, given.scheduled, given.worker_resets)
+    plan = make_plan(seed, seconds, entries, workers, given.worker_resets, given.late_writes)
+    soak = Soak(folder, seed, entries, workers, given.scheduled, given.worker_resets, given.late_writes)
     try:
         found, breaks = soak.run(plan, seconds, verbose)
     finally:
@@ -412,6 +487,9 @@
         print("   %d resets, %d starts refused that had been sent again, %d unbooked runs that a report names" % (
             resets, soak.cell.count_logged(" start-not-confirmed ", " repeated=yes "),
             soak.cell.count_logged(" run-contradicted ")))
+    if given.late_writes:
+        print("   %d jobs cancelled before they were accepted, %d of them not run, %d with long-running tasks" % (
+            len(callers.cancelled - set(callers.accepted)), len(callers.revoked), len(callers.lasting)))
     for line in breaks[:20]:
         print("   " + line)
     if breaks or keep:
@@ -420,7 +498,8 @@
         shutil.rmtree(folder, ignore_errors=True)
     # A soak in which nothing happened proves nothing.
     return (not breaks and found["starts"] > 0 and soak.switched > 0 and len(callers.accepted) > 0
-            and (resets > 0 or not given.worker_resets))
+            and (resets > 0 or not given.worker_resets)
+            and (callers.revoked and callers.lasting or not given.late_writes))
 
 
 def main():
@@ -434,6 +513,8 @@
     parser.add_argument("--scheduled", action="store_true", help="half of the jobs have times")
     parser.add_argument("--worker-resets", action="store_true",
                         help="connections to workers are reset after starts were carried out")
+    parser.add_argument("--late-writes", action="store_true",
+                        help="writes are carried out late, unanswered jobs cancelled, tasks long-running")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     given = parser.parse_args()
     good = [play(given.seed + i, given) for i in range(given.seeds)]
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -831,11 +831,12 @@
     Store.LoseAnswers = numberOf(Body, "lose_answers");
   if (Body.contains("lose_removes"))
     Store.LoseRemoves = numberOf(Body, "lose_removes");
-  if (Body.contains("late_writes")) {
+  if (Body.contains("late_writes"))
     Store.LateWrites = numberOf(Body, "late_writes");
+  if (Body.contains("late_text"))
     Store.LateText = textOf(Body, "late_text");
+  if (Body.contains("late_ms"))
     Store.LateBy = Milliseconds(numberOf(Body, "late_ms"));
-  }
   if (Body.contains("configuration"))
     Store.put("op/config", base64Of(json::serialize(Body.at("configuration"))), 0);
   if (Body.contains("evacuate"))
