Scheduler: a long-running task whose end was never heard is started again

Cause: its run had ended, and its worker had been told to forget the end unheard, as when a worker is taken for a new life. Such a run stays booked: other tasks are found by a lack of progress, which long-running ones are exempt from.

Change: a full report, asked for after the run was known to be there, that lists it neither as active nor among the ends, ends it: active runs and ends that are not acknowledged are all listed (rule R6).

--- a/src/scheduler/restarts_test.cpp
+++ b/src/scheduler/restarts_test.cpp
@@ -234,6 +234,40 @@
   EXPECT_NE(Given.workerOf(Id), Worker);
 }
 
+// Guards against a task that is away for good since its end was not heard: no progress tells that
+// its run is over.
+TEST(Restarts, FollowARunThatNoReportNamesAnyMore) {
+  for (const bool IsGang : {false, true}) {
+    RestartScene Given;
+    const JobId Id = Given.submit(lasting(3, IsGang));
+    Given.advance(1s);
+    for (uint32_t I = 0; I < 3; ++I)
+      Given.ActiveRuns[Given.workerOf(Id, I)].erase(Given.runOf(Id, I));
+    const uint32_t Run = Given.runOf(Id).Run;
+    Given.advance(AwayLimit);
+    EXPECT_TRUE(Given.allRun(Id, 3));
+    EXPECT_GT(Given.runOf(Id).Run, Run);
+  }
+}
+
+// A report may leave ends out, or have been on its way before the run began.
+TEST(Restarts, DoNotFollowARunThatAPartialOrEarlierReportDoesNotName) {
+  RestartScene Given;
+  const JobId Id = Given.submit(lasting(1));
+  ASSERT_TRUE(Given.advanceUntilRuns(Id));
+  const std::string Worker = Given.workerOf(Id);
+  const uint32_t Run = Given.runOf(Id).Run;
+  WorkerReport Partial;
+  Partial.HasMoreEnds = true;
+  Effects Out;
+  workerReported(Given.Cell, Worker, Partial, Given.Now, Given.Now, Out);
+  EXPECT_EQ(Given.workerOf(Id), Worker);
+  workerReported(Given.Cell, Worker, {}, Given.Now - 100ms, Given.Now, Out);
+  EXPECT_EQ(Given.workerOf(Id), Worker);
+  Given.advance(1s);
+  EXPECT_EQ(Given.runOf(Id).Run, Run);
+}
+
 // Guards against run numbers that workers refuse: a task that ends often uses up those of a term.
 TEST(Restarts, UseHigherRunNumbersThanTheSchedulerBefore) {
   for (const bool IsReportedLate : {false, true}) {
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -101,18 +101,19 @@
 /// Faults beyond those of every world.
 enum class Scenario {
   FaultsOnly,
-  Crashes,       ///< Tasks crash their workers; capacities change.
-  Evacuations,   ///< Availability zones are evacuated for a while.
-  Features,      ///< Features are switched at random; tickets state their lifetime.
-  Copies,        ///< As Features; steps may be speculative, and workers and runs slow.
-  Restarts,      ///< Workers start again under their id, holding and knowing nothing.
-  CrashRestarts, ///< As Crashes; workers that were crashed start again under their id.
-  Rounds,        ///< Half of the jobs are scheduled; the time of day of schedulers is off.
-  Partitions,    ///< As Rounds; replaced schedulers are cut off together with some workers.
-  Resets,        ///< Connections are reset, and calls repeated; reports leave out ends.
-  ResetRestarts, ///< As Resets and Restarts.
-  Lasting,       ///< Steps may be long-running; their runs end in each way, some at once.
-  LateWrites,    ///< Submissions are written late, also after their job was cancelled.
+  Crashes,         ///< Tasks crash their workers; capacities change.
+  Evacuations,     ///< Availability zones are evacuated for a while.
+  Features,        ///< Features are switched at random; tickets state their lifetime.
+  Copies,          ///< As Features; steps may be speculative, and workers and runs slow.
+  Restarts,        ///< Workers start again under their id, holding and knowing nothing.
+  CrashRestarts,   ///< As Crashes; workers that were crashed start again under their id.
+  Rounds,          ///< Half of the jobs are scheduled; the time of day of schedulers is off.
+  Partitions,      ///< As Rounds; replaced schedulers are cut off together with some workers.
+  Resets,          ///< Connections are reset, and calls repeated; reports leave out ends.
+  ResetRestarts,   ///< As Resets and Restarts.
+  Lasting,         ///< Steps may be long-running; their runs end in each way, some at once.
+  LastingRestarts, ///< As Lasting and ResetRestarts.
+  LateWrites,      ///< Submissions are written late, also after their job was cancelled.
 };
 
 class World {
@@ -124,12 +125,13 @@
         SwitchesFeatures(With == Scenario::Features || With == Scenario::Copies),
         DrawsCopies(With == Scenario::Copies),
         RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts ||
-                        With == Scenario::ResetRestarts),
+                        With == Scenario::ResetRestarts || With == Scenario::LastingRestarts),
         SchedulesJobs(With == Scenario::Rounds || With == Scenario::Partitions),
         CutsSchedulersOff(With == Scenario::Partitions),
-        ResetsConnections(With == Scenario::Resets || With == Scenario::ResetRestarts),
-        DrawsLasting(With == Scenario::Lasting), WritesLate(With == Scenario::LateWrites),
-        StopTime(Seed % 2 ? 50 : 900) {
+        ResetsConnections(With == Scenario::Resets || With == Scenario::ResetRestarts ||
+                          With == Scenario::LastingRestarts),
+        DrawsLasting(With == Scenario::Lasting || With == Scenario::LastingRestarts),
+        WritesLate(With == Scenario::LateWrites), StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -261,6 +261,29 @@
   }
 }
 
+// Drops runs of long-running tasks that were there before the report was asked for and that it does
+// not name: they have ended, and the worker was told to forget their ends unheard. Other tasks are
+// found by their progress, which these don't have, and an end of theirs may settle them.
+void dropUnheardLastingRuns(CellState &Cell, Worker &On, const WorkerReport &Report,
+                            TimePoint AskedAt, TimePoint Now, Effects &Out) {
+  const auto IsActive = [&](const RunKey &Run) {
+    return std::any_of(Report.Active.begin(), Report.Active.end(),
+                       [&](const ActiveRun &Row) { return Row.Run == Run; });
+  };
+  std::vector<RunKey> Gone;
+  for (const auto &[Run, Entry] : On.Attempts) {
+    const StepState *Step = findStep(Cell, Run.Task.Step);
+    if (Step && Step->Spec->LongRunning && Entry.Phase == AttemptPhase::Running &&
+        AskedAt >= Entry.StartedAt && !IsActive(Run))
+      Gone.push_back(Run);
+  }
+  for (const RunKey &Run : Gone) {
+    noteUnbooked(Cell, On, Run, "end-unheard", Now, Out);
+    unbook(Cell, On, Run);
+    runEnded(Cell, Run, RunOutcome::LeaseExpired, "", &On, Now, Out);
+  }
+}
+
 // Stops the members of a gang run that can't be completed, instead of letting them wait for it.
 void stopGang(CellState &Cell, StepState &Step, uint32_t Run, const char *Why, TimePoint Now,
               Effects &Out) {
@@ -543,6 +566,7 @@
     return Order;
   stopIncompleteGangs(Cell, *On, Now, Out);
   dropNeverStarted(Cell, *On, Report, AskedAt, Now, Out);
+  dropUnheardLastingRuns(Cell, *On, Report, AskedAt, Now, Out);
   On->HasReported = true;
   noteWorkerKnown(Cell, Id, Now, Out);
   return Order;
