--- a/review/stage3.py
+++ b/review/stage3.py
@@ -276,36 +276,45 @@
         self.up = False
         self.begin()
 
-    def begin(self):
+    def begin(self, keeps_id=False):
+        """A new life. With `keeps_id` it comes back under the id it had before, and states `born`."""
         Minion.lives += 1
-        self.id = "i-%04x" % (0x3a10 + Minion.lives * 17)
+        if not keeps_id:
+            self.id = "i-%04x" % (0x3a10 + Minion.lives * 17)
         self.born = time.monotonic() - 1.0
+        self.born_ms = int(time.time() * 1000)
         self.fence, self.until, self.count = 0, 0, 0
         self.runs, self.ended, self.stopped = {}, [], {}
         self.up, self.silent, self.leaves = True, False, None
         self.http.refusing = False
         self.event = asyncio.Event()
         self.stage.record("minion %s begins at port %d" % (self.id, self.port))
-        self.list()
+        if keeps_id:
+            asyncio.get_running_loop().call_later(self.stage.first_check_in_s, self.list)
+        else:
+            self.list()
 
     def list(self):
         value = {"service": self.service, "address": "127.0.0.1:%d" % self.port, "zone": "z1", "version": "v1",
                  "slots": 8, "state": "draining" if self.leaves else "ready", "sequence": 1, "capacity": self.capacity, "labels": self.labels}
+        if self.stage.states_born:
+            value["born"] = self.born_ms
         if self.leaves:
             value["remaining_ms"] = int((self.leaves - time.monotonic()) * 1000)
         self.stage.store.put("servers/" + self.id, base64.b64encode(json.dumps(value).encode()).decode())
 
-    def crash(self, down_s):
-        """The process dies; another begins at the address, under a new id. The old entry goes after
-        three check-ins of silence."""
+    def crash(self, down_s, keeps_id=False):
+        """The process dies; another begins at the address, under a new id or, with `keeps_id`, under
+        the one it had. The old entry goes after three check-ins of silence."""
         self.stage.record("minion %s crashes, under %s" % (self.id, sorted("%s run %d" % k for k in self.runs)))
         old, self.up = self.id, False
         self.http.refusing = True
         self.http.break_off()
         self.runs = {}
         loop = asyncio.get_running_loop()
-        loop.call_later(3 * BEAT_S, self.stage.store.remove, "servers/" + old)
-        loop.call_later(down_s, self.begin)
+        if not keeps_id:
+            loop.call_later(3 * BEAT_S, self.stage.store.remove, "servers/" + old)
+        loop.call_later(down_s, self.begin, keeps_id)
 
     def drain(self, seconds):
         """A planned end: the minion says `draining`, works on for that time, and then it is gone."""
@@ -355,6 +364,12 @@
             return 421, {}
         if target == "/health":
             return 200, {}
+        if target == "/api/run-start" and self.stage.takes_late and self.stage.takes_late(self, body):
+            return None
+        return await self.carry_out(target, body)
+
+    async def carry_out(self, target, body):
+        life = self.id
         fence = int(body.get("fencing_token", 0))
         clock = {"clock_ms": self.clock()}
         if fence < self.fence:
@@ -377,13 +392,14 @@
             wait = min(int(body.get("wait_ms", 0)), 2000) / 1000
             if not self.ended and wait:
                 try:
-                    await asyncio.wait_for(asyncio.shield(self.event.wait()), wait)
+                    await asyncio.wait_for(self.event.wait(), wait)
                 except asyncio.TimeoutError:
                     pass
                 if self.id != life or not self.up or self.silent:
                     return None
             now = time.monotonic()
-            return 200, {"clock_ms": self.clock(),
+            born = {"born": self.born_ms} if self.stage.states_born else {}
+            return 200, {"clock_ms": self.clock(), **born,
                          "active": [[k[0], k[1], "", min(99, int(100 * (now - r.begun) / r.work_s))]
                                     for k, r in self.runs.items()],
                          "ended_at": self.ended[:500]}
@@ -407,7 +423,11 @@
 
 
 class Stage:
-    def __init__(self, folder, processes=3, minions=6, service_of=lambda index: "pool"):
+    def __init__(self, folder, processes=3, minions=6, service_of=lambda index: "pool",
+                 states_born=False):
+        self.states_born = states_born
+        self.first_check_in_s = 0.3   # Of a life that keeps the id of the one before.
+        self.takes_late = None    # Of (minion, body): true if the order is left unanswered for now.
         self.service_of = service_of
         self.record = Record(folder)
         self.scratch = tempfile.mkdtemp(prefix="valveshelf-review-")
