--- a/review/stage3.py
+++ b/review/stage3.py
@@ -83,6 +83,7 @@
     def __init__(self, handler, port):
         self.handler, self.port, self.open = handler, port, set()
         self.refusing = False
+        self.refused = asyncio.Event()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
@@ -95,6 +96,7 @@
     async def serve(self, reader, writer):
         if self.refusing:
             writer.transport.abort()
+            self.refused.set()
             return
         self.open.add(writer)
         try:
@@ -303,9 +305,15 @@
             value["remaining_ms"] = int((self.leaves - time.monotonic()) * 1000)
         self.stage.store.put("servers/" + self.id, base64.b64encode(json.dumps(value).encode()).decode())
 
-    def crash(self, down_s, keeps_id=False):
+    async def begin_after_refusal(self, keeps_id):
+        self.http.refused.clear()
+        await self.http.refused.wait()
+        self.begin(keeps_id)
+
+    def crash(self, down_s, keeps_id=False, after_refusal=False):
         """The process dies; another begins at the address, under a new id or, with `keeps_id`, under
-        the one it had. The old entry goes after three check-ins of silence."""
+        the one it had; with `after_refusal` right after the next connection was refused. The old
+        entry goes after three check-ins of silence."""
         self.stage.record("minion %s crashes, under %s" % (self.id, sorted("%s run %d" % k for k in self.runs)))
         old, self.up = self.id, False
         self.http.refusing = True
@@ -314,7 +322,11 @@
         loop = asyncio.get_running_loop()
         if not keeps_id:
             loop.call_later(3 * BEAT_S, self.stage.store.remove, "servers/" + old)
-        loop.call_later(down_s, self.begin, keeps_id)
+        if after_refusal:
+            loop.call_later(down_s, lambda: self.stage.tasks.append(
+                asyncio.ensure_future(self.begin_after_refusal(keeps_id))))
+        else:
+            loop.call_later(down_s, self.begin, keeps_id)
 
     def drain(self, seconds):
         """A planned end: the minion says `draining`, works on for that time, and then it is gone."""
@@ -364,7 +376,7 @@
             return 421, {}
         if target == "/health":
             return 200, {}
-        if target == "/api/run-start" and self.stage.takes_late and self.stage.takes_late(self, body):
+        if self.stage.is_left and self.stage.is_left(self, target, body):
             return None
         return await self.carry_out(target, body)
 
@@ -388,6 +400,11 @@
             return 200, clock
         if target == "/api/hold":
             seen = int(body.get("last_seen", 0))
+            for end in self.ended:
+                if end[0] <= seen:
+                    self.stage.record("minion %s forgets end %d: %s run %d %s" % ((self.id,) + tuple(end[:4])))
+                    if end[3] == "done":
+                        self.stage.noted.add(end[1])
             self.ended = [e for e in self.ended if e[0] > seen]
             wait = min(int(body.get("wait_ms", 0)), 2000) / 1000
             if not self.ended and wait:
@@ -427,7 +444,7 @@
                  states_born=False):
         self.states_born = states_born
         self.first_check_in_s = 0.3   # Of a life that keeps the id of the one before.
-        self.takes_late = None    # Of (minion, body): true if the order is left unanswered for now.
+        self.is_left = None   # Of (minion, target, body): true if the call is left unanswered.
         self.service_of = service_of
         self.record = Record(folder)
         self.scratch = tempfile.mkdtemp(prefix="valveshelf-review-")
@@ -439,6 +456,7 @@
         self.minion_ports = ports[processes * 5:]
         self.children, self.doors = {}, {}
         self.done, self.failed, self.starts, self.broken = {}, {}, [], []
+        self.noted = set()        # Tasks with an end `done` that has been taken note of.
 
     async def __aenter__(self):
         if not os.access(PRODUCT, os.X_OK):
@@ -504,6 +522,9 @@
 
     def began(self, minion, key):
         self.starts.append((time.monotonic(), key, minion.id))
+        if key[0] in self.noted:
+            self.break_rule("%s run %d is started %.2f s after a run of the task has ended done, an end that was "
+                            "taken note of" % (key[0], key[1], time.monotonic() - self.done[key[0]]))
         for other in self.minions:
             for there in other.runs:
                 if other.up and there[0] == key[0] and (other is not minion or there != key):
