--- a/review/stage3.py
+++ b/review/stage3.py
@@ -39,7 +39,7 @@
 store = "127.0.0.1:%(store)d"
 [process]
 threads = 1
-power = 0.25
+power = %(power)s
 descriptors = 4200
 [bounds]
 longest_worker_lease = "6000ms"
@@ -441,7 +441,7 @@
 
 class Stage:
     def __init__(self, folder, processes=3, minions=6, service_of=lambda index: "pool",
-                 states_born=False):
+                 states_born=False, powers=(0.25,)):
         self.states_born = states_born
         self.first_check_in_s = 0.3   # Of a life that keeps the id of the one before.
         self.is_left = None   # Of (minion, target, body): true if the call is left unanswered.
@@ -451,7 +451,8 @@
         self.store = Store(self.record)
         self.names = ["f%d" % (i + 1) for i in range(processes)]
         ports = free_ports(processes * 5 + minions)
-        self.ports = {n: dict(zip(("callers", "readiness", "peers", "metrics", "store"), ports[i * 5:]), name=n)
+        self.ports = {n: dict(zip(("callers", "readiness", "peers", "metrics", "store"), ports[i * 5:]), name=n,
+                              power=powers[i % len(powers)])
                       for i, n in enumerate(self.names)}
         self.minion_ports = ports[processes * 5:]
         self.children, self.doors = {}, {}
