--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -167,6 +167,10 @@
     2206, "info", "revoked-job-ended",
     "A submission was carried out after the job had been cancelled; the scheduler ended the job "
     "before a task of it was started: the store revision at which the job was written."};
+const EventKind QueueMoved{
+    2207, "info", "queue-moved",
+    "A configuration has sent the queue to another service: how many of its accepted jobs are "
+    "started there from now on, the service of the first of them before, and the version."};
 const EventKind RunStopped{2301, "info", "run-stopped",
                            "A worker was ordered to stop a run; the reason follows."};
 const EventKind StartNotConfirmed{
@@ -325,6 +329,7 @@
                               &JobRefusedOverload,
                               &JobRevoked,
                               &RevokedJobEnded,
+                              &QueueMoved,
                               &RunStopped,
                               &StartNotConfirmed,
                               &StepPlaced,
--- a/src/cell/caller_api.cpp
+++ b/src/cell/caller_api.cpp
@@ -157,6 +157,7 @@
     co_return refusal(*Excess, jobIdText(Id));
   Spec.Queue = To.Name;
   Spec.Service = To.Service;
+  Spec.ConfigVersion = Config.version();
   Spec.Priority = To.Priority;
   Spec.MaxAttempts = To.MaxAttempts;
   Spec.CriticalPathFactor = To.CriticalPathFactor;
--- a/src/cell/cell_metrics.cpp
+++ b/src/cell/cell_metrics.cpp
@@ -24,6 +24,9 @@
     "jobs_revoked_total", "counter",
     "Cancellations of jobs that did not exist, by `case`: proven (answered as not run) or "
     "in-doubt. Prevented counts jobs that were written after that and ended by the scheduler."};
+const MetricDescriptor JobsMoved{
+    "jobs_moved_total", "counter",
+    "Accepted jobs that go on with workers of another service, since their queue was sent there."};
 const MetricDescriptor CallSeconds{"call_seconds", "histogram",
                                    "Time from a caller's request to the response."};
 const MetricDescriptor StoreSeconds{
@@ -136,6 +139,7 @@
   static const std::array All{&Calls,
                               &JobsRefused,
                               &JobsRevoked,
+                              &JobsMoved,
                               &CallSeconds,
                               &StoreSeconds,
                               &Terms,
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -139,12 +139,13 @@
     if (Found == Cell.Jobs.end())
       continue;
     Found->second.ProgressRevision = Item.Revision;
-    Result<SavedSteps> Saved = decodeProgress(*Id, Item.Value);
+    const Result<SavedProgress> Saved = decodeProgress(*Id, Item.Value);
     if (!ok(Saved)) {
       logEvent(events::RecordUnreadable, {{"key", Item.Key}});
       continue;
     }
-    for (const auto &[Step, Tasks] : value(Saved))
+    restoreServices(Cell, *Id, value(Saved).Services);
+    for (const auto &[Step, Tasks] : value(Saved).Steps)
       restoreStep(Cell, Step, Tasks);
   }
   Effects Out;
@@ -546,6 +547,14 @@
               {"runs", std::to_string(What.Runs)},
               {"unsaved_ends", std::to_string(What.UnsavedEnds)}});
   }
+  for (const QueueMove &What : Out.QueueMoves) {
+    Deps.Metrics.add(metrics::JobsMoved, What.Jobs);
+    logEvent(events::QueueMoved, {{"queue", What.Queue},
+                                  {"from", What.From},
+                                  {"to", What.To},
+                                  {"version", std::to_string(What.Version)},
+                                  {"jobs", std::to_string(What.Jobs)}});
+  }
   for (const Effects::CrashCountChange &What : Out.CrashCountChanges)
     logEvent(events::CrashCounted, {{"task", toString(What.Task)},
                                     {"worker", What.Worker},
--- a/src/include/valveshelf/cell_metrics.h
+++ b/src/include/valveshelf/cell_metrics.h
@@ -21,12 +21,12 @@
 };
 
 namespace metrics {
-extern const MetricDescriptor Calls, JobsRefused, JobsRevoked, CallSeconds, StoreSeconds, Terms,
-    Jobs, Waiting, LeftOut, Starts, StartSeconds, Ends, LastingRunEnds, RunsLost, RunsUnbooked,
-    RunsContradicted, WorkerRestarts, TasksGivenUp, Copies, CopyCoreSeconds, FirstStartSeconds,
-    ForecastErrorSeconds, AdviceSeconds, PlaceSeconds, Workers, WorkersSlow, WorkerListAge,
-    ZonesEvacuated, Messages, MessageBytes, ConnectionsOpened, LogLinesLeftOut, Ready, LoopLag,
-    LoopSeconds, MessageSeconds, StageSeconds, WaitingByCause;
+extern const MetricDescriptor Calls, JobsRefused, JobsRevoked, JobsMoved, CallSeconds, StoreSeconds,
+    Terms, Jobs, Waiting, LeftOut, Starts, StartSeconds, Ends, LastingRunEnds, RunsLost,
+    RunsUnbooked, RunsContradicted, WorkerRestarts, TasksGivenUp, Copies, CopyCoreSeconds,
+    FirstStartSeconds, ForecastErrorSeconds, AdviceSeconds, PlaceSeconds, Workers, WorkersSlow,
+    WorkerListAge, ZonesEvacuated, Messages, MessageBytes, ConnectionsOpened, LogLinesLeftOut,
+    Ready, LoopLag, LoopSeconds, MessageSeconds, StageSeconds, WaitingByCause;
 } // namespace metrics
 
 /// All metrics, in the order of docs/METRICS.md.
--- a/src/include/valveshelf/cell_records.h
+++ b/src/include/valveshelf/cell_records.h
@@ -62,9 +62,13 @@
 std::string encodeEndedJob(const JobSpec &Spec, JobPhase Phase, WallTime EndedAt);
 Result<StoredJob> decodeJob(const std::string &Bytes);
 
-using SavedSteps = std::vector<std::pair<StepKey, std::vector<SavedTask>>>;
+/// The progress of a job, as the scheduler saves it.
+struct SavedProgress {
+  std::vector<std::pair<StepKey, std::vector<SavedTask>>> Steps;
+  SavedServices Services;
+};
 std::string encodeProgress(const Job &Of);
-Result<SavedSteps> decodeProgress(JobId Id, const std::string &Bytes);
+Result<SavedProgress> decodeProgress(JobId Id, const std::string &Bytes);
 
 /// A process of the cell.
 struct Member {
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -393,8 +393,29 @@
   bool Done = false;
 };
 
+/// A service on whose workers a job may have been started.
+struct UsedService {
+  std::string Name;
+  uint64_t Save = 0; ///< Number of the save that first names it; 0: it needed none in this term.
+};
+
+/// Which workers may run the tasks of a job next, and where runs of it may be. The two differ once
+/// the queue of the job has been sent to another service.
+/// Invariant: Current is among Used, and Used begins with the service of the submission. A task is
+/// started only on a worker of Current, and only if its entry in Used is durable.
+struct JobServices {
+  std::string Current;  ///< Its tasks are started on workers of this service.
+  uint64_t Version = 0; ///< Of the configuration that names Current; 0: not known.
+  /// By this scheduler or an earlier one. Bounded by the number of services that the queue has ever
+  /// had.
+  std::vector<UsedService> Used;
+  size_t Inherited = 1; ///< So many of Used, from the first, may hold runs of earlier schedulers.
+  bool IsRestored = false; ///< The record of an earlier scheduler named Current.
+};
+
 struct Job {
   JobSpecPtr Spec;
+  JobServices Services;
   OrganisationState *Owner = nullptr; ///< Null: it was submitted without a key.
   bool IsOverShare = false;           ///< It was submitted beyond its organisation's share.
   bool IsInherited = false;           ///< An earlier scheduler may have started runs of it.
@@ -430,6 +451,15 @@
   bool HasReplaced = false; ///< One of EndedLives is certainly dead.
 };
 
+/// For the log: jobs of a queue are now started on workers of another service.
+struct QueueMove {
+  std::string Queue;
+  std::string From; ///< Of the first of the jobs.
+  std::string To;
+  uint64_t Version = 0; ///< Of the configuration.
+  uint32_t Jobs = 0;
+};
+
 /// For the log: a worker has started again under its id.
 struct WorkerRestart {
   std::string Worker;
@@ -462,6 +492,12 @@
   /// keeps its maximum.
   std::map<std::string, OrganisationState> Organisations;
   std::set<std::string> Services; ///< Named by the newest configuration.
+  /// By queue: its service in the newest configuration. A job whose queue is not listed keeps the
+  /// service that the queue had last.
+  std::map<std::string, std::string> QueueServices;
+  uint64_t ConfigVersion = 0;       ///< Of the newest configuration.
+  std::vector<QueueMove> NewMoves;  ///< Since the last tick.
+  bool HasUnrequestedSaves = false; ///< Saves were added outside a function that has `Effects`.
   Features InForce;
   ServiceLoads Loads; ///< Kept while any feature that reads them is in force.
   TimePoint NextLoadUpdate{};
@@ -504,7 +540,7 @@
   /// one, by worker id.
   std::map<std::string, std::string> UnreportedWorkers;
   /// Workers that were lost before they reported to this scheduler, by service, until all others of
-  /// the service are known.
+  /// the cell are known.
   std::map<std::string, TakeoverLosses> LostUnreportedWorkers;
   /// By id. Invariant: a task is listed here exactly if it lists the worker in `SuspectWorkers` or
   /// `VanishedWorkers`.
@@ -646,6 +682,7 @@
   std::vector<UnbookedRun> UnbookedRuns;
   std::vector<ContradictedRun> ContradictedRuns;
   std::vector<WorkerRestart> WorkerRestarts;
+  std::vector<QueueMove> QueueMoves;
   std::vector<GivenUpTask> TasksGivenUp;
   std::vector<CrashCountChange> CrashCountChanges;
   /// For the log: a worker has become slow, or is no longer.
@@ -705,6 +742,14 @@
   std::string PendingStartWorker;
   bool HasRecordedStarts = false;
 };
+/// The services of a job as an earlier scheduler saved them.
+struct SavedServices {
+  std::string Current;  ///< Empty: that of the submission, or an earlier version wrote the record.
+  uint64_t Version = 0; ///< Of the configuration that named Current.
+  std::vector<std::string> Used; ///< Without that of the submission.
+};
+/// Restores the services of a job that was added. Call before `finishLoading`.
+void restoreServices(CellState &Cell, JobId Id, const SavedServices &Saved);
 /// Restores the tasks of a step of a job that was added.
 void restoreStep(CellState &Cell, const StepKey &Key, const std::vector<SavedTask> &Tasks);
 /// The scheduler before can start nothing more, and all jobs that it can have known are known.
@@ -738,7 +783,9 @@
 
 // Organisations.
 
-/// Applies the maxima and shares of a new configuration. Runs beyond a lowered maximum go on.
+/// Applies the maxima and shares of a new configuration, and the services of queues, also to jobs
+/// that were accepted before. Runs beyond a lowered maximum go on, and so do runs on workers of a
+/// service that their queue has left, until they end or their worker leaves.
 void applyConfiguration(CellState &Cell, const CellConfiguration &Config);
 /// Sets the features in force. A feature that is switched off leaves no trace in later decisions.
 void applyFeatures(CellState &Cell, const Features &InForce);
@@ -802,8 +849,8 @@
 void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
 bool isIdle(const Worker &On);
-/// True if a worker of the service may hold runs of an earlier scheduler and has not reported yet.
-bool hasUnreportedWorkers(const CellState &Cell, const std::string &Service);
+/// The services of workers that may hold runs of an earlier scheduler and have not reported yet.
+std::set<std::string> unreportedServices(const CellState &Cell);
 /// Ends all attempts on the worker, or on the earlier life with that key, and removes it.
 void workerEnded(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out,
                  WorkerEnd How = WorkerEnd::Replaced);
--- a/src/include/valveshelf/events.h
+++ b/src/include/valveshelf/events.h
@@ -33,9 +33,10 @@
 extern const EventKind UpstreamFailed, RequestRefused, RequestRetried;
 extern const EventKind SettingsRead, BecameReady, BecameUnready, RecordUnreadable;
 extern const EventKind ClaimMade, TermBegun, TermEnded, SchedulerGone, FleetBehind, FleetKnown,
-    LeadershipUnconfirmed, LeadershipConfirmed, PredecessorUnknown, ClaimFailed, LoopLags;
+    LeadershipUnconfirmed, LeadershipConfirmed, PredecessorUnknown, ClaimFailed, LoopLags,
+    LeaseEndsNoted;
 extern const EventKind JobKept, CallRefused, JobTaken, JobRefusedOverload, JobRevoked,
-    RevokedJobEnded;
+    RevokedJobEnded, QueueMoved;
 extern const EventKind StepPlaced, RunStopped, StartNotConfirmed;
 extern const EventKind AdviceGiven, TaskFailed, RunLost, TaskGivenUp, CrashCounted;
 extern const EventKind AdviceRetried;
--- a/src/include/valveshelf/workload.h
+++ b/src/include/valveshelf/workload.h
@@ -171,7 +171,9 @@
 struct JobSpec {
   JobId Id = 0;
   std::string Queue;
-  std::string Service;
+  std::string Service; ///< That its queue had when it was submitted.
+  /// Of the configuration that named `Service`; 0: a record of an earlier version does not say.
+  uint64_t ConfigVersion = 0;
   std::string Organisation; ///< Owner of the key it was submitted with; empty: no key was needed.
   int Priority = 0;
   int MaxAttempts = 1;
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -198,6 +198,7 @@
   Record.set_id(Spec.Id);
   Record.set_queue(Spec.Queue);
   Record.set_service(Spec.Service);
+  Record.set_config_version(Spec.ConfigVersion);
   Record.set_priority(Spec.Priority);
   Record.set_max_attempts(Spec.MaxAttempts);
   Record.set_extension(Spec.CriticalPathFactor);
@@ -237,6 +238,7 @@
   Spec.Id = Record.id();
   Spec.Queue = Record.queue();
   Spec.Service = Record.service();
+  Spec.ConfigVersion = Record.config_version();
   Spec.Priority = Record.priority();
   Spec.MaxAttempts = Record.max_attempts();
   Spec.CriticalPathFactor = Record.extension();
@@ -265,16 +267,25 @@
   for (const auto &[Number, Round] : Of.Rounds)
     for (const StepState &Step : Round.Steps)
       writeStepProgress(Step, Record);
+  if (Of.Services.Used.size() > 1) {
+    Record.set_service(Of.Services.Current);
+    Record.set_service_version(Of.Services.Version);
+    for (size_t I = 1; I < Of.Services.Used.size(); ++I)
+      Record.add_used_service(Of.Services.Used[I].Name);
+  }
   return Record.SerializeAsString();
 }
 
-Result<SavedSteps> decodeProgress(JobId Id, const std::string &Bytes) {
+Result<SavedProgress> decodeProgress(JobId Id, const std::string &Bytes) {
   cell::ProgressRecord Record;
   if (!Record.ParseFromString(Bytes))
     return unreadable("progress of job " + jobIdText(Id));
-  SavedSteps Decoded;
+  SavedProgress Decoded;
   for (const cell::StepProgress &Step : Record.steps())
-    Decoded.emplace_back(StepKey{Id, Step.round(), Step.step()}, readStepProgress(Step));
+    Decoded.Steps.emplace_back(StepKey{Id, Step.round(), Step.step()}, readStepProgress(Step));
+  Decoded.Services = {Record.service(),
+                      Record.service_version(),
+                      {Record.used_service().begin(), Record.used_service().end()}};
   return Decoded;
 }
 
--- a/src/records/explain.cpp
+++ b/src/records/explain.cpp
@@ -70,7 +70,7 @@
   for (const auto &[Id, On] : Cell.Workers) {
     if (On.IsEarlierLife)
       continue;
-    if (On.Info.Service != Of.Spec->Service)
+    if (On.Info.Service != Of.Services.Current)
       ++ServesOtherService;
     else if (!On.HasReported || !On.IsResponsive)
       ++Unresponsive;
@@ -142,6 +142,7 @@
   const auto Objective = std::chrono::duration_cast<Milliseconds>(Of.Objective - Now);
   return json::serialize(json::object{{"job", jobIdText(Id)},
                                       {"queue", Of.Spec->Queue},
+                                      {"service", Of.Services.Current},
                                       {"priority", Of.Spec->Priority},
                                       {"objective_in_ms", Objective.count()},
                                       {"scheduler_term", Cell.Fence},
--- a/src/scheduler/advice.cpp
+++ b/src/scheduler/advice.cpp
@@ -7,6 +7,7 @@
 // Questions other than the first of a step in time are therefore limited, and while lanes are short
 // urgent steps ask only about workers that can help them, as many as they need.
 #include "scheduler/advice_budget.h"
+#include "scheduler/job_services.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -74,7 +75,7 @@
   Pass.Cell.WorkerShortage =
       std::any_of(Pass.Cell.Workers.begin(), Pass.Cell.Workers.end(), [&](const auto &Entry) {
         const Worker &W = Entry.second;
-        return !W.IsSelected && takesWork(W) && W.Info.Service == J.Spec->Service &&
+        return !W.IsSelected && takesWork(W) && W.Info.Service == J.Services.Current &&
                fits(Need, W.Info.Capacity) && hasLabel(W.Info, Step.Spec->RequiredLabel);
       });
 }
@@ -111,7 +112,8 @@
 uint32_t lanesWithSpare(const CellState &Cell, const Job &J) {
   if (Cell.OutstandingAdviceRequests * 2 < Cell.AdviceConcurrency)
     return Cell.AdviceConcurrency;
-  return sharesAdvice(Cell) ? spareLanes(Cell.Advice, J.Spec->Service, Cell.AdviceConcurrency) : 0;
+  return sharesAdvice(Cell) ? spareLanes(Cell.Advice, J.Services.Current, Cell.AdviceConcurrency)
+                            : 0;
 }
 
 bool hasSpareConcurrency(const CellState &Cell, const Job &J) {
@@ -172,7 +174,7 @@
   if (Cell.AdviceConcurrency == 0)
     return true;
   if (sharesAdvice(Cell))
-    return mayAsk(Cell.Advice, {J.Spec->Service, isQueuedLast(Step), Ratio},
+    return mayAsk(Cell.Advice, {J.Services.Current, isQueuedLast(Step), Ratio},
                   Cell.AdviceConcurrency);
   return !Ratio || Cell.OutstandingAdviceRequests <
                        static_cast<uint32_t>(std::ceil(*Ratio * Cell.AdviceConcurrency));
@@ -187,7 +189,7 @@
 bool checkBudget(PlacementPass &Pass, const Job &J, const StepState &Step) {
   const bool HasBudget = hasRequestBudget(Pass.Cell, J, Step);
   if (!HasBudget && Pass.SharesAdvice)
-    noteWaiting(Pass.Cell.Advice, J.Spec->Service);
+    noteWaiting(Pass.Cell.Advice, J.Services.Current);
   return HasBudget;
 }
 } // namespace
@@ -223,7 +225,7 @@
                    std::vector<std::string> Workers) {
   if (Workers.empty() || !isReadyToAsk(Pass, Step) || !checkBudget(Pass, J, Step))
     return;
-  const std::string Service = Pass.SharesAdvice ? J.Spec->Service : std::string();
+  const std::string Service = Pass.SharesAdvice ? J.Services.Current : std::string();
   const size_t PerRequest = splitRequestSize(Pass.Cell, J, Step, Workers.size());
   const size_t Limit = maxParallelRequests(Pass.Cell, J) * PerRequest;
   for (size_t I = 0; I < std::min(Limit, Workers.size()); I += PerRequest) {
@@ -436,9 +438,9 @@
 } // namespace
 
 ServicePass &serviceOf(PlacementPass &Pass, const Job &J) {
-  const auto [At, New] = Pass.Services.try_emplace(J.Spec->Service);
+  const auto [At, New] = Pass.Services.try_emplace(J.Services.Current);
   if (New) {
-    const auto Load = Pass.Cell.Loads.find(J.Spec->Service);
+    const auto Load = Pass.Cell.Loads.find(J.Services.Current);
     At->second.Load = Load == Pass.Cell.Loads.end() ? nullptr : &Load->second;
   }
   return At->second;
@@ -496,7 +498,7 @@
       isUnplaceable(Pass, serviceOf(Pass, J), J, Step))
     return;
   uint32_t Tasks = Step.OpenTasks - Step.BookedTasks;
-  if (Pass.UnreportedServices.count(J.Spec->Service) > 0) // others may turn out to be running
+  if (mayBeOnWorkersOf(J, Pass.UnreportedServices)) // others may turn out to be running
     for (uint32_t I = Tasks = 0; I < Step.Tasks.size(); ++I)
       Tasks += isPlaceable(Pass, J, Step, I) ? 1 : 0;
   if (J.Owner && J.Owner->Maximum != Resources{}) {
@@ -561,10 +563,10 @@
   const auto Own = std::count_if(
       Cell.RenewingTickets.begin(), Cell.RenewingTickets.end(), [&](const StepKey &Key) {
         const auto Use = Cell.Advice.Steps.find(Key);
-        return Use != Cell.Advice.Steps.end() && Use->second.Service == J.Spec->Service;
+        return Use != Cell.Advice.Steps.end() && Use->second.Service == J.Services.Current;
       });
   const auto Part =
-      std::max<uint32_t>(1, Limit / countActiveServices(Cell.Advice, J.Spec->Service));
+      std::max<uint32_t>(1, Limit / countActiveServices(Cell.Advice, J.Services.Current));
   return Limit > 0 && static_cast<uint32_t>(Own) < Part;
 }
 } // namespace
@@ -610,7 +612,7 @@
 // After a takeover most steps turn out to be running already. Requests for all of them before the
 // workers have reported would delay the steps that need advice.
 bool shouldRequestAdvice(const PlacementPass &Pass, const Job &J, const StepState &Step) {
-  return Pass.ReportPendingServices.count(J.Spec->Service) == 0 ||
+  return !mayBeOnWorkersOf(J, Pass.ReportPendingServices) ||
          std::any_of(Step.Tasks.begin(), Step.Tasks.end(), [](const TaskState &Task) {
            return !Task.AssignedWorker && !Task.MayRunOnUnreportedWorker;
          });
--- a/src/scheduler/copies.cpp
+++ b/src/scheduler/copies.cpp
@@ -2,6 +2,7 @@
 // Speculative copies of slow runs: prediction of ends, choice of the runs to copy and of their
 // workers, and the record of each copy.
 #include "scheduler/copies.h"
+#include "scheduler/job_services.h"
 
 #include "scheduler/crashes.h"
 #include "scheduler/overload.h"
@@ -151,7 +152,7 @@
   Taken.StartedAt = Taken.PercentChangedAt = Now;
   CopyRecord &Record = Cell.Copies.Records[Run];
   Record.SlowRun = Step.Tasks[Run.Task.Index].Run;
-  Record.Service = Of.Spec->Service;
+  Record.Service = On.Info.Service;
   Record.Need = Taken.Need;
   Record.StartedAt = Now;
 }
@@ -253,7 +254,7 @@
       continue;
     }
     Examined += Step->Tasks.size();
-    if (Pass.UnreportedServices.count(J->Spec->Service) == 0)
+    if (isServiceSaved(Pass.Cell, *J) && !mayBeOnWorkersOf(*J, Pass.UnreportedServices))
       findSlowRuns(Pass, *J, *Step, Found);
     ++At;
   }
@@ -276,7 +277,8 @@
         break; // the queue has these last
       const StepState *Step = findStep(Decision.Pass.Cell, Entry.Step);
       if (Step && waitsForCapacity(*Step))
-        Decision.WaitingServices->insert(Decision.Pass.Cell.Jobs.at(Entry.Step.Job).Spec->Service);
+        Decision.WaitingServices->insert(
+            Decision.Pass.Cell.Jobs.at(Entry.Step.Job).Services.Current);
     }
   }
   return Decision.WaitingServices->count(Service) > 0;
@@ -394,7 +396,7 @@
   const AdviceState::Permit *Permit = findPermit(Step, W);
   Pass.Out.Starts.push_back(
       {W.Info.Id, Run, Slow.J->Spec, Task.Checkpoint, Permit ? Permit->Ticket : std::string()});
-  const std::string &Service = Slow.J->Spec->Service;
+  const std::string &Service = Slow.J->Services.Current;
   Pass.Cell.Copies.Records[Run] = {Task.Run,           Service,           Entry.Need, Pass.Now,
                                    Slow.Times.SlowEnd, Slow.Times.CopyEnd};
   Decision.InUse[Service] += Entry.Need;
@@ -417,7 +419,7 @@
   for (SlowRun &Slow : Found) {
     if (Decision.WorkersVisited >= MaxWorkersVisited)
       return;
-    const std::string &Service = Slow.J->Spec->Service;
+    const std::string &Service = Slow.J->Services.Current;
     if (hasWaitingStep(Decision, Service) ||
         !isWithinBudget(Decision, Service, needOf(*Slow.Step)) ||
         !isWithinQuota(Cell, Slow.J->Owner, Slow.Step->Spec->Need))
--- a/src/scheduler/crash_count_test.cpp
+++ b/src/scheduler/crash_count_test.cpp
@@ -90,8 +90,8 @@
   Note.set_crashes(3);
   Note.set_doubts(2);
   Note.set_may_begin(true);
-  const Result<SavedSteps> Read = decodeProgress(1, Record.SerializeAsString());
-  const SavedTask &Task = value(Read).at(0).second.at(0);
+  const Result<SavedProgress> Read = decodeProgress(1, Record.SerializeAsString());
+  const SavedTask &Task = value(Read).Steps.at(0).second.at(0);
   EXPECT_EQ(Task.StartupCrashes, 3u);
   EXPECT_EQ(std::set<std::string>(Task.SuspectWorkers.begin(), Task.SuspectWorkers.end()).size(),
             2u);
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Counts lost workers against the tasks that may have crashed them, and gives up such tasks.
 #include "scheduler/crashes.h"
+#include "scheduler/job_services.h"
 #include "scheduler/unbooked.h"
 
 #include <algorithm>
@@ -344,12 +345,29 @@
   Lost.HasReplaced = Lost.HasReplaced || How == WorkerEnd::Replaced;
 }
 
-void settleEarlierStarts(CellState &Cell, const std::string &Service, const TakeoverLosses *Lost,
-                         TimePoint Now, Effects &Out) {
-  std::vector<TaskKey> Keys;
+// What was lost of the services whose workers may have held runs of the job; empty: nothing.
+static std::optional<TakeoverLosses> lossesOf(const CellState &Cell, const Job &Of) {
+  std::optional<TakeoverLosses> Sum;
+  for (size_t I = 0; I < Of.Services.Inherited; ++I) {
+    const auto Found = Cell.LostUnreportedWorkers.find(Of.Services.Used[I].Name);
+    if (Found == Cell.LostUnreportedWorkers.end())
+      continue;
+    if (!Sum)
+      Sum.emplace();
+    Sum->EndedLives.insert(Found->second.EndedLives.begin(), Found->second.EndedLives.end());
+    Sum->HasReplaced = Sum->HasReplaced || Found->second.HasReplaced;
+  }
+  return Sum;
+}
+
+void settleEarlierStarts(CellState &Cell, const std::string &Service,
+                         const std::set<std::string> &StillUnreported, TimePoint Now,
+                         Effects &Out) {
+  std::vector<std::pair<TaskKey, std::set<std::string>>> Started; // with the lives that have ended
   for (auto &[Id, Of] : Cell.Jobs) {
-    if (Of.Spec->Service != Service)
+    if (!mayBeOnWorkersOf(Of, {Service}) || mayBeOnWorkersOf(Of, StillUnreported))
       continue;
+    const std::optional<TakeoverLosses> Lost = lossesOf(Cell, Of);
     for (auto &[Number, Round] : Of.Rounds)
       for (StepState &Step : Round.Steps)
         for (uint32_t I = 0; I < Step.Tasks.size(); ++I) {
@@ -359,11 +377,12 @@
             Task.MayHaveRunOnDeadWorker = Lost->HasReplaced;
           }
           if (!Task.InheritedStartWorker.empty() || Task.UnrecordedStartAfter)
-            Keys.push_back({Step.Key, I});
+            Started.emplace_back(TaskKey{Step.Key, I},
+                                 Lost ? Lost->EndedLives : std::set<std::string>());
         }
   }
-  for (const TaskKey &Key : Keys)
-    settleEarlierStart(Cell, Key, Lost ? Lost->EndedLives : std::set<std::string>(), Now, Out);
+  for (const auto &[Key, EndedLives] : Started)
+    settleEarlierStart(Cell, Key, EndedLives, Now, Out);
 }
 
 void confirmCrashesOfEarlierLives(CellState &Cell, const Worker &On, TimePoint Now, Effects &Out) {
--- a/src/scheduler/crashes.h
+++ b/src/scheduler/crashes.h
@@ -59,11 +59,11 @@
 void giveUpRestoredTasks(CellState &Cell, TimePoint Now, Effects &Out);
 /// Notes that the worker was lost if it may hold runs of an earlier scheduler and has not reported.
 void noteLostBeforeReport(CellState &Cell, const Worker &On, WorkerEnd How);
-/// All workers of the service are known; some were lost unless \p Lost is null. Starts of an
-/// earlier scheduler that no worker reported are counted like orders without an answer, and tasks
-/// that may have been on a lost worker are marked.
-void settleEarlierStarts(CellState &Cell, const std::string &Service, const TakeoverLosses *Lost,
-                         TimePoint Now, Effects &Out);
+/// All workers of the service are known. For jobs that can't be on one of another service without a
+/// report: starts of an earlier scheduler that no worker reported are counted like orders without
+/// an answer, and tasks that may have been on a lost worker are marked.
+void settleEarlierStarts(CellState &Cell, const std::string &Service,
+                         const std::set<std::string> &StillUnreported, TimePoint Now, Effects &Out);
 /// Delays the restart of tasks that a silent worker may have completed.
 void delayPossiblyDoneTasks(CellState &Cell, const Worker &On, TimePoint Now);
 /// Confirms crashes of earlier lives of the worker that were witnessed, and applies the limits to
--- a/src/scheduler/crashes_test.cpp
+++ b/src/scheduler/crashes_test.cpp
@@ -153,7 +153,7 @@
   Given.fallSilent("w0");
   Given.advance(100ms);
   EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 1u);
-  EXPECT_EQ(value(decodeProgress(Id, Given.Progress.at(Id)))[0].second[0].StartupCrashes, 1u);
+  EXPECT_EQ(value(decodeProgress(Id, Given.Progress.at(Id))).Steps[0].second[0].StartupCrashes, 1u);
   Given.Silent.clear();
   Given.advance(200ms);
   EXPECT_EQ(Given.taskOf(Id).StartupCrashes, 0u);
--- a/src/scheduler/forecast.cpp
+++ b/src/scheduler/forecast.cpp
@@ -3,6 +3,7 @@
 // ended runs release resources. Work that waits for its organisation's quota delays no others.
 #include "scheduler/forecast.h"
 
+#include "scheduler/job_services.h"
 #include "scheduler/pass.h"
 
 #include <cmath>
@@ -84,8 +85,7 @@
   };
 
   WaitingWork(const CellState &Cell, TimePoint Now) : Cell(Cell), Next(Cell.Queue.begin()) {
-    for (const auto &[Id, Service] : Cell.UnreportedWorkers)
-      UnreportedServices.insert(Service);
+    UnreportedServices = unreportedServices(Cell);
     for (const QueueKey &Entry : Cell.Queue) {
       const Job *J = nullptr;
       const StepState *Step = findStep(Cell, Entry.Step, J);
@@ -123,13 +123,13 @@
       return;
     if (Step->RunnableSince >= AgedBefore)
       Starts += countStarts(*Step);
-    int64_t Count = countWaitingTasks(*Step, UnreportedServices.count(J->Spec->Service) > 0);
+    int64_t Count = countWaitingTasks(*Step, mayBeOnWorkersOf(*J, UnreportedServices));
     if (Count <= 0)
       return;
     if (J->Owner && J->Owner->Maximum != Resources{})
       Count = takeQuota(*J->Owner, *Step, Count);
     if (Count > 0)
-      ByService[J->Spec->Service] += needOf(*Step) * Count;
+      ByService[J->Services.Current] += needOf(*Step) * Count;
   }
 
   // Returns how many of the tasks the organisation's quota allows.
@@ -228,8 +228,10 @@
       for (const StepState &Step : Round.Steps)
         if (Step.BookedTasks > 0 && Step.Spec->Checkpointable && !Step.Spec->Gang &&
             !Step.Spec->LongRunning)
-          Found[J.Spec->Service][J.IsOverShare ? OverSharePriority : J.Spec->Priority] +=
-              needOf(Step) * Step.BookedTasks;
+          forEachServiceInUse(J, Step, [&, &Of = J](const std::string &Service, uint32_t Tasks) {
+            Found[Service][Of.IsOverShare ? OverSharePriority : Of.Spec->Priority] +=
+                needOf(Step) * Tasks;
+          });
   return Found;
 }
 
@@ -300,7 +302,7 @@
 
 // The wait that the forecast gives for a job of this class and organisation.
 std::optional<Milliseconds> waitOf(const Forecast &From, const Job &J) {
-  const auto Service = From.Services.find(J.Spec->Service);
+  const auto Service = From.Services.find(J.Services.Current);
   if (Service == From.Services.end())
     return std::nullopt;
   for (const ClassForecast &Class : Service->second) {
@@ -360,7 +362,7 @@
 }
 
 PriorityState *findPriority(CellState &Cell, const Job &J) {
-  const auto Service = Cell.Forecasts.Priorities.find(J.Spec->Service);
+  const auto Service = Cell.Forecasts.Priorities.find(J.Services.Current);
   if (Service == Cell.Forecasts.Priorities.end())
     return nullptr;
   const auto Found = Service->second.find(J.Spec->Priority);
--- a/src/scheduler/jobs.cpp
+++ b/src/scheduler/jobs.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/copies.h"
 #include "scheduler/crashes.h"
 #include "scheduler/forecast.h"
+#include "scheduler/job_services.h"
 #include "scheduler/overload.h"
 #include "scheduler/run_times.h"
 
@@ -302,6 +303,11 @@
     return;
   Job &J = Cell.Jobs[Id];
   J.Spec = Spec;
+  J.Services.Current = Spec->Service;
+  J.Services.Version = Spec->ConfigVersion;
+  J.Services.Used = {{Spec->Service}};
+  if (Cell.Loaded)
+    updateServices(Cell, J, Now);
   J.IsInherited = !Fresh || Cell.PredecessorMayStart;
   J.Owner = findOrAddOrganisation(Cell, Spec->Organisation);
   if (J.Owner && Fresh)
@@ -436,6 +442,11 @@
   Cell.Forecasts.LoadedAt = Now;
   assignShares(Cell);
   for (auto &[Id, J] : Cell.Jobs) {
+    updateServices(Cell, J, Now);
+    // An earlier version drops the services of a record that it rewrites, and a run may be where
+    // the present configuration sends the job.
+    if (!J.Services.IsRestored)
+      J.Services.Inherited = J.Services.Used.size();
     startDueRounds(Cell, J, Now); // before workers report runs of them
     makePossiblyBegunRounds(Cell, J, Now);
     for (auto &[Number, Round] : J.Rounds) {
@@ -468,9 +479,13 @@
     cancelJob(Cell, Id, Now, Out);
 }
 
-void requestSave(CellState &Cell, Job &J, Effects &Out) {
+void addSave(CellState &Cell, Job &J) {
   J.PendingSave = ++Cell.LastSave;
   Cell.PendingSaves.emplace(J.PendingSave, J.Spec->Id);
+}
+
+void requestSave(CellState &Cell, Job &J, Effects &Out) {
+  addSave(Cell, J);
   Out.SaveRequested = true;
 }
 
--- a/src/scheduler/organisations.cpp
+++ b/src/scheduler/organisations.cpp
@@ -2,6 +2,7 @@
 // Quotas and shares of organisations over all workers of the cell.
 #include "scheduler/copies.h"
 #include "scheduler/forecast.h"
+#include "scheduler/job_services.h"
 #include "scheduler/overload.h"
 #include "scheduler/pass.h"
 #include "scheduler/run_times.h"
@@ -13,6 +14,7 @@
   Cell.Services.clear();
   for (const Service &Service : Config.Services)
     Cell.Services.insert(Service.Name);
+  applyQueueServices(Cell, Config);
   setForecastClasses(Cell, Config);
   if (!Config.Organisations)
     return;
@@ -86,9 +88,8 @@
 // The number of runs of the step that may be on workers without a report yet. Of a task that is
 // done, the other of its two runs may still be there.
 uint32_t countUnreportedRuns(const PlacementPass &Pass, const Job &J, const StepState &Step) {
-  const std::string &Service = J.Spec->Service;
-  const bool HasUnreported = Pass.UnreportedServices.count(Service) > 0;
-  const bool HasPendingReport = Pass.ReportPendingServices.count(Service) > 0;
+  const bool HasUnreported = mayBeOnWorkersOf(J, Pass.UnreportedServices);
+  const bool HasPendingReport = mayBeOnWorkersOf(J, Pass.ReportPendingServices);
   uint32_t Count = 0;
   const uint32_t MaxRuns = mayHaveSecondRuns(Pass.Cell, Step) ? 2 : 1;
   for (const TaskState &Task : Step.Tasks) {
--- a/src/scheduler/overload.cpp
+++ b/src/scheduler/overload.cpp
@@ -4,6 +4,7 @@
 // each late job would make the next one late.
 #include "scheduler/overload.h"
 
+#include "scheduler/job_services.h"
 #include "scheduler/pass.h"
 #include "scheduler/run_times.h"
 
@@ -433,7 +434,7 @@
 // largest of the times by kind of resource.
 double workLeft(const CellState &Cell, const Job &J, const RoundState &Round,
                 const RoundChains &Chains) {
-  const auto Load = Cell.Loads.find(J.Spec->Service);
+  const auto Load = Cell.Loads.find(J.Services.Current);
   if (Load == Cell.Loads.end())
     return 0;
   ResourceAmounts Work{};
@@ -551,7 +552,7 @@
     if (!Step || !Step->Queued)
       continue;
     Job &J = Cell.Jobs.at(Key.Step.Job);
-    ServiceQueue &Of = Found[J.Spec->Service];
+    ServiceQueue &Of = Found[J.Services.Current];
     if (unplacedTasks(*Step) > 0 && isWithinQuota(Cell, J.Owner, minCharge(*Step->Spec)))
       addStep(Cell, Of, J, J.Rounds.at(Key.Step.Round), {&J, Step, {}});
     else
@@ -568,8 +569,9 @@
   std::map<int, ResourceAmounts> Preemptible;
 };
 
-void addHeld(const CellState &Cell, HeldResources &To, const Job &J, const StepState &Step) {
-  const ResourceAmounts Held = amountsOf(needOf(Step)) * Step.BookedTasks;
+void addHeld(const CellState &Cell, HeldResources &To, const Job &J, const StepState &Step,
+             uint32_t Tasks) {
+  const ResourceAmounts Held = amountsOf(needOf(Step)) * Tasks;
   if (Step.Spec->LongRunning) {
     To.LongRunning = To.LongRunning + Held;
     return;
@@ -584,13 +586,12 @@
 
 std::map<std::string, HeldResources> collectHeld(const CellState &Cell) {
   std::map<std::string, HeldResources> Found;
-  for (const auto &[Id, J] : Cell.Jobs) {
-    HeldResources *Of = nullptr;
+  for (const auto &[Id, J] : Cell.Jobs)
     for (const auto &[Number, Round] : J.Rounds)
       for (const StepState &Step : Round.Steps)
-        if (Step.BookedTasks > 0)
-          addHeld(Cell, Of ? *Of : *(Of = &Found[J.Spec->Service]), J, Step);
-  }
+        forEachServiceInUse(J, Step, [&, &Of = J](const std::string &Service, uint32_t Tasks) {
+          addHeld(Cell, Found[Service], Of, Step, Tasks);
+        });
   return Found;
 }
 
@@ -616,7 +617,7 @@
 // The steps to come of rounds whose steps are all running: work that goes before that of new jobs.
 void addRunningRounds(const CellState &Cell, const std::string &Service, ServiceQueue &To) {
   for (const auto &[Id, J] : Cell.Jobs) {
-    if (J.Phase != JobPhase::Live || J.Spec->Service != Service || J.Spec->Steps.size() < 2)
+    if (J.Phase != JobPhase::Live || J.Services.Current != Service || J.Spec->Steps.size() < 2)
       continue;
     for (const auto &[Number, Round] : J.Rounds) {
       if (Round.Done || To.ByRound.count({Id, Number}) > 0)
@@ -672,7 +673,7 @@
   Key.Step = Step.Key;
   Step.LatestStart = {};
   if (!Cell.InForce.OverloadOrder || Step.Spec->LongRunning ||
-      !isOverloaded(Cell, J.Spec->Service)) {
+      !isOverloaded(Cell, J.Services.Current)) {
     Key.Late = isLate(J, Step, Now);
     return Key;
   }
--- a/src/scheduler/partial_reports_test.cpp
+++ b/src/scheduler/partial_reports_test.cpp
@@ -67,7 +67,7 @@
   Given.Now += 10ms;
   workerReported(Given.Cell, "busy", Rest, Given.Now, Given.Now, Out);
   EXPECT_TRUE(Given.pass().Starts.empty());
-  EXPECT_FALSE(hasUnreportedWorkers(Given.Cell, "pool"));
+  EXPECT_TRUE(unreportedServices(Given.Cell).empty());
 }
 
 // Guards against a long-running task that is down for good: of two reports of the same millisecond,
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -5,6 +5,7 @@
 #include "scheduler/copies.h"
 #include "scheduler/crashes.h"
 #include "scheduler/forecast.h"
+#include "scheduler/job_services.h"
 #include "scheduler/pass.h"
 
 #include <algorithm>
@@ -26,8 +27,8 @@
 
 PlacementPass beginPass(CellState &Cell, TimePoint Now, Effects &Out) {
   PlacementPass Pass{Cell, Now, Out, {}, {}, false, {}};
+  Pass.UnreportedServices = unreportedServices(Cell);
   for (const auto &[Id, Service] : Cell.UnreportedWorkers) {
-    Pass.UnreportedServices.insert(Service);
     const auto Found = Cell.Workers.find(Id);
     if (Found != Cell.Workers.end() && Found->second.IsResponsive && !Found->second.HasReported)
       Pass.ReportPendingServices.insert(Service);
@@ -94,10 +95,9 @@
 
 bool isPlaceable(const PlacementPass &Pass, const Job &J, const StepState &Step, uint32_t Index) {
   const TaskState &Task = Step.Tasks[Index];
-  const std::string &Service = J.Spec->Service;
   const bool MayRun =
-      (Task.MayRunOnUnreportedWorker && Pass.UnreportedServices.count(Service) > 0) ||
-      (Task.MayBeStartedByPredecessor && Pass.ReportPendingServices.count(Service) > 0);
+      (Task.MayRunOnUnreportedWorker && mayBeOnWorkersOf(J, Pass.UnreportedServices)) ||
+      (Task.MayBeStartedByPredecessor && mayBeOnWorkersOf(J, Pass.ReportPendingServices));
   return !Task.Done && !Task.AssignedWorker && !MayRun && Task.NotBefore <= Pass.Now &&
          !awaitsCrashCountSave(Pass.Cell, Task) && !awaitsConfirmation(Pass.Cell, Task) &&
          !hasOrphanedRun(Pass.Cell, {Step.Key, Index});
@@ -201,7 +201,7 @@
 void noteUnplaced(PlacementPass &Pass, const Job &J, const QueueKey &Entry) {
   CellState &Cell = Pass.Cell;
   if (Pass.SharesAdvice) {
-    const auto [First, New] = Cell.FirstUnplacedOfService.try_emplace(J.Spec->Service, Entry);
+    const auto [First, New] = Cell.FirstUnplacedOfService.try_emplace(J.Services.Current, Entry);
     if (Entry < First->second)
       First->second = Entry;
   } else if (!Cell.FirstUnplaced || Entry < *Cell.FirstUnplaced)
@@ -213,7 +213,7 @@
   const CellState &Cell = Pass.Cell;
   if (!Pass.SharesAdvice)
     return Cell.FirstUnplaced && !(Entry < *Cell.FirstUnplaced);
-  const auto First = Cell.FirstUnplacedOfService.find(J.Spec->Service);
+  const auto First = Cell.FirstUnplacedOfService.find(J.Services.Current);
   return First != Cell.FirstUnplacedOfService.end() && !(Entry < First->second);
 }
 
@@ -281,6 +281,8 @@
 void place(CellState &Cell, TimePoint Now, Effects &Out) {
   if (!Cell.Loaded)
     return;
+  if (std::exchange(Cell.HasUnrequestedSaves, false))
+    Out.SaveRequested = true;
   PlacementPass Pass = beginPass(Cell, Now, Out);
   const bool IsFullScan = beginFullScan(Pass);
   MissCount OfCell;
@@ -311,6 +313,10 @@
       queueStep(Cell, J, *Step, Now); // moves it behind the steps that are in time
     if (isDeferred(Pass, J, Entry, *Step, IsFullScan))
       continue;
+    if (!isServiceSaved(Cell, J)) {
+      Step->WaitReason = WaitsForServiceSave;
+      continue;
+    }
     beginStep(Pass, J, *Step);
     if (J.Spec->Advice && Step->Advice.AnsweredSlots.empty()) {
       requestFirstAdvice(Pass, J, *Step);
--- a/src/scheduler/rooms.cpp
+++ b/src/scheduler/rooms.cpp
@@ -28,7 +28,7 @@
 
 bool isEligible(const PlacementPass &Pass, const Worker &W, const Job &J, const StepState &Step) {
   return W.HasReported && W.IsRecorded && takesWork(W) && W.IsResponsive && !W.HasUnsizedRun &&
-         W.QuarantinedUntil <= Pass.Now && W.Info.Service == J.Spec->Service &&
+         W.QuarantinedUntil <= Pass.Now && W.Info.Service == J.Services.Current &&
          hasLabel(W.Info, Step.Spec->RequiredLabel);
 }
 
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -4,8 +4,9 @@
 // depending on the scenario, tasks that crash their workers, changes of capacity, evacuations of
 // zones, speculative steps on workers of uneven speed, workers that start again under their id, and
 // scheduled jobs under schedulers whose clocks differ, schedulers that are cut off together with
-// some workers, calls that the client repeats after a reset, long-running tasks whose runs end, and
-// submissions that are written after their job was cancelled. Every start is checked against the
+// some workers, calls that the client repeats after a reset, long-running tasks whose runs end,
+// submissions that are written after their job was cancelled, and queues that are sent to other
+// services while schedulers hand over to others. Every start is checked against the
 // simulation's own records. VALVESHELF_FUZZ_EVENTS and VALVESHELF_FUZZ_SEED set length and first
 // seed; VALVESHELF_FUZZ_TRACE=JOB prints the starts, losses and crash counts of that job's tasks.
 #include "cell/leadership_evidence.h"
@@ -52,6 +53,10 @@
 constexpr Milliseconds LastingAwayLimit{3000};
 // The progress record of a job has at most this many bytes, however often its tasks end.
 constexpr size_t MaxProgressBytes = 4096;
+// A process has the last configuration but one for at most this time, and a scheduler that does not
+// have the newest one for at most MaxConfigurationTime more.
+constexpr Milliseconds MaxOldConfigurationTime{2000};
+constexpr Milliseconds MaxConfigurationTime{500};
 // How far the time of day of a scheduler may be off, in either direction.
 constexpr Milliseconds MaxClockError{1500};
 
@@ -115,6 +120,7 @@
   Lasting,         ///< Steps may be long-running; their runs end in each way, some at once.
   LastingRestarts, ///< As Lasting and ResetRestarts.
   LateWrites,      ///< Submissions are written late, also after their job was cancelled.
+  Moves,           ///< As Rounds; queues are sent to other services, and schedulers hand over.
 };
 
 class World {
@@ -127,12 +133,14 @@
         DrawsCopies(With == Scenario::Copies),
         RestartsWorkers(With == Scenario::Restarts || With == Scenario::CrashRestarts ||
                         With == Scenario::ResetRestarts || With == Scenario::LastingRestarts),
-        SchedulesJobs(With == Scenario::Rounds || With == Scenario::Partitions),
+        SchedulesJobs(With == Scenario::Rounds || With == Scenario::Partitions ||
+                      With == Scenario::Moves),
         CutsSchedulersOff(With == Scenario::Partitions),
         ResetsConnections(With == Scenario::Resets || With == Scenario::ResetRestarts ||
                           With == Scenario::LastingRestarts),
         DrawsLasting(With == Scenario::Lasting || With == Scenario::LastingRestarts),
-        WritesLate(With == Scenario::LateWrites), StopTime(Seed % 2 ? 50 : 900) {
+        WritesLate(With == Scenario::LateWrites), MovesQueues(With == Scenario::Moves),
+        StopTime(Seed % 2 ? 50 : 900) {
     // The budget of copies is a part of the cores.
     const int BoxCount = DrawsCopies ? 12 : 6;
     for (int I = 0; I < BoxCount; ++I)
@@ -157,6 +165,9 @@
   int64_t PartialReports = 0;    ///< Reports whose list of ends is full.
   int64_t LastingEnds = 0;       ///< Runs of long-running tasks that ended by themselves.
   int64_t LateJobs = 0;          ///< Jobs that were written after they had been cancelled.
+  int64_t MovedStarts = 0;       ///< On another service than that of the submission.
+  int64_t HandOvers = 0;         ///< Takeovers that a scheduler has prepared.
+  int64_t ShortenedWaits = 0;    ///< For a worker, by what the scheduler before has noted.
   std::vector<std::string> Violations;
 
   void play(int64_t Count) {
@@ -172,6 +183,8 @@
       playWithoutFaults();
     if (DrawsLasting)
       endLastingJobs();
+    if (MovesQueues)
+      leaveAllButOneService();
     // Every accepted job must end once the faults are over.
     for (int I = 0; I < 400000 && Violations.empty() && unfinished() > 0; ++I) {
       // Add boxes now and then, as advice may have excluded all others.
@@ -262,6 +275,8 @@
     const std::string Id = "i-" + std::to_string(++LastBox);
     Made->Info.Id = Id;
     Made->Info.Service = LastBox % 3 ? "pool" : "other";
+    if (MovesQueues)
+      Made->Info.Service = FaultsOver ? ServiceNames[0] : ServiceNames[LastBox % 3];
     Made->Info.Address = {"10.0.0.1", static_cast<uint16_t>(LastBox)};
     if (InPlaceOf) {
       Made->Info.Service = InPlaceOf->Info.Service;
@@ -369,6 +384,7 @@
   void checkStart(Box &On, const RunKey &Run) {
     ++Starts;
     ++CalmStarts[Run.Task];
+    MovedStarts += On.Info.Service != Store.at(Run.Task.Step.Job).Spec->Service ? 1 : 0;
     if (Revoked.count(Run.Task.Step.Job))
       addViolation("UNASKED", Run);
     traceRun(On, Run, IsInevitable ? "begun, ordered from an earlier life" : "begun");
@@ -672,6 +688,9 @@
     if (SwitchesFeatures)
       Config.Services = {{"pool"}, {"other"}};
     Config.Organisations.emplace();
+    for (const auto &[Name, Service] : QueueServices)
+      if (MovesQueues)
+        Config.Queues.push_back({.Name = Name, .Host = "", .PathPrefix = "", .Service = Service});
     for (const auto &[Name, Known] : QuotaHistory)
       Config.Organisations->push_back({Name, {}, 1, {Known.back().second, Known.back().second, 0}});
     return Config;
@@ -690,6 +709,85 @@
     applyFeatures(Cell, Drawn);
   }
 
+  // Sends a queue to another service. Each scheduler that goes on reads it a little later.
+  void moveQueue() {
+    const auto Which = std::next(QueueServices.begin(), drawScenario(0, 1));
+    const std::string To = ServiceNames[static_cast<size_t>(drawScenario(0, 2))];
+    if (To == Which->second)
+      return;
+    changeServices([&] { Which->second = To; });
+  }
+
+  void changeServices(const std::function<void()> &Change) {
+    LastConfiguration = configuration();
+    for (const auto &[Queue, Service] : QueueServices)
+      ServiceUntil[{Queue, Service}] = Now;
+    Change();
+    ++ConfigVersion;
+    ChangedAt = Now;
+    for (const ProcessPtr &Of : {Current, Previous})
+      if (Of)
+        deliverConfiguration(Of);
+  }
+
+  void deliverConfiguration(const ProcessPtr &To) {
+    after(Milliseconds(drawScenario(0, MaxConfigurationTime.count())),
+          [To, Config = configuration()] {
+            if (Config.Version > To->Cell.ConfigVersion)
+              applyConfiguration(To->Cell, Config);
+          });
+  }
+
+  // As some process has read it: the last but one for a while after a change.
+  CellConfiguration someConfiguration() {
+    const bool IsOld = Now - ChangedAt < MaxOldConfigurationTime && LastConfiguration.Version > 0 &&
+                       drawScenario(0, 2) == 0;
+    return IsOld ? LastConfiguration : configuration();
+  }
+
+  // A scheduler may have no configuration yet.
+  void configureNext(const ProcessPtr &Next) {
+    if (!MovesQueues)
+      return applyConfiguration(Next->Cell, configuration());
+    if (drawScenario(0, 3) > 0)
+      applyConfiguration(Next->Cell, someConfiguration());
+    if (Next->Cell.ConfigVersion < ConfigVersion)
+      deliverConfiguration(Next);
+  }
+
+  void drawQueue(JobSpec &Spec) {
+    const CellConfiguration Known = someConfiguration();
+    const Queue &Of = Known.Queues[static_cast<size_t>(drawScenario(0, 1))];
+    Spec.Queue = Of.Name;
+    Spec.Service = Of.Service;
+    Spec.ConfigVersion = drawScenario(0, 9) == 0 ? 0 : Known.Version; // 0: an earlier version's
+  }
+
+  // Checks the first order of a run: its queue uses the service, or has left it a moment ago.
+  void checkService(const Process &Of, const Effects::Start &Order) {
+    const auto To = Boxes.find(Order.Worker);
+    if (!MovesQueues || !Of.Cell.HasConfiguration || To == Boxes.end() ||
+        !OrderedRuns.insert(Order.Run).second)
+      return;
+    const std::string &Service = To->second->Info.Service;
+    const auto Left = ServiceUntil.find({Order.Job->Queue, Service});
+    const bool IsRecent = Left != ServiceUntil.end() &&
+                          Now - Left->second <= MaxOldConfigurationTime + MaxConfigurationTime;
+    if (QueueServices.at(Order.Job->Queue) != Service && !IsRecent)
+      addViolation("ROUTE (" + Service + " was left)", Order.Run);
+  }
+
+  // All queues are sent to one service, and the workers of the others leave for good.
+  void leaveAllButOneService() {
+    changeServices([&] {
+      for (auto &[Queue, Service] : QueueServices)
+        Service = ServiceNames[0];
+    });
+    for (const auto &[Id, Entry] : Boxes)
+      if (!Entry->Dead && Entry->Info.Service != ServiceNames[0])
+        takeAway(*Entry);
+  }
+
   // A gang starts its work when all its members are there.
   void wakeGang(const RunKey &Run) {
     std::vector<WorkerModel::Run *> Members;
@@ -894,6 +992,8 @@
     }
     StartsWhileCutOff += Of->IsCutOff ? 1 : 0;
     checkOrder(Order);
+    if (Of == Current)
+      checkService(*Of, Order);
     workerLeased(Of->Cell, Order.Worker, leaseEnd());
     const auto Known = Of->Cell.Workers.find(Order.Worker);
     const uint64_t Token =
@@ -1212,8 +1312,8 @@
     const StoredJob &Of = Store.at(Task.Step.Job);
     if (Of.Phase != JobPhase::Live)
       return true;
-    Result<SavedSteps> Saved = decodeProgress(Task.Step.Job, Of.Progress);
-    for (const auto &[Key, Tasks] : value(Saved))
+    Result<SavedProgress> Saved = decodeProgress(Task.Step.Job, Of.Progress);
+    for (const auto &[Key, Tasks] : value(Saved).Steps)
       for (const SavedTask &Entry : Tasks)
         if (Key == Task.Step && Entry.Index == Task.Index && (Entry.Done || Entry.HasEndedDone))
           return true;
@@ -1285,8 +1385,8 @@
     if (Row.Progress.size() > MaxProgressBytes)
       addViolation("RECORD (" + std::to_string(Row.Progress.size()) + " bytes)",
                    {{{Id, 0, 0}, 0}, 0});
-    const Result<SavedSteps> Saved = decodeProgress(Id, Row.Progress);
-    for (const auto &[Key, Tasks] : value(Saved))
+    const Result<SavedProgress> Saved = decodeProgress(Id, Row.Progress);
+    for (const auto &[Key, Tasks] : value(Saved).Steps)
       for (const SavedTask &Entry : Tasks)
         if (Entry.Done)
           DoneNotedAt.try_emplace({Key, Entry.Index}, Now);
@@ -1316,8 +1416,9 @@
             return addViolation("MIXED (completed before its tasks)", {Task, 0});
   }
 
-  // Starts a new scheduler. The old one may go on for a while.
-  void takeOver() {
+  // Starts a new scheduler. The old one may go on for a while, unless it has handed over: \p Ends
+  // are the times by which it has found that the runs of workers are over.
+  void takeOver(const std::map<std::string, TimePoint> &Ends = {}) {
     ++Takeovers;
     if (Current)
       Current->StopsAt = chance(0.5) ? Now : Now + Milliseconds(upTo(4000));
@@ -1346,21 +1447,25 @@
       Noted.Born = {}; // records don't hold it
       if (chance(0.2))
         Noted.Capacity = {}; // as in records of earlier versions
+      const auto End = Ends.find(Id);
+      const TimePoint Latest = leaseEnd() + (CutsSchedulersOff ? 0ms : 4000ms);
+      ShortenedWaits += End != Ends.end() && End->second < Latest ? 1 : 0;
       if (Records.count(Id))
-        workerMayHoldRuns(Cell, Noted, leaseEnd() + (CutsSchedulersOff ? 0ms : 4000ms));
+        workerMayHoldRuns(Cell, Noted, End == Ends.end() ? Latest : std::min(End->second, Latest));
     }
     for (const auto &[Id, Row] : Store)
       if (Row.Phase == JobPhase::Live) {
         addJob(Cell, Row.Spec, Row.Revision, false, steady());
-        Result<SavedSteps> Saved = decodeProgress(Id, Row.Progress);
-        for (const auto &[Key, Tasks] : value(Saved))
+        Result<SavedProgress> Saved = decodeProgress(Id, Row.Progress);
+        restoreServices(Cell, Id, value(Saved).Services);
+        for (const auto &[Key, Tasks] : value(Saved).Steps)
           restoreStep(Cell, Key, Tasks);
       }
     // As in production, so that runs of ended jobs are charged to their organisations.
     for (const auto &[Id, Row] : Store)
       if (Row.Phase != JobPhase::Live)
         Cell.EndedJobs[Id] = {Row.Phase, Row.Revision, wall(), Row.Spec->Organisation};
-    applyConfiguration(Cell, configuration());
+    configureNext(Next);
     if (SwitchesFeatures) {
       Cell.AdviceConcurrency = static_cast<uint32_t>(StoreTerm % 4); // 0: not known
       switchFeatures(Cell);
@@ -1434,6 +1539,8 @@
     }
     if (DrawsCopies)
       drawSpeculativeSteps(*Spec);
+    if (MovesQueues)
+      drawQueue(*Spec);
     if (DrawsLasting && drawScenario(0, 1) == 0) {
       Spec->Steps[0].LongRunning = true;
       Spec->Steps[0].Need = {drawScenario(200, 900), drawScenario(200, 900), 0};
@@ -1539,13 +1646,17 @@
   }
 
   void removeBox(Box &Which) {
+    takeAway(Which);
+    addBox(Which.Info.Rack);
+  }
+
+  void takeAway(Box &Which) {
     if (!Which.Info.Draining)
       noteCrash(Which);
     Which.Dead = true;
     Which.Model.Runs.clear();
     if (!Current->HasEnded)
       workerUnlisted(Current->Cell, Which.Info.Id, steady());
-    addBox(Which.Info.Rack);
   }
 
   void step(bool InjectFaults) {
@@ -1575,6 +1686,8 @@
         disturbRounds();
       if (ResetsConnections && drawScenario(1, 4000) == 1)
         takeOver();
+      if (MovesQueues && drawScenario(1, 500) == 1)
+        moveQueue();
     }
     if (Current->HasEnded && !TakeoverScheduled) {
       TakeoverScheduled = true;
@@ -1703,6 +1816,7 @@
   const bool ResetsConnections;
   const bool DrawsLasting;
   const bool WritesLate;
+  const bool MovesQueues;
   const Milliseconds StopTime;
   Milliseconds Now{0};
   bool FaultsOver = false;
@@ -1724,7 +1838,15 @@
   /// By organisation: its maxima, each with the time until which a scheduler may apply it.
   std::map<std::string, std::vector<std::pair<Milliseconds, int64_t>>> QuotaHistory;
   uint64_t ConfigVersion = 0;
-  bool IsInevitable = false; ///< The start being carried out was ordered from an earlier life.
+  const std::array<std::string, 3> ServiceNames{"pool", "other", "third"};
+  /// In worlds with moves: the service of each queue, when queues have left services, and the last
+  /// configuration but one.
+  std::map<std::string, std::string> QueueServices{{"q0", "pool"}, {"q1", "other"}};
+  std::map<std::pair<std::string, std::string>, Milliseconds> ServiceUntil;
+  CellConfiguration LastConfiguration;
+  Milliseconds ChangedAt{0};
+  std::set<RunKey> OrderedRuns; ///< In worlds with moves: runs whose start was ordered.
+  bool IsInevitable = false;    ///< The start being carried out was ordered from an earlier life.
   std::set<std::pair<WallTime, RunKey>> InevitableRuns; ///< Such runs, with the life that has them.
   std::set<TaskKey> ActuallyDone;
   std::set<TaskKey> ForgottenDone;
@@ -1754,7 +1876,7 @@
   int64_t Starts = 0, Takeovers = 0, Crashes = 0, GivenUp = 0, Overloads = 0, Copies = 0;
   int64_t Restarts = 0, LaterRounds = 0, StartsWhileCutOff = 0;
   int64_t Resets = 0, OvertakenRepeats = 0, LateOrders = 0, PartialReports = 0;
-  int64_t LastingEnds = 0, LateJobs = 0;
+  int64_t LastingEnds = 0, LateJobs = 0, MovedStarts = 0, HandOvers = 0, ShortenedWaits = 0;
 
   WorldSeries(int64_t UsualEvents, Scenario With) {
     Events = Events == 0 ? UsualEvents : Events;
@@ -1767,7 +1889,8 @@
               << " resets, " << OvertakenRepeats << " overtaken repeats, " << LateOrders
               << " late orders, " << PartialReports << " partial reports, " << LastingEnds
               << " ends of long-running tasks, " << LateJobs
-              << " jobs written after their cancelling\n";
+              << " jobs written after their cancelling, " << MovedStarts << " moved starts, "
+              << HandOvers << " hand-overs, " << ShortenedWaits << " shortened waits\n";
   }
 
   void play(uint64_t Seed, Scenario With) {
@@ -1788,6 +1911,9 @@
     PartialReports += One.PartialReports;
     LastingEnds += One.LastingEnds;
     LateJobs += One.LateJobs;
+    MovedStarts += One.MovedStarts;
+    HandOvers += One.HandOvers;
+    ShortenedWaits += One.ShortenedWaits;
     Broken += One.Violations.empty() ? 0 : 1;
     EXPECT_TRUE(One.Violations.empty()) << "seed " << Seed << ": " << One.Violations.front();
   }
@@ -1882,6 +2008,15 @@
   EXPECT_GT(Played.Takeovers, Played.Worlds);
 }
 
+// Guards against jobs that stay with a service that their queue has left, and against tasks that
+// run twice at a takeover after a move, or since a wait was shortened by what the scheduler before
+// has noted.
+TEST(SchedulerFuzz, KeepsJobsWhoseQueuesMoveOverTakeoversAndHandOvers) {
+  const WorldSeries Played(400000, Scenario::Moves);
+  EXPECT_GT(Played.MovedStarts, Played.Events / 500);
+  EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
+}
+
 TEST(SchedulerFuzz, SeedsThatLoseAWorkerUnderAPlannedGang) {
   // The plans of the other members must not stay booked.
   for (const uint64_t Seed : {5790U}) {
--- a/src/scheduler/waiting.cpp
+++ b/src/scheduler/waiting.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // What the steps of the queue wait for, as operators see it.
 #include "scheduler/crash_count.h"
+#include "scheduler/job_services.h"
 #include "scheduler/pass.h"
 
 namespace valveshelf::sched {
@@ -10,7 +11,7 @@
     return WaitCause::Advice;
   if (Step.WaitReason == WaitsForQuota)
     return WaitCause::Quota;
-  if (Step.WaitReason == WaitsForCrashSave)
+  if (Step.WaitReason == WaitsForCrashSave || Step.WaitReason == WaitsForServiceSave)
     return WaitCause::Save;
   return Step.LastPlacementFailed ? WaitCause::Capacity : WaitCause::Turn;
 }
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/copies.h"
 #include "scheduler/crashes.h"
 #include "scheduler/forecast.h"
+#include "scheduler/job_services.h"
 #include "scheduler/overload.h"
 #include "scheduler/restarts.h"
 #include "scheduler/run_times.h"
@@ -45,23 +46,24 @@
   return Found == Cell.Workers.end() ? nullptr : &Found->second;
 }
 
-// Removes the worker from those that may hold unknown runs. The last one of its service releases
-// the tasks that were held back, since an earlier scheduler may have started them.
+// Removes the worker from those that may hold unknown runs. The last one of the services of a job
+// releases its tasks that were held back, since an earlier scheduler may have started them.
 void noteWorkerKnown(CellState &Cell, const std::string &Id, TimePoint Now, Effects &Out) {
   const auto Found = Cell.UnreportedWorkers.find(Id);
   if (Found == Cell.UnreportedWorkers.end())
     return;
   const std::string Service = std::move(Found->second);
   Cell.UnreportedWorkers.erase(Found);
-  if (hasUnreportedWorkers(Cell, Service))
+  const std::set<std::string> Unreported = unreportedServices(Cell);
+  if (Unreported.count(Service) > 0)
     return;
   for (auto &[JobNumber, Of] : Cell.Jobs) {
-    if (Of.Spec->Service != Service)
+    if (!mayBeOnWorkersOf(Of, {Service}) || mayBeOnWorkersOf(Of, Unreported))
       continue;
     for (auto &[Number, Round] : Of.Rounds)
       for (StepState &Step : Round.Steps) {
-        // All workers of the service are known now. A gang of which only some members were found
-        // can't be completed, so these are stopped.
+        // All workers that may hold runs of the job are known now. A gang of which only some
+        // members were found can't be completed, so these are stopped.
         const bool Partial =
             Step.Spec->Gang && Step.BookedTasks > 0 && Step.BookedTasks < Step.OpenTasks;
         for (uint32_t I = 0; Partial && I < Step.Tasks.size(); ++I)
@@ -71,8 +73,9 @@
         queueStep(Cell, Of, Step, Now);
       }
   }
-  const auto Lost = Cell.LostUnreportedWorkers.extract(Service);
-  settleEarlierStarts(Cell, Service, Lost ? &Lost.mapped() : nullptr, Now, Out);
+  settleEarlierStarts(Cell, Service, Unreported, Now, Out);
+  if (Unreported.empty())
+    Cell.LostUnreportedWorkers.clear();
 }
 
 // Charges the attempt to the quota of its organisation.
@@ -778,9 +781,11 @@
 }
 
 // UnreportedWorkers holds only those that `workerMayHoldRuns` has added, not every listed worker.
-bool hasUnreportedWorkers(const CellState &Cell, const std::string &Service) {
-  return std::any_of(Cell.UnreportedWorkers.begin(), Cell.UnreportedWorkers.end(),
-                     [&](const auto &Entry) { return Entry.second == Service; });
+std::set<std::string> unreportedServices(const CellState &Cell) {
+  std::set<std::string> Services;
+  for (const auto &[Id, Service] : Cell.UnreportedWorkers)
+    Services.insert(Service);
+  return Services;
 }
 
 // True if the worker is unlisted and holds nothing. If its record were kept, the next scheduler
@@ -836,6 +841,7 @@
   Cell.Wall = Wall;
   Cell.WallAt = Now;
   Out.WorkerRestarts = std::exchange(Cell.NewRestarts, {});
+  Out.QueueMoves = std::exchange(Cell.NewMoves, {});
   if (!Cell.Loaded)
     return;
   const bool CheckForStalls = Now >= Cell.NextStallScan;
--- a/testsuite/platform_cell.py
+++ b/testsuite/platform_cell.py
@@ -33,13 +33,17 @@
 longest_worker_lease = "6s"
 stop_time = "50ms"
 stop_grace_seconds = 6
+[process]
+power = %(power)s
 """
 
 
 MAX_ATTEMPTS = {"check": 3, "rebuild": 3, "scan": 2}
 
 
-def configuration(version=1):
+def configuration(version=1, services=None):
+    """`services`: by queue, where it differs from "pool"."""
+    services = services or {}
     advice = {"decide_ms": 5.0, "each_ms": 0.1, "valid_ms": 1500}
     routes = [
         {"name": "q-check", "priority": 0, "extension": 1.5, "advice": advice},
@@ -48,10 +52,11 @@
     ]
     for route in routes:
         queue = route["name"][2:]
-        route.update(host=HOST, path_prefix=PREFIXES[queue], max_attempts=MAX_ATTEMPTS[queue], service="pool",
-                     kind="non_idempotent", timeout_ms=3000, target_latency_ms=1000)
+        route.update(host=HOST, path_prefix=PREFIXES[queue], max_attempts=MAX_ATTEMPTS[queue],
+                     service=services.get(queue, "pool"), kind="non_idempotent", timeout_ms=3000, target_latency_ms=1000)
     return {"version": version, "routes": routes,
-            "services": [{"name": "pool", "rejects_overload": False}],
+            "services": [{"name": name, "rejects_overload": False}
+                         for name in sorted({"pool", *services.values()})],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144}}
 
 
@@ -94,9 +99,12 @@
 
 
 class PlatformCell:
-    def __init__(self, folder, entries=3, workers=6, worker_connections=0, start_resets=False):
+    def __init__(self, folder, entries=3, workers=6, worker_connections=0, start_resets=False,
+                 others=0, powers=()):
         """`worker_connections`: how many connections a worker accepts; 0: any number.
-        `start_resets`: workers are behind proxies that can reset connections after a start."""
+        `start_resets`: workers are behind proxies that can reset connections after a start.
+        `others`: so many of the workers, the last ones, are of the service "pool2".
+        `powers`: of the first entries; that of the others is 1."""
         self.folder, self.worker_count = folder, workers
         fronts = workers if worker_connections or start_resets else 0
         ports = free_ports(2 + workers + entries * 4 + fronts)
@@ -104,7 +112,7 @@
         listed = ports[-fronts] if fronts else ports[2]
         self.platform = Process("platform", "platform", [
             os.path.join(BIN, "standins"), "users-platform", "--port", str(ports[0]),
-            "--workers", str(workers), "--listed-port", str(listed)], "127.0.0.1:%d" % ports[0],
+            "--workers", str(workers), "--other-service", str(others), "--listed-port", str(listed)], "127.0.0.1:%d" % ports[0],
             os.path.join(folder, "platform.log"))
         self.worker_fronts, thread = [], ProxyThread() if fronts else None
         for i in range(fronts):
@@ -118,7 +126,7 @@
             mine = ports[2 + workers + i * 4:][:4]
             name = "e%d" % (i + 1)
             values = dict(zip(("callers", "readiness", "peers", "metrics"), mine), name=name,
-                          store=ports[0], advice=ports[1])
+                          store=ports[0], advice=ports[1], power=powers[i] if i < len(powers) else 1)
             path = os.path.join(folder, name + ".toml")
             self.settings[name] = values
             self.write_settings(name)
--- a/testsuite/replay/crash_scene.h
+++ b/testsuite/replay/crash_scene.h
@@ -240,8 +240,8 @@
       Cell.EndedJobs[Id] = {Phase, 1, Cell.Wall, ""};
     for (const auto &[Id, Spec] : Specs) {
       addJob(Cell, Spec, Id, false, Now);
-      const Result<SavedSteps> Saved = decodeProgress(Id, Progress[Id]);
-      for (const auto &[Key, Tasks] : value(Saved))
+      const Result<SavedProgress> Saved = decodeProgress(Id, Progress[Id]);
+      for (const auto &[Key, Tasks] : value(Saved).Steps)
         restoreStep(Cell, Key, Tasks);
     }
     Effects Out;
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -292,6 +292,7 @@
   WorkerModel Model;
   WallTime Born{}; ///< Tells the lives of the worker apart.
   std::string Address;
+  std::string Service;
   std::string Rack;
   std::string Zone;
   Resources Capacity;
@@ -312,12 +313,15 @@
 
 class Pool {
 public:
-  /// \p FirstPort: that the list of workers gives for the first one.
-  Pool(asio::io_context &Io, KeyStore &Store, const std::string &Host, int FirstPort, int Count)
+  /// \p FirstPort: that the list of workers gives for the first one. The last \p OfOtherService are
+  /// of a service of their own.
+  Pool(asio::io_context &Io, KeyStore &Store, const std::string &Host, int FirstPort, int Count,
+       int OfOtherService)
       : Io(Io), Store(Store), Begun(Steady::now()) {
     for (int I = 0; I < Count; ++I) {
       auto Made = std::make_shared<Seat>();
       Made->Address = Host + ":" + std::to_string(FirstPort + I);
+      Made->Service = I < Count - OfOtherService ? "pool" : "pool2";
       Made->Rack = "r" + std::to_string(I / 3);
       Made->Zone = "z" + std::to_string(1 + I % 2);
       Made->Capacity = WholeCapacity;
@@ -453,7 +457,7 @@
   }
 
   void list(const Seat &Of) {
-    const json::object Entry{{"service", "pool"},
+    const json::object Entry{{"service", Of.Service},
                              {"address", Of.Address},
                              {"zone", Of.Zone},
                              {"version", "v1"},
@@ -951,7 +955,8 @@
   const int Count = static_cast<int>(Given.number("workers", 6));
   KeyStore Store(Io);
   const int ListedPort = static_cast<int>(Given.number("listed-port", Port + 2));
-  Pool Workers(Io, Store, Host, ListedPort, Count);
+  Pool Workers(Io, Store, Host, ListedPort, Count,
+               static_cast<int>(Given.number("other-service", 0)));
   std::vector<std::unique_ptr<HttpServer>> Servers;
   const auto Serve = [&](int At, Handler Handle) {
     const Endpoint Where{Host, static_cast<uint16_t>(At)};
