Leadership: a wait for a lost worker is not begun again by the next scheduler

Cause: each term reckoned its wait from its own load on, for the longest lease that any scheduler can have given by then: 6.7 s, of which 1.2 s are for leases by a clock that was read 30 s before. What the scheduler before knew of the worker ended with its term. A hand-over begins the wait again; after a plain kill with a quick restart the wait and the start of the process are longer than the rule allows.

Change: a scheduler that ends its term as planned writes how long the runs of each worker that it can't reach may go on at most; the next term counts from its claim, any later one drops the note. A lease is shorter by the drift since the worker's clock was read, so that successors wait for 5.5 s, and they count from the claim. Hand-overs are not deferred: the role goes back at once, also while workers are lost.

The new tests of Leadership and SchedulerRunner use what is new; Leadership.ClaimsUnclaimedCell and NotesThatEarlierSchedulersHaveEnded name the new mark.

--- a/src/base/events.cpp
+++ b/src/base/events.cpp
@@ -117,9 +117,12 @@
 const EventKind ClaimMade{
     2101, "info", "claim-made",
     "This process became the scheduler of the cell; its term is the fencing token for workers."};
-const EventKind TermBegun{
-    2102, "info", "term-begun",
-    "The scheduler has loaded its state from the store and asks the workers for their runs."};
+const EventKind TermBegun{2102, "info", "term-begun",
+                          "The scheduler has loaded its state from the store and asks the workers "
+                          "for their runs: how many "
+                          "may hold some of an earlier scheduler (`unheard`), and how long those "
+                          "that can't be reached are "
+                          "waited for at most."};
 const EventKind TermEnded{2103, "warn", "term-ended",
                           "This process is no longer the scheduler; the reason follows."};
 const EventKind SchedulerGone{
@@ -141,6 +144,10 @@
     "can't be reached is waited for longer."};
 const EventKind ClaimFailed{2110, "info", "claim-failed",
                             "This process could not become the scheduler; the reason follows."};
+const EventKind LeaseEndsNoted{
+    2112, "info", "lease-ends-noted",
+    "This scheduler ends its term while workers can't be reached, and tells the next one how long "
+    "their runs may go on at most: whether that was written, or why not."};
 const EventKind LoopLags{
     2111, "warn", "loop-lags",
     "The scheduler's event loop was late. Of the last second: by how much at most; the processor "
@@ -323,6 +330,7 @@
                               &PredecessorUnknown,
                               &ClaimFailed,
                               &LoopLags,
+                              &LeaseEndsNoted,
                               &JobKept,
                               &CallRefused,
                               &JobTaken,
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -50,21 +50,33 @@
   uint64_t OverwrittenLease = 0; ///< 0: none.
   /// The scheduler of this term has found that those before it can start nothing any more.
   bool IsSettled = false;
+  /// This scheduler and those before it, as far as their leases have not ended, have shortened
+  /// leases by the drift since they read the worker's clock. Earlier versions don't.
+  bool AreLeasesBounded = false;
 };
+// Earlier versions read the first mark only.
 constexpr std::string_view SettledMark = "settled";
+constexpr std::string_view BoundedMark = "bounded";
 
 std::string encodeTerm(const StoredTerm &Value) {
-  const std::string Term = std::to_string(Value.Term);
+  std::string Text = std::to_string(Value.Term);
+  if (Value.IsSettled || Value.AreLeasesBounded || Value.OverwrittenLease != 0)
+    Text += " " + std::to_string(Value.IsSettled ? 0 : Value.OverwrittenLease);
   if (Value.IsSettled)
-    return Term + " 0 " + std::string(SettledMark);
-  return Value.OverwrittenLease == 0 ? Term : Term + " " + std::to_string(Value.OverwrittenLease);
+    Text += " " + std::string(SettledMark);
+  if (Value.AreLeasesBounded)
+    Text += " " + std::string(BoundedMark);
+  return Text;
 }
 
 StoredTerm decodeTerm(const std::string &Text) {
   StoredTerm Value;
-  std::string Mark;
-  std::istringstream(Text) >> Value.Term >> Value.OverwrittenLease >> Mark;
-  Value.IsSettled = Mark == SettledMark;
+  std::istringstream From(Text);
+  From >> Value.Term >> Value.OverwrittenLease;
+  for (std::string Mark; From >> Mark;) {
+    Value.IsSettled = Value.IsSettled || Mark == SettledMark;
+    Value.AreLeasesBounded = Value.AreLeasesBounded || Mark == BoundedMark;
+  }
   return Value;
 }
 } // namespace
@@ -312,12 +324,23 @@
   co_return false;
 }
 
-// Saves pending state and ends the lease, so that another process can claim at once.
+// Saves pending state and ends the lease, so that another process can claim at once. What is known
+// of workers that can't be reached is passed on, so that the next scheduler waits for them only for
+// the rest of the time.
 Awaitable<void> Leadership::handOver(std::shared_ptr<SchedulerRunner> Current) {
   co_await Current->flush(FlushTimeout);
   // A successor takes a key that is gone for one of a scheduler whose predecessors have ended.
   const bool MayEndLease = !Current->mayPredecessorStart();
   Current->stop();
+  if (std::optional<Transaction> Note = Current->leaseEndsNote()) {
+    const Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(*Note));
+    logEvent(
+        events::LeaseEndsNoted,
+        {{"term", std::to_string(CurrentTerm)},
+         {"written", !ok(Written)             ? "\"" + error(Written).Detail + "\""
+                     : value(Written).Applied ? "yes"
+                                              : "\"another process has claimed leadership\""}});
+  }
   if (MayEndLease)
     co_await Tools.Store.RevokeLease(CurrentLease);
 }
@@ -342,13 +365,14 @@
   return std::nullopt;
 }
 
-// Notes in the term key that no scheduler before this one can start anything. A successor then has
-// to allow only for this one.
+// Notes in the term key that no scheduler before this one can start anything, and that none of
+// their leases lasts longer than those of this one. A successor then has to allow only for this
+// one.
 Awaitable<void> Leadership::storeSettled(Claim Own) {
   Transaction Put;
   Put.Conditions.push_back({std::string(LeaderKey), Own.LeaderRevision});
   Put.Conditions.push_back({std::string(TermKey), Own.LeaderRevision});
-  Put.Puts.push_back({std::string(TermKey), encodeTerm({Own.Term, 0, true}), 0, 0});
+  Put.Puts.push_back({std::string(TermKey), encodeTerm({Own.Term, 0, true, true}), 0, 0});
   const Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
   if (!ok(Written))
     logEvent(
@@ -407,12 +431,15 @@
   Own.Term = Last.Term + 1;
   Own.LeasesBefore = {LeaseBefore, Last.OverwrittenLease};
   Own.IsPredecessorSettled = Last.IsSettled;
+  Own.AreEarlierLeasesBounded = Last.Term == 0 || Last.AreLeasesBounded;
   const Leader Self{Tools.Settings.Member, Tools.Settings.Peers, Own.Term};
   Transaction Put;
   Put.Conditions.push_back({std::string(LeaderKey), ExpectedRevision});
   Put.Conditions.push_back({std::string(TermKey), value(Term).Revision});
   Put.Puts.push_back({std::string(LeaderKey), encodeLeader(Self), 0, Own.Lease});
-  Put.Puts.push_back({std::string(TermKey), encodeTerm({Own.Term, LeaseBefore}), 0, 0});
+  Put.Puts.push_back({std::string(TermKey),
+                      encodeTerm({Own.Term, LeaseBefore, false, Own.AreEarlierLeasesBounded}), 0,
+                      0});
   Own.SentAt = Tools.Time.Now();
   Result<TransactionResult> Written = co_await Tools.Store.Commit(std::move(Put));
   // If the write was applied after all, the lease expires or the key is this process's own.
@@ -434,6 +461,8 @@
     Own.PredecessorEndedAt.reset();
     Own.PredecessorOutage = co_await announceClaim(Own.Term);
   }
+  // Earlier leases have ended, and no member confirms an earlier term any more.
+  Own.NoLeasesSince = Tools.Time.Now();
   bool RunnerEnded = false;
   Runner = std::make_shared<SchedulerRunner>(Tools, Own, [&RunnerEnded] { RunnerEnded = true; });
   CurrentLease = Own.Lease;
@@ -467,7 +496,11 @@
     Result<Done> Kept = co_await Tools.Store.RenewLease(Own.Lease);
     if (ok(Kept))
       Current->leadershipRenewed(SentAt);
-    if (ok(Kept) && Current->loaded() && !Current->mayPredecessorStart() &&
+    const bool AreLeasesBounded =
+        Own.AreEarlierLeasesBounded ||
+        Tools.Time.Now() - TermStart >=
+            driftDuring(MaxClockReadingAge, Tools.Settings.Scheduler.ClockDrift);
+    if (ok(Kept) && Current->loaded() && !Current->mayPredecessorStart() && AreLeasesBounded &&
         !std::exchange(IsSettled, true))
       spawnLater(Tools.Where, storeSettled(Own));
     if (!ok(Kept) && error(Kept).Kind == ErrorKind::NotFound)
--- a/src/cell/leadership_evidence.cpp
+++ b/src/cell/leadership_evidence.cpp
@@ -23,6 +23,18 @@
   return std::clamp(WorkerLease - Age, Milliseconds(0), WorkerLease);
 }
 
+Milliseconds driftDuring(Steady::duration Time, double ClockDrift) {
+  const std::chrono::duration<double, std::milli> Total = Time;
+  return std::chrono::ceil<Milliseconds>(Total * (2 * ClockDrift));
+}
+
+TimePoint inheritedLeaseEnd(TimePoint From, Milliseconds Longest, std::optional<Milliseconds> Left,
+                            const SchedulerLimits &Limits) {
+  const TimePoint Latest =
+      From + Longest + driftDuring(Longest, Limits.ClockDrift) + Limits.LeaseMargin;
+  return Left ? std::min(Latest, From + *Left + driftDuring(*Left, Limits.ClockDrift)) : Latest;
+}
+
 bool mayStartRuns(const LeadershipEvidence &Known, TimePoint Now) {
   return Now - Known.ConfirmedAt <= MaxStartEvidenceAge;
 }
--- a/src/cell/leadership_evidence.h
+++ b/src/cell/leadership_evidence.h
@@ -17,6 +17,7 @@
 #include "valveshelf/clock.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -27,6 +28,10 @@
 /// renewal. A successor takes jobs that were accepted until then for possibly started.
 inline constexpr Milliseconds MaxStartEvidenceAge{1400};
 
+/// The clock of an idle worker is read at least this often. A lease is given by the last reading,
+/// and is shorter by what the two clocks may have drifted apart since.
+inline constexpr Milliseconds MaxClockReadingAge{30000};
+
 /// Invariant: RenewedAt <= ConfirmedAt, both in the past.
 struct LeadershipEvidence {
   TimePoint RenewedAt{};   ///< When the last renewal that the store has answered was sent.
@@ -41,6 +46,14 @@
 /// The longest lease that may be given to a worker at \p Now; 0: none.
 Milliseconds permittedLease(const LeadershipEvidence &Known, Milliseconds WorkerLease,
                             TimePoint Now);
+/// How far two clocks may have drifted apart in \p Time, each at a rate that is wrong by at most \p
+/// ClockDrift.
+Milliseconds driftDuring(Steady::duration Time, double ClockDrift);
+/// The latest end, by the clock of a successor, of a lease of an earlier scheduler. No lease was
+/// given after \p From; each was at most \p Longest. \p Left: what the scheduler before noted of a
+/// worker as it ended its term, with its own allowance for drift; empty: nothing.
+TimePoint inheritedLeaseEnd(TimePoint From, Milliseconds Longest, std::optional<Milliseconds> Left,
+                            const sched::SchedulerLimits &Limits);
 /// Whether runs may be started.
 bool mayStartRuns(const LeadershipEvidence &Known, TimePoint Now);
 
--- a/src/cell/leadership_test.cpp
+++ b/src/cell/leadership_test.cpp
@@ -51,7 +51,7 @@
         Clock{},
         Settings,
         Store.ops(),
-        {},
+        silentWorkers(),
         {},
         "servers/",
         "op/evacuate/",
@@ -81,6 +81,13 @@
     Lead = std::make_unique<Leadership>(Tools, *View, Callbacks);
   }
 
+  static WorkerLink silentWorkers() {
+    WorkerLink Link;
+    Link.Heartbeat = [](HeartbeatRequest) -> Awaitable<Result<WorkerReport>> {
+      co_return Error{ErrorKind::UpstreamUnavailable, "no answer"};
+    };
+    return Link;
+  }
   // Runs until \p Holds returns true, for a few seconds at most.
   bool runUntil(const std::function<bool()> &Holds) {
     const TimePoint Limit = Steady::now() + 5s;
@@ -106,7 +113,7 @@
   Given.Lead->start();
   EXPECT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
   EXPECT_EQ(Given.leaderName(), "a");
-  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "1");
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "1 0 bounded");
 }
 
 TEST(Leadership, DoesNotOverwriteConcurrentClaim) {
@@ -538,10 +545,62 @@
   Given.Lead->start();
   ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
   EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
-  ASSERT_TRUE(
-      Given.runUntil([&] { return Given.Store.value(std::string(TermKey)) == "4 0 settled"; }));
+  ASSERT_TRUE(Given.runUntil(
+      [&] { return Given.Store.value(std::string(TermKey)) == "4 0 settled bounded"; }));
   EXPECT_FALSE(Given.Lead->scheduler()->mayPredecessorStart());
 }
 
+// Guards against a successor that waits too short a time for leases that a scheduler of an earlier
+// version has given: they may last longer by the drift of the worker's clock.
+TEST(Leadership, NotesThatLeasesAreBoundedOnceThoseOfAnEarlierVersionHaveEnded) {
+  Bench Given("b");
+  Given.Store.put(std::string(TermKey), "3 0 settled", 0);
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"b", Given.Settings.Peers, 3}), 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  Given.Io.run_for(1000ms);
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4");
+  EXPECT_TRUE(Given.runUntil(
+      [&] { return Given.Store.value(std::string(TermKey)) == "4 0 settled bounded"; }));
+}
+
+TEST(Leadership, LeasesStayBoundedFromTermToTerm) {
+  Bench Given("b");
+  Given.Store.put(std::string(TermKey), "3 0 settled bounded", 0);
+  Given.Store.put(std::string(LeaderKey), encodeLeader({"b", Given.Settings.Peers, 3}), 0);
+  Given.View->start();
+  Given.Lead->start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+  EXPECT_EQ(Given.Store.value(std::string(TermKey)), "4 0 bounded");
+}
+
+// Guards against a wait for a lost worker that each scheduler begins anew: how long its runs may go
+// on is passed on with the term, in a hand-over and in a planned stop.
+TEST(Leadership, TellsTheNextSchedulerHowLongToWaitForAWorkerThatCannotBeReached) {
+  for (const bool IsPlannedStop : {false, true}) {
+    Bench Given("weak");
+    Given.Settings.Power = 0.1;
+    Given.Store.put(
+        workerKey("lost"),
+        encodeWorkerRecord({.Id = "lost", .Service = "pool", .Address = {"127.0.0.1", 9}}), 0);
+    Given.View->start();
+    Given.Lead->start();
+    ASSERT_TRUE(Given.runUntil([&] { return Given.Lead->scheduler() != nullptr; }));
+    Given.Io.run_for(500ms);
+    if (IsPlannedStop)
+      spawnLater(Given.Io.get_executor(), Given.Lead->leave());
+    else
+      Given.addMember("strong", 0.5);
+    ASSERT_TRUE(Given.runUntil([&] { return Given.leaderName() == ""; }));
+    const Result<LeaseEnds> Noted = decodeLeaseEnds(Given.Store.value(std::string(LeaseEndsKey)));
+    ASSERT_TRUE(ok(Noted));
+    EXPECT_EQ(value(Noted).Term, 1U);
+    ASSERT_EQ(value(Noted).Left.count("lost"), 1U);
+    EXPECT_LE(value(Noted).Left.at("lost"), 5000ms) << "500 ms of at most 5,500 have passed";
+    EXPECT_GE(value(Noted).Left.at("lost"), 1000ms);
+  }
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -24,30 +24,24 @@
 constexpr std::chrono::microseconds UnsavedDelayPerWorker{2500};
 } // namespace
 
-// The latest time at which a lease granted now expires, allowing for clock drift during the lease
-// and since the worker's clock was read \p ClockAge ago.
-TimePoint SchedulerRunner::leaseEnd(Milliseconds Lease, Steady::duration ClockAge) const {
-  const std::chrono::duration<double, std::milli> Time = Lease;
-  const auto Drift = (Time + ClockAge) * (2 * Cell.Limits.ClockDrift);
-  return Deps.Time.Now() + std::chrono::duration_cast<Steady::duration>(Time + Drift) +
-         Cell.Limits.LeaseMargin;
-}
-
-// By the worker's clock, the end of the longest lease that may be given now; empty: none may be. An
-// order or heartbeat that is late carries the end as it was decided.
+// By the worker's clock, the end of the longest lease that may be given now; empty: none may be, or
+// the clock has to be read again first. An order or heartbeat that is late carries the end as it
+// was decided. The worker's clock may be behind the estimate, and the lease ends in time all the
+// same.
 std::optional<Milliseconds> SchedulerRunner::leaseUntil(const std::string &Id) const {
   const Milliseconds Lease =
       permittedLease(Evidence, Deps.Settings.Timing.WorkerLease, Deps.Time.Now());
-  if (Lease == Milliseconds(0))
+  const Milliseconds Certain = Lease - driftDuring(clockAge(Id), Cell.Limits.ClockDrift);
+  if (Lease == Milliseconds(0) || Certain < Lease / 2)
     return std::nullopt;
-  return workerTime(Id) + Lease;
+  return workerTime(Id) + Certain;
 }
 
 // The longest lease is on its way to the worker.
 void SchedulerRunner::noteLeased(const std::string &Id) {
   const Milliseconds Lease =
       permittedLease(Evidence, Deps.Settings.Timing.WorkerLease, Deps.Time.Now());
-  workerLeased(Cell, Id, leaseEnd(Lease, clockAge(Id)));
+  workerLeased(Cell, Id, inheritedLeaseEnd(Deps.Time.Now(), Lease, std::nullopt, Cell.Limits));
 }
 
 Steady::duration SchedulerRunner::clockAge(const std::string &Id) const {
@@ -306,6 +300,8 @@
   if (!LeaseUntil || !mayStartRuns(Self->Evidence, Self->Deps.Time.Now())) {
     Effects Out;
     startWithheld(Self->Cell, Order.Worker, Order.Run, Self->Deps.Time.Now(), Out);
+    if (!LeaseUntil)
+      Out.ReportRequests.push_back(Order.Worker);
     co_return Self->executeEffects(Out);
   }
   StartRun Start;
--- a/src/cell/scheduler_runner.cpp
+++ b/src/cell/scheduler_runner.cpp
@@ -182,7 +182,55 @@
   return HoldsAll && !Stopped && !Cell.PredecessorMayStart ? OwnClaim.Term : 0;
 }
 
+// What the scheduler before has told of workers that it could not reach. What earlier ones told is
+// not used: leases may have been given since.
+std::map<std::string, Milliseconds> SchedulerRunner::leasesLeft(const KeyRange &Runs) const {
+  const auto Item = std::find_if(Runs.Items.begin(), Runs.Items.end(),
+                                 [](const KeyValue &Of) { return Of.Key == LeaseEndsKey; });
+  if (Item == Runs.Items.end())
+    return {};
+  Result<LeaseEnds> Read = decodeLeaseEnds(Item->Value);
+  if (!ok(Read)) {
+    logEvent(events::RecordUnreadable, {{"key", Item->Key}});
+    return {};
+  }
+  if (value(Read).Term + 1 != OwnClaim.Term)
+    return {};
+  return std::move(value(Read).Left);
+}
+
+std::optional<Transaction> SchedulerRunner::leaseEndsNote() const {
+  if (!Cell.Loaded)
+    return std::nullopt;
+  const TimePoint Now = Deps.Time.Now();
+  LeaseEnds Note{OwnClaim.Term, {}};
+  for (const auto &[Id, Revision] : WorkerRecords) {
+    const std::optional<TimePoint> End = endOfUnreachableRuns(Cell, Id);
+    if (End && Note.Left.size() < MaxLeaseEnds)
+      Note.Left[Id] = std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(*End - Now));
+  }
+  if (Note.Left.empty())
+    return std::nullopt;
+  Transaction What = fencedTransaction();
+  What.Puts.push_back({std::string(LeaseEndsKey), encodeLeaseEnds(Note), 0, 0});
+  return What;
+}
+
+// The longest time until the runs of a worker that has not reported have certainly ended.
+Milliseconds SchedulerRunner::longestWait() const {
+  TimePoint Latest = Deps.Time.Now();
+  for (const auto &[Id, Service] : Cell.UnreportedWorkers)
+    if (const auto Found = Cell.Workers.find(Id); Found != Cell.Workers.end())
+      Latest = std::max(Latest, Found->second.LeaseEnd);
+  return std::chrono::duration_cast<Milliseconds>(Latest - Deps.Time.Now());
+}
+
 void SchedulerRunner::loadWorkers(const KeyRange &Listed, const KeyRange &Runs) {
+  const std::map<std::string, Milliseconds> Left = leasesLeft(Runs);
+  const TimePoint From = OwnClaim.NoLeasesSince.value_or(Deps.Time.Now());
+  Milliseconds Longest = Deps.Settings.Timing.WorkerLease + OwnClaim.PredecessorOutage;
+  if (!OwnClaim.AreEarlierLeasesBounded)
+    Longest += driftDuring(MaxClockReadingAge, Cell.Limits.ClockDrift);
   for (const KeyValue &Item : Listed.Items)
     applyWorkerItem(Item, false);
   for (const KeyValue &Item : Runs.Items) {
@@ -196,8 +244,12 @@
       continue;
     }
     WorkerRecords[Id] = Item.Revision;
-    const Milliseconds Lease = Deps.Settings.Timing.WorkerLease + OwnClaim.PredecessorOutage;
-    workerMayHoldRuns(Cell, value(Info), leaseEnd(Lease, IdleHeartbeatInterval));
+    const auto Noted = Left.find(Id);
+    workerMayHoldRuns(
+        Cell, value(Info),
+        inheritedLeaseEnd(From, Longest,
+                          Noted == Left.end() ? std::nullopt : std::optional(Noted->second),
+                          Cell.Limits));
   }
 }
 
@@ -256,6 +308,7 @@
                                {"jobs", std::to_string(Cell.Jobs.size())},
                                {"workers", std::to_string(Cell.Workers.size())},
                                {"unheard", std::to_string(Cell.UnreportedWorkers.size())},
+                               {"wait_ms", std::to_string(longestWait().count())},
                                {"load_ms", std::to_string(Took.count())}});
   co_return Done{};
 }
--- a/src/cell/scheduler_runner.h
+++ b/src/cell/scheduler_runner.h
@@ -62,6 +62,10 @@
   /// How much longer than for a lease to wait for workers that can't be reached: the scheduler
   /// before may have gone on without the store.
   Milliseconds PredecessorOutage{0};
+  /// Since when it is certain that no earlier scheduler gives leases; empty: until this one loads.
+  std::optional<TimePoint> NoLeasesSince;
+  /// All earlier schedulers have shortened leases by the drift since they read the worker's clock.
+  bool AreEarlierLeasesBounded = false;
   /// When the scheduler before may last have been confirmed; empty: until this one has loaded.
   std::optional<TimePoint> PredecessorConfirmedAt;
   /// The scheduler before had found that those before it can start nothing.
@@ -80,6 +84,10 @@
   void stop();
   /// For a planned stop: waits until all pending saves are durable, for at most \p Time.
   Awaitable<void> flush(Milliseconds Time);
+  /// Call after `stop`: the write that tells the next scheduler how long the runs of workers that
+  /// can't be reached may go on at most. Fails once another process has claimed leadership. Empty:
+  /// there is nothing to tell.
+  std::optional<Transaction> leaseEndsNote() const;
   void setMembers(const std::set<std::string> &Names);
   /// The store has answered a renewal of the claim's lease that was sent at \p SentAt.
   void leadershipRenewed(TimePoint SentAt);
@@ -118,7 +126,7 @@
   /// Delay before a failed call is repeated.
   static constexpr Milliseconds RetryPause{150};
   /// Heartbeat interval of an idle worker; bounds the error of the estimate of its clock.
-  static constexpr Milliseconds IdleHeartbeatInterval{30000};
+  static constexpr Milliseconds IdleHeartbeatInterval = MaxClockReadingAge;
   struct HeartbeatState {
     Milliseconds WorkerClock{0};
     TimePoint ReadAt{};         ///< When WorkerClock was read.
@@ -132,6 +140,8 @@
   void loadJobs(const KeyRange &Intake, const KeyRange &Runs);
   void loadWorkers(const KeyRange &Listed, const KeyRange &Runs);
   void loadRunTimes(const KeyRange &Runs);
+  std::map<std::string, Milliseconds> leasesLeft(const KeyRange &Runs) const;
+  Milliseconds longestWait() const;
   static Awaitable<void> watchIntake(SelfPtr Self, uint64_t From);
   static Awaitable<void> watchWorkers(SelfPtr Self);
   void applyIntakeItem(const KeyValue &Item, bool Fresh);
@@ -174,7 +184,6 @@
   static Awaitable<void> sendStart(SelfPtr Self, sched::Effects::Start Order, uint64_t Number);
   static Awaitable<void> sendStop(SelfPtr Self, sched::Effects::Stop Order);
   Milliseconds workerTime(const std::string &Id) const;
-  TimePoint leaseEnd(Milliseconds Lease, Steady::duration ClockAge) const;
   std::optional<Milliseconds> leaseUntil(const std::string &Id) const;
   void noteLeased(const std::string &Id);
   Steady::duration clockAge(const std::string &Id) const;
--- a/src/cell/scheduler_runner_test.cpp
+++ b/src/cell/scheduler_runner_test.cpp
@@ -881,6 +881,119 @@
   return ok(Read) && value(Read).Phase == JobPhase::Cancelled;
 }
 
+// A takeover of a job that an earlier scheduler may have started on "w0", which is cut off.
+void takeOverFromLostWorker(Bench &Given, uint64_t Term) {
+  Given.Workers.at("w0").IsCut = true;
+  Given.Store.put(workerKey("w0"),
+                  encodeWorkerRecord({.Id = "w0", .Service = "pool", .Address = {"127.0.0.1", 9}}),
+                  0);
+  Given.submit(1, 1);
+  Given.Own = {.Term = Term, .LeaderRevision = 2, .AreEarlierLeasesBounded = true};
+}
+
+// Guards against a wait for a lost worker that the next scheduler begins anew.
+TEST(SchedulerRunner, WaitsOnlyForTheRestOfTheTimeThatTheSchedulerBeforeHasNoted) {
+  Bench Given;
+  Given.Store.put(std::string(LeaseEndsKey), encodeLeaseEnds({1, {{"w0", 1000ms}}}), 0);
+  takeOverFromLostWorker(Given, 2);
+  Given.start();
+  EXPECT_FALSE(Given.runUntil([&] { return Given.running() > 0; }, 900ms));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 600ms));
+}
+
+// Leases may have been given by the scheduler in between.
+TEST(SchedulerRunner, UsesNoNoteOfASchedulerBeforeTheLastOne) {
+  Bench Given;
+  Given.Store.put(std::string(LeaseEndsKey), encodeLeaseEnds({1, {{"w0", 0ms}}}), 0);
+  takeOverFromLostWorker(Given, 3);
+  Given.start();
+  EXPECT_FALSE(Given.runUntil([&] { return Given.running() > 0; }, 2500ms));
+}
+
+TEST(SchedulerRunner, WaitsNoLongerThanALeaseForWhatWasNoted) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 1000ms;
+  Given.Store.put(std::string(LeaseEndsKey), encodeLeaseEnds({1, {{"w0", 60000ms}}}), 0);
+  takeOverFromLostWorker(Given, 2);
+  Given.start();
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 2000ms));
+}
+
+// Guards against a wait that begins only once the state is loaded: no lease was given since.
+TEST(SchedulerRunner, WaitsForALostWorkerFromItsClaimOn) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 2000ms;
+  takeOverFromLostWorker(Given, 2);
+  Given.Own.NoLeasesSince = Steady::now() - 1500ms;
+  Given.start();
+  EXPECT_FALSE(Given.runUntil([&] { return Given.running() > 0; }, 700ms));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 700ms));
+}
+
+// Leases of earlier versions may last longer by the drift in 30 s, here 1.2 s.
+TEST(SchedulerRunner, WaitsLongerForLeasesOfAnEarlierVersion) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 1000ms;
+  takeOverFromLostWorker(Given, 2);
+  Given.Own.AreEarlierLeasesBounded = false;
+  Given.start();
+  EXPECT_FALSE(Given.runUntil([&] { return Given.running() > 0; }, 2400ms));
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 1000ms));
+}
+
+// Guards against a lease that outlives what a successor waits for: the clock of an idle worker was
+// read a while ago, and may be behind by now.
+TEST(SchedulerRunner, TheFirstLeaseOfAnIdleWorkerIsShorterByTheDriftOfItsClock) {
+  Bench Given;
+  Given.Settings.Timing.HeartbeatWait = 50ms;
+  Given.Settings.Scheduler.ClockDrift = 0.1;
+  Given.start();
+  Given.runUntil([] { return false; }, 1500ms);
+  const size_t Before = Given.LeasesLeft.size();
+  Given.submit(1, 1);
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 1; }));
+  ASSERT_GT(Given.LeasesLeft.size(), Before);
+  EXPECT_LE(Given.LeasesLeft[Before], Given.Settings.Timing.WorkerLease - 200ms);
+}
+
+// Guards against a worker that is never used again, since its clock was read too long ago.
+TEST(SchedulerRunner, ReadsTheClockOfAnIdleWorkerAgainBeforeAStart) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 1000ms;
+  Given.Settings.Timing.HeartbeatWait = 50ms;
+  Given.Settings.Scheduler.ClockDrift = 0.3;
+  Given.start();
+  Given.runUntil([] { return false; }, 1500ms);
+  Given.submit(1, 1);
+  EXPECT_TRUE(Given.runUntil([&] { return Given.running() == 1; }, 1000ms));
+}
+
+// The time left of a worker that can't be reached, as it is told to the next scheduler.
+TEST(SchedulerRunner, NotesHowLongWorkersThatCannotBeReachedMayGoOn) {
+  Bench Given;
+  Given.Settings.Timing.WorkerLease = 1500ms;
+  Given.Settings.Timing.HeartbeatWait = 100ms;
+  Given.submit(1, 2);
+  Given.start();
+  ASSERT_TRUE(Given.runUntil([&] { return Given.running() == 2; }));
+  const auto Note = [&]() -> LeaseEnds {
+    const std::optional<Transaction> What = Given.Runner->leaseEndsNote();
+    if (!What)
+      return {};
+    EXPECT_EQ(What->Conditions.front().Key, LeaderKey);
+    return value(decodeLeaseEnds(What->Puts.front().Value));
+  };
+  EXPECT_TRUE(Note().Left.empty()) << "all workers answer";
+  Given.Workers.at("w0").IsCut = true;
+  ASSERT_TRUE(Given.runUntil([&] { return !Note().Left.empty(); }));
+  const Milliseconds First = Note().Left.at("w0");
+  EXPECT_LE(First, 1500ms * 108 / 100 + 300ms);
+  Given.runUntil([] { return false; }, 500ms);
+  EXPECT_LE(Note().Left.at("w0"), First - 400ms) << "it is given no lease any more";
+  EXPECT_EQ(Note().Left.count("w1"), 0U);
+  ASSERT_TRUE(Given.runUntil([&] { return Note().Left.at("w0") == 0ms; }));
+}
+
 // Guards against a job that runs since the next scheduler does not know of its cancelling.
 TEST(SchedulerRunner, StartsNothingOfAJobThatWasRevokedBeforeItLoaded) {
   Bench Given;
--- a/src/include/valveshelf/cell_records.h
+++ b/src/include/valveshelf/cell_records.h
@@ -37,6 +37,8 @@
 inline constexpr std::string_view WorkerRecordPrefix = "vs/run/worker/";
 /// The snapshot of learned run times.
 inline constexpr std::string_view RunTimesKey = "vs/run/runtimes";
+/// What a scheduler that ends its term tells the next one of workers that it can't reach.
+inline constexpr std::string_view LeaseEndsKey = "vs/run/leases";
 
 /// Returns \p Key without its first `Prefix.size()` characters.
 std::string keySuffix(const std::string &Key, std::string_view Prefix);
@@ -112,6 +114,17 @@
 /// At most \p Most of the workers learned as slow, slowest first, as a JSON array for operators.
 std::string slowestWorkers(const CellState &Cell, size_t Most);
 
+/// Workers that a scheduler could not reach as it ended its term, and for how long after the write
+/// of this record their runs may go on at most.
+struct LeaseEnds {
+  uint64_t Term = 0; ///< Of the scheduler that wrote it.
+  std::map<std::string, Milliseconds> Left;
+};
+/// Bounds the record; the next scheduler waits for the full time for further workers.
+inline constexpr size_t MaxLeaseEnds = 2000;
+std::string encodeLeaseEnds(const LeaseEnds &Value);
+Result<LeaseEnds> decodeLeaseEnds(const std::string &Bytes);
+
 std::string encodeRevocations(const std::vector<Revocation> &Revocations);
 Result<std::vector<Revocation>> decodeRevocations(const std::string &Bytes);
 
--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -849,6 +849,9 @@
 void workerSilent(CellState &Cell, const std::string &Id, TimePoint Now);
 /// True if the worker answers, holds no runs, and none of its ends waits for a save.
 bool isIdle(const Worker &On);
+/// When the runs of a worker that does not answer, or has not reported, have certainly ended, by
+/// the calls that were sent so far; may be past. Empty: the worker answers.
+std::optional<TimePoint> endOfUnreachableRuns(const CellState &Cell, const std::string &Id);
 /// The services of workers that may hold runs of an earlier scheduler and have not reported yet.
 std::set<std::string> unreportedServices(const CellState &Cell);
 /// Ends all attempts on the worker, or on the earlier life with that key, and removes it.
--- a/src/records/cell_records.cpp
+++ b/src/records/cell_records.cpp
@@ -377,6 +377,26 @@
   return Decoded;
 }
 
+std::string encodeLeaseEnds(const LeaseEnds &Value) {
+  cell::LeaseEndsRecord Record;
+  Record.set_term(Value.Term);
+  for (const auto &[Worker, Left] : Value.Left) {
+    Record.add_worker(Worker);
+    Record.add_left_ms(static_cast<uint32_t>(Left.count()));
+  }
+  return Record.SerializeAsString();
+}
+
+Result<LeaseEnds> decodeLeaseEnds(const std::string &Bytes) {
+  cell::LeaseEndsRecord Record;
+  if (!Record.ParseFromString(Bytes) || Record.worker_size() != Record.left_ms_size())
+    return unreadable("lease ends");
+  LeaseEnds Decoded{Record.term(), {}};
+  for (int I = 0; I < Record.worker_size(); ++I)
+    Decoded.Left[Record.worker(I)] = Milliseconds(Record.left_ms(I));
+  return Decoded;
+}
+
 std::string encodeWorkerRecord(const WorkerInfo &Info) {
   cell::WorkerRecord Record;
   Record.set_address(toString(Info.Address));
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -788,6 +788,25 @@
         takeAway(*Entry);
   }
 
+  // A scheduler ends its term and tells the next one of workers that it can't reach; often while
+  // one has just become unreachable.
+  void handOver() {
+    if (drawScenario(0, 1) == 0)
+      std::next(Boxes.begin(), drawScenario(0, static_cast<int64_t>(Boxes.size()) - 1))
+          ->second->UnreachableUntil = Now + Milliseconds(drawScenario(1000, 6000));
+    after(Milliseconds(drawScenario(0, 2500)), [this] {
+      if (Current->HasEnded)
+        return;
+      std::map<std::string, TimePoint> Ends;
+      for (const std::string &Id : Records)
+        if (const std::optional<TimePoint> End = endOfUnreachableRuns(Current->Cell, Id))
+          Ends[Id] = *End;
+      Current->HasEnded = true;
+      ++HandOvers;
+      takeOver(Ends);
+    });
+  }
+
   // A gang starts its work when all its members are there.
   void wakeGang(const RunKey &Run) {
     std::vector<WorkerModel::Run *> Members;
@@ -1688,6 +1707,8 @@
         takeOver();
       if (MovesQueues && drawScenario(1, 500) == 1)
         moveQueue();
+      if (MovesQueues && drawScenario(1, 1500) == 1)
+        handOver();
     }
     if (Current->HasEnded && !TakeoverScheduled) {
       TakeoverScheduled = true;
@@ -2014,6 +2035,8 @@
 TEST(SchedulerFuzz, KeepsJobsWhoseQueuesMoveOverTakeoversAndHandOvers) {
   const WorldSeries Played(400000, Scenario::Moves);
   EXPECT_GT(Played.MovedStarts, Played.Events / 500);
+  EXPECT_GT(Played.HandOvers, Played.Worlds);
+  EXPECT_GT(Played.ShortenedWaits, Played.Worlds);
   EXPECT_GT(Played.Takeovers, Played.Worlds * 5);
 }
 
--- a/src/scheduler/worker_lives.cpp
+++ b/src/scheduler/worker_lives.cpp
@@ -33,6 +33,19 @@
   return Keys;
 }
 
+std::optional<TimePoint> endOfUnreachableRuns(const CellState &Cell, const std::string &Id) {
+  const auto Found = Cell.Workers.find(Id);
+  if (Found == Cell.Workers.end())
+    return TimePoint{}; // it was dropped, since nothing can run there any more
+  const Worker &On = Found->second;
+  if (On.IsResponsive && On.HasReported)
+    return std::nullopt;
+  TimePoint End = On.LeaseEnd;
+  for (const std::string &Key : earlierLivesOf(Cell, On))
+    End = std::max(End, Cell.Workers.at(Key).LeaseEnd);
+  return End;
+}
+
 Worker &beginNewLife(CellState &Cell, Worker &Was, const LifeStatement &Stated, std::string_view By,
                      TimePoint Now) {
   const std::string Id = Was.Info.Id;
