--- a/testsuite/soak.py
+++ b/testsuite/soak.py
@@ -53,6 +53,9 @@
 IMPATIENT_ONE_IN, IMPATIENT_S, LATE_WAIT_S = 6, (0.0005, 0.006), (0.05, 1.0)
 # Once the faults are over, a long-running task is away for at most this time.
 AWAY_MS, SETTLED_WITHIN_S, WATCHED_S = 3000, 20, 6
+# With --queue-moves: where queues are sent, and the power of the first processes.
+SERVICES, MOVES_POWERS = ("pool", "pool2"), (4, 2)
+MOST_CONFIGURATIONS = 1_000_000
 FIRST_RESETS = (0.5, "resets-in-takeover", None, 1.0, 1)  # In every plan.
 
 # One job in so many crashes each worker that begins it.
@@ -263,7 +266,7 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, entries, workers, scheduled, resets, late):
+    def __init__(self, folder, seed, entries, workers, scheduled, resets, late, moves):
         self.proxies = ProxyThread()
         self.stores, self.advices, self.fronts = {}, {}, {}
         # The proxies listen before the cell looks for free ports, so that it takes others.
@@ -272,7 +275,10 @@
             for proxies in (self.stores, self.advices, self.fronts):
                 proxies[name] = Proxy(next(ports))
                 self.proxies.add(proxies[name])
-        self.cell = PlatformCell(folder, entries, workers, start_resets=resets)
+        # Of processes of unequal power, the stronger ones take the role over whenever they can.
+        self.cell = PlatformCell(folder, entries, workers, start_resets=resets,
+                                 others=workers // 2 if moves else 0, powers=MOVES_POWERS if moves else ())
+        self.moves = moves
         for name, entry in self.cell.entries.items():
             self.stores[name].target = "127.0.0.1:%d" % self.cell.store
             self.advices[name].target = "127.0.0.1:%d" % (self.cell.store + 1)
@@ -398,7 +404,9 @@
                                "becomes": rng.choice(["small", "whole"])})
 
     def switch_features(self, seed, over):
-        """Operators switch the features that the program knows, one configuration after the other."""
+        """Operators switch the features that the program knows, one configuration after the other, and
+        with --queue-moves send queues to other services."""
+        moved = random.Random(seed * 67)
         rng, version = random.Random(seed * 47), 1
         status, _, body = call(self.cell.entries["e1"].metrics, "GET", "/v1/overload")
         known = [name for name in ("share_advice", "order", "admission", "learn_run_times", "copies")
@@ -406,7 +414,8 @@
         while not over.wait(rng.uniform(0.3, 2.0)):
             version += 1
             given = {name: rng.choice(["on", "on", "off", "auto"]) for name in known if rng.random() < 0.8}
-            self.cell.control({"configuration": dict(configuration(version), overload=given)})
+            services = {queue: moved.choice(SERVICES) for queue in MAX_ATTEMPTS} if self.moves else {}
+            self.cell.control({"configuration": dict(configuration(version, services), overload=given)})
             self.switched = version - 1 if known else 0
 
     def run(self, plan, seconds, verbose):
@@ -436,6 +445,8 @@
             thread.join()
         over.set()
         self.heal()
+        if self.moves:
+            self.leave_service()
         self.callers.stop()
         # Jobs that crash workers are over before the others are watched.
         self.callers.finish(set(self.callers.accepted) - set(self.callers.lasting), 60)
@@ -443,6 +454,13 @@
         self.callers.finish(self.callers.lasting, 20)
         return self.verdict()
 
+    def leave_service(self):
+        """All queues are sent to one service, the workers of the other leave for good, and new ones of the
+        first take their place: advice may exclude few workers from all tasks of a step."""
+        self.cell.control({"configuration": configuration(MOST_CONFIGURATIONS, dict.fromkeys(MAX_ATTEMPTS, "pool"))})
+        for worker in range(self.cell.worker_count - self.cell.worker_count // 2, self.cell.worker_count):
+            self.cell.control({"worker": worker, "becomes": "reborn", "service": "pool"})
+
     def heal(self):
         for proxy in self.all_proxies():
             proxy.heal()
@@ -473,7 +491,8 @@
                                                 given.verbose)
     folder = tempfile.mkdtemp(prefix="valveshelf-soak-%d-" % seed)
     plan = make_plan(seed, seconds, entries, workers, given.worker_resets, given.late_writes)
-    soak = Soak(folder, seed, entries, workers, given.scheduled, given.worker_resets, given.late_writes)
+    soak = Soak(folder, seed, entries, workers, given.scheduled, given.worker_resets, given.late_writes,
+                given.queue_moves)
     try:
         found, breaks = soak.run(plan, seconds, verbose)
     finally:
@@ -491,6 +510,10 @@
     if given.late_writes:
         print("   %d jobs cancelled before they were accepted, %d of them not run, %d with long-running tasks" % (
             len(callers.cancelled - set(callers.accepted)), len(callers.revoked), len(callers.lasting)))
+    moved = soak.cell.count_logged(" queue-moved ")
+    if given.queue_moves:
+        print("   %d moves of queues with jobs, %d hand-overs, %d waits passed on" % (
+            moved, soak.cell.count_logged(" why=handed-over"), soak.cell.count_logged(" lease-ends-noted ")))
     for line in breaks[:20]:
         print("   " + line)
     if breaks or keep:
@@ -500,7 +523,8 @@
     # A soak in which nothing happened proves nothing.
     return (not breaks and found["starts"] > 0 and soak.switched > 0 and len(callers.accepted) > 0
             and (resets > 0 or not given.worker_resets)
-            and (callers.revoked and callers.lasting or not given.late_writes))
+            and (callers.revoked and callers.lasting or not given.late_writes)
+            and (moved > 0 or not given.queue_moves))
 
 
 def main():
@@ -516,6 +540,8 @@
                         help="connections to workers are reset after starts were carried out")
     parser.add_argument("--late-writes", action="store_true",
                         help="writes are carried out late, unanswered jobs cancelled, tasks long-running")
+    parser.add_argument("--queue-moves", action="store_true",
+                        help="queues are sent to other services, and processes are of unequal power")
     parser.add_argument("--verbose", action="store_true", help="print each fault")
     given = parser.parse_args()
     good = [play(given.seed + i, given) for i in range(given.seeds)]
--- a/testsuite/standins/users_platform.cpp
+++ b/testsuite/standins/users_platform.cpp
@@ -879,6 +879,8 @@
       Workers.restart(Which);
     if (What == "dead")
       Store.remove("servers/" + Which.Model.Id);
+    if (Body.contains("service"))
+      Which.Service = textOf(Body, "service");
     if (What == "reborn")
       Workers.beginLife(Which);
     if (What == "draining") {
