Scheduler: the services of silent workers are collected once a service is known, not with each report

With thousands of workers, each report after a takeover collected the services of all that had not reported yet: work that grows with the square of the fleet. The question whether the worker was the last of its service comes first again, and ends at the first that is left. latestLeaseEnd has a name of its own, and a test gives the length of the wait.

--- a/src/cell/leadership_evidence.cpp
+++ b/src/cell/leadership_evidence.cpp
@@ -28,10 +28,13 @@
   return std::chrono::ceil<Milliseconds>(Total * (2 * ClockDrift));
 }
 
+TimePoint latestLeaseEnd(TimePoint From, Milliseconds Longest, const SchedulerLimits &Limits) {
+  return From + Longest + driftDuring(Longest, Limits.ClockDrift) + Limits.LeaseMargin;
+}
+
 TimePoint inheritedLeaseEnd(TimePoint From, Milliseconds Longest, std::optional<Milliseconds> Left,
                             const SchedulerLimits &Limits) {
-  const TimePoint Latest =
-      From + Longest + driftDuring(Longest, Limits.ClockDrift) + Limits.LeaseMargin;
+  const TimePoint Latest = latestLeaseEnd(From, Longest, Limits);
   return Left ? std::min(Latest, From + *Left + driftDuring(*Left, Limits.ClockDrift)) : Latest;
 }
 
--- a/src/cell/leadership_evidence.h
+++ b/src/cell/leadership_evidence.h
@@ -49,9 +49,12 @@
 /// How far two clocks may have drifted apart in \p Time, each at a rate that is wrong by at most \p
 /// ClockDrift.
 Milliseconds driftDuring(Steady::duration Time, double ClockDrift);
-/// The latest end, by the clock of a successor, of a lease of an earlier scheduler. No lease was
-/// given after \p From; each was at most \p Longest. \p Left: what the scheduler before noted of a
-/// worker as it ended its term, with its own allowance for drift; empty: nothing.
+/// The latest end, by the clock that reads \p From, of a lease of \p Longest that is given by then.
+TimePoint latestLeaseEnd(TimePoint From, Milliseconds Longest,
+                         const sched::SchedulerLimits &Limits);
+/// The same of a lease of an earlier scheduler, by the clock of a successor. \p Left: what the
+/// scheduler before noted of a worker as it ended its term, with its own allowance for drift and
+/// before \p From; empty: nothing.
 TimePoint inheritedLeaseEnd(TimePoint From, Milliseconds Longest, std::optional<Milliseconds> Left,
                             const sched::SchedulerLimits &Limits);
 /// Whether runs may be started.
--- a/src/cell/leadership_evidence_test.cpp
+++ b/src/cell/leadership_evidence_test.cpp
@@ -69,5 +69,16 @@
   EXPECT_TRUE(membersToAsk({}, {{"c", member("c")}}, "a").empty());
 }
 
+// Guards against a wait that is begun again, and against one that is shorter than the leases.
+TEST(LeadershipEvidence, ASuccessorWaitsForTheRestOfALeaseAndNeverForMore) {
+  SchedulerLimits Limits;
+  Limits.ClockDrift = 0.02;
+  Limits.LeaseMargin = 300ms;
+  EXPECT_EQ(inheritedLeaseEnd(Begun, Lease, std::nullopt, Limits), Begun + 5500ms);
+  EXPECT_EQ(inheritedLeaseEnd(Begun, Lease, 0ms, Limits), Begun);
+  EXPECT_EQ(inheritedLeaseEnd(Begun, Lease, 1000ms, Limits), Begun + 1040ms);
+  EXPECT_EQ(inheritedLeaseEnd(Begun, Lease, 60s, Limits), Begun + 5500ms);
+}
+
 } // namespace
 } // namespace valveshelf
--- a/src/cell/scheduler_heartbeats.cpp
+++ b/src/cell/scheduler_heartbeats.cpp
@@ -41,7 +41,7 @@
 void SchedulerRunner::noteLeased(const std::string &Id) {
   const Milliseconds Lease =
       permittedLease(Evidence, Deps.Settings.Timing.WorkerLease, Deps.Time.Now());
-  workerLeased(Cell, Id, inheritedLeaseEnd(Deps.Time.Now(), Lease, std::nullopt, Cell.Limits));
+  workerLeased(Cell, Id, latestLeaseEnd(Deps.Time.Now(), Lease, Cell.Limits));
 }
 
 Steady::duration SchedulerRunner::clockAge(const std::string &Id) const {
--- a/src/scheduler/crashes.cpp
+++ b/src/scheduler/crashes.cpp
@@ -363,9 +363,10 @@
 void settleEarlierStarts(CellState &Cell, const std::string &Service,
                          const std::set<std::string> &StillUnreported, TimePoint Now,
                          Effects &Out) {
+  const std::set<std::string> Known{Service};
   std::vector<std::pair<TaskKey, std::set<std::string>>> Started; // with the lives that have ended
   for (auto &[Id, Of] : Cell.Jobs) {
-    if (!mayBeOnWorkersOf(Of, {Service}) || mayBeOnWorkersOf(Of, StillUnreported))
+    if (!mayBeOnWorkersOf(Of, Known) || mayBeOnWorkersOf(Of, StillUnreported))
       continue;
     const std::optional<TakeoverLosses> Lost = lossesOf(Cell, Of);
     for (auto &[Number, Round] : Of.Rounds)
--- a/src/scheduler/job_services.cpp
+++ b/src/scheduler/job_services.cpp
@@ -31,15 +31,15 @@
 }
 } // namespace
 
-bool updateServices(CellState &Cell, Job &J, TimePoint Now) {
+void updateServices(CellState &Cell, Job &J, TimePoint Now) {
   JobServices &Of = J.Services;
   const auto Found = Cell.QueueServices.find(J.Spec->Queue);
   if (J.Phase != JobPhase::Live || Found == Cell.QueueServices.end() ||
       Cell.ConfigVersion < Of.Version)
-    return false;
+    return;
   Of.Version = Cell.ConfigVersion;
   if (Found->second == Of.Current)
-    return false;
+    return;
   const std::string From = std::exchange(Of.Current, Found->second);
   addSave(Cell, J);
   Cell.HasUnrequestedSaves = true;
@@ -47,7 +47,6 @@
     Of.Used.push_back({Of.Current, J.PendingSave});
   noteMove(Cell.NewMoves, J, From);
   requeueWaitingSteps(Cell, J, Now);
-  return true;
 }
 
 void applyQueueServices(CellState &Cell, const CellConfiguration &Config) {
--- a/src/scheduler/job_services.h
+++ b/src/scheduler/job_services.h
@@ -18,8 +18,7 @@
 
 /// Moves the job to the service of its queue. Keeps its service if that was named by a newer
 /// configuration than the one that is known here, or if its queue is not in the configuration.
-/// Returns whether the job has moved.
-bool updateServices(CellState &Cell, Job &J, TimePoint Now);
+void updateServices(CellState &Cell, Job &J, TimePoint Now);
 /// Takes over the services of the queues, and moves the jobs of those that have changed.
 void applyQueueServices(CellState &Cell, const CellConfiguration &Config);
 /// True if a start of the job on a worker of its present service may be ordered.
--- a/src/scheduler/workers.cpp
+++ b/src/scheduler/workers.cpp
@@ -54,11 +54,13 @@
     return;
   const std::string Service = std::move(Found->second);
   Cell.UnreportedWorkers.erase(Found);
-  const std::set<std::string> Unreported = unreportedServices(Cell);
-  if (Unreported.count(Service) > 0)
+  if (std::any_of(Cell.UnreportedWorkers.begin(), Cell.UnreportedWorkers.end(),
+                  [&](const auto &Entry) { return Entry.second == Service; }))
     return;
+  const std::set<std::string> Known{Service};
+  const std::set<std::string> Unreported = unreportedServices(Cell);
   for (auto &[JobNumber, Of] : Cell.Jobs) {
-    if (!mayBeOnWorkersOf(Of, {Service}) || mayBeOnWorkersOf(Of, Unreported))
+    if (!mayBeOnWorkersOf(Of, Known) || mayBeOnWorkersOf(Of, Unreported))
       continue;
     for (auto &[Number, Round] : Of.Rounds)
       for (StepState &Step : Round.Steps) {
