Organisations: runs of unknown size that are reported before the configuration count as well

To callers: an organisation has more running than its maximum after a takeover, at the cost of the others (QUOTA).

Cause: the run of an ended job on a worker of unknown capacity is charged the whole maximum of its organisation, which is zero until a configuration is read. The charge stayed zero after that.

Change: applyConfiguration charges such runs as the maximum becomes known.

--- a/src/include/valveshelf/cell_state.h
+++ b/src/include/valveshelf/cell_state.h
@@ -39,7 +39,7 @@
 /// An organisation and its resource usage over all workers of the cell.
 /// Invariant: Usage is the sum of `Charge` over all attempts of its jobs, in every phase: planned
 /// attempts, those whose start order got no answer and those being stopped count until they are
-/// known to be over. Only `book`, `bookCopy`, `unbook` and `adopt` change it.
+/// known to be over. Only `book`, `bookCopy`, `unbook`, `adopt` and `applyConfiguration` change it.
 struct OrganisationState {
   std::string Name;
   Resources Maximum; ///< From the newest configuration; 0 in a dimension: no limit.
--- a/src/scheduler/organisations.cpp
+++ b/src/scheduler/organisations.cpp
@@ -9,6 +9,22 @@
 
 namespace valveshelf::sched {
 
+namespace {
+// Runs of unknown size on workers of unknown capacity are charged the whole maximum of their
+// organisation, which was not known if they were reported before the configuration was read.
+void chargeRunsOfUnknownSize(CellState &Cell) {
+  for (auto &[Id, On] : Cell.Workers) {
+    if (!On.HasUnsizedRun)
+      continue;
+    for (auto &[Run, Entry] : On.Attempts)
+      if (Entry.Owner && Entry.Charge == Resources{}) {
+        Entry.Charge = Entry.Owner->Maximum;
+        Entry.Owner->Usage += Entry.Charge;
+      }
+  }
+}
+} // namespace
+
 void applyConfiguration(CellState &Cell, const CellConfiguration &Config) {
   Cell.HasConfiguration = true;
   Cell.Services.clear();
@@ -24,6 +40,7 @@
     Known.Maximum = Listed.Maximum;
     Known.Weight = Listed.Weight;
   }
+  chargeRunsOfUnknownSize(Cell);
 }
 
 void applyFeatures(CellState &Cell, const Features &InForce) {
--- a/src/scheduler/organisations_test.cpp
+++ b/src/scheduler/organisations_test.cpp
@@ -263,6 +263,28 @@
   EXPECT_EQ(Given.pass().size(), 10u);
 }
 
+// Guards against an organisation above its maximum: a scheduler without a configuration doesn't
+// know the maximum that such a run is charged.
+TEST(Organisations, ARunOfUnknownSizeCountsAlsoIfItIsReportedBeforeTheMaximumIsKnown) {
+  CellState Cell;
+  const TimePoint Now = TimePoint{} + 1000s;
+  Cell.EndedJobs[77] = {JobPhase::Cancelled, 1, {}, "north"};
+  WorkerInfo Recorded = workerOf("x0");
+  Recorded.Capacity = {};
+  workerMayHoldRuns(Cell, Recorded, Now + 5s);
+  Effects Out;
+  finishLoading(Cell, Now, Out);
+  WorkerReport Report;
+  Report.Active.push_back({{{{77, 0, 0}, 0}, 7}, "", 10});
+  workerReported(Cell, "x0", Report, Now, Now, Out);
+  applyConfiguration(Cell, configWithMaximum(20000));
+  EXPECT_EQ(Cell.Organisations.at("north").Usage.MilliCores, 20000) << "the whole maximum";
+  Report.Active.clear();
+  Report.Ended.push_back({1, {{{77, 0, 0}, 0}, 7}, RunOutcome::Stopped, ""});
+  workerReported(Cell, "x0", Report, Now + 1s, Now + 1s, Out);
+  EXPECT_EQ(Cell.Organisations.at("north").Usage.MilliCores, 0);
+}
+
 // Guards against a new scheduler that gives away the quota which runs of a job that ended right
 // before the takeover still use on a worker without a report.
 TEST(Organisations, RunsOfAJobThatHasJustEndedCountUntilTheirWorkersReport) {
--- a/src/scheduler/scheduler_fuzz_test.cpp
+++ b/src/scheduler/scheduler_fuzz_test.cpp
@@ -2252,6 +2252,12 @@
   expectHolds({2103U}, Scenario::LastingRestarts);
 }
 
+// Guards against an organisation over its maximum: a run of unknown size is reported to a scheduler
+// that has no configuration yet.
+TEST(SchedulerFuzz, SeedsThatReportARunBeforeTheMaximumIsKnown) {
+  expectHolds({5820U}, Scenario::Moves);
+}
+
 // Long-running tasks beside restarts and resets: sound jobs that are given up (1009, 1124, 2002,
 // 2026), ends that are forgotten (2124, 3161) and a gang that is away for 3.04 s (2046). Their
 // causes are not known.
